--- /dev/null
+++ b/gooseberryweir/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: one small function for each subcommand."""
--- /dev/null
+++ b/gooseberryweir/connection/__init__.py
@@ -0,0 +1,1 @@
+"""What lives as long as one connection: peer links, caller sockets."""
--- /dev/null
+++ b/gooseberryweir/connection/messages.py
@@ -0,0 +1,284 @@
+"""The messages between hosts.
+
+Each message is a NamedTuple and travels as a msgpack array: its type number,
+a correlation number (0 for a message that wants no reply), then its fields.
+Keys of callers never travel; their SHA-256 digests do.
+"""
+
+from typing import Any
+from typing import NamedTuple
+
+import msgpack
+
+PROTOCOL = 1
+MAX_MESSAGE_BYTES = 32 * 1024 * 1024
+
+
+class Hello(NamedTuple):
+    """Opens a link: who dials.
+
+    Attributes:
+        protocol: The protocol's version, `PROTOCOL`.
+        host: Name of the dialling host.
+        incarnation: Its incarnation, milliseconds since the epoch at start.
+    """
+
+    protocol: int
+    host: str
+    incarnation: int
+
+
+class Ping(NamedTuple):
+    """Asks a peer for its `Pong`.
+
+    Attributes:
+        host: Name of the asking host.
+        incarnation: Its incarnation.
+    """
+
+    host: str
+    incarnation: int
+
+
+class Pong(NamedTuple):
+    """What a peer knows at the time of its answer.
+
+    Attributes:
+        host: Name of the answering host.
+        incarnation: Its incarnation.
+        platform_age: Seconds since the question behind its newest proof that
+            its state was the platform's current state; a large number if none.
+        state_digest: Digest of its platform objects and their versions.
+        facts_digest: Digest of its facts.
+        view: Digest of the hosts that it holds eligible for duties.
+        suspects: Names of hosts that it has not heard for the silence time.
+        load: Its own load: requests in flight.
+    """
+
+    host: str
+    incarnation: int
+    platform_age: float
+    state_digest: int
+    facts_digest: int
+    view: int
+    suspects: tuple[str, ...]
+    load: int
+
+
+class FetchState(NamedTuple):
+    """Asks for the platform objects newer than those named.
+
+    Attributes:
+        versions: Version held of each object, by its full name.
+    """
+
+    versions: dict[str, int]
+
+
+class StateObjects(NamedTuple):
+    """Platform objects, as a reply to `FetchState` or pushed when new.
+
+    Attributes:
+        objects: Tuples of full name, version, and content; a deleted object
+            has None for its content.
+    """
+
+    objects: tuple[tuple[str, int, Any], ...]
+
+
+class FetchFacts(NamedTuple):
+    """Sends all facts held and asks for all facts of the peer."""
+
+    facts: dict[str, int]
+
+
+class Facts(NamedTuple):
+    """Facts, as a reply to `FetchFacts` or pushed when new."""
+
+    facts: dict[str, int]
+
+
+class Draw(NamedTuple):
+    """Asks the home of a token bucket for tokens.
+
+    Attributes:
+        bucket: Name of the bucket, such as `account/valle`.
+        host: Name of the drawing host.
+        incarnation: Its incarnation.
+        view: View under which it takes the receiver for the home.
+        want: Tokens wanted.
+        spent: Tokens of earlier grants of this home spent since the last
+            draw whose reply arrived.
+        sequence: Number of this draw; grows by one for each new draw.
+    """
+
+    bucket: str
+    host: str
+    incarnation: int
+    view: int
+    want: int
+    spent: int
+    sequence: int
+
+
+class Grant(NamedTuple):
+    """Tokens granted.
+
+    Attributes:
+        granted: Tokens granted now; may be 0.
+        lifetime: Seconds, from before the draw was sent, that they last.
+        retry_after: Seconds after which a token is expected, if none.
+        home: False if the answering host is not the home, or not ready.
+        demand: Tokens a second that all hosts asked for lately.
+    """
+
+    granted: int
+    lifetime: float
+    retry_after: float
+    home: bool
+    demand: float
+
+
+class DrawSlots(NamedTuple):
+    """Asks the home of a pool of upstreams for slots and reports its use.
+
+    Attributes:
+        pool: Name of the pool: `slots/<service>/<region>`.
+        host: Name of the drawing host.
+        incarnation: Its incarnation.
+        view: View under which it takes the receiver for the home.
+        want: Further slots wanted, by class of work.
+        held: Slots kept, in use or in reserve, by upstream name; every other
+            slot granted before is given back.
+        busy: Slots in use, by upstream name.
+        sequence: Number of this draw; grows by one for each new draw.
+    """
+
+    pool: str
+    host: str
+    incarnation: int
+    view: int
+    want: dict[str, int]
+    held: dict[str, int]
+    busy: dict[str, int]
+    sequence: int
+
+
+class SlotGrant(NamedTuple):
+    """Slots granted.
+
+    Attributes:
+        slots: Slots granted now, by upstream name.
+        lifetime: Seconds, from before the draw was sent, within which they
+            and all slots held must be used or drawn again.
+        retry_after: Seconds after which a slot is expected, if none.
+        home: False if the answering host is not the home, or not ready.
+    """
+
+    slots: dict[str, int]
+    lifetime: float
+    retry_after: float
+    home: bool
+
+
+class Forward(NamedTuple):
+    """Passes a ticketed request to the incarnation that issued the ticket.
+
+    Attributes:
+        ticket: The ticket.
+        account: Client account that the key belongs to; empty if refused.
+        key_digest: SHA-256 of the key in hexadecimal; empty if none.
+        method: HTTP method.
+        target: Request target: path and query.
+        headers: Header names and values, the key left out.
+        body: The body, whole.
+        timeout: Seconds left for the request.
+        refusal: Code of the refusal of the forwarding host, or 0: then the
+            ticket is ended instead of run.
+    """
+
+    ticket: str
+    account: str
+    key_digest: str
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    timeout: float
+    refusal: int
+
+
+class Answer(NamedTuple):
+    """The answer to a `Forward`.
+
+    Attributes:
+        status: HTTP status.
+        headers: Header names and values.
+        body: The body, whole.
+        code: Result code of a refusal, or 0.
+        ran: Value of `Ran` for a refusal.
+        retry_after: Seconds after which to come back; negative for never.
+        detail: Sentence of a refusal.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    code: int
+    ran: str
+    retry_after: float
+    detail: str
+
+
+_TYPES: tuple[type, ...] = (
+    Hello,
+    Ping,
+    Pong,
+    FetchState,
+    StateObjects,
+    FetchFacts,
+    Facts,
+    Draw,
+    Grant,
+    DrawSlots,
+    SlotGrant,
+    Forward,
+    Answer,
+)
+_NUMBERS = {kind: number for number, kind in enumerate(_TYPES)}
+
+
+class ProtocolError(Exception):
+    """A peer sent something that is not a message."""
+
+
+def encode(message: Any, correlation: int = 0) -> bytes:
+    """Packs a message with its correlation number."""
+    parts = [_NUMBERS[type(message)], correlation, *message]
+    return msgpack.packb(parts, use_bin_type=True)
+
+
+def decode(parts: Any) -> tuple[int, Any]:
+    """Turns an unpacked array into a correlation number and a message.
+
+    Args:
+        parts: What the msgpack unpacker returned, with arrays as tuples.
+
+    Raises:
+        ProtocolError: The array is not a message.
+    """
+    try:
+        kind = _TYPES[parts[0]]
+        return parts[1], kind(*parts[2:])
+    except (TypeError, IndexError, KeyError) as error:
+        raise ProtocolError(f"not a message: {error}") from error
+
+
+def unpacker() -> msgpack.Unpacker:
+    """Returns the unpacker for a link; feed it bytes, iterate arrays."""
+    return msgpack.Unpacker(
+        raw=False,
+        use_list=False,
+        strict_map_key=False,
+        max_buffer_size=MAX_MESSAGE_BYTES,
+    )
--- /dev/null
+++ b/gooseberryweir/process/__init__.py
@@ -0,0 +1,1 @@
+"""What lives as long as the process: membership, shares, duties."""
--- /dev/null
+++ b/gooseberryweir/request/__init__.py
@@ -0,0 +1,1 @@
+"""What lives as long as one request: admission, routing, proxying."""
--- /dev/null
+++ b/gooseberryweir/version/__init__.py
@@ -0,0 +1,1 @@
+"""What lives as long as one version: declarations, objects, tables."""
--- /dev/null
+++ b/test/__init__.py
@@ -0,0 +1,1 @@
+"""Tests: unit tests and integration tests with real processes."""
--- /dev/null
+++ b/test/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the outside systems: platform, upstream, fault proxy."""
--- /dev/null
+++ b/test/test_codes.py
@@ -0,0 +1,17 @@
+"""Result codes: every code has a row, and a refusal takes its defaults."""
+
+import unittest
+
+from gooseberryweir import codes
+
+
+class CodesTest(unittest.TestCase):
+    """The table of result codes."""
+
+    def test_every_code_has_a_row(self):
+        self.assertEqual(set(codes.Code), set(codes.TABLE))
+
+    def test_refusal_takes_the_defaults_of_its_row(self):
+        refusal = codes.refuse(codes.Code.RATE_EXCEEDED)
+        self.assertEqual(refusal.ran, codes.Ran.NO)
+        self.assertEqual(refusal.retry_after, 1)
--- /dev/null
+++ b/test/test_messages.py
@@ -0,0 +1,20 @@
+"""Messages between hosts survive the trip through msgpack."""
+
+import unittest
+
+from gooseberryweir.connection import messages
+
+
+class MessagesTest(unittest.TestCase):
+    """Encoding and decoding."""
+
+    def test_round_trip(self):
+        sent = messages.Ping("c1", 7)
+        unpacker = messages.unpacker()
+        unpacker.feed(messages.encode(sent, 3))
+        received = [messages.decode(parts) for parts in unpacker]
+        self.assertEqual(received, [(3, sent)])
+
+    def test_an_unknown_message_is_an_error(self):
+        with self.assertRaises(messages.ProtocolError):
+            messages.decode((999, 0))
