--- /dev/null
+++ b/gooseberryweir/rendezvous.py
@@ -0,0 +1,26 @@
+"""Rendezvous hashing: every host picks the same holder without a message.
+
+Source: Thaler and Ravishankar, "Using name-based mappings to increase hit
+rates", IEEE/ACM Transactions on Networking, 1998.
+"""
+
+from collections.abc import Iterable
+
+import xxhash
+
+
+def score(name: str, member: str) -> int:
+    """Returns the 64-bit weight of a member for a name."""
+    return xxhash.xxh64_intdigest(f"{name}\0{member}")
+
+
+def order(name: str, members: Iterable[str]) -> list[str]:
+    """Returns the members, the best for the name first."""
+    return sorted(members, key=lambda member: (-score(name, member), member))
+
+
+def first(name: str, members: Iterable[str]) -> str | None:
+    """Returns the best member for the name, or None without members."""
+    return min(
+        members, key=lambda member: (-score(name, member), member), default=None
+    )
--- a/test/report.py
+++ b/test/report.py
@@ -17,7 +17,7 @@
     """Collects the outcome of each test."""
 
     alwaysOn = True
-    configSection = "verdict"
+    configSection = "verdict"  # noqa: N815
     passed: set[str] = set()
     failed: set[str] = set()
 
