--- a/gooseberryweir/rendezvous.py
+++ b/gooseberryweir/rendezvous.py
@@ -11,7 +11,7 @@
 
 def score(name: str, member: str) -> int:
     """Returns the 64-bit weight of a member for a name."""
-    return xxhash.xxh64_intdigest(f"{name}\0{member}")
+    return xxhash.xxh64_intdigest(f"{name}\0{member}".encode())
 
 
 def order(name: str, members: Iterable[str]) -> list[str]:
--- a/test/report.py
+++ b/test/report.py
@@ -16,7 +16,7 @@
 class Verdict(events.Plugin):
     """Collects the outcome of each test."""
 
-    alwaysOn = True
+    alwaysOn = True  # noqa: N815
     configSection = "verdict"  # noqa: N815
     passed: set[str] = set()
     failed: set[str] = set()
