--- /dev/null
+++ b/gooseberryweir/cli.py
@@ -0,0 +1,189 @@
+"""The command line: parses arguments and calls one function a command.
+
+A `UserError` is caught once, here, and printed as one line.
+"""
+
+import os
+import sys
+from typing import Annotated
+
+import typer
+
+from gooseberryweir import clock as clocks
+from gooseberryweir import codes
+from gooseberryweir.commands import apply as apply_command
+from gooseberryweir.commands import check as check_command
+from gooseberryweir.commands import drain as drain_command
+from gooseberryweir.commands import exit_codes
+from gooseberryweir.commands import explain as explain_command
+from gooseberryweir.commands import fleet
+from gooseberryweir.commands import key as key_command
+from gooseberryweir.commands import status as status_command
+from gooseberryweir.process import platform
+from gooseberryweir.process import serve as serve_module
+from gooseberryweir.process import settings as settings_module
+
+APP = typer.Typer(
+    add_completion=False,
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+    help="Steers callers to upstreams by declared targets.",
+)
+KEY_APP = typer.Typer(no_args_is_help=True, help="Issues and withdraws keys.")
+APP.add_typer(KEY_APP, name="key")
+
+PlatformOption = Annotated[
+    str,
+    typer.Option(
+        "--platform",
+        envvar="GOOSEBERRYWEIR_PLATFORM",
+        help="URL of the platform's object API.",
+    ),
+]
+HostsOption = Annotated[
+    list[str] | None,
+    typer.Option(
+        "--operator",
+        help="Operator port of a host, IP:PORT; for an outage.",
+    ),
+]
+TokenOption = Annotated[
+    str,
+    typer.Option(
+        "--token",
+        envvar="GOOSEBERRYWEIR_OPERATOR_TOKEN",
+        help="The operator token.",
+    ),
+]
+
+
+def _operator(
+    platform_url: str, hosts: list[str] | None, token: str
+) -> fleet.Operator:
+    return fleet.Operator(
+        platform.Platform(platform_url, "operator"),
+        tuple(hosts or ()),
+        token,
+        typer.echo,
+        clocks.system_clock(),
+    )
+
+
+@APP.command()
+def serve(
+    settings: Annotated[
+        str | None, typer.Option(help="Settings file in YAML.")
+    ] = None,
+    host: Annotated[str | None, typer.Option(help="Name of this host.")] = None,
+    region: Annotated[str | None, typer.Option(help="Its region.")] = None,
+    zone: Annotated[str | None, typer.Option(help="Its zone.")] = None,
+    log_level: Annotated[
+        str | None, typer.Option(help="debug, info, warning or error.")
+    ] = None,
+) -> None:
+    """Runs one host until it is told to leave."""
+    flags = {
+        "host": host,
+        "region": region,
+        "zone": zone,
+        "log_level": log_level,
+    }
+    loaded = settings_module.load_settings(settings, os.environ, flags)
+    serve_module.run(loaded)
+
+
+@APP.command()
+def check(files: list[str]) -> None:
+    """Validates declaration files without applying them."""
+    check_command.check(files)
+
+
+@APP.command()
+def apply(
+    file: str,
+    platform_url: PlatformOption,
+    token: TokenOption,
+    operator: HostsOption = None,
+    expect_version: Annotated[
+        int | None,
+        typer.Option(help="Version that must be the newest; 0 for none."),
+    ] = None,
+) -> None:
+    """Puts a declaration in force everywhere."""
+    context = _operator(platform_url, operator, token)
+    apply_command.apply_file(context, file, expect_version)
+
+
+@APP.command()
+def status(
+    platform_url: PlatformOption,
+    token: TokenOption,
+    operator: HostsOption = None,
+) -> None:
+    """Shows what each host knows of itself and of the others."""
+    status_command.show_status(_operator(platform_url, operator, token))
+
+
+@KEY_APP.command("issue")
+def key_issue(
+    account: str,
+    platform_url: PlatformOption,
+    token: TokenOption,
+    operator: HostsOption = None,
+) -> None:
+    """Makes a key for a client account and prints it once."""
+    key_command.issue(_operator(platform_url, operator, token), account)
+
+
+@KEY_APP.command("withdraw")
+def key_withdraw(
+    platform_url: PlatformOption,
+    token: TokenOption,
+    key: Annotated[
+        str, typer.Argument(help="Key or its digest; - reads standard input.")
+    ] = "-",
+    operator: HostsOption = None,
+) -> None:
+    """Withdraws a key everywhere, also while the platform is out."""
+    text = sys.stdin.readline().strip() if key == "-" else key
+    key_command.withdraw(_operator(platform_url, operator, token), text)
+
+
+@APP.command()
+def drain(
+    target: Annotated[str, typer.Argument(help="region/NAME, upstream/NAME")],
+    platform_url: PlatformOption,
+    token: TokenOption,
+    operator: HostsOption = None,
+    undo: Annotated[bool, typer.Option(help="End the drain.")] = False,
+) -> None:
+    """Keeps new work away from a region or an upstream."""
+    context = _operator(platform_url, operator, token)
+    if undo:
+        drain_command.undrain(context, target)
+    else:
+        drain_command.drain(context, target)
+
+
+@APP.command()
+def explain(
+    method: str,
+    path: str,
+    platform_url: PlatformOption,
+    token: TokenOption,
+    account: str = "",
+    operator: HostsOption = None,
+) -> None:
+    """Says how a request would be routed now, and why."""
+    context = _operator(platform_url, operator, token)
+    explain_command.explain(context, method, path, account)
+
+
+def main() -> None:
+    """Runs the command line and exits with its code."""
+    try:
+        APP()
+    except codes.UserError as error:
+        message = " | ".join(error.message.splitlines())
+        sys.stderr.write(f"gooseberryweir: {int(error.code)}: {message}\n")
+        sys.exit(exit_codes.exit_code(error.code))
--- /dev/null
+++ b/gooseberryweir/connection/upstream_http.py
@@ -0,0 +1,216 @@
+"""The upstream's side of HTTP: one request at a time on a connection.
+
+A connection is reused only after an answer was read whole. Non-idempotent
+requests always get a connection of their own, since a pooled one may have
+been closed by the upstream a moment ago.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+import contextlib
+from typing import Any
+from typing import NamedTuple
+
+import urllib3
+
+from gooseberryweir.request import incoming
+
+CONNECT_SECONDS = 1.0
+PIECE_BYTES = 64 * 1024
+# An upstream marks with this header that it did not begin the work.
+SHED_HEADER = "Gooseberryweir-Shed"
+
+
+class UpstreamRequest(NamedTuple):
+    """What is sent to an upstream.
+
+    Attributes:
+        method: HTTP method.
+        target: Path and query.
+        headers: Headers, complete.
+        body: The body, whole or in pieces; None for none.
+        idempotent: Whether it may be sent again.
+    """
+
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes | Iterable[bytes] | None
+    idempotent: bool
+
+
+class UpstreamAnswer(NamedTuple):
+    """The head of an upstream's answer; the body is still to be read.
+
+    Attributes:
+        status: HTTP status.
+        headers: Headers to pass on to the caller.
+        response: The library's response, for the body.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    response: Any
+
+
+class NotSentError(Exception):
+    """No byte of the request reached the upstream."""
+
+
+class UpstreamDiedError(Exception):
+    """The upstream ended the connection before its answer was complete."""
+
+
+class UpstreamTimeoutError(Exception):
+    """The upstream did not answer within the timeout."""
+
+
+def answer_headers(headers: Any) -> tuple[tuple[str, str], ...]:
+    """Returns the headers of an answer without the hop-by-hop ones."""
+    named = {
+        name.strip().lower()
+        for name in headers.get("connection", "").split(",")
+    }
+    dropped = incoming.HOP_BY_HOP | named
+    return tuple(
+        (name, value)
+        for name, value in headers.iteritems()
+        if name.lower() not in dropped
+    )
+
+
+class UpstreamConnections:
+    """Keeps one pool of connections for each upstream address."""
+
+    def __init__(self) -> None:
+        self.pools: dict[str, urllib3.HTTPConnectionPool] = {}
+
+    def __enter__(self) -> "UpstreamConnections":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for pool in self.pools.values():
+            pool.close()
+        self.pools.clear()
+
+    def forget(self, addresses: Iterable[str]) -> None:
+        """Closes the pools of upstreams that are no longer listed."""
+        for address in addresses:
+            pool = self.pools.pop(address, None)
+            if pool is not None:
+                pool.close()
+
+    def pool(self, address: str, connections: int) -> Any:
+        """Returns the pool of an upstream, made on first use."""
+        pool = self.pools.get(address)
+        if pool is None:
+            pool = _new_pool(address, connections)
+            self.pools[address] = pool
+        return pool
+
+    @contextlib.contextmanager
+    def send(
+        self,
+        address: str,
+        connections: int,
+        request: UpstreamRequest,
+        timeout: float,
+    ) -> Iterator[UpstreamAnswer]:
+        """Sends a request and yields the head of its answer.
+
+        Leaving the context before the body was read whole closes the
+        connection, which cancels the work at the upstream.
+
+        Args:
+            address: IP:PORT of the upstream.
+            connections: The upstream's limit of connections.
+            request: What to send.
+            timeout: Seconds for any single wait on the upstream.
+
+        Raises:
+            NotSentError: The connection could not be opened.
+            UpstreamDiedError: It was closed before the answer's head.
+            UpstreamTimeoutError: The wait was too long.
+        """
+        own = None if request.idempotent else _new_pool(address, 1)
+        pool = own or self.pool(address, connections)
+        response = None
+        try:
+            response = _open(pool, request, timeout)
+            yield UpstreamAnswer(
+                response.status, answer_headers(response.headers), response
+            )
+        finally:
+            if response is not None:
+                _finish(response)
+            if own is not None:
+                own.close()
+
+
+def _new_pool(address: str, connections: int) -> urllib3.HTTPConnectionPool:
+    host, _, port = address.rpartition(":")
+    return urllib3.HTTPConnectionPool(
+        host, int(port), maxsize=connections, block=False, retries=False
+    )
+
+
+def _open(pool: Any, request: UpstreamRequest, timeout: float) -> Any:
+    headers = urllib3.HTTPHeaderDict()
+    for name, value in request.headers:
+        headers.add(name, value)
+    try:
+        return pool.urlopen(
+            request.method,
+            request.target,
+            body=request.body,
+            headers=headers,
+            retries=False,
+            redirect=False,
+            assert_same_host=False,
+            preload_content=False,
+            decode_content=False,
+            timeout=urllib3.Timeout(connect=CONNECT_SECONDS, read=timeout),
+        )
+    except (
+        urllib3.exceptions.NewConnectionError,
+        urllib3.exceptions.ConnectTimeoutError,
+    ) as error:
+        raise NotSentError(str(error)) from error
+    except urllib3.exceptions.TimeoutError as error:
+        raise UpstreamTimeoutError(str(error)) from error
+    except (urllib3.exceptions.HTTPError, OSError) as error:
+        raise UpstreamDiedError(str(error)) from error
+
+
+def _finish(response: Any) -> None:
+    """Returns the connection if the answer was read whole, else closes it."""
+    if response.closed or getattr(response, "length_remaining", None) == 0:
+        response.release_conn()
+        return
+    connection = response.connection
+    if connection is not None:
+        connection.close()
+    response.close()
+
+
+def read_pieces(answer: UpstreamAnswer) -> Iterator[bytes]:
+    """Yields the body of an answer.
+
+    Raises:
+        UpstreamDiedError: It ended before all announced bytes came.
+        UpstreamTimeoutError: The wait for a piece was too long.
+    """
+    response = answer.response
+    try:
+        if response.chunked:
+            yield from response.read_chunked(decode_content=False)
+            return
+        while True:
+            piece = response.read1(PIECE_BYTES)
+            if not piece:
+                return
+            yield piece
+    except urllib3.exceptions.TimeoutError as error:
+        raise UpstreamTimeoutError(str(error)) from error
+    except (urllib3.exceptions.HTTPError, OSError) as error:
+        raise UpstreamDiedError(str(error)) from error
--- /dev/null
+++ b/gooseberryweir/request/incoming.py
@@ -0,0 +1,184 @@
+"""A caller's request as read from the WSGI environment.
+
+The key leaves the headers here; nothing past this module but admission sees it.
+"""
+
+import hashlib
+import re
+from typing import Any
+from typing import NamedTuple
+import urllib.parse
+
+from gooseberryweir import codes
+
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+# Headers that are rebuilt for the upstream rather than passed on.
+REPLACED = frozenset(
+    {"authorization", "host", "content-length", "expect", "request-timeout"}
+)
+OWN_PREFIX = "gooseberryweir-"
+TICKET_HEADER = "Idempotency-Key"
+TIMEOUT_HEADER = "Request-Timeout"
+DEFAULT_TIMEOUT_SECONDS = 30.0
+MAX_TIMEOUT_SECONDS = 600.0
+KEY = re.compile(r"[A-Za-z0-9._~+/=-]{16,256}\Z")
+PATH = re.compile(r"/[A-Za-z0-9._~!$&'()*+,;=:@%/-]*\Z")
+QUERY = re.compile(r"[A-Za-z0-9._~!$&'()*+,;=:@%/?\[\]|{}^`\"<>\\-]*\Z")
+ESCAPE = re.compile(r"%(?![0-9A-Fa-f]{2})")
+
+
+class Incoming(NamedTuple):
+    """One request of a caller.
+
+    Attributes:
+        method: HTTP method.
+        path: Path as sent, escapes kept.
+        target: Path and query as sent.
+        headers: Headers to pass on; hop-by-hop ones and the key left out.
+        key_digest: SHA-256 of the key in hexadecimal; empty without a key.
+        ticket: The ticket, or empty.
+        timeout: Seconds that the caller will wait.
+        content_length: Bytes of the body, or None for a chunked body.
+        body: The WSGI input.
+        caller: The caller's socket.
+    """
+
+    method: str
+    path: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    key_digest: str
+    ticket: str
+    timeout: float
+    content_length: int | None
+    body: Any
+    caller: Any
+
+
+def passed_on(
+    headers: tuple[tuple[str, str], ...], key: str
+) -> tuple[tuple[str, str], ...]:
+    """Returns the headers that an upstream may see.
+
+    A header whose value holds the key's text is left out wherever it stands.
+    """
+    named = {
+        name.strip().lower()
+        for header, value in headers
+        if header.lower() == "connection"
+        for name in value.split(",")
+    }
+    dropped = HOP_BY_HOP | REPLACED | named
+    return tuple(
+        (name, value)
+        for name, value in headers
+        if name.lower() not in dropped
+        and "_" not in name
+        and not name.lower().startswith(OWN_PREFIX)
+        and not (key and key in value)
+    )
+
+
+def header_values(headers: tuple[tuple[str, str], ...], name: str) -> list[str]:
+    """Returns every value of a header."""
+    wanted = name.lower()
+    return [value for header, value in headers if header.lower() == wanted]
+
+
+def read_key(headers: tuple[tuple[str, str], ...]) -> str | codes.Refusal:
+    """Returns the key, empty if there is none, or a refusal."""
+    values = header_values(headers, "authorization")
+    if not values:
+        return ""
+    scheme, _, key = values[0].partition(" ")
+    key = key.strip()
+    if len(values) > 1 or scheme.lower() != "bearer" or not KEY.match(key):
+        return codes.refuse(codes.Code.MALFORMED_KEY)
+    return key
+
+
+def read_timeout(
+    headers: tuple[tuple[str, str], ...],
+) -> float | codes.Refusal:
+    """Returns the seconds that the caller gives its request."""
+    values = header_values(headers, TIMEOUT_HEADER)
+    if not values:
+        return DEFAULT_TIMEOUT_SECONDS
+    try:
+        seconds = float(values[0])
+    except ValueError:
+        return codes.refuse(codes.Code.BAD_TIMEOUT)
+    if len(values) > 1 or not 0 < seconds <= MAX_TIMEOUT_SECONDS:
+        return codes.refuse(
+            codes.Code.BAD_TIMEOUT,
+            f"{TIMEOUT_HEADER} takes one number of seconds, "
+            f"more than 0 and at most {MAX_TIMEOUT_SECONDS:g}",
+        )
+    return seconds
+
+
+def path_fault(path: str, query: str) -> bool:
+    """Returns whether a path or query is ambiguous or malformed."""
+    if not PATH.match(path) or ESCAPE.search(path) or not QUERY.match(query):
+        return True
+    decoded = urllib.parse.unquote(path, encoding="latin1")
+    if "%2f" in path.lower() or "\\" in decoded or "\0" in decoded:
+        return True
+    segments = decoded.split("/")
+    return "." in segments or ".." in segments or "" in segments[1:-1]
+
+
+def parse(environ: dict[str, Any]) -> Incoming | codes.Refusal:
+    """Reads a request from its WSGI environment.
+
+    Args:
+        environ: The environment that eventlet's server built.
+
+    Returns:
+        The request, or the refusal of a malformed one.
+    """
+    headers = environ["headers_raw"]
+    path = environ["RAW_PATH_INFO"]
+    query = environ.get("QUERY_STRING", "")
+    if path_fault(path, query):
+        return codes.refuse(codes.Code.BAD_PATH)
+    key = read_key(headers)
+    if isinstance(key, codes.Refusal):
+        return key
+    if key and (key in path or key in query):
+        return codes.refuse(
+            codes.Code.MALFORMED_KEY, "the key may stand in no other place"
+        )
+    timeout = read_timeout(headers)
+    if isinstance(timeout, codes.Refusal):
+        return timeout
+    tickets = header_values(headers, TICKET_HEADER)
+    if len(tickets) > 1:
+        return codes.refuse(codes.Code.TICKET_INVALID)
+    chunked = bool(header_values(headers, "transfer-encoding"))
+    return Incoming(
+        method=environ["REQUEST_METHOD"],
+        path=path,
+        target=f"{path}?{query}" if query else path,
+        headers=passed_on(headers, key),
+        key_digest=hashlib.sha256(key.encode()).hexdigest() if key else "",
+        ticket=tickets[0] if tickets else "",
+        timeout=timeout,
+        content_length=(
+            None if chunked else int(environ.get("CONTENT_LENGTH") or 0)
+        ),
+        body=environ["wsgi.input"],
+        caller=environ["eventlet.input"].get_socket(),
+    )
--- /dev/null
+++ b/gooseberryweir/request/once.py
@@ -0,0 +1,203 @@
+"""Runs ticketed requests: each at most once, repeats get the first answer."""
+
+import logging
+import urllib.parse
+
+import eventlet
+
+from gooseberryweir import codes
+from gooseberryweir import logs
+from gooseberryweir.connection import messages
+from gooseberryweir.connection import peer_link
+from gooseberryweir.process import context as contexts
+from gooseberryweir.process import suspects
+from gooseberryweir.request import admission
+from gooseberryweir.request import dispatch
+from gooseberryweir.request import incoming
+from gooseberryweir.request import tickets
+
+LOGGER = logging.getLogger(__name__)
+# Seconds by which the forwarding host waits longer than the owner works.
+FORWARD_MARGIN_SECONDS = 0.5
+
+
+def run_owned(
+    context: contexts.Context,
+    admitted: admission.Admitted,
+    request: messages.Forward,
+) -> tickets.Outcome:
+    """Runs a request whose ticket this process issued, or joins its run."""
+    mark = tickets.fingerprint(request.method, request.target, request.body)
+    begun = context.ledger.begin(request.ticket, admitted.account, mark)
+    if begun is None:
+        begun = context.ledger.records[request.ticket]
+        eventlet.spawn(_execute, context, admitted, request)
+    if not isinstance(begun, tickets.Record):
+        return begun
+    outcome = begun.finished.wait(timeout=request.timeout)
+    if outcome is None:
+        return codes.refuse(codes.Code.OUTCOME_UNKNOWN)
+    return outcome
+
+
+def _execute(
+    context: contexts.Context,
+    admitted: admission.Admitted,
+    request: messages.Forward,
+) -> None:
+    """Runs a request to its end, whoever still waits for it."""
+    outcome: tickets.Outcome = codes.refuse(codes.Code.OUTCOME_UNKNOWN)
+    try:
+        outcome = _run(context, admitted, request)
+    except dispatch.RefusedError as error:
+        outcome = error.refusal
+    finally:
+        context.ledger.finish(request.ticket, outcome)
+        logs.event(
+            LOGGER,
+            "ticket-finished",
+            account=admitted.account,
+            ticket=request.ticket,
+            outcome=_describe(outcome),
+        )
+
+
+def _describe(outcome: tickets.Outcome) -> str:
+    if isinstance(outcome, codes.Refusal):
+        return f"{outcome.code.name.lower()}/{outcome.ran.value}"
+    return str(outcome.status)
+
+
+def _run(
+    context: contexts.Context,
+    admitted: admission.Admitted,
+    request: messages.Forward,
+) -> tickets.KeptAnswer:
+    deadline = context.clock.monotonic() + request.timeout
+    dispatch.take_rate(context, admitted, deadline)
+    work = dispatch.Work(
+        admitted,
+        request.method,
+        request.target,
+        request.headers,
+        request.body,
+        len(request.body),
+        request.ticket,
+        suspects.fingerprint(
+            admitted.account, request.method, request.target, request.body
+        ),
+        deadline,
+        repeatable=False,
+    )
+    with dispatch.run(context, work) as answer:
+        body = b"".join(answer.body)
+        return tickets.KeptAnswer(answer.status, answer.headers, body)
+
+
+def forward(
+    context: contexts.Context, owner: str, request: messages.Forward
+) -> tickets.Outcome:
+    """Passes a request to the host that issued its ticket."""
+    unknown = codes.refuse(codes.Code.OUTCOME_UNKNOWN)
+    if owner not in context.tables.hosts:
+        return unknown
+    try:
+        reply = context.peering.call(
+            owner, request, request.timeout + FORWARD_MARGIN_SECONDS
+        )
+    except peer_link.PeerError as error:
+        logs.event(
+            LOGGER,
+            "forward-failed",
+            logging.WARNING,
+            owner=owner,
+            error=str(error),
+        )
+        return unknown
+    return _outcome_of(reply)
+
+
+def _outcome_of(answer: messages.Answer) -> tickets.Outcome:
+    if answer.code:
+        retry_after = answer.retry_after if answer.retry_after >= 0 else None
+        return codes.Refusal(
+            codes.Code(answer.code),
+            codes.Ran(answer.ran),
+            retry_after,
+            answer.detail,
+        )
+    return tickets.KeptAnswer(answer.status, answer.headers, answer.body)
+
+
+def _answer_of(outcome: tickets.Outcome) -> messages.Answer:
+    if isinstance(outcome, codes.Refusal):
+        retry_after = outcome.retry_after
+        return messages.Answer(
+            0,
+            (),
+            b"",
+            int(outcome.code),
+            outcome.ran.value,
+            -1.0 if retry_after is None else retry_after,
+            outcome.detail,
+        )
+    return messages.Answer(
+        outcome.status, outcome.headers, outcome.body, 0, "", -1.0, ""
+    )
+
+
+def handle_forward(
+    context: contexts.Context, request: messages.Forward
+) -> messages.Answer:
+    """Serves a request that another host forwarded here."""
+    return _answer_of(_serve_forwarded(context, request))
+
+
+def _serve_forwarded(
+    context: contexts.Context, request: messages.Forward
+) -> tickets.Outcome:
+    if request.refusal:
+        refusal = codes.refuse(codes.Code(request.refusal))
+        return refusal._replace(ran=context.ledger.ran(request.ticket))
+    path = urllib.parse.urlsplit(request.target).path
+    admitted = admission.admit_forwarded(
+        context, request.method, path, request.key_digest
+    )
+    if isinstance(admitted, codes.Refusal):
+        return admitted._replace(ran=context.ledger.ran(request.ticket))
+    return run_owned(context, admitted, request)
+
+
+def settle_refusal(
+    context: contexts.Context,
+    request: incoming.Incoming,
+    refusal: codes.Refusal,
+) -> codes.Refusal:
+    """Makes a refusal true for a ticket that may have run before.
+
+    A refused attempt did not run; but an earlier one with the same ticket
+    may have, and only the issuing host knows.
+    """
+    ticket = tickets.read(request.ticket)
+    if ticket is None or refusal.ran is not codes.Ran.NO:
+        return refusal
+    if ticket.host == context.settings.host:
+        if ticket.boot == context.ledger.boot:
+            ran = context.ledger.ran(request.ticket)
+            return refusal._replace(ran=ran)
+        return refusal._replace(ran=codes.Ran.UNKNOWN)
+    message = messages.Forward(
+        request.ticket,
+        "",
+        "",
+        request.method,
+        request.target,
+        (),
+        b"",
+        1.0,
+        int(refusal.code),
+    )
+    outcome = forward(context, ticket.host, message)
+    if isinstance(outcome, codes.Refusal):
+        return refusal._replace(ran=outcome.ran)
+    return refusal._replace(ran=codes.Ran.YES)
--- /dev/null
+++ b/gooseberryweir/request/routing.py
@@ -0,0 +1,224 @@
+"""Routing: which region and upstream run a request.
+
+The regions are tried nearest first. Work leaves a region only with a token of
+the shift cap between the two regions, shared by all hosts, and runs only on a
+slot leased from the home of the region's pool, so no decision of any host can
+overload a region or pass a cap.
+"""
+
+from collections.abc import Iterator
+import logging
+from typing import NamedTuple
+
+from gooseberryweir import codes
+from gooseberryweir import logs
+from gooseberryweir.process import context as contexts
+from gooseberryweir.process import slots as slots_module
+from gooseberryweir.request import admission
+from gooseberryweir.version import declarations
+
+LOGGER = logging.getLogger(__name__)
+# One-way latency assumed between regions that no link joins, milliseconds.
+UNLINKED_LATENCY_MS = 100.0
+
+
+class Candidate(NamedTuple):
+    """A region that could run a request.
+
+    Attributes:
+        region: Name of the region.
+        latency_ms: One-way latency from this host's region, milliseconds.
+        wait: Seconds to wait there for a slot before trying the next one.
+    """
+
+    region: str
+    latency_ms: float
+    wait: float
+
+
+class Attempt(NamedTuple):
+    """What became of one candidate.
+
+    Attributes:
+        candidate: The region tried.
+        refusal: Why it could not run the request.
+    """
+
+    candidate: Candidate
+    refusal: codes.Refusal
+
+
+def latency_between(
+    declared: declarations.Declarations, origin: str, target: str
+) -> float:
+    """Returns the one-way latency between two regions in milliseconds."""
+    if origin == target:
+        return 0.0
+    for link in declared.links:
+        if set(link.between) == {origin, target}:
+            return link.latency_ms
+    return UNLINKED_LATENCY_MS
+
+
+def regions_of(context: contexts.Context, service: str) -> dict[str, float]:
+    """Returns the one-way latency to each region that runs a service."""
+    declared = context.tables.declarations
+    if declared is None:
+        return {}
+    origin = context.settings.region
+    return {
+        upstream.region: latency_between(declared, origin, upstream.region)
+        for upstream in context.tables.upstreams.get(service, ())
+        if not upstream.leaving
+        and f"region/{upstream.region}" not in context.tables.drains
+    }
+
+
+def candidates(
+    context: contexts.Context, service: str, patience: float
+) -> tuple[Candidate, ...]:
+    """Returns the regions to try, in order.
+
+    A request waits in a nearer region for as long as the round trip to the
+    next one takes, since a slot that comes free by then is no later. If no
+    region has a slot at once, it waits in the nearest one.
+
+    Args:
+        context: The process.
+        service: Name of the service.
+        patience: Seconds that the request may wait in all.
+    """
+    latencies = regions_of(context, service)
+    ranked = sorted(latencies, key=lambda region: (latencies[region], region))
+    steps = []
+    for position, region in enumerate(ranked):
+        latency = latencies[region]
+        following = ranked[position + 1 : position + 2]
+        extra = latencies[following[0]] - latency if following else 0.0
+        wait = min(patience, 2 * extra / 1000)
+        steps.append(Candidate(region, latency, wait))
+    if ranked and patience > 0:
+        nearest = ranked[0]
+        steps.append(Candidate(nearest, latencies[nearest], patience))
+    return tuple(steps)
+
+
+def _lease(
+    context: contexts.Context,
+    admitted: admission.Admitted,
+    candidate: Candidate,
+    exclude: frozenset[str],
+    deadline: float,
+) -> slots_module.Lease | codes.Refusal:
+    """Leases a slot in one region, with a shift token if it is another."""
+    route = admitted.route
+    now = context.clock.monotonic()
+    lease = context.shares.acquire(
+        route.service,
+        candidate.region,
+        admitted.work_class,
+        exclude,
+        min(deadline, now + candidate.wait),
+    )
+    if isinstance(lease, slots_module.Refused):
+        return codes.refuse(
+            codes.Code.NO_HEADROOM, retry_after=lease.retry_after
+        )
+    origin = context.settings.region
+    if candidate.region == origin:
+        return lease
+    token = context.shares.take(
+        f"shift/{origin}/{candidate.region}", context.clock.monotonic()
+    )
+    if token is None:
+        return lease
+    lease.release()
+    return codes.refuse(codes.Code.SHIFT_CAPPED, retry_after=token)
+
+
+def _log_choice(
+    context: contexts.Context,
+    admitted: admission.Admitted,
+    tried: list[Attempt],
+    chosen: str,
+    region: str,
+) -> None:
+    weighed = ",".join(
+        f"{attempt.candidate.region}:{attempt.candidate.latency_ms:g}ms:"
+        f"{attempt.refusal.code.name.lower()}"
+        for attempt in tried
+    )
+    logs.event(
+        LOGGER,
+        "route-chosen" if chosen else "route-refused",
+        account=admitted.account,
+        work_class=admitted.work_class,
+        service=admitted.route.service,
+        upstream=chosen,
+        region=region,
+        passed_over=weighed,
+        reason="nearest-free-slot" if chosen else "no-slot",
+    )
+
+
+def place(
+    context: contexts.Context,
+    admitted: admission.Admitted,
+    exclude: frozenset[str],
+    deadline: float,
+) -> slots_module.Lease | codes.Refusal:
+    """Leases the slot that runs a request, and logs what was weighed.
+
+    Args:
+        context: The process.
+        admitted: The request.
+        exclude: Names of upstreams not to use.
+        deadline: Monotonic instant after which the request is given up.
+    """
+    declared = context.tables.declarations
+    if declared is None:
+        return codes.refuse(codes.Code.HOST_STARTING)
+    target_seconds = declared.classes[admitted.work_class].latency_ms / 1000
+    tried: list[Attempt] = []
+    for candidate in candidates(
+        context, admitted.route.service, target_seconds
+    ):
+        found = _lease(context, admitted, candidate, exclude, deadline)
+        if not isinstance(found, codes.Refusal):
+            name = found.upstream.name
+            _log_choice(context, admitted, tried, name, candidate.region)
+            return found
+        tried.append(Attempt(candidate, found))
+    _log_choice(context, admitted, tried, "", "")
+    return _refusal_of(tried)
+
+
+def _refusal_of(tried: list[Attempt]) -> codes.Refusal:
+    """Returns the refusal that tells the soonest time to come back."""
+    if not tried:
+        return codes.refuse(codes.Code.NO_HEADROOM, "no region is in service")
+    return min(
+        (attempt.refusal for attempt in tried),
+        key=lambda refusal: refusal.retry_after or 0.0,
+    )
+
+
+def explain(
+    context: contexts.Context, method: str, path: str, account: str
+) -> Iterator[str]:
+    """Yields lines that say how a request would be routed now."""
+    route = admission.find_route(context, method, path)
+    if isinstance(route, codes.Refusal):
+        yield f"refused code={int(route.code)} {route.detail}"
+        return
+    yield (
+        f"route={route.path} service={route.service} class={route.work_class}"
+        f" idempotent={route.idempotent} open={route.open}"
+    )
+    if route.accounts and account not in route.accounts:
+        yield f"refused account={account} may not use the route"
+    for candidate in candidates(context, route.service, 0.0):
+        yield (
+            f"region={candidate.region} latency_ms={candidate.latency_ms:g}"
+            f" wait_s={candidate.wait:g}"
+        )
