--- /dev/null
+++ b/gooseberryweir/process/settings.py
@@ -0,0 +1,220 @@
+"""Settings of one process: defaults, file, environment, then flags."""
+
+from collections.abc import Mapping
+from importlib import resources
+import re
+from typing import Annotated
+from typing import Any
+from typing import Literal
+from typing import NamedTuple
+
+import pydantic
+
+from gooseberryweir import codes
+from gooseberryweir.version import validation
+
+DEFAULTS_FILE = "settings_default.yaml"
+ENVIRONMENT_PREFIX = "GOOSEBERRYWEIR_"
+# Variables with the prefix that the commands read for themselves.
+COMMAND_VARIABLES = frozenset({"SETTINGS", "OPERATOR_TOKEN"})
+MAX_OPEN_REQUESTS = 100_000
+MAX_BODY_BYTES = 64 * 1024 * 1024
+MAX_HEADER_BYTES = 1024 * 1024
+MAX_LOOK_UP_SECONDS = 3600.0
+MAX_DRAIN_SECONDS = 86400.0
+_SECRET = frozenset({"operator_token_digest"})
+_NAME = re.compile(r"[a-z0-9][a-z0-9.-]{0,62}")
+_DIGEST = re.compile(r"(?:[0-9a-f]{64})?")
+
+
+def _check_name(text: str) -> str:
+    if not text:
+        raise ValueError("is required")
+    if not _NAME.fullmatch(text):
+        raise ValueError(
+            "should be up to 63 of a-z, 0-9, dot and hyphen, and begin with"
+            " a letter or digit"
+        )
+    return text
+
+
+def _check_platform(text: str) -> str:
+    if not text:
+        raise ValueError("is required")
+    scheme, _, address = text.partition("://")
+    if scheme != "http":
+        raise ValueError("should be http://IP:PORT")
+    validation.check_reachable(address)
+    return text
+
+
+def _check_statsd(text: str) -> str:
+    return validation.check_reachable(text) if text else text
+
+
+def _check_digest(text: str) -> str:
+    if not _DIGEST.fullmatch(text):
+        raise ValueError("should be 64 lower-case hexadecimal digits, or empty")
+    return text
+
+
+_Number = pydantic.BeforeValidator(validation.check_number)
+_Name = Annotated[str, pydantic.AfterValidator(_check_name)]
+
+
+class Settings(NamedTuple):
+    """The settings of one process.
+
+    Attributes:
+        host: Name of this host.
+        region: Its region.
+        zone: Its zone.
+        caller: Address to listen on for callers, `IP:PORT`.
+        peer: Address to listen on for other hosts, `IP:PORT`.
+        operator: Address to listen on for operators, `IP:PORT`.
+        platform: URL of the platform's object API.
+        peers: Addresses of other hosts to ask first, `IP:PORT`.
+        statsd: Address of the statsd server, or empty.
+        operator_token_digest: SHA-256 of the operator token in hexadecimal,
+            or empty.
+        log_level: debug, info, warning or error.
+        max_open_requests: Requests of callers open at once.
+        max_body_bytes: Largest request body in bytes.
+        max_header_bytes: Largest request head in bytes.
+        look_up_seconds: Time to live of a look-up, in seconds.
+        drain_seconds: Longest wait for open requests on leaving, in seconds.
+    """
+
+    host: _Name
+    region: _Name
+    zone: _Name
+    caller: validation.AddressText
+    peer: validation.AddressText
+    operator: validation.AddressText
+    platform: Annotated[str, pydantic.AfterValidator(_check_platform)]
+    peers: tuple[validation.ReachableText, ...]
+    statsd: Annotated[str, pydantic.AfterValidator(_check_statsd)]
+    operator_token_digest: Annotated[
+        str, pydantic.AfterValidator(_check_digest)
+    ]
+    log_level: Literal["debug", "info", "warning", "error"]
+    max_open_requests: Annotated[
+        int, pydantic.Field(ge=1, le=MAX_OPEN_REQUESTS), _Number
+    ]
+    max_body_bytes: Annotated[
+        int, pydantic.Field(ge=0, le=MAX_BODY_BYTES), _Number
+    ]
+    max_header_bytes: Annotated[
+        int, pydantic.Field(ge=1024, le=MAX_HEADER_BYTES), _Number
+    ]
+    look_up_seconds: Annotated[
+        float, pydantic.Field(gt=0, le=MAX_LOOK_UP_SECONDS), _Number
+    ]
+    drain_seconds: Annotated[
+        float, pydantic.Field(ge=0, le=MAX_DRAIN_SECONDS), _Number
+    ]
+
+
+_ADAPTER = pydantic.TypeAdapter(Settings)
+
+
+class _Layer(NamedTuple):
+    """The values of one source.
+
+    Attributes:
+        label: Renders a setting's name as a reader of the source knows it.
+        values: Values by setting.
+    """
+
+    label: str
+    values: Mapping[str, Any]
+
+    def place(self, name: str) -> str:
+        """Says where a setting of this source stands."""
+        if self.label == "environment":
+            return f"environment: {ENVIRONMENT_PREFIX}{name.upper()}"
+        if self.label == "flags":
+            return f"flags: --{name.replace('_', '-')}"
+        return f"{self.label}: {name}"
+
+
+def load_settings(
+    path: str | None, environ: Mapping[str, str], flags: Mapping[str, Any]
+) -> Settings:
+    """Merges the sources, the later ones first, and validates the whole.
+
+    Args:
+        path: Path of the settings file, or None.
+        environ: Environment variables.
+        flags: Flags by setting; None means not given.
+
+    Raises:
+        codes.UserError: `BAD_SETTINGS`, with a line for each fault.
+    """
+    lines: list[str] = []
+    layers = [_defaults()]
+    if path is not None:
+        layers.append(_file_layer(path, lines))
+    layers.append(_environment_layer(environ))
+    given = {name: value for name, value in flags.items() if value is not None}
+    layers.append(_Layer("flags", given))
+    values: dict[str, Any] = {}
+    places: dict[str, str] = {}
+    for layer in layers:
+        for name, value in layer.values.items():
+            if name not in Settings._fields:
+                known = validation.nearest(name, Settings._fields)
+                lines.append(f"{layer.place(str(name))}: {known}")
+                continue
+            values[name] = value
+            places[name] = layer.place(name)
+    settings = _validate(values, places, lines)
+    if settings is None or lines:
+        raise codes.UserError(codes.Code.BAD_SETTINGS, "\n".join(lines))
+    return settings
+
+
+def _defaults() -> _Layer:
+    file = resources.files("gooseberryweir").joinpath(DEFAULTS_FILE)
+    return _Layer("defaults", validation.parse_yaml(file.read_bytes()))
+
+
+def _file_layer(path: str, lines: list[str]) -> _Layer:
+    try:
+        document = validation.read_document(path)
+    except validation.ReadError as error:
+        lines.append(f"{path}: {error}")
+        document = {}
+    if not isinstance(document, Mapping):
+        lines.append(f"{path}: should be a mapping of settings to values")
+        document = {}
+    return _Layer(path, document)
+
+
+def _environment_layer(environ: Mapping[str, str]) -> _Layer:
+    values: dict[str, Any] = {}
+    for variable, text in environ.items():
+        name = variable.removeprefix(ENVIRONMENT_PREFIX)
+        if name == variable or name in COMMAND_VARIABLES:
+            continue
+        setting = name.lower()
+        values[setting] = _split(text) if setting == "peers" else text
+    return _Layer("environment", values)
+
+
+def _split(text: str) -> list[str]:
+    return [part.strip() for part in text.split(",") if part.strip()]
+
+
+def _validate(
+    values: Mapping[str, Any], places: Mapping[str, str], lines: list[str]
+) -> Settings | None:
+    try:
+        return _ADAPTER.validate_python(dict(values))
+    except pydantic.ValidationError as error:
+        for fault in validation.faults_of(error, {}):
+            name = re.split(r"[.\[]", fault.path)[0]
+            shown = "" if name in _SECRET else fault.value
+            path = places[name] + fault.path.removeprefix(name)
+            lines.append(str(validation.Fault(path, shown, fault.allowed)))
+    return None
--- /dev/null
+++ b/gooseberryweir/version/tables.py
@@ -0,0 +1,306 @@
+"""Look-up tables built from the platform's objects.
+
+A change rebuilds only what the changed object touches. A malformed object is
+logged and what was built from its earlier version stays.
+"""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+import logging
+from typing import Annotated
+from typing import Any
+from typing import Literal
+from typing import NamedTuple
+from typing import TypedDict
+from typing import TypeVar
+
+import pydantic
+from returns import result
+
+from gooseberryweir import logs
+from gooseberryweir.version import declarations as declaring
+from gooseberryweir.version import objects
+from gooseberryweir.version import validation
+
+DIGEST_PATTERN = r"^[0-9a-f]{64}$"
+_logger = logging.getLogger(__name__)
+
+_Text = Annotated[str, pydantic.Field(min_length=1)]
+_Digest = Annotated[str, pydantic.Field(pattern=DIGEST_PATTERN)]
+_DrainName = Annotated[str, pydantic.Field(pattern=r"^(region|upstream)/.+$")]
+
+
+class HostEntry(NamedTuple):
+    """A host of the system, as the platform lists it.
+
+    Attributes:
+        name: Its name.
+        region: Its region.
+        zone: Its zone.
+        caller: Address for callers, `IP:PORT`.
+        peer: Address for peers, `IP:PORT`.
+        operator: Address for operators, `IP:PORT`.
+        leaving: Whether it is shutting down.
+    """
+
+    name: str
+    region: str
+    zone: str
+    caller: str
+    peer: str
+    operator: str
+    leaving: bool
+
+
+class UpstreamEntry(NamedTuple):
+    """An upstream, as the platform lists it.
+
+    Attributes:
+        name: Its name.
+        service: The service that it runs.
+        region: Its region.
+        zone: Its zone.
+        address: `IP:PORT`.
+        slots: Requests that it runs at once.
+        connections: Connections that it accepts.
+        leaving: Whether it is shutting down.
+    """
+
+    name: str
+    service: str
+    region: str
+    zone: str
+    address: str
+    slots: int
+    connections: int
+    leaving: bool
+
+
+class KeyEntry(NamedTuple):
+    """A caller's key, known by its digest.
+
+    Attributes:
+        account: The client account that it belongs to.
+        withdrawn: Whether it was withdrawn.
+    """
+
+    account: str
+    withdrawn: bool
+
+
+class HostDocument(TypedDict):
+    """A host in the platform's list; further fields are ignored."""
+
+    name: _Text
+    region: _Text
+    zone: _Text
+    caller: validation.ReachableText
+    peer: validation.ReachableText
+    operator: validation.ReachableText
+    leaving: bool
+
+
+class UpstreamDocument(TypedDict):
+    """An upstream in the platform's list; further fields are ignored."""
+
+    name: _Text
+    region: _Text
+    zone: _Text
+    address: validation.ReachableText
+    slots: Annotated[int, pydantic.Field(ge=0, strict=True)]
+    connections: Annotated[int, pydantic.Field(ge=1, strict=True)]
+    leaving: bool
+
+
+class HostsDocument(TypedDict):
+    """The list of hosts."""
+
+    endpoints: list[HostDocument]
+
+
+class UpstreamsDocument(TypedDict):
+    """The list of the upstreams of one service."""
+
+    endpoints: list[UpstreamDocument]
+
+
+class KeysDocument(TypedDict):
+    """The keys of one client account, by digest."""
+
+    digests: dict[_Digest, Literal["issued", "withdrawn"]]
+
+
+class DrainsDocument(TypedDict):
+    """The drains, by `region/NAME` or `upstream/NAME`."""
+
+    drains: dict[_DrainName, bool]
+
+
+_HOSTS = pydantic.TypeAdapter(HostsDocument)
+_UPSTREAMS = pydantic.TypeAdapter(UpstreamsDocument)
+_KEYS = pydantic.TypeAdapter(KeysDocument)
+_DRAINS = pydantic.TypeAdapter(DrainsDocument)
+
+Entry = TypeVar("Entry", HostEntry, UpstreamEntry)
+
+
+class MalformedError(Exception):
+    """An object's content is not what its kind holds."""
+
+
+def _read_config(content: Any) -> declaring.Declarations:
+    document = content.get("declarations") if isinstance(content, dict) else {}
+    parsed = declaring.parse(document)
+    if isinstance(parsed, result.Success):
+        return parsed.unwrap()
+    raise MalformedError("; ".join(str(fault) for fault in parsed.failure()))
+
+
+def _unique(entries: list[Entry]) -> dict[str, Entry]:
+    """Keeps one entry for each name, one that stays over one that leaves."""
+    found: dict[str, Entry] = {}
+    for entry in entries:
+        held = found.get(entry.name)
+        if held is None or held.leaving:
+            found[entry.name] = entry
+    return found
+
+
+class Tables:
+    """What the newest well-formed objects say, ready for look-ups.
+
+    Attributes:
+        store: The objects.
+        config_version: Version of the declarations in force; 0 if none.
+        declarations: The declarations in force, or None.
+        hosts: Hosts by name.
+        upstreams: Upstreams by service.
+        keys: Keys by their SHA-256 digest in hexadecimal.
+        drains: Drained regions and upstreams, `region/NAME`, `upstream/NAME`.
+        malformed: Version of each object whose newest version is malformed.
+    """
+
+    def __init__(self, store: objects.ObjectStore) -> None:
+        self.store = store
+        self.config_version = 0
+        self.declarations: declaring.Declarations | None = None
+        self.hosts: dict[str, HostEntry] = {}
+        self.upstreams: dict[str, tuple[UpstreamEntry, ...]] = {}
+        self.keys: dict[str, KeyEntry] = {}
+        self.drains: frozenset[str] = frozenset()
+        self.malformed: dict[str, int] = {}
+        self._account_keys: dict[str, dict[str, KeyEntry]] = {}
+        for name in store.versions():
+            self.rebuild(name)
+        store.listeners.append(self.rebuild)
+
+    def rebuild(self, name: str) -> None:
+        """Rebuilds what one object touches; names of other kinds are ignored.
+
+        Args:
+            name: The object's full name.
+        """
+        build = self._builder(name)
+        if build is None:
+            return
+        version = self.store.version(name)
+        try:
+            build(self.store.get(name))
+        except (pydantic.ValidationError, MalformedError) as error:
+            self.malformed[name] = version
+            logs.event(
+                _logger,
+                "object-malformed",
+                logging.ERROR,
+                object=name,
+                version=version,
+                reason=_reason(error),
+            )
+            return
+        self.malformed.pop(name, None)
+        logs.event(_logger, "object-in-force", object=name, version=version)
+
+    def _builder(self, name: str) -> Callable[[Any], None] | None:
+        fixed: Mapping[str, Callable[[Any], None]] = {
+            objects.CONFIG: self._build_config,
+            objects.DRAINS: self._build_drains,
+            objects.HOSTS: self._build_hosts,
+        }
+        if name in fixed:
+            return fixed[name]
+        if name.startswith(objects.KEYS_PREFIX):
+            account = name.removeprefix(objects.KEYS_PREFIX)
+            return lambda content: self._build_keys(account, content)
+        if name.startswith(objects.SERVICE_PREFIX):
+            service = name.removeprefix(objects.SERVICE_PREFIX)
+            return lambda content: self._build_upstreams(service, content)
+        return None
+
+    def _build_config(self, content: Any | None) -> None:
+        if content is None:
+            raise MalformedError("deleted; the earlier declaration stays")
+        self.declarations = _read_config(content)
+        self.config_version = self.store.version(objects.CONFIG)
+
+    def _build_drains(self, content: Any | None) -> None:
+        if content is None:
+            self.drains = frozenset()
+            return
+        drains = _DRAINS.validate_python(content)["drains"]
+        self.drains = frozenset(name for name, on in drains.items() if on)
+
+    def _build_hosts(self, content: Any | None) -> None:
+        if content is None:
+            self.hosts = {}
+            return
+        listed = _HOSTS.validate_python(content)["endpoints"]
+        self.hosts = _unique([HostEntry(**item) for item in listed])
+
+    def _build_upstreams(self, service: str, content: Any | None) -> None:
+        if content is None:
+            self.upstreams.pop(service, None)
+            return
+        listed = _UPSTREAMS.validate_python(content)["endpoints"]
+        entries = [UpstreamEntry(service=service, **item) for item in listed]
+        self.upstreams[service] = tuple(_unique(entries).values())
+
+    def _build_keys(self, account: str, content: Any | None) -> None:
+        digests: dict[str, Literal["issued", "withdrawn"]] = {}
+        if content is not None:
+            digests = _KEYS.validate_python(content)["digests"]
+        new = {
+            digest: KeyEntry(account, state == "withdrawn")
+            for digest, state in digests.items()
+        }
+        old = self._account_keys.get(account, {})
+        self._account_keys[account] = new
+        if not new:
+            del self._account_keys[account]
+        for digest, _ in old.items() ^ new.items():
+            self._settle_key(digest)
+
+    def _settle_key(self, digest: str) -> None:
+        """Sets one key's entry; a key of two accounts works for neither."""
+        claims = [
+            keys[digest]
+            for _, keys in sorted(self._account_keys.items())
+            if digest in keys
+        ]
+        if not claims:
+            self.keys.pop(digest, None)
+        elif len(claims) == 1:
+            self.keys[digest] = claims[0]
+        else:
+            self.keys[digest] = KeyEntry(claims[0].account, True)
+
+
+def _reason(error: Exception) -> str:
+    """Words the first faults; contents are left out, they may be long."""
+    if isinstance(error, pydantic.ValidationError):
+        items = error.errors(include_input=False, include_url=False)
+        places = [
+            f"{validation.path_text(item['loc'])}: {item['msg']}"
+            for item in items[:3]
+        ]
+        return "; ".join(places)
+    return str(error)[:500]
--- /dev/null
+++ b/gooseberryweir/version/validation.py
@@ -0,0 +1,245 @@
+"""Reads YAML files and words the faults that validation finds in them."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+from collections.abc import Sequence
+import difflib
+import ipaddress
+from typing import Annotated
+from typing import Any
+from typing import NamedTuple
+
+import pydantic
+import yaml
+
+MAX_FILE_BYTES = 1024 * 1024
+MAX_PORT = 65535
+_SHOWN_CHARACTERS = 60
+_STEERED = frozenset(
+    {
+        "weight",
+        "weights",
+        "address",
+        "addresses",
+        "upstream",
+        "upstreams",
+        "endpoint",
+        "endpoints",
+        "share",
+        "shares",
+    }
+)
+_STEERED_TEXT = (
+    "not for a declaration: the system chooses the upstreams and their shares"
+    " by itself; remove it"
+)
+_MERGE_TAG = "tag:yaml.org,2002:merge"
+_REQUIRED = frozenset({"missing", "missing_argument"})
+_UNKNOWN = frozenset({"unexpected_keyword_argument", "extra_forbidden"})
+
+
+class Fault(NamedTuple):
+    """One fault of a document.
+
+    Attributes:
+        path: Where in the document, such as `routes[2].service`.
+        value: The value found there, shortened; empty if there is none.
+        allowed: What is allowed there.
+    """
+
+    path: str
+    value: str
+    allowed: str
+
+    def __str__(self) -> str:
+        parts = [self.path, self.value, self.allowed]
+        return ": ".join(part for part in parts if part)
+
+
+class Address(NamedTuple):
+    """An IP number and a port."""
+
+    ip: str
+    port: int
+
+
+class ReadError(Exception):
+    """A file that can't be read as one YAML document."""
+
+
+def shorten(value: Any) -> str:
+    """Renders a value for a message, cut to a fixed length."""
+    text = repr(value)
+    if len(text) <= _SHOWN_CHARACTERS:
+        return text
+    return text[:_SHOWN_CHARACTERS] + "…"
+
+
+def path_text(location: Sequence[str | int]) -> str:
+    """Renders a place in a document: `routes[2].service`."""
+    text = ""
+    for part in location:
+        if isinstance(part, int):
+            text += f"[{part}]"
+        else:
+            text += f".{part}" if text else part
+    return text
+
+
+def nearest(name: object, known: Iterable[str]) -> str:
+    """Says which names are known, the nearest one first if one is near."""
+    names = sorted(known)
+    close = difflib.get_close_matches(str(name), names, n=1)
+    if close:
+        return f"unknown; did you mean {close[0]!r}?"
+    return f"unknown; known are: {', '.join(names) or 'none'}"
+
+
+def parse_address(text: str) -> Address:
+    """Splits `IP:PORT`, or `[IP]:PORT` for IPv6; names are refused.
+
+    Raises:
+        ValueError: It is not an IP number with a port.
+    """
+    ip, colon, port = text.rpartition(":")
+    digits = port.isascii() and port.isdigit() and len(port) <= 5
+    if not colon or not digits or int(port) > MAX_PORT:
+        raise ValueError(f"should be IP:PORT with a port up to {MAX_PORT}")
+    bracketed = ip.startswith("[") and ip.endswith("]")
+    number = ip[1:-1] if bracketed else ip
+    kind = ipaddress.IPv6Address if bracketed else ipaddress.IPv4Address
+    try:
+        kind(number)
+    except ValueError as error:
+        raise ValueError(
+            "should be IP:PORT; names are not looked up"
+        ) from error
+    if "%" in number:
+        raise ValueError("should be IP:PORT without a scope")
+    return Address(number, int(port))
+
+
+def check_address(text: str) -> str:
+    """Returns the text if it is `IP:PORT`; port 0 is allowed."""
+    parse_address(text)
+    return text
+
+
+def check_reachable(text: str) -> str:
+    """Returns the text if it is `IP:PORT` with a port above 0."""
+    if parse_address(text).port == 0:
+        raise ValueError("should have a port above 0")
+    return text
+
+
+def check_mapping(value: Any) -> Any:
+    """Returns the value if it is a mapping."""
+    if not isinstance(value, Mapping):
+        raise ValueError("should be a mapping of field names to values")
+    return value
+
+
+def check_number(value: Any) -> Any:
+    """Returns the value unless it is a truth value, which is no number."""
+    if isinstance(value, bool):
+        raise ValueError("should be a number")
+    return value
+
+
+AddressText = Annotated[str, pydantic.AfterValidator(check_address)]
+ReachableText = Annotated[str, pydantic.AfterValidator(check_reachable)]
+Mapped = pydantic.BeforeValidator(check_mapping)
+
+
+class _Loader(yaml.SafeLoader):
+    """Loads plain YAML; repeated keys and aliases are errors."""
+
+    def compose_node(self, parent: Any, index: Any) -> Any:
+        if self.check_event(yaml.AliasEvent):
+            raise yaml.constructor.ConstructorError(
+                None,
+                None,
+                "aliases are not allowed",
+                self.peek_event().start_mark,
+            )
+        return super().compose_node(parent, index)
+
+    def construct_mapping(self, node: Any, deep: bool = False) -> Any:
+        seen = set()
+        for key_node, _ in node.value:
+            key = (key_node.tag, str(key_node.value))
+            if key in seen or key_node.tag == _MERGE_TAG:
+                fault = "is given twice" if key in seen else "is not allowed"
+                raise yaml.constructor.ConstructorError(
+                    None, None, f"key {key[1]!r} {fault}", key_node.start_mark
+                )
+            seen.add(key)
+        return super().construct_mapping(node, deep)
+
+
+def read_document(path: str) -> Any:
+    """Reads one YAML document from a file.
+
+    Raises:
+        ReadError: The file can't be read, is too large, is not UTF-8 or not
+            valid YAML, or gives a key twice.
+    """
+    try:
+        with open(path, "rb") as file:
+            data = file.read(MAX_FILE_BYTES + 1)
+    except OSError as error:
+        raise ReadError(f"can't be read: {error.strerror}") from error
+    if len(data) > MAX_FILE_BYTES:
+        raise ReadError(f"is larger than {MAX_FILE_BYTES} bytes")
+    return parse_yaml(data)
+
+
+def parse_yaml(data: bytes) -> Any:
+    """Parses one YAML document from UTF-8 bytes.
+
+    Raises:
+        ReadError: It is not UTF-8 or not valid YAML, or gives a key twice.
+    """
+    try:
+        return yaml.load(data.decode("utf-8-sig"), _Loader)
+    except UnicodeDecodeError as error:
+        raise ReadError(f"is not UTF-8 at byte {error.start}") from error
+    except yaml.MarkedYAMLError as error:
+        mark = error.problem_mark
+        place = f"line {mark.line + 1}: " if mark else ""
+        raise ReadError(f"{place}{error.problem}") from error
+    except (yaml.YAMLError, ValueError) as error:
+        first_line = str(error).splitlines()[0]
+        raise ReadError(f"is not valid YAML: {first_line}") from error
+    except RecursionError as error:
+        raise ReadError("is nested too deeply") from error
+
+
+def faults_of(
+    error: pydantic.ValidationError,
+    known_fields: Mapping[str, Iterable[str]],
+) -> tuple[Fault, ...]:
+    """Words each fault that pydantic found.
+
+    Args:
+        error: What pydantic raised.
+        known_fields: Known field names, by the top-level field that the fault
+            is under; those of the top level under the empty string.
+    """
+    return tuple(_fault_of(item, known_fields) for item in error.errors())
+
+
+def _fault_of(item: Any, known_fields: Mapping[str, Iterable[str]]) -> Fault:
+    location = [part for part in item["loc"] if part != "[key]"]
+    path = path_text(location)
+    if item["type"] in _REQUIRED:
+        return Fault(path, "", "is required")
+    if item["type"] in _UNKNOWN:
+        name = str(location[-1])
+        if name in _STEERED:
+            return Fault(path, shorten(item["input"]), _STEERED_TEXT)
+        section = str(location[0]) if len(location) > 1 else ""
+        return Fault(path, "", nearest(name, known_fields.get(section, ())))
+    message = item["msg"].removeprefix("Value error, ")
+    allowed = message.replace("Input should", "should", 1)
+    return Fault(path, shorten(item["input"]), allowed)
