--- /dev/null
+++ b/gooseberryweir/version/documents.py
@@ -0,0 +1,66 @@
+"""What the platform's objects hold, as types to validate them with.
+
+The platform may add fields of its own; those are ignored.
+"""
+
+from typing import Annotated
+from typing import Literal
+
+import pydantic
+from typing_extensions import TypedDict
+
+from gooseberryweir.version import validation
+
+DIGEST_PATTERN = r"^[0-9a-f]{64}$"
+
+_Text = Annotated[str, pydantic.Field(min_length=1)]
+_Digest = Annotated[str, pydantic.Field(pattern=DIGEST_PATTERN)]
+_DrainName = Annotated[str, pydantic.Field(pattern=r"^(region|upstream)/.+$")]
+
+
+class HostDocument(TypedDict):
+    """A host in the platform's list; further fields are ignored."""
+
+    name: _Text
+    region: _Text
+    zone: _Text
+    caller: validation.ReachableText
+    peer: validation.ReachableText
+    operator: validation.ReachableText
+    leaving: bool
+
+
+class UpstreamDocument(TypedDict):
+    """An upstream in the platform's list; further fields are ignored."""
+
+    name: _Text
+    region: _Text
+    zone: _Text
+    address: validation.ReachableText
+    slots: Annotated[int, pydantic.Field(ge=0, strict=True)]
+    connections: Annotated[int, pydantic.Field(ge=1, strict=True)]
+    leaving: bool
+
+
+class HostsDocument(TypedDict):
+    """The list of hosts."""
+
+    endpoints: list[HostDocument]
+
+
+class UpstreamsDocument(TypedDict):
+    """The list of the upstreams of one service."""
+
+    endpoints: list[UpstreamDocument]
+
+
+class KeysDocument(TypedDict):
+    """The keys of one client account, by digest."""
+
+    digests: dict[_Digest, Literal["issued", "withdrawn"]]
+
+
+class DrainsDocument(TypedDict):
+    """The drains, by `region/NAME` or `upstream/NAME`."""
+
+    drains: dict[_DrainName, bool]
--- a/gooseberryweir/version/tables.py
+++ b/gooseberryweir/version/tables.py
@@ -7,11 +7,9 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 import logging
-from typing import Annotated
 from typing import Any
 from typing import Literal
 from typing import NamedTuple
-from typing import TypedDict
 from typing import TypeVar
 
 import pydantic
@@ -19,15 +17,16 @@
 
 from gooseberryweir import logs
 from gooseberryweir.version import declarations as declaring
+from gooseberryweir.version import documents
 from gooseberryweir.version import objects
 from gooseberryweir.version import validation
 
-DIGEST_PATTERN = r"^[0-9a-f]{64}$"
 _logger = logging.getLogger(__name__)
 
-_Text = Annotated[str, pydantic.Field(min_length=1)]
-_Digest = Annotated[str, pydantic.Field(pattern=DIGEST_PATTERN)]
-_DrainName = Annotated[str, pydantic.Field(pattern=r"^(region|upstream)/.+$")]
+_HOSTS = pydantic.TypeAdapter(documents.HostsDocument)
+_UPSTREAMS = pydantic.TypeAdapter(documents.UpstreamsDocument)
+_KEYS = pydantic.TypeAdapter(documents.KeysDocument)
+_DRAINS = pydantic.TypeAdapter(documents.DrainsDocument)
 
 
 class HostEntry(NamedTuple):
@@ -88,59 +87,6 @@
     withdrawn: bool
 
 
-class HostDocument(TypedDict):
-    """A host in the platform's list; further fields are ignored."""
-
-    name: _Text
-    region: _Text
-    zone: _Text
-    caller: validation.ReachableText
-    peer: validation.ReachableText
-    operator: validation.ReachableText
-    leaving: bool
-
-
-class UpstreamDocument(TypedDict):
-    """An upstream in the platform's list; further fields are ignored."""
-
-    name: _Text
-    region: _Text
-    zone: _Text
-    address: validation.ReachableText
-    slots: Annotated[int, pydantic.Field(ge=0, strict=True)]
-    connections: Annotated[int, pydantic.Field(ge=1, strict=True)]
-    leaving: bool
-
-
-class HostsDocument(TypedDict):
-    """The list of hosts."""
-
-    endpoints: list[HostDocument]
-
-
-class UpstreamsDocument(TypedDict):
-    """The list of the upstreams of one service."""
-
-    endpoints: list[UpstreamDocument]
-
-
-class KeysDocument(TypedDict):
-    """The keys of one client account, by digest."""
-
-    digests: dict[_Digest, Literal["issued", "withdrawn"]]
-
-
-class DrainsDocument(TypedDict):
-    """The drains, by `region/NAME` or `upstream/NAME`."""
-
-    drains: dict[_DrainName, bool]
-
-
-_HOSTS = pydantic.TypeAdapter(HostsDocument)
-_UPSTREAMS = pydantic.TypeAdapter(UpstreamsDocument)
-_KEYS = pydantic.TypeAdapter(KeysDocument)
-_DRAINS = pydantic.TypeAdapter(DrainsDocument)
-
 Entry = TypeVar("Entry", HostEntry, UpstreamEntry)
 
 
