--- a/gooseberryweir/process/settings.py
+++ b/gooseberryweir/process/settings.py
@@ -23,19 +23,13 @@
 MAX_LOOK_UP_SECONDS = 3600.0
 MAX_DRAIN_SECONDS = 86400.0
 _SECRET = frozenset({"operator_token_digest"})
-_NAME = re.compile(r"[a-z0-9][a-z0-9.-]{0,62}")
 _DIGEST = re.compile(r"(?:[0-9a-f]{64})?")
 
 
 def _check_name(text: str) -> str:
     if not text:
         raise ValueError("is required")
-    if not _NAME.fullmatch(text):
-        raise ValueError(
-            "should be up to 63 of a-z, 0-9, dot and hyphen, and begin with"
-            " a letter or digit"
-        )
-    return text
+    return validation.check_name(text)
 
 
 def _check_platform(text: str) -> str:
--- a/gooseberryweir/version/declarations.py
+++ b/gooseberryweir/version/declarations.py
@@ -45,9 +45,7 @@
     return method
 
 
-Name = Annotated[
-    str, pydantic.Field(pattern=r"^[a-z][a-z0-9-]{0,62}$", strict=True)
-]
+Name = Annotated[str, pydantic.AfterValidator(validation.check_name)]
 Rate = Annotated[
     float,
     pydantic.Field(gt=0, le=MAX_RATE, strict=True, allow_inf_nan=False),
--- a/gooseberryweir/version/tables.py
+++ b/gooseberryweir/version/tables.py
@@ -90,7 +90,7 @@
 Entry = TypeVar("Entry", HostEntry, UpstreamEntry)
 
 
-class MalformedError(Exception):
+class MalformedError(ValueError):
     """An object's content is not what its kind holds."""
 
 
@@ -152,7 +152,7 @@
         version = self.store.version(name)
         try:
             build(self.store.get(name))
-        except (pydantic.ValidationError, MalformedError) as error:
+        except (ValueError, ArithmeticError, RecursionError) as error:
             self.malformed[name] = version
             logs.event(
                 _logger,
--- a/gooseberryweir/version/validation.py
+++ b/gooseberryweir/version/validation.py
@@ -5,6 +5,8 @@
 from collections.abc import Sequence
 import difflib
 import ipaddress
+import re
+import reprlib
 from typing import Annotated
 from typing import Any
 from typing import NamedTuple
@@ -15,6 +17,11 @@
 MAX_FILE_BYTES = 1024 * 1024
 MAX_PORT = 65535
 _SHOWN_CHARACTERS = 60
+_PLAIN_KEY = re.compile(r"[\w.-]{1,60}")
+_NAME = re.compile(r"[a-z0-9][a-z0-9.-]{0,62}")
+_REPR = reprlib.Repr()
+_REPR.maxlevel = 3
+_REPR.maxstring = _SHOWN_CHARACTERS
 _STEERED = frozenset(
     {
         "weight",
@@ -34,6 +41,16 @@
     " by itself; remove it"
 )
 _MERGE_TAG = "tag:yaml.org,2002:merge"
+_WORDING = {
+    "bool_type": "should be true or false",
+    "dict_type": "should be a mapping of names to values",
+    "float_type": "should be a number",
+    "int_type": "should be a whole number",
+    "invalid_key": "should have text for its name",
+    "string_type": "should be text",
+    "too_short": "should not be empty",
+    "tuple_type": "should be a list",
+}
 _REQUIRED = frozenset({"missing", "missing_argument"})
 _UNKNOWN = frozenset({"unexpected_keyword_argument", "extra_forbidden"})
 
@@ -69,7 +86,10 @@
 
 def shorten(value: Any) -> str:
     """Renders a value for a message, cut to a fixed length."""
-    text = repr(value)
+    try:
+        text = _REPR.repr(value)
+    except ValueError:  # An integer of more digits than Python converts.
+        return "a very large integer"
     if len(text) <= _SHOWN_CHARACTERS:
         return text
     return text[:_SHOWN_CHARACTERS] + "…"
@@ -82,7 +102,8 @@
         if isinstance(part, int):
             text += f"[{part}]"
         else:
-            text += f".{part}" if text else part
+            name = part if _PLAIN_KEY.fullmatch(part) else shorten(part)
+            text += f".{name}" if text else name
     return text
 
 
@@ -119,6 +140,16 @@
     return Address(number, int(port))
 
 
+def check_name(text: str) -> str:
+    """Returns the text if it can name a host, region, account and the like."""
+    if not _NAME.fullmatch(text):
+        raise ValueError(
+            "should be up to 63 of a-z, 0-9, dot and hyphen, a letter or"
+            " digit first"
+        )
+    return text
+
+
 def check_address(text: str) -> str:
     """Returns the text if it is `IP:PORT`; port 0 is allowed."""
     parse_address(text)
@@ -241,5 +272,7 @@
         section = str(location[0]) if len(location) > 1 else ""
         return Fault(path, "", nearest(name, known_fields.get(section, ())))
     message = item["msg"].removeprefix("Value error, ")
-    allowed = message.replace("Input should", "should", 1)
+    allowed = _WORDING.get(
+        item["type"], message.replace("Input should", "should", 1)
+    )
     return Fault(path, shorten(item["input"]), allowed)
--- /dev/null
+++ b/test/test_declarations.py
@@ -0,0 +1,184 @@
+"""Declarations: the examples hold, faults are told, routes match."""
+
+import contextlib
+import copy
+import io
+import pathlib
+import tempfile
+import unittest
+
+from returns import result
+
+from gooseberryweir import codes
+from gooseberryweir.commands import check
+from gooseberryweir.version import declarations
+from gooseberryweir.version import validation
+
+_ROOT = pathlib.Path(__file__).parent.parent
+_EXAMPLES = sorted(str(path) for path in (_ROOT / "examples").glob("*.yaml"))
+GOOD = validation.read_document(_EXAMPLES[1])
+
+
+def _faults(change):
+    document = copy.deepcopy(GOOD)
+    change(document)
+    return [str(fault) for fault in declarations.parse(document).failure()]
+
+
+def _file_fault(data):
+    with tempfile.NamedTemporaryFile() as file:
+        file.write(data)
+        file.flush()
+        try:
+            declarations.load_file(file.name)
+        except codes.UserError as error:
+            return error.message
+    raise AssertionError("the file was accepted")
+
+
+class DeclarationsTest(unittest.TestCase):
+    """Parsing, faults and routes."""
+
+    def test_check_prints_a_line_for_each_good_file(self):
+        self.assertEqual(len(_EXAMPLES), 2)
+        with contextlib.redirect_stdout(io.StringIO()) as printed:
+            check.check(_EXAMPLES)
+        lines = printed.getvalue().splitlines()
+        self.assertEqual([line.split(":")[0] for line in lines], _EXAMPLES)
+
+    def test_check_lists_the_faults_of_all_files(self):
+        missing = [f"{_ROOT}/none-1.yaml", f"{_ROOT}/none-2.yaml"]
+        with (
+            contextlib.redirect_stdout(io.StringIO()) as printed,
+            self.assertRaises(codes.UserError) as caught,
+        ):
+            check.check([missing[0], _EXAMPLES[0], missing[1]])
+        self.assertEqual(len(printed.getvalue().splitlines()), 1)
+        for path in missing:
+            self.assertIn(f"{path}: can't be read", caught.exception.message)
+
+    def test_a_document_survives_the_round_trip(self):
+        parsed = declarations.parse(GOOD).unwrap()
+        document = declarations.to_document(parsed)
+        self.assertEqual(document["shift_caps"][0]["from"], "centro")
+        self.assertEqual(declarations.parse(document).unwrap(), parsed)
+
+    def test_all_faults_are_told_at_once(self):
+        def change(document):
+            document["routes"][0]["service"] = "map"
+            document["routes"][1]["clas"] = "live"
+            document["routes"][2]["accounts"] = ["televale"]
+            document["shift_caps"][0]["to"] = "nort"
+            document["accounts"]["bahia-tv"] = {"rate": 0, "burst": 0}
+            document["services"]["maps"]["weight"] = 3
+            document["classes"]["live"]["headroom"] = 0.95
+            document["regions"]["golfo"]["zones"] = []
+
+        self.assertEqual(
+            sorted(_faults(change)),
+            sorted(
+                [
+                    "routes[0].service: 'map': service unknown; did you mean"
+                    " 'maps'?",
+                    "routes[1].clas: unknown; did you mean 'class'?",
+                    "routes[2].accounts: 'televale': account unknown; did you"
+                    " mean 'televalle'?",
+                    "shift_caps[0].to: 'nort': region unknown; did you mean"
+                    " 'norte'?",
+                    "accounts.bahia-tv.rate: 0: should be greater than 0",
+                    "accounts.bahia-tv.burst: 0: should be greater than or"
+                    " equal to 1",
+                    "services.maps.weight: 3: not for a declaration: the system"
+                    " chooses the upstreams and their shares by itself; remove"
+                    " it",
+                    "classes.live.headroom: 0.95: should be less than or equal"
+                    " to 0.9",
+                    "regions.golfo.zones: []: should not be empty",
+                ]
+            ),
+        )
+
+    def test_out_of_bounds_values_are_refused(self):
+        cases = [
+            ("accounts", "bahia-tv", "rate", value)
+            for value in (-1, True, "5", float("nan"), float("inf"), 10**400)
+        ]
+        cases += [
+            ("accounts", "bahia-tv", "burst", 1.5),
+            ("classes", "live", "importance", 10),
+            ("classes", "live", "crash_limit", 0),
+            ("classes", "live", "latency_ms", 0),
+            ("services", "maps", "work_ms", 1 << 20000),
+            ("routes", 0, "path", "maps"),
+            ("routes", 0, "path", "/maps//a"),
+            ("routes", 0, "path", "/maps/../a"),
+            ("routes", 0, "path", "/maps?x"),
+            ("routes", 0, "path", "/v1/hosts/x"),
+            ("routes", 0, "path", "/radar/loops"),
+            ("routes", 0, "methods", ["FETCH"]),
+            ("routes", 0, "idempotent", 1),
+            ("routes", 6, "accounts", ["televalle"]),
+            ("links", 0, "between", ["norte", "norte"]),
+            ("links", 0, "between", ["norte", "golfo"]),
+            ("links", 0, "between", ["norte"]),
+            ("shift_caps", 0, "to", "centro"),
+            ("shift_caps", 0, "to", "golfo"),
+            ("regions", "norte", "zones", ["a", "a"]),
+            ("regions", "norte", "zones", ["Norte A"]),
+        ]
+        for section, item, field, value in cases:
+
+            def change(document, case=(section, item, field, value)):
+                document[case[0]][case[1]][case[2]] = case[3]
+
+            with self.subTest(section=section, field=field):
+                place = _faults(change)[0]
+                self.assertTrue(place.startswith(section), place)
+
+    def test_a_shift_cap_needs_a_link(self):
+        faults = _faults(lambda document: document.pop("links"))
+        self.assertIn("shift_caps[0]: centro to norte: should have a link",
+                      faults)  # fmt: skip
+
+    def test_documents_of_another_shape_are_refused(self):
+        for document in (None, 3, [], {}, {3: 4}, {"regions": {3: {}}},
+                         {"routes": [3], "links": 4, "regions": []},
+                         dict.fromkeys(GOOD, "x")):  # fmt: skip
+            with self.subTest(repr(document)):
+                parsed = declarations.parse(document)
+                self.assertIsInstance(parsed, result.Failure)
+
+    def test_unreadable_files_are_told(self):
+        cases = {
+            b"a: 1\nb: 2\na: 3\n": "line 3: key 'a' is given twice",
+            b"a: {b: 1, b: 2}\n": "key 'b' is given twice",
+            b"a: &x 1\nb: *x\n": "aliases are not allowed",
+            b"<<: {a: 1}\n": "key '<<' is not allowed",
+            b"a: \xff\n": "is not UTF-8 at byte 3",
+            b" " * (validation.MAX_FILE_BYTES + 1): "is larger than",
+            b"[" * 20000: "is nested too deeply",
+            b"a: [1\n": "line 2",
+            b"? [a]\n: 1\n": "line 1",
+            b"a: 2001-13-45\n": "is not valid YAML",
+            b"!!python/name:os.system {}\n": "could not determine",
+        }
+        for data, part in cases.items():
+            with self.subTest(data[:20]):
+                self.assertIn(part, _file_fault(data))
+
+    def test_the_longest_prefix_of_whole_segments_matches(self):
+        base = declarations.parse(GOOD).unwrap()
+        routes = {
+            path: base.routes[0]._replace(path=path)
+            for path in ("/maps", "/maps/b/", "/maps/b/c", "/radar/")
+        }
+        found = base._replace(routes=tuple(routes.values()))
+        for path, expected in (
+            ("/maps", "/maps"), ("/maps/", "/maps"), ("/maps/a", "/maps"),
+            ("/mapsx", None), ("/maps/b", "/maps"), ("/maps/b/", "/maps/b/"),
+            ("/maps/b/cd", "/maps/b/"), ("/maps/b/c/d", "/maps/b/c"),
+            ("/radar", None), ("/radar/x", "/radar/"), ("/", None), ("", None),
+        ):  # fmt: skip
+            with self.subTest(path):
+                route = declarations.match_route(found, path)
+                self.assertEqual(route and route.path, expected)
--- /dev/null
+++ b/test/test_tables.py
@@ -0,0 +1,173 @@
+"""The object store and the tables built from it."""
+
+import logging
+import random
+import unittest
+
+from gooseberryweir.version import declarations
+from gooseberryweir.version import objects
+from gooseberryweir.version import tables
+from test import test_declarations
+
+_D1, _D2 = "1" * 64, "2" * 64
+_KEYS = objects.KEYS_PREFIX
+
+
+def _upstream(name, leaving=False, **changes):
+    return {
+        "name": name, "region": "centro", "zone": "centro-a", "slots": 8,
+        "address": "127.0.0.1:9", "connections": 330, "leaving": leaving,
+        **changes,
+    }  # fmt: skip
+
+
+def _host(name, **changes):
+    return {
+        "name": name, "region": "centro", "zone": "centro-a",
+        "caller": "127.0.0.1:1", "peer": "127.0.0.1:2",
+        "operator": "127.0.0.1:3", "leaving": False, **changes,
+    }  # fmt: skip
+
+
+def _digest_of(store):
+    digest = 0
+    for name, version in store.versions().items():
+        digest ^= objects.object_digest(name, version)
+    return digest
+
+
+class ObjectStoreTest(unittest.TestCase):
+    """Versions that never go back."""
+
+    def test_late_repeated_and_crossed_objects_end_alike(self):
+        rng = random.Random(7)
+        history = [
+            (f"kind/{rng.randrange(5)}", version, rng.choice([None, version]))
+            for version in range(1, 60)
+        ]
+        stores = []
+        for _ in range(3):
+            store = objects.ObjectStore()
+            for entry in rng.sample(history * 2, len(history) * 2):
+                before = store.version(entry[0])
+                self.assertEqual(store.apply(*entry), entry[1] > before)
+                self.assertEqual(store.digest, _digest_of(store))
+            stores.append(store)
+        self.assertEqual(stores[0].objects, stores[1].objects)
+        self.assertEqual({store.digest for store in stores}, {stores[0].digest})
+
+    def test_a_tombstone_keeps_its_version(self):
+        store = objects.ObjectStore()
+        store.apply("kind/a", 3, {})
+        store.apply("kind/a", 5, None)
+        self.assertFalse(store.apply("kind/a", 4, {}))
+        self.assertIsNone(store.get("kind/a"))
+        self.assertEqual(store.versions(), {"kind/a": 5})
+
+    def test_newer_than_brings_another_store_level(self):
+        store, other = objects.ObjectStore(), objects.ObjectStore()
+        store.apply("kind/b", 2, {})
+        store.apply("kind/a", 9, None)
+        other.apply("kind/b", 2, {})
+        newer = store.newer_than(other.versions())
+        self.assertEqual(newer, (("kind/a", 9, None),))
+        for entry in newer:
+            other.apply(*entry)
+        self.assertEqual(store.digest, other.digest)
+
+
+class TablesTest(unittest.TestCase):
+    """What is rebuilt on a change, and what stays."""
+
+    def setUp(self):
+        self.store = objects.ObjectStore()
+        self.tables = tables.Tables(self.store)
+        self.version = 0
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+
+    def put(self, name, content):
+        self.version += 1
+        self.store.apply(name, self.version, content)
+
+    def test_builds_from_what_the_store_held_before(self):
+        self.put(objects.CONFIG, {"declarations": test_declarations.GOOD})
+        self.put(objects.HOSTS, {"endpoints": [_host("c1", extra=1)]})
+        drains = {"region/norte": True, "upstream/m1": False}
+        self.put(objects.DRAINS, {"drains": drains})
+        self.put("steeringobjects/other", {})
+        found = tables.Tables(self.store)
+        expected = declarations.parse(test_declarations.GOOD).unwrap()
+        self.assertEqual(found.declarations, expected)
+        self.assertEqual(found.config_version, 1)
+        self.assertEqual(found.hosts["c1"].peer, "127.0.0.1:2")
+        self.assertEqual(found.drains, {"region/norte"})
+
+    def test_a_malformed_object_never_replaces_a_good_one(self):
+        good = {
+            objects.CONFIG: {"declarations": test_declarations.GOOD},
+            objects.HOSTS: {"endpoints": [_host("c1")]},
+            objects.DRAINS: {"drains": {"region/norte": True}},
+            f"{objects.SERVICE_PREFIX}maps": {"endpoints": [_upstream("m1")]},
+            f"{_KEYS}televalle": {"digests": {_D1: "issued"}},
+        }
+        bad = {
+            objects.CONFIG: [None, {}, {"declarations": {"regions": {}}}],
+            objects.HOSTS: [{"endpoints": [_host("c2"), _host("", zone=3)]}],
+            objects.DRAINS: [{"drains": {"norte": True}}],
+            f"{objects.SERVICE_PREFIX}maps": [
+                {"endpoints": [_upstream("m2", address="upstream:80")]},
+                {"endpoints": [_upstream("m2", slots=True)]},
+            ],
+            f"{_KEYS}televalle": [{"digests": {"a key": "issued"}}],
+        }
+        for name, content in good.items():
+            self.put(name, content)
+        before = self.seen()
+        for name, contents in bad.items():
+            for content in [*contents, 3, []]:
+                self.put(name, content)
+                self.assertEqual(self.seen(), before)
+                self.assertEqual(self.tables.malformed[name], self.version)
+            self.put(name, good[name])
+        self.assertEqual(self.tables.malformed, {})
+
+    def seen(self):
+        return (
+            self.tables.declarations, self.tables.hosts, self.tables.drains,
+            dict(self.tables.upstreams), dict(self.tables.keys),
+        )  # fmt: skip
+
+    def test_a_change_rebuilds_only_what_it_touches(self):
+        self.put(f"{objects.SERVICE_PREFIX}maps", {"endpoints": []})
+        self.put(
+            f"{objects.SERVICE_PREFIX}radar", {"endpoints": [_upstream("r1")]}
+        )
+        self.put(f"{_KEYS}televalle", {"digests": {_D1: "issued"}})
+        radar, key = self.tables.upstreams["radar"], self.tables.keys[_D1]
+        self.put(
+            f"{objects.SERVICE_PREFIX}maps", {"endpoints": [_upstream("m1")]}
+        )
+        self.put(f"{_KEYS}bahia-tv", {"digests": {_D2: "issued"}})
+        self.assertIs(self.tables.upstreams["radar"], radar)
+        self.assertIs(self.tables.keys[_D1], key)
+        self.put(f"{objects.SERVICE_PREFIX}maps", None)
+        self.put(f"{_KEYS}televalle", None)
+        self.assertEqual(set(self.tables.upstreams), {"radar"})
+        self.assertEqual(set(self.tables.keys), {_D2})
+
+    def test_one_entry_for_each_name_the_staying_one_first(self):
+        staying, leaving = _upstream("m1", slots=9), _upstream("m1", True)
+        for endpoints in ([staying, leaving], [leaving, staying]):
+            self.put(f"{objects.SERVICE_PREFIX}maps", {"endpoints": endpoints})
+            (found,) = self.tables.upstreams["maps"]
+            self.assertEqual((found.slots, found.leaving), (9, False))
+
+    def test_a_key_of_two_accounts_works_for_neither(self):
+        self.put(f"{_KEYS}televalle", {"digests": {_D1: "issued"}})
+        self.put(f"{_KEYS}bahia-tv", {"digests": {_D1: "issued"}})
+        self.assertTrue(self.tables.keys[_D1].withdrawn)
+        self.put(f"{_KEYS}bahia-tv", {"digests": {}})
+        self.assertEqual(
+            self.tables.keys[_D1], tables.KeyEntry("televalle", False)
+        )
