Add membership, facts and the links between hosts

The hosts need a common view, freshness and duties without an election. An answer now also says for how long its view was held: counting only the time since a majority was first seen let a peer that goes back and forth between two views support both. First version, not tested yet.

--- a/gooseberryweir/connection/messages.py
+++ b/gooseberryweir/connection/messages.py
@@ -53,6 +53,10 @@
         view: Digest of the hosts that it holds eligible for duties.
         suspects: Names of hosts that it has not heard for the silence time.
         load: Its own load: requests in flight.
+        view_age: Seconds for which it has held that view without a break.
+        quorum_age: Seconds since the oldest of the answers by which a
+            majority agreed that the platform is out; a large number if none.
+            It is no proof of the platform's state.
     """
 
     host: str
@@ -63,6 +67,8 @@
     view: int
     suspects: tuple[str, ...]
     load: int
+    view_age: float
+    quorum_age: float
 
 
 class FetchState(NamedTuple):
@@ -252,6 +258,16 @@
     """A peer sent something that is not a message."""
 
 
+# What decoding a stream may raise; the stream is of no use afterwards.
+BROKEN_STREAM = (
+    ProtocolError,
+    msgpack.UnpackException,
+    msgpack.BufferFull,
+    ValueError,
+    TypeError,
+)
+
+
 def encode(message: Any, correlation: int = 0) -> bytes:
     """Packs a message with its correlation number."""
     parts = [_NUMBERS[type(message)], correlation, *message]
--- /dev/null
+++ b/gooseberryweir/process/anti_entropy.py
@@ -0,0 +1,101 @@
+"""Repair of state and facts between two hosts whose digests differ."""
+
+from typing import Any
+from typing import Protocol
+
+from gooseberryweir.connection import messages
+from gooseberryweir.connection import peer_link
+from gooseberryweir.process import facts as facts_module
+from gooseberryweir.process import membership as membership_module
+
+FETCH_TIMEOUT_SECONDS = 1.5
+
+
+class Store(membership_module.Store, Protocol):
+    """The platform objects held, as far as the exchange goes."""
+
+    def apply(self, name: str, version: int, content: Any | None) -> bool:
+        """Takes an object if it is newer than the one held."""
+
+    def newer_than(
+        self, versions: dict[str, int]
+    ) -> tuple[tuple[str, int, Any], ...]:
+        """Returns the objects newer than the versions given."""
+
+
+def apply_objects(store: Store, message: messages.StateObjects) -> None:
+    """Takes the objects of a message that are newer than those held."""
+    for name, version, content in message.objects:
+        store.apply(name, version, content)
+
+
+def ping(
+    link: peer_link.PeerLink,
+    membership: membership_module.Membership,
+    timeout: float,
+) -> messages.Pong:
+    """Pings a peer and takes in its answer.
+
+    Args:
+        link: Link to the peer.
+        membership: Told the answer and when it was asked for.
+        timeout: Seconds to wait.
+
+    Raises:
+        peer_link.PeerError: There was no valid answer.
+    """
+    sent_at = membership.clock.monotonic()
+    question = messages.Ping(membership.host, membership.incarnation)
+    pong = link.call(question, timeout)
+    if not isinstance(pong, messages.Pong) or pong.host != link.peer.host:
+        raise peer_link.PeerError("not an answer to a ping")
+    membership.on_pong(sent_at, pong)
+    return pong
+
+
+def repair(
+    link: peer_link.PeerLink,
+    pong: messages.Pong,
+    store: Store,
+    facts: facts_module.Facts,
+    membership: membership_module.Membership,
+) -> None:
+    """Fetches what the digests of an answer show to differ.
+
+    Raises:
+        peer_link.PeerError: The peer gave no valid answer in time.
+    """
+    if pong.state_digest != store.digest:
+        _fetch_state(link, store, membership)
+    if pong.facts_digest != facts.digest or not membership.confirmed:
+        _fetch_facts(link, facts, membership)
+
+
+def _fetch_state(
+    link: peer_link.PeerLink,
+    store: Store,
+    membership: membership_module.Membership,
+) -> None:
+    """Fetches and applies the objects that the peer has newer."""
+    asked_at = membership.clock.monotonic()
+    question = messages.FetchState(store.versions())
+    reply = link.call(question, FETCH_TIMEOUT_SECONDS)
+    if not isinstance(reply, messages.StateObjects):
+        raise peer_link.PeerError("not an answer to a fetch of state")
+    apply_objects(store, reply)
+    membership.on_state_fetched(link.peer.host, asked_at)
+
+
+def _fetch_facts(
+    link: peer_link.PeerLink,
+    facts: facts_module.Facts,
+    membership: membership_module.Membership,
+) -> None:
+    """Exchanges all facts with the peer."""
+    asked_at = membership.clock.monotonic()
+    question = messages.FetchFacts(facts.snapshot())
+    reply = link.call(question, FETCH_TIMEOUT_SECONDS)
+    if not isinstance(reply, messages.Facts):
+        raise peer_link.PeerError("not an answer to a fetch of facts")
+    facts.merge(reply.facts)
+    membership.on_facts_fetched(link.peer.host, asked_at)
--- /dev/null
+++ b/gooseberryweir/process/membership.py
@@ -0,0 +1,398 @@
+"""Membership: what this host knows of the others, and what it may do.
+
+See docs/design/membership.md. Each answer of a peer counts from before its
+question was sent, and every check reads the clock at the moment of use, so a
+process that was paused finds its rights lapsed when it wakes.
+"""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+import logging
+from typing import Protocol
+
+from gooseberryweir import clock as clocks
+from gooseberryweir import logs
+from gooseberryweir.connection import messages
+from gooseberryweir.process import facts as facts_module
+from gooseberryweir.process import freshness as freshness_module
+from gooseberryweir.process import neighbours as neighbours_module
+from gooseberryweir.process import standing as standing_module
+from gooseberryweir.process import timing
+from gooseberryweir.process import view as view_module
+
+HOSTS_OBJECT = "endpointslices/hosts"
+_HOST_FACTS = ("incarnation", "leaving", "dead")
+
+_log = logging.getLogger(__name__)
+
+
+class Tables(Protocol):
+    """The tables of the version in force, as far as membership reads them."""
+
+    @property
+    def hosts(self) -> Mapping[str, view_module.Listed]:
+        """The platform's list of hosts by name."""
+
+
+class Store(Protocol):
+    """The platform objects held, as far as membership reads them."""
+
+    digest: int
+    listeners: list[Callable[[str], None]]
+
+    def versions(self) -> dict[str, int]:
+        """Returns the version held of each object."""
+
+
+class Membership:
+    """This host's place among the others.
+
+    Attributes:
+        host: Name of this host.
+        incarnation: Its incarnation, milliseconds since the epoch.
+        clock: Source of time.
+        tables: The tables of the version in force.
+        facts: Facts shared between the hosts.
+        store: The platform objects held.
+        load: Returns this host's requests in flight, for its answers.
+        loads: Newest load that each peer gave.
+        superseded: Whether a later process runs under this host's name.
+        confirmed: Whether a peer's facts were taken in since the start.
+        leaving: Whether this host has begun to shut down.
+        standing: Votes on the view.
+        evidence: Evidence of freshness.
+        heard: When each peer was last heard.
+        awake_since: Start of the last span without a pause.
+        ticked_at: When `tick` last ran.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        incarnation: int,
+        clock: clocks.Clock,
+        tables: Tables,
+        facts: facts_module.Facts,
+        store: Store,
+    ) -> None:
+        self.host = host
+        self.incarnation = incarnation
+        self.clock = clock
+        self.tables = tables
+        self.facts = facts
+        self.store = store
+        self.load: Callable[[], int] = lambda: 0
+        self.loads: dict[str, int] = {}
+        self.superseded = False
+        self.confirmed = False
+        self.leaving = False
+        self.standing = standing_module.Standing(host, clock)
+        self.evidence = freshness_module.Evidence(clock)
+        self.heard: dict[str, float] = {}
+        self.awake_since = self.ticked_at = clock.monotonic()
+        self._view = view_module.EMPTY
+        self._neighbours: neighbours_module.Neighbours | None = None
+        self._voters: frozenset[str] = frozenset()
+        self._silent: frozenset[str] = frozenset()
+        self._stood = False
+        self._fresh = False
+        store.listeners.append(self._on_object)
+        facts.listeners.append(self._on_facts)
+        self._adopt_list()
+        self._settle_incarnation()
+        facts.add(facts_module.incarnation_key(host), self.incarnation)
+
+    # What this host may do.
+
+    def view(self) -> view_module.View:
+        """Returns the hosts eligible for duties."""
+        return self._view
+
+    def holder(self, resource: str) -> str | None:
+        """Returns the host that holds a duty by this host's view."""
+        return view_module.holder(self._view, resource)
+
+    def stands(self) -> bool:
+        """Returns whether a majority shares this host's view now."""
+        return not self.superseded and self.standing.stands()
+
+    def may_exercise(self) -> bool:
+        """Returns whether this host may act as holder of its duties now."""
+        return not self.superseded and self.standing.may_exercise()
+
+    def freshness(self) -> freshness_module.Freshness:
+        """Returns whether this host may do keyed work now."""
+        if self.superseded or not self.store.versions():
+            return freshness_module.Freshness(
+                False, "none", timing.NO_EVIDENCE_SECONDS
+            )
+        return self.evidence.check(self.host, self._voters)
+
+    # Whom this host knows.
+
+    def neighbours(self) -> neighbours_module.Neighbours:
+        """Returns the hosts that this host pings."""
+        if self._neighbours is None:
+            self._neighbours = neighbours_module.find(
+                self.host, self.tables.hosts, self.live()
+            )
+        return self._neighbours
+
+    def live(self) -> frozenset[str]:
+        """Returns the listed hosts that are neither leaving nor dead."""
+        return view_module.live_hosts(self.facts, self.tables.hosts)
+
+    def reachable(self) -> frozenset[str]:
+        """Returns the live hosts less those that this host misses."""
+        return self.live().difference(self.suspects())
+
+    def suspects(self) -> tuple[str, ...]:
+        """Returns the watched hosts not heard for `SILENCE_SECONDS`."""
+        earliest = self.clock.monotonic() - timing.SILENCE_SECONDS
+        if self.awake_since > earliest:
+            return ()
+        watched = self._voters.union(self.neighbours().everyone())
+        return tuple(
+            sorted(
+                name
+                for name in watched
+                if name != self.host
+                and self.heard.get(name, self.awake_since) < earliest
+                and view_module.live_incarnation(self.facts, name)
+            )
+        )
+
+    # What this host hears.
+
+    def platform_answered(self, asked_at: float) -> None:
+        """Notes that the platform had nothing newer than what is held.
+
+        Args:
+            asked_at: Monotonic instant before the question was sent.
+        """
+        self.evidence.platform_at = max(self.evidence.platform_at, asked_at)
+
+    def on_heard(self, host: str, incarnation: int = 0) -> None:
+        """Notes a message from a host.
+
+        Args:
+            host: Name of the sender.
+            incarnation: Its incarnation, or 0 if the message doesn't say.
+        """
+        if host == self.host:
+            return
+        known = self.facts.get(facts_module.incarnation_key(host))
+        if incarnation and incarnation < known:
+            return
+        self.heard[host] = self.clock.monotonic()
+        if incarnation > known:
+            self.facts.add(facts_module.incarnation_key(host), incarnation)
+
+    def on_pong(self, sent_at: float, pong: messages.Pong) -> None:
+        """Takes in the answer to a ping.
+
+        Args:
+            sent_at: Monotonic instant before the ping was sent.
+            pong: The answer; ignored if it is older than one taken in.
+        """
+        known = self.facts.get(facts_module.incarnation_key(pong.host))
+        peer = self.evidence.peer(pong.host)
+        if pong.host == self.host or pong.incarnation < known:
+            return
+        if sent_at < peer.answered_at:
+            return
+        if pong.incarnation > known:
+            self.facts.add(
+                facts_module.incarnation_key(pong.host), pong.incarnation
+            )
+        self.heard[pong.host] = max(sent_at, self.heard.get(pong.host, sent_at))
+        self.loads[pong.host] = pong.load
+        self._take_evidence(peer, sent_at, pong)
+        self.standing.votes[pong.host] = standing_module.Vote(
+            pong.view,
+            sent_at,
+            self.clock.monotonic() - pong.view_age,
+            frozenset(pong.suspects),
+        )
+
+    def _take_evidence(
+        self,
+        peer: freshness_module.PeerEvidence,
+        sent_at: float,
+        pong: messages.Pong,
+    ) -> None:
+        """Takes what an answer proves of the state and the facts."""
+        peer.answered_at = sent_at
+        peer.platform_at = sent_at - pong.platform_age
+        peer.quorum_at = sent_at - pong.quorum_age
+        if pong.state_digest == self.store.digest:
+            peer.state_at = sent_at
+            self.evidence.relayed_at = max(
+                self.evidence.relayed_at, peer.platform_at
+            )
+        if pong.facts_digest == self.facts.digest:
+            peer.facts_at = sent_at
+
+    def on_state_fetched(self, host: str, asked_at: float) -> None:
+        """Notes that all state a peer held, when asked, is held here too."""
+        peer = self.evidence.peer(host)
+        peer.state_at = max(peer.state_at, asked_at)
+
+    def on_facts_fetched(self, host: str, asked_at: float) -> None:
+        """Notes that all facts a peer held, when asked, are held here too."""
+        peer = self.evidence.peer(host)
+        peer.facts_at = max(peer.facts_at, asked_at)
+        self.confirmed = True
+
+    # What this host tells.
+
+    def pong(self) -> messages.Pong:
+        """Returns this host's answer to a ping."""
+        quorum_age = self.evidence.outage_age(self.host, self._voters)
+        return messages.Pong(
+            self.host,
+            self.incarnation,
+            self.evidence.platform_age(),
+            self.store.digest,
+            self.facts.digest,
+            self._view.digest,
+            self.suspects(),
+            self.load(),
+            self.clock.monotonic() - self.standing.held_since,
+            quorum_age,
+        )
+
+    def leave(self) -> None:
+        """Tells all hosts that this incarnation is shutting down."""
+        self.leaving = True
+        self.facts.add(facts_module.leaving_key(self.host), self.incarnation)
+
+    def tick(self) -> None:
+        """Runs the periodic checks; call it each `HEARTBEAT_SECONDS`."""
+        now = self.clock.monotonic()
+        if now - self.ticked_at > timing.PAUSE_SECONDS:
+            self.awake_since = now
+        self.ticked_at = now
+        self._log_silence()
+        self._declare_dead()
+        self._log_changes()
+
+    # Changes of the list and of facts.
+
+    def _on_object(self, name: str) -> None:
+        """Takes in a change of the platform's list of hosts."""
+        if name == HOSTS_OBJECT:
+            self._adopt_list()
+
+    def _adopt_list(self) -> None:
+        """Takes the voters from the list."""
+        self._voters = neighbours_module.voters(self.tables.hosts)
+        self._adopt_view()
+
+    def _on_facts(self, new: dict[str, int]) -> None:
+        """Takes in new facts about hosts."""
+        changed = False
+        for key, value in new.items():
+            kind, _, host = key.partition("/")
+            if kind in _HOST_FACTS:
+                changed = True
+                self._on_host_fact(kind, host, value)
+        if changed:
+            self._settle_incarnation()
+            self._adopt_view()
+
+    def _on_host_fact(self, kind: str, host: str, incarnation: int) -> None:
+        """Notes and logs one new fact about a host."""
+        if kind == "incarnation":
+            self.heard[host] = self.clock.monotonic()
+            name = "host-joined"
+        else:
+            name = f"host-{kind}"
+        logs.event(_log, name, subject=host, incarnation=incarnation)
+
+    def _adopt_view(self) -> None:
+        """Builds the view again and starts its age when it changed."""
+        self._neighbours = None
+        self._view = view_module.build(
+            self.facts, self.tables.hosts, self._voters
+        )
+        if self.standing.adopt(self._view.digest, self._voters):
+            logs.event(
+                _log,
+                "view-changed",
+                digest=f"{self._view.digest:016x}",
+                members=",".join(name for name, _ in self._view.members),
+                voters=len(self._voters),
+            )
+
+    def _settle_incarnation(self) -> None:
+        """Takes a new incarnation if this one has ended or is in use."""
+        newest = self.facts.get(facts_module.incarnation_key(self.host))
+        if newest > self.incarnation and self.confirmed:
+            self._note_superseded(newest)
+            return
+        dead = self.facts.get(facts_module.dead_key(self.host))
+        left = self.facts.get(facts_module.leaving_key(self.host))
+        ended = max(dead, 0 if self.leaving else left)
+        if newest <= self.incarnation and ended < self.incarnation:
+            return
+        self.incarnation = max(
+            int(self.clock.wall() * 1000), newest + 1, ended + 1
+        )
+        logs.event(_log, "incarnation-renewed", incarnation=self.incarnation)
+        key = facts_module.incarnation_key(self.host)
+        self.facts.add(key, self.incarnation)
+        if self.leaving:
+            self.leave()
+
+    def _note_superseded(self, newest: int) -> None:
+        """Stops for good: a later process has taken this host's name."""
+        if not self.superseded:
+            self.superseded = True
+            logs.event(
+                _log,
+                "host-superseded",
+                logging.ERROR,
+                incarnation=self.incarnation,
+                newest=newest,
+            )
+
+    # Periodic checks.
+
+    def _log_silence(self) -> None:
+        """Logs the hosts that fell silent since the last check."""
+        silent = frozenset(self.suspects())
+        for name in sorted(silent - self._silent):
+            logs.event(_log, "host-silent", logging.WARNING, subject=name)
+        self._silent = silent
+
+    def _declare_dead(self) -> None:
+        """Adds the fact of a death that a majority of the voters agrees on."""
+        if self.host not in self._voters:
+            return
+        earliest = self.clock.monotonic() - timing.STANDING_SECONDS
+        for name in self._silent:
+            asked_after = max(earliest, self.heard.get(name, earliest))
+            count = 1 + self.standing.suspected_by(name, asked_after)
+            if 2 * count > len(self._voters):
+                incarnation = view_module.live_incarnation(self.facts, name)
+                self.facts.add(facts_module.dead_key(name), incarnation)
+
+    def _log_changes(self) -> None:
+        """Logs gains and losses of standing and of freshness."""
+        stands = self.stands()
+        if stands != self._stood:
+            self._stood = stands
+            name = "standing-gained" if stands else "standing-lost"
+            digest = f"{self._view.digest:016x}"
+            logs.event(_log, name, digest=digest)
+        fresh = self.freshness()
+        if fresh.fresh != self._fresh:
+            self._fresh = fresh.fresh
+            logs.event(
+                _log,
+                "freshness-changed",
+                fresh=fresh.fresh,
+                source=fresh.source,
+                age=fresh.age,
+            )
--- /dev/null
+++ b/gooseberryweir/process/neighbours.py
@@ -0,0 +1,128 @@
+"""Which hosts ping one another, and which of them vote.
+
+A fleet of up to `FULL_MESH_HOSTS` is a full mesh. In a larger one the first
+`RELAYS_PER_REGION` live hosts of each region, in rendezvous order, are relays
+and ping all other relays; the rest of a region hangs below its relays in a
+tree by its position in the same order. Every host of the tree has a second
+parent, the one after its first, so that one loss cuts off nobody.
+"""
+
+from collections.abc import Collection
+from collections.abc import Mapping
+from typing import NamedTuple
+from typing import Protocol
+
+from gooseberryweir import rendezvous
+
+FULL_MESH_HOSTS = 9
+RELAYS_PER_REGION = 3
+TREE_FAN_OUT = 4
+
+
+class Located(Protocol):
+    """A listed host, as far as its place among the others goes."""
+
+    @property
+    def region(self) -> str:
+        """Name of its region."""
+
+
+class Neighbours(NamedTuple):
+    """The hosts that one host pings.
+
+    Attributes:
+        relays: The other relays, if this host is one.
+        parents: Parents in the tree of its region, the first one first.
+        children: Hosts that have this host as their first or second parent.
+    """
+
+    relays: tuple[str, ...]
+    parents: tuple[str, ...]
+    children: tuple[str, ...]
+
+    def everyone(self) -> tuple[str, ...]:
+        """Returns all neighbours, each once."""
+        return tuple(dict.fromkeys(self.relays + self.parents + self.children))
+
+
+def regional_orders(
+    hosts: Mapping[str, Located], live: Collection[str]
+) -> dict[str, list[str]]:
+    """Returns the live hosts of each region in rendezvous order."""
+    regions: dict[str, list[str]] = {}
+    for name in live:
+        regions.setdefault(hosts[name].region, []).append(name)
+    return {
+        region: rendezvous.order(f"relays/{region}", names)
+        for region, names in regions.items()
+    }
+
+
+def voters(hosts: Mapping[str, Located]) -> frozenset[str]:
+    """Returns the hosts that vote and may hold duties.
+
+    They follow from the list alone: a host that dies goes on counting, so
+    two sides of a partition can't both find a majority.
+    """
+    if len(hosts) <= FULL_MESH_HOSTS:
+        return frozenset(hosts)
+    orders = regional_orders(hosts, hosts)
+    return frozenset(
+        name for order in orders.values() for name in order[:RELAYS_PER_REGION]
+    )
+
+
+def parent_positions(position: int) -> tuple[int, ...]:
+    """Returns the positions of the first and second parent in the order."""
+    if position < RELAYS_PER_REGION:
+        return ()
+    first = (position - RELAYS_PER_REGION) // TREE_FAN_OUT
+    return (first, first + 1)
+
+
+def child_positions(position: int, count: int) -> tuple[int, ...]:
+    """Returns the positions that have this one as a parent."""
+    first = RELAYS_PER_REGION + TREE_FAN_OUT * max(0, position - 1)
+    end = RELAYS_PER_REGION + TREE_FAN_OUT * (position + 1)
+    return tuple(range(first, min(end, count)))
+
+
+def find(
+    host: str, hosts: Mapping[str, Located], live: Collection[str]
+) -> Neighbours:
+    """Returns the neighbours of a host.
+
+    Args:
+        host: Name of the host; it counts as live if it is listed.
+        hosts: The platform's list, by name.
+        live: Names of the listed hosts taken to be alive.
+    """
+    if host not in hosts:
+        return Neighbours((), (), ())
+    if len(hosts) <= FULL_MESH_HOSTS:
+        others = tuple(sorted(name for name in hosts if name != host))
+        return Neighbours(others, (), ())
+    orders = regional_orders(hosts, {*live, host})
+    order = orders[hosts[host].region]
+    position = order.index(host)
+    parents = tuple(order[index] for index in parent_positions(position))
+    children = tuple(
+        order[index] for index in child_positions(position, len(order))
+    )
+    return Neighbours(_relays(host, orders, position), parents, children)
+
+
+def _relays(
+    host: str, orders: Mapping[str, list[str]], position: int
+) -> tuple[str, ...]:
+    """Returns the other relays, if the host is one by its position."""
+    if position >= RELAYS_PER_REGION:
+        return ()
+    return tuple(
+        sorted(
+            name
+            for order in orders.values()
+            for name in order[:RELAYS_PER_REGION]
+            if name != host
+        )
+    )
--- /dev/null
+++ b/gooseberryweir/process/peering.py
@@ -0,0 +1,336 @@
+"""The links to the other hosts: server, heartbeats and messages.
+
+One task for each neighbour dials it, pings it and repairs differences; one
+task follows the list of neighbours. A pushed message that gets lost is
+repaired by the next heartbeat, so pushing never waits for anybody.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Sequence
+import logging
+import random
+from typing import Any
+
+import eventlet
+
+from gooseberryweir import clock as clocks
+from gooseberryweir import logs
+from gooseberryweir.connection import messages
+from gooseberryweir.connection import peer_link
+from gooseberryweir.connection import peer_server
+from gooseberryweir.process import anti_entropy
+from gooseberryweir.process import facts as facts_module
+from gooseberryweir.process import membership as membership_module
+from gooseberryweir.process import timing
+
+DIAL_SECONDS = 1.0
+TELL_SECONDS = 1.0
+RETRY_FIRST_SECONDS = 0.1
+RETRY_LIMIT_SECONDS = 2.0
+MISSED_PINGS_LIMIT = 2
+IDLE_LINK_SECONDS = 30.0
+MAX_TELLS = 1000
+
+_log = logging.getLogger(__name__)
+
+
+class Peering:
+    """This host's links to the others; a context manager.
+
+    Attributes:
+        seeds: Addresses to dial while this host has no neighbours.
+        membership: What is known of the others.
+        facts: Facts shared between the hosts.
+        store: The platform objects held.
+        clock: Source of time; its sleep must let other tasks run.
+        random: Source of jitter.
+        handlers: Function for each further type of message, which takes the
+            message and returns the reply or None.
+        links: Open link to each host.
+        used_at: Since when each link to another than a neighbour is idle.
+        server: The listening end.
+        address: Its bound address, `IP:PORT`.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        seeds: Sequence[str],
+        membership: membership_module.Membership,
+        facts: facts_module.Facts,
+        store: anti_entropy.Store,
+        clock: clocks.Clock,
+        jitter: random.Random,
+    ) -> None:
+        """Binds the server; entering the context starts all tasks.
+
+        Args:
+            address: Address to listen on, `IP:PORT`; port 0 for any.
+            seeds: Addresses to dial while this host has no neighbours.
+            membership: What is known of the others.
+            facts: Facts shared between the hosts.
+            store: The platform objects held.
+            clock: Source of time; its sleep must let other tasks run.
+            jitter: Source of jitter, seeded in tests.
+        """
+        self.seeds = tuple(seeds)
+        self.membership = membership
+        self.facts = facts
+        self.store = store
+        self.clock = clock
+        self.random = jitter
+        self.handlers: dict[type, Callable[[Any], Any]] = {}
+        self.links: dict[str, peer_link.PeerLink] = {}
+        self.used_at: dict[str, float] = {}
+        self.server = peer_server.PeerServer(address, self._hello, self._handle)
+        self.address = self.server.address
+        self._tells = eventlet.GreenPool(MAX_TELLS)
+        self._manager: Any = None
+        self._tasks: dict[tuple[str, str], Any] = {}
+
+    def __enter__(self) -> "Peering":
+        self.store.listeners.append(self._push_object)
+        self.facts.listeners.append(self._push_facts)
+        self.server.__enter__()
+        self._manager = eventlet.spawn(self._manage)
+        return self
+
+    def __exit__(self, *exc: object) -> None:
+        self.store.listeners.remove(self._push_object)
+        self.facts.listeners.remove(self._push_facts)
+        for task in (self._manager, *self._tasks.values()):
+            task.kill()
+        for link in list(self.links.values()):
+            link.close()
+        self.server.__exit__(*exc)
+
+    def call(self, host: str, message: Any, timeout: float) -> Any:
+        """Sends a message to a host, dialled if need be; returns its reply.
+
+        Args:
+            host: Name of the host.
+            message: The message.
+            timeout: Seconds for everything.
+
+        Raises:
+            peer_link.PeerError: There was no reply in time.
+        """
+        deadline = self.clock.monotonic() + timeout
+        link = self._open(host, min(timeout, DIAL_SECONDS))
+        return link.call(message, max(0.0, deadline - self.clock.monotonic()))
+
+    def tell(self, message: Any) -> None:
+        """Sends a message to all neighbours, without waiting."""
+        self._tell(self.membership.neighbours().everyone(), message)
+
+    # The tasks.
+
+    def _manage(self) -> None:
+        """Runs the periodic checks and follows the list of neighbours."""
+        while True:
+            try:
+                self.membership.tick()
+                self._follow_neighbours()
+                self._close_idle()
+            except Exception:
+                _log.exception("event=peering-failed")
+            self.clock.sleep(timing.HEARTBEAT_SECONDS)
+
+    def _follow_neighbours(self) -> None:
+        """Starts and ends tasks until each neighbour has one."""
+        wanted = self._wanted()
+        for key in [key for key in self._tasks if key not in wanted]:
+            self._tasks.pop(key).kill()
+        for key in wanted.difference(self._tasks):
+            self._tasks[key] = eventlet.spawn(self._keep_peer, *key)
+
+    def _wanted(self) -> set[tuple[str, str]]:
+        """Returns name and address of each host to ping; seeds lack names."""
+        hosts = self.membership.tables.hosts
+        names = self.membership.neighbours().everyone()
+        if names:
+            return {(name, hosts[name].peer) for name in names}
+        return {("", seed) for seed in self.seeds if seed != self.address}
+
+    def _keep_peer(self, name: str, address: str) -> None:
+        """Keeps a link to one neighbour open, with pings."""
+        failures = 0
+        while True:
+            try:
+                link = self._reach(name, address, DIAL_SECONDS)
+                failures = 0
+                self._keep_link(link)
+            except peer_link.PeerError as error:
+                logs.event(
+                    _log, "link-lost", peer=name, address=address, error=error
+                )
+            except Exception:
+                _log.exception("event=link-failed")
+            self.clock.sleep(self._retry_delay(failures))
+            failures += 1
+
+    def _retry_delay(self, failures: int) -> float:
+        """Returns the jittered exponential delay in seconds."""
+        limit = RETRY_FIRST_SECONDS * 2.0 ** min(failures, 10)
+        return min(RETRY_LIMIT_SECONDS, limit) * self.random.uniform(0.5, 1.0)
+
+    def _keep_link(self, link: peer_link.PeerLink) -> None:
+        """Pings over a link until it is closed or misses too many pings."""
+        missed = 0
+        try:
+            while missed < MISSED_PINGS_LIMIT:
+                started_at = self.clock.monotonic()
+                missed = 0 if self._exchange(link) else missed + 1
+                passed = self.clock.monotonic() - started_at
+                self.clock.sleep(max(0.0, timing.HEARTBEAT_SECONDS - passed))
+        except Exception:
+            link.close()
+            raise
+        link.close()
+        raise peer_link.PeerError("too many pings without an answer")
+
+    def _exchange(self, link: peer_link.PeerLink) -> bool:
+        """Does one heartbeat with a peer; returns whether it answered."""
+        try:
+            pong = anti_entropy.ping(
+                link, self.membership, timing.PING_TIMEOUT_SECONDS
+            )
+            anti_entropy.repair(
+                link, pong, self.store, self.facts, self.membership
+            )
+        except peer_link.PeerTimeoutError:
+            return False
+        return True
+
+    # Links.
+
+    def _hello(self) -> messages.Hello:
+        """Returns what this host says of itself on a new link."""
+        return messages.Hello(
+            messages.PROTOCOL,
+            self.membership.host,
+            self.membership.incarnation,
+        )
+
+    def _reach(
+        self, name: str, address: str, timeout: float
+    ) -> peer_link.PeerLink:
+        """Returns the open link to a host, dialled if there is none."""
+        link = self.links.get(name)
+        if link is not None and not link.closed:
+            return link
+        link = peer_link.PeerLink(address, self._hello(), timeout)
+        answered = link.peer.host
+        if answered == self.membership.host or name not in ("", answered):
+            link.close()
+            self._log_misnamed(name, address, answered)
+            raise peer_link.PeerError(f"{address} is {answered}, not {name}")
+        other = self.links.get(answered)
+        if other is not None and not other.closed:
+            link.close()
+            return other
+        self.links[answered] = link
+        return link
+
+    def _log_misnamed(self, name: str, address: str, answered: str) -> None:
+        """Logs that a host answered by another name than the one listed."""
+        logs.event(
+            _log,
+            "host-misnamed",
+            logging.WARNING,
+            address=address,
+            listed=name,
+            answered=answered,
+        )
+
+    def _open(self, host: str, timeout: float) -> peer_link.PeerLink:
+        """Returns an open link to a listed host."""
+        self.used_at.pop(host, None)
+        link = self.links.get(host)
+        if link is not None and not link.closed:
+            return link
+        entry = self.membership.tables.hosts.get(host)
+        if entry is None:
+            raise peer_link.PeerError(f"{host} is not listed")
+        return self._reach(host, entry.peer, timeout)
+
+    def _close_idle(self) -> None:
+        """Closes links to others than neighbours that go unused."""
+        neighbours = self.membership.neighbours().everyone()
+        if not neighbours:
+            return
+        now = self.clock.monotonic()
+        for host, link in list(self.links.items()):
+            if host in neighbours or link.pending:
+                self.used_at.pop(host, None)
+            elif now - self.used_at.setdefault(host, now) > IDLE_LINK_SECONDS:
+                del self.used_at[host]
+                self.links.pop(host).close()
+
+    # Messages.
+
+    def _handle(self, peer: messages.Hello, message: Any) -> Any:
+        """Handles one message that arrived; returns the reply or None."""
+        if isinstance(message, messages.Ping):
+            self.membership.on_heard(message.host, message.incarnation)
+            return self.membership.pong()
+        if isinstance(message, messages.FetchState):
+            return messages.StateObjects(
+                self.store.newer_than(message.versions)
+            )
+        if isinstance(message, messages.StateObjects):
+            return anti_entropy.apply_objects(self.store, message)
+        if isinstance(message, messages.FetchFacts):
+            self.facts.merge(message.facts)
+            return messages.Facts(self.facts.snapshot())
+        if isinstance(message, messages.Facts):
+            self.facts.merge(message.facts)
+            return None
+        return self._handle_registered(peer, message)
+
+    def _handle_registered(self, peer: messages.Hello, message: Any) -> Any:
+        """Hands a message to the part that registered for its type."""
+        handler = self.handlers.get(type(message))
+        if handler is None:
+            logs.event(
+                _log,
+                "message-unexpected",
+                logging.WARNING,
+                peer=peer.host,
+                type=type(message).__name__,
+            )
+            return None
+        return handler(message)
+
+    def _push_object(self, name: str) -> None:
+        """Forwards a changed object down the tree of the region."""
+        children = self.membership.neighbours().children
+        if not children:
+            return
+        versions = self.store.versions()
+        known = {key: held for key, held in versions.items() if key != name}
+        message = messages.StateObjects(self.store.newer_than(known))
+        self._tell(children, message)
+
+    def _push_facts(self, new: dict[str, int]) -> None:
+        """Forwards new facts to all neighbours."""
+        self.tell(messages.Facts(new))
+
+    def _tell(self, hosts: Iterable[str], message: Any) -> None:
+        """Sends a message to hosts, each in a task; drops it if too many."""
+        for host in hosts:
+            link = self.links.get(host)
+            if link is None or link.closed or not self._tells.free():
+                continue
+            self._tells.spawn_n(_tell_link, link, message)
+
+
+def _tell_link(link: peer_link.PeerLink, message: Any) -> None:
+    """Sends a message that may get lost."""
+    try:
+        link.tell(message, TELL_SECONDS)
+    except peer_link.PeerError as error:
+        logs.event(
+            _log, "tell-failed", logging.DEBUG, peer=link.address, error=error
+        )
--- /dev/null
+++ b/gooseberryweir/process/view.py
@@ -0,0 +1,94 @@
+"""The view: which hosts are eligible for duties, and who holds one."""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+from typing import Protocol
+
+import xxhash
+
+from gooseberryweir import rendezvous
+from gooseberryweir.process import facts as facts_module
+from gooseberryweir.process import neighbours
+
+
+class Listed(neighbours.Located, Protocol):
+    """What a view needs to know of a listed host."""
+
+    @property
+    def peer(self) -> str:
+        """Address for messages between hosts, `IP:PORT`."""
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the platform lists it as leaving."""
+
+
+class View(NamedTuple):
+    """The hosts eligible for duties.
+
+    Attributes:
+        digest: 64-bit digest of the members and of the voters.
+        members: Name and incarnation of each eligible host, in order of name.
+    """
+
+    digest: int
+    members: tuple[tuple[str, int], ...]
+
+
+EMPTY = View(0, ())
+
+
+def live_incarnation(facts: facts_module.Facts, host: str) -> int:
+    """Returns the newest incarnation of a host, or 0 if it is not alive.
+
+    A host of which no incarnation was ever seen is not alive either.
+    """
+    incarnation = facts.get(facts_module.incarnation_key(host))
+    ended = max(
+        facts.get(facts_module.leaving_key(host)),
+        facts.get(facts_module.dead_key(host)),
+    )
+    return incarnation if incarnation > ended else 0
+
+
+def live_hosts(
+    facts: facts_module.Facts, hosts: Mapping[str, Listed]
+) -> frozenset[str]:
+    """Returns the listed hosts that nothing speaks against.
+
+    A host whose incarnation is not known yet is among them.
+    """
+    return frozenset(
+        name
+        for name, entry in hosts.items()
+        if not entry.leaving and not _ended(facts, name)
+    )
+
+
+def _ended(facts: facts_module.Facts, host: str) -> bool:
+    """Returns whether an incarnation is known and none is alive."""
+    known = facts.get(facts_module.incarnation_key(host)) > 0
+    return known and not live_incarnation(facts, host)
+
+
+def build(
+    facts: facts_module.Facts,
+    hosts: Mapping[str, Listed],
+    voters: frozenset[str],
+) -> View:
+    """Builds the view: the voters that are listed as staying and are alive."""
+    pairs = [
+        (name, live_incarnation(facts, name))
+        for name in sorted(voters)
+        if not hosts[name].leaving
+    ]
+    members = tuple(pair for pair in pairs if pair[1])
+    if not members:
+        return EMPTY
+    text = repr((members, sorted(voters)))
+    return View(xxhash.xxh64_intdigest(text.encode()), members)
+
+
+def holder(view: View, resource: str) -> str | None:
+    """Returns the holder of a duty: the first member in rendezvous order."""
+    return rendezvous.first(resource, (name for name, _ in view.members))
