Watcher, relay duty and the writer of withdrawals

A watch alone cannot prove that what is held is current: it can be late, shuffled or silent. The list of names and versions beside it gives the proof and finds deletions. Polls overlap, so a platform that takes longer than the poll interval still gives evidence every second.

--- a/gooseberryweir/process/settled.py
+++ b/gooseberryweir/process/settled.py
@@ -44,7 +44,7 @@
         codes.UserError: CONFLICT names the version of another writer;
             PLATFORM_UNREACHABLE says whether the write may have happened.
     """
-    before = current.spec or {}
+    before = content(current)
     ids = [*before.get("earlier", ()), before.get("id", "")]
     named = {
         **spec,
@@ -99,7 +99,7 @@
     """
     for attempt in range(MERGE_ATTEMPTS):
         current = read(api, kind, name)
-        spec = change(dict(current.spec or {}) if current else {})
+        spec = change(dict(content(current)))
         if spec is None:
             return current
         try:
@@ -124,6 +124,12 @@
         raise user_error(error) from error
 
 
+def content(found: platform.PlatformObject | None) -> dict[str, Any]:
+    """Returns an object's content; empty if absent or not a mapping."""
+    spec = found.spec if found else None
+    return spec if isinstance(spec, dict) else {}
+
+
 def user_error(error: platform.PlatformError) -> codes.UserError:
     """Returns what an operator is told about a failed call."""
     if error.status in (401, 403):
@@ -167,7 +173,7 @@
 
 def took_effect(seen: platform.PlatformObject, write_id: str) -> bool:
     """Tells whether an object shows that a write took effect."""
-    spec = seen.spec or {}
+    spec = content(seen)
     return spec.get("id") == write_id or write_id in spec.get("earlier", ())
 
 
--- /dev/null
+++ b/gooseberryweir/process/watcher.py
@@ -0,0 +1,296 @@
+"""Relay duty: brings the platform's objects into this host's store.
+
+A full list at the start and a watch for each kind carry the changes. Watches
+can be late, doubled, shuffled or silent, so beside them a list of names and
+versions is asked for every second. It proves that what is held is current,
+finds what a watch has missed, and finds deletions. Versions only grow: what
+is older than what is held changes nothing and proves nothing.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
+import logging
+import random
+from typing import Any
+
+import eventlet
+
+from gooseberryweir import clock as clocks
+from gooseberryweir import logs
+from gooseberryweir import rendezvous
+from gooseberryweir.process import membership as memberships
+from gooseberryweir.process import platform
+from gooseberryweir.version import objects
+from gooseberryweir.version import tables as versions
+
+POLL_SECONDS = 1.0
+WATCH_SECONDS = 20.0
+GRACE_SECONDS = 0.2
+MIN_PAUSE_SECONDS = 0.1
+MAX_PAUSE_SECONDS = 2.0
+HEALTHY_SECONDS = 1.0
+MAX_POLLS = 4
+MAX_SINGLE_FETCHES = 8
+RELAYS_PER_REGION = 3
+RELAY_AGE_SECONDS = 2.2
+RELAY_HOLD_SECONDS = 30.0
+KINDS = (platform.ENDPOINT_SLICES, platform.STEERING_OBJECTS)
+_LOGGER = logging.getLogger(__name__)
+
+
+class Watcher:
+    """Keeps a store at the platform's state; a context manager of its tasks.
+
+    Attributes:
+        api: The platform.
+        store: Where the objects go.
+        platform_answered: Called with the instant before a question whose
+            answer proved that the steering objects held are current.
+        is_relay: Tells whether this host has the duty now.
+        newest: By kind, the newest store version that a list has shown.
+    """
+
+    def __init__(
+        self,
+        api: platform.Platform,
+        store: objects.ObjectStore,
+        platform_answered: Callable[[float], None],
+        is_relay: Callable[[], bool],
+        clock: clocks.Clock,
+        jitter: Callable[[], float] = random.random,
+    ) -> None:
+        self.api = api
+        self.store = store
+        self.platform_answered = platform_answered
+        self.is_relay = is_relay
+        self.clock = clock
+        self.jitter = jitter
+        self.newest: dict[str, int] = dict.fromkeys(KINDS, 0)
+        self.polls = 0
+        self.reachable = True
+        self.tasks: list[eventlet.greenthread.GreenThread] = []
+
+    def __enter__(self) -> "Watcher":
+        self.tasks = [eventlet.spawn(self.follow, kind) for kind in KINDS]
+        self.tasks.append(eventlet.spawn(self.poll))
+        return self
+
+    def __exit__(self, *unused_error: object) -> None:
+        for task in self.tasks:
+            task.kill()
+
+    def follow(self, kind: str) -> None:
+        """Lists and watches one kind for as long as the process runs."""
+        version: int | None = None
+        pause = MIN_PAUSE_SECONDS
+        while True:
+            if not self.is_relay():
+                version = None
+                self.clock.sleep(POLL_SECONDS)
+                continue
+            began = self.clock.monotonic()
+            try:
+                if version is None:
+                    version = self.list_all(kind)
+                version = self.watch_once(kind, version)
+            except Exception as error:  # A task outlives any one failure.
+                if getattr(error, "status", 0) == 410:
+                    version = None
+                logs.event(
+                    _LOGGER, "watch-failed", kind=kind, reason=repr(error)
+                )
+            lasted = self.clock.monotonic() - began
+            pause = MIN_PAUSE_SECONDS if lasted > HEALTHY_SECONDS else pause * 2
+            pause = min(MAX_PAUSE_SECONDS, pause)
+            self.clock.sleep(pause * (0.5 + self.jitter()))
+
+    def poll(self) -> None:
+        """Starts a question for each kind every second.
+
+        A slow answer does not hold back the next question.
+        """
+        while True:
+            if self.is_relay() and self.polls < MAX_POLLS:
+                eventlet.spawn(self.poll_all)
+            self.clock.sleep(POLL_SECONDS * (0.9 + 0.2 * self.jitter()))
+
+    def poll_all(self) -> None:
+        """Asks once for the versions of each kind; never raises."""
+        with self._counted():
+            try:
+                for kind in reversed(KINDS):
+                    self.check_versions(kind)
+            except Exception as error:  # A task outlives any one failure.
+                self._note_reachable(False, repr(error))
+            else:
+                self._note_reachable(True)
+
+    def list_all(self, kind: str) -> int:
+        """Takes in a full list and returns the version that it shows."""
+        asked_at = self.clock.monotonic()
+        floor = self.floor(kind)
+        listing = self.api.list(kind)
+        for each in listing.objects:
+            self._apply(kind, each)
+        self._conclude(kind, listing, floor, asked_at)
+        return listing.version
+
+    def watch_once(self, kind: str, version: int) -> int:
+        """Follows one watch to its end; returns the newest version seen."""
+        seconds = WATCH_SECONDS * (0.75 + 0.5 * self.jitter())
+        events = self.api.watch(kind, version, seconds)
+        with contextlib.closing(events):  # type: ignore[type-var]
+            for event in events:
+                changed = event.changed
+                if event.deleted:
+                    name = f"{kind}/{changed.name}"
+                    self._store(name, changed.version, None)
+                else:
+                    self._apply(kind, changed)
+                version = max(version, changed.version)
+        return version
+
+    def check_versions(self, kind: str) -> None:
+        """Compares what is held with the platform's names and versions."""
+        asked_at = self.clock.monotonic()
+        floor = self.floor(kind)
+        listing = self.api.list_versions(kind)
+        if self.missing(kind, listing):
+            self.clock.sleep(GRACE_SECONDS)
+        self._fetch(kind, self.missing(kind, listing))
+        self._conclude(kind, listing, floor, asked_at)
+
+    def floor(self, kind: str) -> int:
+        """Returns the version below which a list of the kind is old."""
+        held = (
+            version
+            for name, version in self.store.versions().items()
+            if name.startswith(f"{kind}/")
+        )
+        return max([self.newest[kind], *held])
+
+    def missing(
+        self, kind: str, listing: platform.Listing
+    ) -> list[platform.PlatformObject]:
+        """Returns the listed objects of which an older version is held."""
+        held = self.store.versions()
+        return [
+            each
+            for each in listing.objects
+            if held.get(f"{kind}/{each.name}", 0) < each.version
+        ]
+
+    def _fetch(self, kind: str, wanted: list[platform.PlatformObject]) -> None:
+        """Reads the objects that no watch has brought."""
+        if len(wanted) > MAX_SINGLE_FETCHES:
+            for each in self.api.list(kind).objects:
+                self._apply(kind, each)
+            return
+        for each in wanted:
+            found = self.api.get(kind, each.name)
+            if found is not None:
+                self._apply(kind, found)
+
+    def _conclude(
+        self,
+        kind: str,
+        listing: platform.Listing,
+        floor: int,
+        asked_at: float,
+    ) -> None:
+        """Drops what is gone and reports proof, if the list gives any."""
+        if listing.version < floor:
+            logs.event(
+                _LOGGER,
+                "stale-list",
+                kind=kind,
+                listed=listing.version,
+                known=floor,
+            )
+            return
+        self.newest[kind] = max(self.newest[kind], listing.version)
+        self._bury(kind, listing)
+        proven = not self.missing(kind, listing)
+        if proven and kind == platform.STEERING_OBJECTS:
+            self.platform_answered(asked_at)
+
+    def _bury(self, kind: str, listing: platform.Listing) -> None:
+        """Marks the objects that the list lacks as deleted."""
+        listed = {f"{kind}/{each.name}" for each in listing.objects}
+        for name, version in list(self.store.versions().items()):
+            gone = name.startswith(f"{kind}/") and name not in listed
+            if not gone or version >= listing.version:
+                continue
+            if self.store.get(name) is not None:
+                self._store(name, listing.version, None)
+
+    def _apply(self, kind: str, changed: platform.PlatformObject) -> None:
+        content = {} if changed.spec is None else changed.spec
+        self._store(f"{kind}/{changed.name}", changed.version, content)
+
+    def _store(self, name: str, version: int, content: Any) -> None:
+        if self.store.apply(name, version, content):
+            logs.event(
+                _LOGGER,
+                "object-changed",
+                object=name,
+                version=version,
+                deleted=content is None,
+            )
+
+    @contextlib.contextmanager
+    def _counted(self) -> Iterator[None]:
+        self.polls += 1
+        try:
+            yield
+        finally:
+            self.polls -= 1
+
+    def _note_reachable(self, reachable: bool, reason: str = "") -> None:
+        """Logs when the platform stops or starts answering."""
+        if reachable != self.reachable:
+            self.reachable = reachable
+            name = "platform-answers" if reachable else "platform-silent"
+            logs.event(_LOGGER, name, logging.WARNING, reason=reason)
+
+
+def relay_duty(
+    host: str,
+    region: str,
+    tables: versions.Tables,
+    membership: memberships.Membership,
+    clock: clocks.Clock,
+) -> Callable[[], bool]:
+    """Returns the decision whether a host watches the platform itself.
+
+    The first few hosts of each region in rendezvous order do. A host that
+    its relays leave without recent evidence takes the duty for a while too,
+    as does one that does not find itself in the list of hosts.
+    """
+    until = clock.monotonic()
+
+    def lacks_evidence() -> bool:
+        freshness = membership.freshness()
+        if not freshness.fresh:
+            return True
+        aged = freshness.age > RELAY_AGE_SECONDS
+        return aged and freshness.source != "outage"
+
+    def is_relay() -> bool:
+        nonlocal until
+        members = [name for name, _ in membership.view().members]
+        near = [
+            name
+            for name in members
+            if name in tables.hosts and tables.hosts[name].region == region
+        ]
+        relays = rendezvous.order(f"relay/{region}", near)[:RELAYS_PER_REGION]
+        if host in relays:
+            return True
+        now = clock.monotonic()
+        if host not in near or lacks_evidence():
+            until = now + RELAY_HOLD_SECONDS
+        return now < until
+
+    return is_relay
--- /dev/null
+++ b/gooseberryweir/process/withdrawals.py
@@ -0,0 +1,104 @@
+"""Brings withdrawals made at hosts during an outage to the platform.
+
+Any host takes a withdrawal as a fact. The holder of `withdrawals` writes it
+into the account's key object once the platform answers. The write is
+conditional and idempotent, so two holders at once do no harm.
+"""
+
+from collections.abc import Mapping
+import logging
+from typing import Any
+
+from gooseberryweir import clock as clocks
+from gooseberryweir import codes
+from gooseberryweir import logs
+from gooseberryweir.process import facts as fact_sets
+from gooseberryweir.process import membership as memberships
+from gooseberryweir.process import platform
+from gooseberryweir.process import settled
+from gooseberryweir.version import tables as versions
+
+RESOURCE = "withdrawals"
+FACT_PREFIX = "withdrawn/"
+WRITE_SECONDS = 1.0
+_LOGGER = logging.getLogger(__name__)
+
+
+def withdraw_digests(
+    api: platform.Platform,
+    account: str,
+    digests: set[str],
+    clock: clocks.Clock,
+) -> None:
+    """Marks keys of a client account as withdrawn in the platform.
+
+    Raises:
+        codes.UserError: The outcome is another or not known.
+    """
+
+    def change(spec: dict[str, Any]) -> dict[str, Any] | None:
+        held = dict(spec.get("digests", {}))
+        if all(held.get(digest) == "withdrawn" for digest in digests):
+            return None
+        held.update(dict.fromkeys(digests, "withdrawn"))
+        return {**spec, "digests": held}
+
+    settled.merge_settled(
+        api, platform.STEERING_OBJECTS, f"keys.{account}", change, clock
+    )
+
+
+def pending(
+    facts: Mapping[str, int], keys: Mapping[str, versions.KeyEntry]
+) -> dict[str, set[str]]:
+    """Returns, by account, the digests withdrawn only among the hosts.
+
+    A digest that no key object holds belongs to no account; it waits.
+    """
+    found: dict[str, set[str]] = {}
+    for fact in facts:
+        digest = fact.removeprefix(FACT_PREFIX)
+        entry = keys.get(digest) if digest != fact else None
+        if entry is not None and not entry.withdrawn:
+            found.setdefault(entry.account, set()).add(digest)
+    return found
+
+
+def write_pending(
+    api: platform.Platform,
+    facts: fact_sets.Facts,
+    tables: versions.Tables,
+    membership: memberships.Membership,
+    clock: clocks.Clock,
+) -> None:
+    """Writes what waits, if this host holds the duty; never raises."""
+    if membership.holder(RESOURCE) != membership.host:
+        return
+    waiting = pending(facts.snapshot(), tables.keys)
+    for account, digests in waiting.items():
+        try:
+            withdraw_digests(api, account, digests, clock)
+        except (codes.UserError, platform.PlatformError) as error:
+            outcome = str(error)
+        else:
+            outcome = "written"
+        logs.event(
+            _LOGGER,
+            "withdrawals-written",
+            account=account,
+            count=len(digests),
+            outcome=outcome,
+        )
+
+
+def write_forever(
+    api: platform.Platform,
+    facts: fact_sets.Facts,
+    tables: versions.Tables,
+    membership: memberships.Membership,
+    clock: clocks.Clock,
+) -> None:
+    """Writes what waits, again and again, for the life of the process."""
+    while True:
+        write_pending(api, facts, tables, membership, clock)
+        clock.sleep(WRITE_SECONDS)
