--- /dev/null
+++ b/gooseberryweir/process/operator_http.py
@@ -0,0 +1,253 @@
+"""The operator port: status, withdrawals and explanations as JSON.
+
+Every request needs the operator token as a bearer token; the host knows only
+its SHA-256 digest. Keys never come here, their digests do.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import hashlib
+import hmac
+import http
+import json
+import logging
+import re
+from typing import Any
+from typing import NamedTuple
+from urllib import parse
+
+import eventlet
+
+from gooseberryweir import clock as clocks
+from gooseberryweir import codes
+from gooseberryweir import logs
+from gooseberryweir.connection import messages
+from gooseberryweir.process import facts as fact_sets
+from gooseberryweir.process import membership as memberships
+from gooseberryweir.process import peer_link
+from gooseberryweir.process import peering as peerings
+from gooseberryweir.process import settings as settings_module
+from gooseberryweir.process import withdrawals
+from gooseberryweir.version import tables as versions
+
+CONFIRM_SECONDS = 3.0
+CALL_SECONDS = 1.0
+PAUSE_SECONDS = 0.2
+MAX_BODY_BYTES = 4096
+_DIGEST = re.compile(r"[0-9a-f]{64}")
+_LOGGER = logging.getLogger(__name__)
+
+Environ = dict[str, Any]
+StartResponse = Callable[..., Any]
+
+
+class Node(NamedTuple):
+    """The parts of this process that operators ask about.
+
+    Attributes:
+        settings: Its settings.
+        membership: Its freshness, view and standing.
+        tables: What the platform's objects say.
+        facts: Its facts.
+        peering: Its links to other hosts.
+        counters: Returns its counters by name.
+        explain: Returns why a request with this method, path and client
+            account would be routed as it would now.
+        clock: Source of time.
+    """
+
+    settings: settings_module.Settings
+    membership: memberships.Membership
+    tables: versions.Tables
+    facts: fact_sets.Facts
+    peering: peerings.Peering
+    counters: Callable[[], dict[str, Any]]
+    explain: Callable[[str, str, str], dict[str, Any]]
+    clock: clocks.Clock
+
+
+def build_application(
+    node: Node,
+) -> Callable[[Environ, StartResponse], Iterable[bytes]]:
+    """Returns the WSGI application of the operator port."""
+
+    def application(
+        environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        try:
+            _check_token(node, environ)
+            status, document = 200, _dispatch(node, environ)
+        except codes.UserError as error:
+            status = codes.TABLE[error.code].status
+            document = _fault(error.code, error.message)
+        except Exception as error:  # The operator gets a numbered code.
+            logs.event(
+                _LOGGER, "operator-failed", logging.ERROR, reason=repr(error)
+            )
+            status = codes.TABLE[codes.Code.INTERNAL].status
+            document = _fault(codes.Code.INTERNAL, "internal error; see logs")
+        body = json.dumps(document).encode() + b"\n"
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(body))),
+        ]
+        start_response(f"{status} {_reason(status)}", headers)
+        return [body]
+
+    return application
+
+
+def status(node: Node) -> dict[str, Any]:
+    """Returns what this host knows of itself and of the others."""
+    membership = node.membership
+    freshness = membership.freshness()
+    view = membership.view()
+    return {
+        "host": membership.host,
+        "incarnation": membership.incarnation,
+        "region": node.settings.region,
+        "zone": node.settings.zone,
+        "fresh": freshness.fresh,
+        "freshness_source": freshness.source,
+        "freshness_age_seconds": round(min(freshness.age, 1e9), 3),
+        "config_version": node.tables.config_version,
+        "versions": node.tables.store.versions(),
+        "malformed": dict(node.tables.malformed),
+        "view": [list(member) for member in view.members],
+        "view_digest": f"{view.digest:016x}",
+        "stands": membership.stands(),
+        "may_exercise": membership.may_exercise(),
+        "hosts": sorted(node.tables.hosts),
+        "suspects": sorted(membership.pong().suspects),
+        "drains": sorted(node.tables.drains),
+        "counters": node.counters(),
+    }
+
+
+def withdraw(node: Node, digest: str) -> dict[str, Any]:
+    """Withdraws a key among the hosts and collects their confirmations.
+
+    Args:
+        node: The parts of this process.
+        digest: SHA-256 of the key in hexadecimal.
+
+    Returns:
+        The names of the listed hosts that confirmed, and of those that did
+        not before the timeout.
+    """
+    fact = f"{withdrawals.FACT_PREFIX}{digest}"
+    node.facts.merge({fact: 1})
+    node.peering.tell(messages.Facts({fact: 1}))
+    own = node.membership.host
+    others = sorted(set(node.tables.hosts) - {own})
+    deadline = node.clock.monotonic() + CONFIRM_SECONDS
+
+    def ask(host: str) -> bool:
+        return _confirms(node, host, fact, deadline)
+
+    pool = eventlet.GreenPool(max(1, len(others)))
+    answers = dict(zip(others, pool.imap(ask, others), strict=True))
+    confirmed = sorted([own, *(name for name in others if answers[name])])
+    missing = [name for name in others if not answers[name]]
+    logs.event(
+        _LOGGER,
+        "key-withdrawn",
+        digest=digest[:12],
+        confirmed=len(confirmed),
+        missing=",".join(missing),
+    )
+    return {
+        "digest": digest,
+        "confirmed": confirmed,
+        "missing": missing,
+        "known": digest in node.tables.keys,
+    }
+
+
+def _confirms(node: Node, host: str, fact: str, deadline: float) -> bool:
+    """Hands one host the fact until it shows that it holds it."""
+    while True:
+        left = deadline - node.clock.monotonic()
+        if left <= 0:
+            return False
+        try:
+            reply = node.peering.call(
+                host,
+                messages.FetchFacts({fact: 1}),
+                timeout=min(left, CALL_SECONDS),
+            )
+        except peer_link.PeerError:
+            reply = None
+        if isinstance(reply, messages.Facts) and reply.facts.get(fact):
+            return True
+        node.clock.sleep(PAUSE_SECONDS)
+
+
+def _check_token(node: Node, environ: Environ) -> None:
+    scheme, _, token = environ.get("HTTP_AUTHORIZATION", "").partition(" ")
+    digest = hashlib.sha256(token.strip().encode("latin-1", "replace"))
+    expected = node.settings.operator_token_digest
+    same = hmac.compare_digest(digest.hexdigest(), expected.lower())
+    if not (expected and same and scheme.lower() == "bearer"):
+        logs.event(
+            _LOGGER,
+            "operator-refused",
+            logging.WARNING,
+            caller=environ.get("REMOTE_ADDR", ""),
+        )
+        raise codes.UserError(
+            codes.Code.FORBIDDEN, codes.TABLE[codes.Code.FORBIDDEN].text
+        )
+
+
+def _dispatch(node: Node, environ: Environ) -> dict[str, Any]:
+    method, path = environ["REQUEST_METHOD"], environ.get("PATH_INFO", "")
+    if (method, path) == ("GET", "/v1/status"):
+        return status(node)
+    if (method, path) == ("POST", "/v1/withdraw"):
+        return withdraw(node, _read_digest(environ))
+    if (method, path) == ("GET", "/v1/explain"):
+        query = dict(parse.parse_qsl(environ.get("QUERY_STRING", "")))
+        if not query.get("path", "").startswith("/"):
+            raise codes.UserError(
+                codes.Code.BAD_PATH, "path must be given and begin with /"
+            )
+        return node.explain(
+            query.get("method", "GET").upper(),
+            query["path"],
+            query.get("account", ""),
+        )
+    raise codes.UserError(
+        codes.Code.UNKNOWN_ROUTE, f"no operator call is {method} {path}"
+    )
+
+
+def _read_digest(environ: Environ) -> str:
+    length = environ.get("CONTENT_LENGTH") or ""
+    if not length.isdigit() or int(length) > MAX_BODY_BYTES:
+        raise codes.UserError(
+            codes.Code.BAD_LENGTH, "the body length is not valid"
+        )
+    body = environ["wsgi.input"].read(int(length))
+    try:
+        digest = json.loads(body)["digest"]
+    except (ValueError, KeyError, TypeError) as error:
+        raise _bad_digest() from error
+    if not isinstance(digest, str) or not _DIGEST.fullmatch(digest):
+        raise _bad_digest()
+    return digest
+
+
+def _bad_digest() -> codes.UserError:
+    return codes.UserError(
+        codes.Code.MALFORMED_KEY,
+        'the body must be {"digest": SHA-256 in lower-case hexadecimal}',
+    )
+
+
+def _fault(code: codes.Code, detail: str) -> dict[str, Any]:
+    return {"code": int(code), "name": code.name, "detail": detail}
+
+
+def _reason(http_status: int) -> str:
+    return http.HTTPStatus(http_status).phrase
--- a/gooseberryweir/process/platform.py
+++ b/gooseberryweir/process/platform.py
@@ -11,6 +11,7 @@
 import json
 from typing import Any
 from typing import NamedTuple
+from urllib import parse
 
 import urllib3
 
@@ -177,6 +178,7 @@
                 yield _event(line)
 
     def _address(self, kind: str, name: str = "") -> str:
+        name = parse.quote(name, safe="")
         return "/".join(filter(None, (self.url + _API_PATH, kind, name)))
 
     def _call(
--- a/gooseberryweir/process/watcher.py
+++ b/gooseberryweir/process/watcher.py
@@ -18,9 +18,10 @@
 
 from gooseberryweir import clock as clocks
 from gooseberryweir import logs
-from gooseberryweir import rendezvous
 from gooseberryweir.process import membership as memberships
+from gooseberryweir.process import neighbours
 from gooseberryweir.process import platform
+from gooseberryweir.process import view as views
 from gooseberryweir.version import objects
 from gooseberryweir.version import tables as versions
 
@@ -32,7 +33,6 @@
 HEALTHY_SECONDS = 1.0
 MAX_POLLS = 4
 MAX_SINGLE_FETCHES = 8
-RELAYS_PER_REGION = 3
 RELAY_AGE_SECONDS = 2.2
 RELAY_HOLD_SECONDS = 30.0
 KINDS = (platform.ENDPOINT_SLICES, platform.STEERING_OBJECTS)
@@ -279,14 +279,10 @@
 
     def is_relay() -> bool:
         nonlocal until
-        members = [name for name, _ in membership.view().members]
-        near = [
-            name
-            for name in members
-            if name in tables.hosts and tables.hosts[name].region == region
-        ]
-        relays = rendezvous.order(f"relay/{region}", near)[:RELAYS_PER_REGION]
-        if host in relays:
+        live = views.live_hosts(membership.facts, tables.hosts)
+        orders = neighbours.regional_orders(tables.hosts, live)
+        near = orders.get(region, [])
+        if host in near[: neighbours.RELAYS_PER_REGION]:
             return True
         now = clock.monotonic()
         if host not in near or lacks_evidence():
--- a/gooseberryweir/process/withdrawals.py
+++ b/gooseberryweir/process/withdrawals.py
@@ -71,7 +71,7 @@
     membership: memberships.Membership,
     clock: clocks.Clock,
 ) -> None:
-    """Writes what waits, if this host holds the duty; never raises."""
+    """Writes what waits, if this host holds the duty."""
     if membership.holder(RESOURCE) != membership.host:
         return
     waiting = pending(facts.snapshot(), tables.keys)
@@ -100,5 +100,13 @@
 ) -> None:
     """Writes what waits, again and again, for the life of the process."""
     while True:
-        write_pending(api, facts, tables, membership, clock)
+        try:
+            write_pending(api, facts, tables, membership, clock)
+        except Exception as error:  # A task outlives any one failure.
+            logs.event(
+                _LOGGER,
+                "withdrawals-failed",
+                logging.ERROR,
+                reason=repr(error),
+            )
         clock.sleep(WRITE_SECONDS)
