--- a/gooseberryweir/process/platform.py
+++ b/gooseberryweir/process/platform.py
@@ -143,10 +143,6 @@
         document = {"metadata": metadata, "spec": spec}
         return _object(self._call("PUT", self._address(kind, name), document))
 
-    def delete(self, kind: str, name: str) -> None:
-        """Deletes an object; status 404 if it is not there."""
-        self._call("DELETE", self._address(kind, name))
-
     def watch(
         self, kind: str, version: int, seconds: float
     ) -> Iterator[WatchEvent]:
--- a/gooseberryweir/process/watcher.py
+++ b/gooseberryweir/process/watcher.py
@@ -18,12 +18,8 @@
 
 from gooseberryweir import clock as clocks
 from gooseberryweir import logs
-from gooseberryweir.process import membership as memberships
-from gooseberryweir.process import neighbours
 from gooseberryweir.process import platform
-from gooseberryweir.process import view as views
 from gooseberryweir.version import objects
-from gooseberryweir.version import tables as versions
 
 POLL_SECONDS = 1.0
 WATCH_SECONDS = 20.0
@@ -33,8 +29,6 @@
 HEALTHY_SECONDS = 1.0
 MAX_POLLS = 4
 MAX_SINGLE_FETCHES = 8
-RELAY_AGE_SECONDS = 2.2
-RELAY_HOLD_SECONDS = 30.0
 KINDS = (platform.ENDPOINT_SLICES, platform.STEERING_OBJECTS)
 _LOGGER = logging.getLogger(__name__)
 
@@ -253,40 +247,3 @@
             self.reachable = reachable
             name = "platform-answers" if reachable else "platform-silent"
             logs.event(_LOGGER, name, logging.WARNING, reason=reason)
-
-
-def relay_duty(
-    host: str,
-    region: str,
-    tables: versions.Tables,
-    membership: memberships.Membership,
-    clock: clocks.Clock,
-) -> Callable[[], bool]:
-    """Returns the decision whether a host watches the platform itself.
-
-    The first few hosts of each region in rendezvous order do. A host that
-    its relays leave without recent evidence takes the duty for a while too,
-    as does one that does not find itself in the list of hosts.
-    """
-    until = clock.monotonic()
-
-    def lacks_evidence() -> bool:
-        freshness = membership.freshness()
-        if not freshness.fresh:
-            return True
-        aged = freshness.age > RELAY_AGE_SECONDS
-        return aged and freshness.source != "outage"
-
-    def is_relay() -> bool:
-        nonlocal until
-        live = views.live_hosts(membership.facts, tables.hosts)
-        orders = neighbours.regional_orders(tables.hosts, live)
-        near = orders.get(region, [])
-        if host in near[: neighbours.RELAYS_PER_REGION]:
-            return True
-        now = clock.monotonic()
-        if host not in near or lacks_evidence():
-            until = now + RELAY_HOLD_SECONDS
-        return now < until
-
-    return is_relay
