--- a/gooseberryweir/process/operator_http.py
+++ b/gooseberryweir/process/operator_http.py
@@ -117,7 +117,10 @@
         "view_digest": f"{view.digest:016x}",
         "stands": membership.stands(),
         "may_exercise": membership.may_exercise(),
-        "hosts": sorted(node.tables.hosts),
+        "operators": {
+            name: {"operator": entry.operator, "leaving": entry.leaving}
+            for name, entry in sorted(node.tables.hosts.items())
+        },
         "suspects": sorted(membership.pong().suspects),
         "drains": sorted(node.tables.drains),
         "counters": node.counters(),
