The thin path end to end, shares still local to each host

Rates and slots are not shared yet: this is the naive version that the tests of the conditions have to show failing.

--- a/gooseberryweir/commands/key.py
+++ b/gooseberryweir/commands/key.py
@@ -25,8 +25,8 @@
     """Issues a key of 256 random bits, prints it once and returns it.
 
     Raises:
-        codes.UserError: INVALID_DECLARATION for an undeclared client account, else as
-            `apply`; after NOT_IN_FORCE the key is valid nevertheless.
+        codes.UserError: INVALID_DECLARATION for an undeclared client account,
+            else as `apply`; after NOT_IN_FORCE the key is valid nevertheless.
     """
     _check_account(operator, account)
     key = secrets.token_urlsafe(KEY_BYTES)
--- a/gooseberryweir/metrics.py
+++ b/gooseberryweir/metrics.py
@@ -16,12 +16,12 @@
     """The kinds of figures.
 
     Attributes:
-        count: Adds 1 to a counter.
+        increment: Adds 1 to a counter.
         timing: Records a duration in milliseconds.
         gauge: Sets a level.
     """
 
-    count: Callable[[str], None]
+    increment: Callable[[str], None]
     timing: Callable[[str, float], None]
     gauge: Callable[[str, float], None]
 
--- a/gooseberryweir/process/operator_http.py
+++ b/gooseberryweir/process/operator_http.py
@@ -22,9 +22,9 @@
 from gooseberryweir import codes
 from gooseberryweir import logs
 from gooseberryweir.connection import messages
+from gooseberryweir.connection import peer_link
 from gooseberryweir.process import facts as fact_sets
 from gooseberryweir.process import membership as memberships
-from gooseberryweir.process import peer_link
 from gooseberryweir.process import peering as peerings
 from gooseberryweir.process import settings as settings_module
 from gooseberryweir.process import withdrawals
--- a/gooseberryweir/process/serve.py
+++ b/gooseberryweir/process/serve.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterator
 import contextlib
 import logging
+import random
 import signal
 import sys
 from typing import Any
@@ -105,11 +106,17 @@
     metrics = metrics_module.open_metrics(settings.statsd)
     with contextlib.ExitStack() as stack:
         peering = stack.enter_context(
-            peering_module.Peering(settings, membership, store, facts, clock)
-        )
-        shares = stack.enter_context(
-            shares_module.Shares(settings, membership, tables, peering, clock)
+            peering_module.Peering(
+                settings.peer,
+                settings.peers,
+                membership,
+                facts,
+                store,
+                clock,
+                random.Random(),
+            )
         )
+        shares = stack.enter_context(shares_module.Shares(tables, clock))
         context = contexts.Context(
             settings=settings,
             clock=clock,
@@ -121,9 +128,7 @@
             shares=shares,
             suspects=suspects_module.Suspects(facts, clock),
             ledger=tickets.TicketLedger(settings.host, clock),
-            upstreams=stack.enter_context(
-                upstream_http.UpstreamConnections()
-            ),
+            upstreams=stack.enter_context(upstream_http.UpstreamConnections()),
             budget=body.BodyBudget(BODY_BUDGET_BYTES),
         )
         peering.handlers[messages.Forward] = lambda message: (
@@ -214,9 +219,7 @@
     )
 
 
-def _announce(
-    caller: Any, context: contexts.Context, operator: Any
-) -> None:
+def _announce(caller: Any, context: contexts.Context, operator: Any) -> None:
     """Prints the bound ports, for whoever started the process."""
     peer_port = context.peering.address.rpartition(":")[2]
     caller_port = caller.getsockname()[1]
@@ -252,6 +255,4 @@
         pool.waitall()
     seconds = context.clock.monotonic() - began
     context.metrics.timing("drain", seconds * 1000)
-    logs.event(
-        LOGGER, "host-drained", seconds=seconds, cut_off=pool.running()
-    )
+    logs.event(LOGGER, "host-drained", seconds=seconds, cut_off=pool.running())
--- a/gooseberryweir/request/application.py
+++ b/gooseberryweir/request/application.py
@@ -86,7 +86,7 @@
         ran=refusal.ran.value,
         detail=refusal.detail,
     )
-    context.metrics.count(f"refused.{int(refusal.code)}")
+    context.metrics.increment(f"refused.{int(refusal.code)}")
     return answers.from_refusal(refusal)
 
 
--- a/gooseberryweir/request/dispatch.py
+++ b/gooseberryweir/request/dispatch.py
@@ -92,7 +92,7 @@
         return
     refused = context.shares.take(f"account/{admitted.account}", deadline)
     if refused is not None:
-        context.metrics.count(f"rate_refused.{admitted.account}")
+        context.metrics.increment(f"rate_refused.{admitted.account}")
         refusal = codes.refuse(codes.Code.RATE_EXCEEDED, retry_after=refused)
         raise RefusedError(refusal, again=False)
 
