--- a/gooseberryweir/version/documents.py
+++ b/gooseberryweir/version/documents.py
@@ -14,6 +14,7 @@
 DIGEST_PATTERN = r"^[0-9a-f]{64}$"
 
 _Text = Annotated[str, pydantic.Field(min_length=1)]
+_Flag = Annotated[bool, pydantic.Field(strict=True)]
 _Digest = Annotated[str, pydantic.Field(pattern=DIGEST_PATTERN)]
 _DrainName = Annotated[str, pydantic.Field(pattern=r"^(region|upstream)/.+$")]
 
@@ -27,7 +28,7 @@
     caller: validation.ReachableText
     peer: validation.ReachableText
     operator: validation.ReachableText
-    leaving: bool
+    leaving: _Flag
 
 
 class UpstreamDocument(TypedDict):
@@ -39,7 +40,7 @@
     address: validation.ReachableText
     slots: Annotated[int, pydantic.Field(ge=0, strict=True)]
     connections: Annotated[int, pydantic.Field(ge=1, strict=True)]
-    leaving: bool
+    leaving: _Flag
 
 
 class HostsDocument(TypedDict):
@@ -63,4 +64,4 @@
 class DrainsDocument(TypedDict):
     """The drains, by `region/NAME` or `upstream/NAME`."""
 
-    drains: dict[_DrainName, bool]
+    drains: dict[_DrainName, _Flag]
--- a/test/test_declarations.py
+++ b/test/test_declarations.py
@@ -73,6 +73,7 @@
             document["services"]["maps"]["weight"] = 3
             document["classes"]["live"]["headroom"] = 0.95
             document["regions"]["golfo"]["zones"] = []
+            document["shift_caps"][1]["to"] = "centro"
 
         self.assertEqual(
             sorted(_faults(change)),
@@ -85,6 +86,7 @@
                     " mean 'televalle'?",
                     "shift_caps[0].to: 'nort': region unknown; did you mean"
                     " 'norte'?",
+                    "shift_caps[1]: centro to centro: should be two regions",
                     "accounts.bahia-tv.rate: 0: should be greater than 0",
                     "accounts.bahia-tv.burst: 0: should be greater than or"
                     " equal to 1",
--- a/test/test_tables.py
+++ b/test/test_tables.py
@@ -114,7 +114,10 @@
         bad = {
             objects.CONFIG: [None, {}, {"declarations": {"regions": {}}}],
             objects.HOSTS: [{"endpoints": [_host("c2"), _host("", zone=3)]}],
-            objects.DRAINS: [{"drains": {"norte": True}}],
+            objects.DRAINS: [
+                {"drains": {"norte": True}},
+                {"drains": {"region/golfo": "yes"}},
+            ],
             f"{objects.SERVICE_PREFIX}maps": [
                 {"endpoints": [_upstream("m2", address="upstream:80")]},
                 {"endpoints": [_upstream("m2", slots=True)]},
