--- a/gooseberryweir/commands/key.py
+++ b/gooseberryweir/commands/key.py
@@ -12,9 +12,9 @@
 
 from gooseberryweir import codes
 from gooseberryweir.commands import fleet
+from gooseberryweir.process import key_objects
 from gooseberryweir.process import platform
 from gooseberryweir.process import settled
-from gooseberryweir.process import withdrawals
 
 KEY_BYTES = 32
 _PREFIX = "keys."
@@ -25,8 +25,9 @@
     """Issues a key of 256 random bits, prints it once and returns it.
 
     Raises:
-        codes.UserError: INVALID_DECLARATION for an undeclared client account, else as
-            `apply`; after NOT_IN_FORCE the key is valid nevertheless.
+        codes.UserError: INVALID_DECLARATION for an undeclared client
+            account, else as `apply`; after NOT_IN_FORCE the key is valid
+            nevertheless.
     """
     _check_account(operator, account)
     key = secrets.token_urlsafe(KEY_BYTES)
@@ -67,9 +68,11 @@
             HOST_UNREACHABLE if neither side took it, NOT_IN_FORCE if a
             listed host did not confirm.
     """
-    digest = digest_of(key_or_digest)
-    told = _tell_hosts(operator, digest)
-    kept = _keep(operator, digest)
+    for digest in possible_digests(key_or_digest):
+        told = _tell_hosts(operator, digest)
+        kept = _keep(operator, digest)
+        if told.known or kept.accounts:
+            break
     if kept.answered and not kept.accounts and not told.known:
         raise codes.UserError(
             codes.Code.UNKNOWN_KEY, "no client account holds this key"
@@ -86,16 +89,25 @@
         )
 
 
-def digest_of(key_or_digest: str) -> str:
-    """Returns the SHA-256 digest of a key; a digest is returned as it is."""
+def digest_of(key: str) -> str:
+    """Returns the SHA-256 digest of a key in hexadecimal."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def possible_digests(key_or_digest: str) -> tuple[str, ...]:
+    """Returns the digests that a text can stand for, the safest first.
+
+    Text in the form of a digest can be a key too, so it is first taken for
+    a key: its digest may travel, while a key may not.
+    """
     text = key_or_digest.strip()
     if not text or any(each.isspace() for each in text):
         raise codes.UserError(
             codes.Code.MALFORMED_KEY, "give one key, or its digest"
         )
     if _DIGEST.fullmatch(text):
-        return text.lower()
-    return hashlib.sha256(text.encode()).hexdigest()
+        return (digest_of(text), text.lower())
+    return (digest_of(text),)
 
 
 class _Told(NamedTuple):
@@ -173,7 +185,7 @@
     )
     try:
         for account in accounts:
-            withdrawals.withdraw_digests(
+            key_objects.withdraw_digests(
                 operator.api, account, {digest}, operator.clock
             )
     except (codes.UserError, platform.PlatformError) as error:
--- a/gooseberryweir/process/watcher.py
+++ b/gooseberryweir/process/watcher.py
@@ -43,6 +43,7 @@
             answer proved that the steering objects held are current.
         is_relay: Tells whether this host has the duty now.
         newest: By kind, the newest store version that a list has shown.
+        watch_seconds: Usual time of one watch, in seconds.
     """
 
     def __init__(
@@ -61,6 +62,7 @@
         self.clock = clock
         self.jitter = jitter
         self.newest: dict[str, int] = dict.fromkeys(KINDS, 0)
+        self.watch_seconds = WATCH_SECONDS
         self.polls = 0
         self.reachable = True
         self.tasks: list[eventlet.greenthread.GreenThread] = []
@@ -132,7 +134,7 @@
 
     def watch_once(self, kind: str, version: int) -> int:
         """Follows one watch to its end; returns the newest version seen."""
-        seconds = WATCH_SECONDS * (0.75 + 0.5 * self.jitter())
+        seconds = self.watch_seconds * (0.75 + 0.5 * self.jitter())
         events = self.api.watch(kind, version, seconds)
         with contextlib.closing(events):  # type: ignore[type-var]
             for event in events:
--- a/gooseberryweir/process/withdrawals.py
+++ b/gooseberryweir/process/withdrawals.py
@@ -7,15 +7,14 @@
 
 from collections.abc import Mapping
 import logging
-from typing import Any
 
 from gooseberryweir import clock as clocks
 from gooseberryweir import codes
 from gooseberryweir import logs
 from gooseberryweir.process import facts as fact_sets
+from gooseberryweir.process import key_objects
 from gooseberryweir.process import membership as memberships
 from gooseberryweir.process import platform
-from gooseberryweir.process import settled
 from gooseberryweir.version import tables as versions
 
 RESOURCE = "withdrawals"
@@ -24,30 +23,6 @@
 _LOGGER = logging.getLogger(__name__)
 
 
-def withdraw_digests(
-    api: platform.Platform,
-    account: str,
-    digests: set[str],
-    clock: clocks.Clock,
-) -> None:
-    """Marks keys of a client account as withdrawn in the platform.
-
-    Raises:
-        codes.UserError: The outcome is another or not known.
-    """
-
-    def change(spec: dict[str, Any]) -> dict[str, Any] | None:
-        held = dict(spec.get("digests", {}))
-        if all(held.get(digest) == "withdrawn" for digest in digests):
-            return None
-        held.update(dict.fromkeys(digests, "withdrawn"))
-        return {**spec, "digests": held}
-
-    settled.merge_settled(
-        api, platform.STEERING_OBJECTS, f"keys.{account}", change, clock
-    )
-
-
 def pending(
     facts: Mapping[str, int], keys: Mapping[str, versions.KeyEntry]
 ) -> dict[str, set[str]]:
@@ -77,7 +52,7 @@
     waiting = pending(facts.snapshot(), tables.keys)
     for account, digests in waiting.items():
         try:
-            withdraw_digests(api, account, digests, clock)
+            key_objects.withdraw_digests(api, account, digests, clock)
         except (codes.UserError, platform.PlatformError) as error:
             outcome = str(error)
         else:
--- /dev/null
+++ b/test/test_platform_client.py
@@ -0,0 +1,187 @@
+"""The platform's client and writes that settle their outcome."""
+
+import contextlib
+import pathlib
+import tempfile
+import unittest
+
+from gooseberryweir import clock as clocks
+from gooseberryweir import codes
+from gooseberryweir.process import platform
+from gooseberryweir.process import settled
+from test import _common
+
+KIND = platform.STEERING_OBJECTS
+
+
+class PlatformCase(unittest.TestCase):
+    """Starts the platform's stand-in as a process of its own."""
+
+    def setUp(self):
+        stack = contextlib.ExitStack()
+        self.addCleanup(stack.close)
+        self.directory = pathlib.Path(
+            stack.enter_context(tempfile.TemporaryDirectory())
+        )
+        self.server = stack.enter_context(
+            _common.Process(
+                self.directory, "platform", "test.standins.platform"
+            )
+        ).wait_ready()
+        self.clock = clocks.ManualClock()
+        self.api = stack.enter_context(self.connect())
+
+    def connect(self, kind=platform.Platform):
+        return kind(self.server.url().rstrip("/"), "c1")
+
+    def control(self, **switches):
+        return _common.fetch_json(self.server.url("/_control"), switches)
+
+    def put(self, name, spec, kind=KIND):
+        self.control(put={"kind": kind, "name": name, "spec": spec})
+
+    def assert_fails(self, code, call, *arguments, **options):
+        with self.assertRaises(codes.UserError) as caught:
+            call(*arguments, **options)
+        self.assertEqual(caught.exception.code, code)
+        return caught.exception.message
+
+
+class LosingPlatform(platform.Platform):
+    """Loses the answer of its first replacement.
+
+    Attributes:
+        before: Run instead of the write, if given.
+        after: Run after the write that took effect.
+    """
+
+    before = None
+    after = None
+    lost = False
+
+    def replace(self, *arguments):
+        if self.lost:
+            return super().replace(*arguments)
+        self.lost = True
+        if self.before:
+            self.before()
+        else:
+            super().replace(*arguments)
+            self.after()
+        raise platform.PlatformError(0, "lost")
+
+
+class SettledTest(PlatformCase):
+    """Each write takes effect once, or the writer is told of the other."""
+
+    def replace(self, current, value, api=None):
+        return settled.replace_settled(
+            api or self.api,
+            KIND,
+            current,
+            {"value": value},
+            self.clock.interface(),
+        )
+
+    def created(self):
+        return settled.create_settled(
+            self.api, KIND, "config", {"value": 0}, self.clock.interface()
+        )
+
+    def test_a_lost_answer_is_settled_by_the_id(self):
+        self.control(lose_answers=1)
+        current = self.created()
+        self.control(lose_answers=1)
+        written = self.replace(current, 1)
+        self.assertEqual((current.version, written.version), (1, 2))
+        self.assertEqual(self.control()["version"], 2)
+        self.assertEqual(self.api.get(KIND, "config").spec["value"], 1)
+
+    def test_a_lost_answer_is_settled_beneath_the_write_of_another(self):
+        current = self.created()
+        losing = self.connect(LosingPlatform)
+        losing.after = lambda: self.replace(
+            self.api.get(KIND, "config"), "other"
+        )
+        self.replace(current, "mine", losing)
+        self.assertEqual(self.api.get(KIND, "config").version, 3)
+
+    def test_a_lost_question_is_asked_again(self):
+        current = self.created()
+        losing = self.connect(LosingPlatform)
+        losing.before = lambda: None
+        self.assertEqual(self.replace(current, 1, losing).version, 2)
+
+    def test_of_two_operators_one_wins_and_one_is_told(self):
+        current = self.created()
+        self.replace(current, "first")
+        message = self.assert_fails(
+            codes.Code.CONFLICT, self.replace, current, "second"
+        )
+        self.assertIn("version 2", message)
+        losing = self.connect(LosingPlatform)
+        newest = self.api.get(KIND, "config")
+        losing.before = lambda: self.replace(newest, "third")
+        message = self.assert_fails(
+            codes.Code.CONFLICT, self.replace, newest, "fourth", losing
+        )
+        self.assertIn("version 3", message)
+        self.assertEqual(self.api.get(KIND, "config").spec["value"], "third")
+
+    def test_of_two_creations_one_wins(self):
+        self.created()
+        message = self.assert_fails(codes.Code.CONFLICT, self.created)
+        self.assertIn("version 1", message)
+
+    def test_a_stale_read_does_not_hide_a_conflict(self):
+        current = self.created()
+        self.control(stale_reads=True)
+        self.put("config", {"value": "other"})
+        message = self.assert_fails(
+            codes.Code.CONFLICT, self.replace, current, "mine"
+        )
+        self.assertIn("after 1", message)
+
+    def test_an_outage_is_reported_as_an_unknown_outcome(self):
+        current = self.created()
+        self.control(outage="refuse")
+        message = self.assert_fails(
+            codes.Code.PLATFORM_UNREACHABLE, self.replace, current, 1
+        )
+        self.assertIn("not known", message)
+
+    def test_changes_that_commute_are_merged(self):
+        self.created()
+        seen = []
+
+        def change(spec):
+            if not seen:
+                self.put("config", {"value": 0, "other": 1})
+            seen.append(spec)
+            return {**spec, "mine": 1}
+
+        merged = settled.merge_settled(
+            self.api, KIND, "config", change, self.clock.interface()
+        )
+        self.assertEqual(len(seen), 2)
+        self.assertLessEqual({"other", "mine"}, set(merged.spec))
+
+
+class ClientTest(PlatformCase):
+    """Single calls."""
+
+    def test_calls_and_their_sender(self):
+        self.assertIsNone(self.api.get(KIND, "config"))
+        made = self.api.create(KIND, "keys.a/b", {"digests": {}})
+        self.assertEqual(made.version, 1)
+        names = self.api.list_versions(KIND)
+        self.assertEqual(names.objects, (made._replace(spec=None),))
+        self.assertEqual(self.api.list(KIND).objects, (made,))
+        self.assertEqual(list(self.control()["callers"]), ["gooseberryweir/c1"])
+
+    def test_a_silent_platform_is_an_error_with_unknown_outcome(self):
+        self.control(outage="refuse")
+        with self.assertRaises(platform.PlatformError) as caught:
+            self.api.create(KIND, "config", {})
+        self.assertTrue(caught.exception.outcome_unknown)
+        self.assertEqual(self.control()["unanswered"], 1)
--- /dev/null
+++ b/test/test_watcher.py
@@ -0,0 +1,142 @@
+"""The watcher: watches and lists that are late, doubled, old or missing."""
+
+import unittest.mock
+
+from gooseberryweir.process import platform
+from gooseberryweir.process import watcher as watchers
+from gooseberryweir.version import objects
+from test import _common
+from test import test_platform_client
+
+KIND = platform.STEERING_OBJECTS
+SLICES = platform.ENDPOINT_SLICES
+CONFIG = f"{KIND}/config"
+
+
+class Stop(BaseException):
+    """Ends a task's loop."""
+
+
+class WatcherTest(test_platform_client.PlatformCase):
+    """One watcher, its steps called one by one."""
+
+    def setUp(self):
+        super().setUp()
+        self.store = objects.ObjectStore()
+        self.answered = []
+        self.watcher = watchers.Watcher(
+            self.api,
+            self.store,
+            self.answered.append,
+            lambda: True,
+            self.clock.interface(),
+            jitter=lambda: 0.5,
+        )
+        self.watcher.watch_seconds = 1.0
+        self.put("config", {"value": 1})
+
+    def value(self):
+        return self.store.get(CONFIG)["value"]
+
+    def calls(self, verb):
+        return self.control()["calls"].get(f"{KIND} {verb}", 0)
+
+    def test_a_list_is_proof_from_before_the_question(self):
+        asked = self.clock.now
+        self.assertEqual(self.watcher.list_all(KIND), 1)
+        self.assertEqual(self.answered, [asked])
+        self.watcher.list_all(SLICES)
+        self.assertEqual(self.answered, [asked])
+
+    def test_watches_late_doubled_and_shuffled_end_at_the_newest(self):
+        self.control(watch_late_ms=100, watch_twice=True, watch_shuffled=True)
+        for value in range(2, 6):
+            self.put("config", {"value": value})
+        self.put("drains", {"drains": {}})
+        self.assertEqual(self.watcher.watch_once(KIND, 0), 6)
+        self.assertEqual(self.value(), 5)
+        self.assertEqual(self.store.versions()[f"{KIND}/drains"], 6)
+
+    def test_an_old_read_undoes_and_proves_nothing(self):
+        self.watcher.list_all(KIND)
+        self.control(stale_reads=True)
+        self.put("config", {"value": 2})
+        self.put("new", {})
+        self.watcher.watch_once(KIND, 1)
+        self.answered.clear()
+        self.watcher.check_versions(KIND)
+        self.watcher.list_all(KIND)
+        self.assertEqual(self.value(), 2)
+        self.assertIsNotNone(self.store.get(f"{KIND}/new"))
+        self.assertEqual(self.answered, [])
+        self.control(stale_reads=False)
+        self.watcher.check_versions(KIND)
+        self.assertEqual(len(self.answered), 1)
+
+    def test_a_list_older_than_an_earlier_list_proves_nothing(self):
+        self.control(stale_reads=True)
+        self.put("hosts", {"endpoints": []}, SLICES)
+        self.watcher.newest[KIND] = 2
+        self.watcher.list_all(KIND)
+        self.assertEqual(self.answered, [])
+
+    def test_what_a_silent_watch_missed_is_fetched(self):
+        self.watcher.list_all(KIND)
+        self.put("config", {"value": 2})
+        lists = self.calls("list")
+        self.watcher.check_versions(KIND)
+        self.assertEqual(self.value(), 2)
+        self.assertEqual(len(self.answered), 2)
+        self.assertEqual(self.calls("list"), lists)
+        self.assertEqual(self.calls("get"), 1)
+
+    def test_a_deletion_missed_is_found_and_a_new_creation_wins(self):
+        self.watcher.list_all(KIND)
+        _common.request(
+            "DELETE",
+            self.server.url("/apis/gooseberryweir.example/v1/" + CONFIG),
+        )
+        self.watcher.check_versions(KIND)
+        self.assertIsNone(self.store.get(CONFIG))
+        self.assertEqual(self.store.versions()[CONFIG], 2)
+        self.put("config", {"value": 3})
+        self.watcher.check_versions(KIND)
+        self.assertEqual(self.value(), 3)
+        self.watcher.watch_once(KIND, 0)
+        self.assertEqual(self.value(), 3)
+
+    def test_a_watch_too_old_leads_to_a_full_list(self):
+        self.watcher.list_all(KIND)
+        self.put("config", {"value": 2})
+        self.control(compact=True)
+        with self.assertRaises(platform.PlatformError) as caught:
+            self.watcher.watch_once(KIND, 1)
+        self.assertEqual(caught.exception.status, 410)
+        steps = unittest.mock.Mock(side_effect=[caught.exception, Stop()])
+        with unittest.mock.patch.object(self.watcher, "watch_once", steps):
+            self.assertRaises(Stop, self.watcher.follow, KIND)
+        self.assertEqual(self.value(), 2)
+        self.assertEqual(self.calls("list"), 3)
+
+    def test_an_outage_and_its_end(self):
+        self.control(outage="refuse")
+        self.watcher.poll_all()
+        self.assertFalse(self.watcher.reachable)
+        self.assertEqual((self.answered, self.watcher.polls), ([], 0))
+        self.control(outage="")
+        self.watcher.poll_all()
+        self.assertTrue(self.watcher.reachable)
+        self.assertEqual(len(self.answered), 1)
+        self.assertEqual(self.value(), 1)
+
+    def test_a_lagging_list_of_hosts_is_taken_in_when_it_comes(self):
+        self.control(list_lag_ms=300)
+        self.put("hosts", {"endpoints": []}, SLICES)
+        self.watcher.check_versions(SLICES)
+        self.assertIsNone(self.store.get("endpointslices/hosts"))
+
+        def arrived():
+            self.watcher.check_versions(SLICES)
+            return self.store.get("endpointslices/hosts") is not None
+
+        _common.wait_until(arrived)
