--- a/test/standins/platform.py
+++ b/test/standins/platform.py
@@ -13,11 +13,11 @@
 import pathlib
 import time
 from typing import Any
-from typing import NamedTuple
 
 import eventlet
 
 from test.standins import serving
+from test.standins import store
 
 PREFIX = "/apis/gooseberryweir.example/v1/"
 KINDS = ("steeringobjects", "endpointslices")
@@ -31,15 +31,6 @@
 WRITES = {"POST": "create", "PUT": "replace", "DELETE": "delete"}
 
 
-class Change(NamedTuple):
-    """One committed change; `at` is monotonic seconds."""
-
-    version: int
-    at: float
-    kind: str
-    event: dict[str, Any]
-
-
 class Switches:
     """Faults, each off by default.
 
@@ -70,42 +61,11 @@
     """An error answer: an HTTP status line."""
 
 
-class Store:
-    """Objects by kind and name, and the history of changes."""
-
-    def __init__(self) -> None:
-        self.version = 0
-        self.objects: dict[tuple[str, str], dict[str, Any]] = {}
-        self.history: list[Change] = []
-        self.oldest = 0
-
-    def commit(self, kind: str, name: str, spec: Any) -> dict[str, Any]:
-        """Writes an object, or deletes it if the spec is None."""
-        self.version += 1
-        before = self.objects.pop((kind, name), None)
-        metadata = {"name": name, "resourceVersion": str(self.version)}
-        if spec is None:
-            assert before
-            thing = {"metadata": metadata, "spec": before["spec"]}
-            event = {"type": "DELETED", "object": thing}
-        else:
-            thing = {"metadata": metadata, "spec": spec}
-            self.objects[kind, name] = thing
-            event = {"type": "MODIFIED" if before else "ADDED", "object": thing}
-        self.history.append(Change(self.version, time.monotonic(), kind, event))
-        return thing
-
-    def compact(self) -> None:
-        """Forgets the history, so that older watches get 410."""
-        self.history.clear()
-        self.oldest = self.version
-
-
 class Platform:
     """The WSGI application."""
 
     def __init__(self) -> None:
-        self.store = Store()
+        self.store = store.Store()
         self.switches = Switches()
         self.calls: dict[str, collections.Counter[str]] = (
             collections.defaultdict(collections.Counter)
@@ -270,7 +230,7 @@
             for change in self.arranged(batch, kind):
                 yield change.event
 
-    def newer(self, version: int) -> list[Change]:
+    def newer(self, version: int) -> list[store.Change]:
         """Returns the changes after a version that are due on watches."""
         due = time.monotonic() - self.switches.watch_late_ms / 1000
         first = len(self.store.history)
@@ -280,7 +240,9 @@
             change for change in self.store.history[first:] if change.at <= due
         ]
 
-    def arranged(self, batch: list[Change], kind: str) -> list[Change]:
+    def arranged(
+        self, batch: list[store.Change], kind: str
+    ) -> list[store.Change]:
         """Returns a kind's changes as the watch faults make them come."""
         batch = [change for change in batch if change.kind == kind]
         if self.switches.watch_shuffled:
@@ -297,13 +259,8 @@
                     self.commit(value["kind"], value["name"], value["spec"])
                 elif name == "compact":
                     self.store.compact()
-                elif name in vars(self.switches):
-                    setattr(self.switches, name, value)
                 else:
-                    document = {"unknown": name}
-                    return serving.json_answer(
-                        start_response, "400 Bad Request", document
-                    )
+                    serving.set_switch(self.switches, name, value)
                 if name == "stale_reads":
                     self.stale_version = self.store.version
                     self.stale_objects = dict(self.store.objects)
--- a/test/standins/serving.py
+++ b/test/standins/serving.py
@@ -73,6 +73,13 @@
     return json.loads(environ["wsgi.input"].read() or b"{}")
 
 
+def set_switch(switches: Any, name: str, value: Any) -> None:
+    """Sets one switch, which must be there."""
+    if name not in vars(switches):
+        raise KeyError(name)
+    setattr(switches, name, value)
+
+
 def connection(environ: Environ) -> Any:
     """Returns the caller's socket."""
     return environ["eventlet.input"].get_socket()
--- a/test/standins/upstream.py
+++ b/test/standins/upstream.py
@@ -216,22 +216,18 @@
             "timed_out": self.timed_out,
             "completed": self.completed,
             "headers_seen": {
-                name: sorted(values)
-                for name, values in self.headers_seen.items()
+                name: sorted(self.headers_seen[name])
+                for name in self.headers_seen
             },
         }
 
     def control(self, environ: serving.Environ, start_response: Any) -> Any:
         """Sets switches and returns them all."""
         for name, value in serving.json_body(environ).items():
-            if name not in vars(self.switches):
-                return serving.json_answer(
-                    start_response, "400 Bad Request", {"unknown": name}
-                )
             if name == "frozen":
                 self.switches.frozen = False
                 self.frozen_load = self.load()
-            setattr(self.switches, name, value)
+            serving.set_switch(self.switches, name, value)
         document = vars(self.switches)
         return serving.json_answer(start_response, "200 OK", document)
 
--- /dev/null
+++ b/test/test_standins.py
@@ -0,0 +1,247 @@
+"""The stand-ins do what the integration tests rely on."""
+
+import contextlib
+import hashlib
+import json
+import pathlib
+import tempfile
+import unittest
+
+import urllib3
+
+from test import _common
+
+API = "/apis/gooseberryweir.example/v1/"
+ANY_FAILURE = urllib3.exceptions.HTTPError
+
+
+class StandinCase(unittest.TestCase):
+    """Starts processes that end with the test."""
+
+    def setUp(self):
+        stack = contextlib.ExitStack()
+        self.addCleanup(stack.close)
+        self.stack = stack
+        directory = stack.enter_context(tempfile.TemporaryDirectory())
+        self.directory = pathlib.Path(directory)
+
+    def start(self, module, *arguments):
+        name = f"test.standins.{module}"
+        process = _common.Process(self.directory, module, name, *arguments)
+        return self.stack.enter_context(process).wait_ready()
+
+
+class PlatformTest(StandinCase):
+    """The object API and its faults."""
+
+    def setUp(self):
+        super().setUp()
+        self.platform = self.start("platform")
+
+    def control(self, **switches):
+        return _common.fetch_json(self.platform.url("/_control"), switches)
+
+    def call(self, method, path, spec=None, version=""):
+        name = path.partition("/")[2] or "config"
+        metadata = {"name": name, "resourceVersion": version}
+        body = {"metadata": metadata, "spec": spec} if spec else None
+        url = self.platform.url(API + path)
+        return _common.request(method, url, body=body, timeout=5)
+
+    def test_conditional_writes(self):
+        create = self.call("POST", "steeringobjects", {"id": "a"})
+        self.assertEqual(create.status, 201)
+        version = create.json()["metadata"]["resourceVersion"]
+        path = "steeringobjects/config"
+        wanted = [
+            (self.call("POST", "steeringobjects", {"id": "b"}), 409),
+            (self.call("PUT", path, {"id": "c"}, version), 200),
+            (self.call("PUT", path, {"id": "d"}, version), 409),
+            (self.call("PUT", path, {"id": "x" * 1_000_000}, "2"), 413),
+            (self.call("GET", path), 200),
+            (self.call("DELETE", path), 200),
+            (self.call("GET", path), 404),
+            (self.call("GET", "nothing"), 404),
+        ]
+        for response, status in wanted:
+            self.assertEqual(response.status, status)
+        self.assertEqual(wanted[4][0].json()["spec"], {"id": "c"})
+
+    def test_lost_answer_applies(self):
+        self.control(lose_answers=1)
+        with self.assertRaises(ANY_FAILURE):
+            self.call("POST", "steeringobjects", {"id": "a"})
+        found = self.call("GET", "steeringobjects/config").json()
+        self.assertEqual(found["spec"], {"id": "a"})
+
+    def watch(self, version):
+        url = self.platform.url(f"{API}steeringobjects")
+        query = f"?watch=1&resourceVersion={version}&timeoutSeconds=30"
+        response = _common.request("GET", url + query, preload_content=False)
+        self.addCleanup(response.close)
+        return map(json.loads, response)
+
+    def put(self, name, spec):
+        self.control(
+            put={"kind": "steeringobjects", "name": name, "spec": spec}
+        )
+
+    def test_watch_is_shuffled_and_doubled_and_cut_by_an_outage(self):
+        events = self.watch(0)
+        self.control(watch_shuffled=True, watch_twice=True)
+        self.put("one", {})
+        self.put("two", {})
+        found = [next(events)["object"]["metadata"] for _ in range(4)]
+        names = [metadata["name"] for metadata in found]
+        self.assertEqual(sorted(names), ["one", "one", "two", "two"])
+        counts = self.control(outage="refuse")
+        self.assertEqual(counts["calls"], {"steeringobjects watch": 1})
+        with self.assertRaises(ANY_FAILURE):
+            next(events)
+        with self.assertRaises(ANY_FAILURE):
+            self.call("GET", "steeringobjects")
+        _common.wait_until(lambda: self.control()["open_watches"] == 0)
+        self.control(outage="")
+        self.assertEqual(self.call("GET", "steeringobjects").status, 200)
+
+    def test_old_watch_is_gone(self):
+        self.put("one", {})
+        self.control(compact=True)
+        event = next(self.watch(0))
+        self.assertEqual(event["object"]["code"], 410)
+
+    def test_lists_lag_and_reads_are_stale(self):
+        self.control(list_lag_ms=200, stale_reads=True)
+        body = {"kind": "endpointslices", "name": "hosts", "spec": {}}
+        self.control(put=body)
+        self.assertEqual(self.control()["version"], 0)
+        _common.wait_until(lambda: self.control()["version"] == 1)
+        path = "endpointslices/hosts"
+        self.assertEqual(self.call("GET", path).status, 404)
+        self.control(stale_reads=False)
+        self.assertEqual(self.call("GET", path).status, 200)
+
+
+class UpstreamTest(StandinCase):
+    """Slots, deadlines, cancellation and broken answers."""
+
+    def setUp(self):
+        super().setUp()
+        self.upstream = self.start("upstream", "--slots", 1, "--service-ms", 1)
+
+    def get(self, path, method="GET", **options):
+        return _common.request(method, self.upstream.url(path), **options)
+
+    def report(self):
+        return _common.fetch_json(self.upstream.url("/_control/runs"))
+
+    def test_echo_and_counts(self):
+        headers = {"Idempotency-Key": "7", "Gooseberryweir-Account": "valle"}
+        chunks = iter([b"ab", b"c"])
+        echo = self.get("/x%20y", "POST", body=chunks, headers=headers).json()
+        self.assertEqual(echo["path"], "/x%20y")
+        digest = hashlib.sha256(b"abc").hexdigest()
+        self.assertEqual(echo["body_sha256"], digest)
+        report = self.report()
+        self.assertEqual(report["runs"], {"7": 1})
+        self.assertEqual(report["accounts"], {"valle": 1})
+        self.assertEqual(report["headers_seen"]["idempotency-key"], ["7"])
+
+    def test_full_upstream_sheds_and_cancellation_frees_the_slot(self):
+        options = {"preload_content": False, "timeout": 0.5}
+        with self.assertRaises(ANY_FAILURE):
+            self.get("/x?sleep_ms=60000", **options)
+        _common.wait_until(lambda: self.report()["cancelled"] == 1)
+        late = self.get("/x?sleep_ms=60000", headers={"Request-Timeout": ".1"})
+        self.assertEqual(late.status, 504)
+        self.assertEqual(self.report()["max_busy"], 1)
+
+    def test_answers_of_a_size(self):
+        self.assertEqual(len(self.get("/x?bytes=200000").data), 200_000)
+        chunked = self.get("/x?bytes=200000&chunked=1")
+        self.assertEqual(len(chunked.data), 200_000)
+        self.assertEqual(self.get("/x?bytes=5", "HEAD").data, b"")
+        with self.assertRaises(ANY_FAILURE):
+            self.get("/x?bytes=200000&short=1")
+
+    def test_crash(self):
+        with self.assertRaises(ANY_FAILURE):
+            self.get("/x?crash=1")
+        self.assertEqual(self.upstream.wait(), 1)
+
+    def test_leaving(self):
+        _common.fetch_json(self.upstream.url("/_control"), {"leaving": True})
+        self.assertEqual(self.get("/healthz").status, 503)
+        self.assertTrue(self.get("/load").json()["leaving"])
+
+
+class FaultProxyTest(StandinCase):
+    """Links, sources and rules."""
+
+    def setUp(self):
+        super().setUp()
+        self.upstream = self.start("upstream", "--service-ms", 0)
+        self.proxy = self.start("fault_proxy")
+        links = {"upstream:a-1": self.upstream.address()}
+        self.ports = self.post("/_links", links)
+
+    def post(self, path, document):
+        return _common.fetch_json(self.proxy.url(path), document)
+
+    def get(self, path="/x", **options):
+        url = f"http://127.0.0.1:{self.ports['upstream:a-1']}{path}"
+        return _common.request("GET", url, **options)
+
+    def test_carries_bytes_both_ways(self):
+        self.post("/_rules", [{"match": "*", "delay_ms": 1, "jitter_ms": 2}])
+        self.assertEqual(len(self.get("/x?bytes=3000000").data), 3_000_000)
+
+    def test_cut_names_the_source_and_heals(self):
+        self.post(
+            "/_sources", {str(pathlib.Path("/proc/self").resolve().name): "b-1"}
+        )
+        self.assertEqual(self.get().status, 200)
+        open_names = _common.fetch_json(self.proxy.url("/_connections"))
+        self.assertEqual(open_names, ["b-1>upstream:a-1"])
+        self.post("/_rules", [{"match": "b-*>*:a-*", "cut": True}])
+        with self.assertRaises(ANY_FAILURE):
+            self.get()
+        self.post("/_rules", [{"match": "b-*>*:a-*"}])
+        self.assertEqual(self.get().status, 200)
+
+    def test_blackhole_holds_bytes_and_the_upstream_never_sees_them(self):
+        self.post("/_rules", [{"match": "*", "blackhole": "out"}])
+        with self.assertRaises(ANY_FAILURE):
+            self.get(timeout=0.2)
+        report = _common.fetch_json(self.upstream.url("/_control/runs"))
+        self.assertEqual(report["starts"], [])
+        self.post("/_rules", [{"match": "*"}])
+        self.assertEqual(self.get().status, 200)
+
+    def test_end_of_the_target_reaches_the_caller(self):
+        with self.assertRaises(ANY_FAILURE):
+            self.get("/x?crash=1")
+
+
+class DeploymentTest(unittest.TestCase):
+    """What a deployment without hosts puts into the platform."""
+
+    def test_lists_name_the_links_of_the_proxy(self):
+        regions = {"centro": ("a", "b"), "norte": ("a",)}
+        upstreams = _common.spread(regions, "maps", 2, 8, "--service-ms", 0)
+        with _common.Deployment(
+            regions, {}, upstreams, hosts=0, accounts=("valle",), proxied=True
+        ) as deployment:
+            deployment.delay(1, 2, 3)
+            path = f"{API}endpointslices/service.maps"
+            listed = _common.fetch_json(deployment.platform_url + path)
+            entries = listed["spec"]["endpoints"]
+            names = [entry["name"] for entry in entries]
+            self.assertEqual(names, ["centro-1-maps", "norte-1-maps"])
+            for entry in entries:
+                url = f"http://{entry['address']}/load"
+                self.assertEqual(_common.fetch_json(url)["slots"], 8)
+            deployment.around("norte-1-maps", cut=True)
+            with self.assertRaises(ANY_FAILURE):
+                _common.fetch_json(url)
+            self.assertEqual(deployment.control()["version"], 5)
