--- a/gooseberryweir/process/membership.py
+++ b/gooseberryweir/process/membership.py
@@ -146,6 +146,17 @@
         """Returns the live hosts less those that this host misses."""
         return self.live().difference(self.suspects())
 
+    def in_service(self) -> frozenset[str]:
+        """Returns the hosts that a look-up may name.
+
+        A listed host that no host has heard since it was listed is left out.
+        """
+        return frozenset(
+            name
+            for name in self.reachable()
+            if self.facts.get(facts_module.incarnation_key(name))
+        )
+
     def suspects(self) -> tuple[str, ...]:
         """Returns the watched hosts not heard for `SILENCE_SECONDS`."""
         earliest = self.clock.monotonic() - timing.SILENCE_SECONDS
--- a/gooseberryweir/request/lookup.py
+++ b/gooseberryweir/request/lookup.py
@@ -58,7 +58,7 @@
     if declared is None:
         return []
     home = context.membership.holder(f"account/{account}")
-    live = set(context.membership.reachable())
+    live = set(context.membership.in_service())
     entries = [e for e in context.tables.hosts.values() if e.name in live]
 
     def rank(entry: Any) -> tuple[float, bool, int, str]:
--- a/test/standins/upstream.py
+++ b/test/standins/upstream.py
@@ -86,8 +86,6 @@
             if len(seen) < MAX_VALUES_SEEN:
                 seen.add(value)
         body = environ["wsgi.input"].read()
-        if self.switches.die_after_receive:
-            end_process(f"die_after_receive path={path}")
         while self.switches.hang:
             if serving.caller_left(environ, POLL_SECONDS):
                 return serving.drop(environ)
@@ -97,6 +95,8 @@
             return serving.json_answer(start_response, status, {"ok": well})
         if path == "/load":
             return serving.json_answer(start_response, "200 OK", self.load())
+        if self.switches.die_after_receive:
+            end_process(f"die_after_receive path={path}")
         return self.take_slot(environ, start_response, body)
 
     def load(self) -> dict[str, Any]:
