--- a/gooseberryweir/process/standing.py
+++ b/gooseberryweir/process/standing.py
@@ -67,8 +67,13 @@
         return True
 
     def _replace_voters(self, voters: frozenset[str]) -> None:
-        """Keeps the old voters when majorities of old and new may not meet."""
-        if self.voters and (self.former or len(voters ^ self.voters) > 1):
+        """Keeps the old voters: hosts that hold the old list count by it.
+
+        Majorities of two lists need not meet. So the view needs a majority
+        of the old voters too, until one was seen: none of these hosts goes
+        back to the old list.
+        """
+        if self.voters:
             self.former.append(self.voters)
             self.former_until = (
                 self.clock.monotonic() + timing.FORMER_VOTERS_SECONDS
--- /dev/null
+++ b/test/test_membership.py
@@ -0,0 +1,228 @@
+"""Freshness and duties lapse in time, and no duty has two holders."""
+
+import logging
+import unittest
+from unittest import mock
+
+from gooseberryweir import clock as clocks
+from gooseberryweir.process import membership as membership_module
+from gooseberryweir.process import neighbours
+from gooseberryweir.process import timing
+from test import simulated_hosts
+
+SEEDS = range(12)
+RUN_SECONDS = 90.0
+
+
+def setUpModule():
+    logging.getLogger("gooseberryweir").setLevel(logging.CRITICAL)
+
+
+def tearDownModule():
+    logging.getLogger("gooseberryweir").setLevel(logging.NOTSET)
+
+
+class HostsTest(unittest.TestCase):
+    """A few hosts that hear one another without loss."""
+
+    def setUp(self):
+        self.clock = clocks.ManualClock()
+        entries = {f"c{i}": simulated_hosts.Entry(f"c{i}") for i in range(3)}
+        self.hosts = [
+            simulated_hosts.Host(name, self.clock, entries) for name in entries
+        ]
+        self.first = self.hosts[0].membership
+
+    def beats(self, count, hosts=None):
+        for _ in range(count):
+            simulated_hosts.heartbeat(self.hosts if hosts is None else hosts)
+            self.clock.advance(timing.HEARTBEAT_SECONDS)
+
+    def source(self, host=None):
+        return (host or self.first).freshness().source
+
+    def test_platform_evidence_counts_from_before_the_question(self):
+        self.first.platform_answered(self.clock.now - 2.0)
+        self.assertEqual(self.source(), "platform")
+        self.clock.advance(1.5)
+        self.assertFalse(self.first.freshness().fresh)
+
+    def test_a_peer_with_the_same_state_passes_the_age_on(self):
+        second, third = self.hosts[1].membership, self.hosts[2]
+        self.first.platform_answered(self.clock.now - 1.0)
+        third.store.version = 7
+        self.beats(2)
+        self.assertEqual(self.source(second), "relayed")
+        self.assertEqual(self.source(third.membership), "none")
+        self.clock.advance(timing.FRESH_SECONDS)
+        self.assertEqual(self.source(second), "none")
+
+    def test_a_host_that_was_paused_is_not_fresh_when_it_wakes(self):
+        self.first.platform_answered(self.clock.now)
+        self.beats(12)
+        self.first.platform_answered(self.clock.now)
+        self.assertTrue(self.first.may_exercise())
+        sent_at, late = self.clock.now, self.hosts[1].membership.pong()
+        self.clock.advance(timing.FRESH_SECONDS + 0.1)
+        self.assertFalse(self.first.freshness().fresh)
+        self.assertFalse(self.first.may_exercise())
+        self.first.on_pong(sent_at, late)
+        self.assertFalse(self.first.freshness().fresh)
+        self.assertFalse(self.first.stands())
+
+    def test_a_majority_that_agrees_makes_up_for_the_platform(self):
+        self.first.platform_answered(self.clock.now)
+        self.beats(5)
+        self.assertEqual(self.source(), "platform")
+        self.beats(5)
+        self.assertEqual(self.source(), "outage")
+        self.beats(7, self.hosts[:1])
+        self.assertEqual(self.source(), "none")
+
+    def test_no_outage_while_a_peer_hears_a_platform_with_other_state(self):
+        self.beats(8)
+        self.assertEqual(self.source(), "outage")
+        self.hosts[2].store.version = 7
+        self.hosts[2].membership.platform_answered(self.clock.now)
+        self.beats(1)
+        self.assertEqual(self.source(), "none")
+
+    def test_a_host_without_state_is_never_fresh(self):
+        for host in self.hosts:
+            host.store.version = 0
+        self.first.platform_answered(self.clock.now)
+        self.beats(1)
+        self.assertFalse(self.first.freshness().fresh)
+
+    def test_an_old_pong_does_not_replace_a_newer(self):
+        self.beats(12)
+        old_at, old = self.clock.now, self.hosts[1].membership.pong()
+        self.beats(3, self.hosts[:2])
+        digest = self.first.view().digest
+        self.first.on_pong(old_at - 1.0, old._replace(view=1))
+        self.assertEqual(self.first.standing.votes["c1"].digest, digest)
+
+    def test_a_silent_host_is_dead_and_comes_back_as_another(self):
+        self.beats(3)
+        self.beats(6, self.hosts[:2])
+        members = dict(self.first.view().members)
+        self.assertEqual(sorted(members), ["c0", "c1"])
+        third = self.hosts[2].membership
+        before = third.incarnation
+        self.beats(3)
+        self.assertGreater(third.incarnation, before)
+        self.assertEqual(
+            dict(self.first.view().members)["c2"], third.incarnation
+        )
+
+    def test_one_voice_alone_declares_nobody_dead(self):
+        self.beats(3)
+        self.beats(12, self.hosts[:1])
+        self.assertEqual(self.first.suspects(), ("c1", "c2"))
+        self.assertEqual(len(self.first.view().members), 3)
+        self.assertFalse(self.first.stands())
+
+    def test_a_pause_is_no_silence_of_the_others(self):
+        self.beats(3)
+        self.clock.advance(60.0)
+        self.first.tick()
+        self.assertEqual(self.first.suspects(), ())
+
+    def test_a_later_process_of_the_same_name_ends_this_one(self):
+        self.beats(3)
+        newer = self.first.incarnation + 5
+        self.hosts[1].facts.add("incarnation/c0", newer)
+        self.beats(1)
+        self.assertTrue(self.first.superseded)
+        self.assertFalse(self.first.freshness().fresh)
+
+    def test_a_leaving_host_holds_no_duty(self):
+        self.beats(1)
+        holder = self.first.holder("account/valle")
+        host = next(h for h in self.hosts if h.membership.host == holder)
+        host.membership.leave()
+        self.beats(1)
+        self.assertNotEqual(self.first.holder("account/valle"), holder)
+
+
+class OneHolderTest(unittest.TestCase):
+    """Grants of two holders never overlap, whatever fails."""
+
+    def run_all(self, faults):
+        violations, handovers = [], 0
+        for seed in SEEDS:
+            simulation = simulated_hosts.Simulation(seed)
+            simulation.run(
+                RUN_SECONDS, [getattr(simulation, name) for name in faults]
+            )
+            violations += [(seed, found) for found in simulation.violations]
+            handovers += simulation.handovers
+        return violations, handovers
+
+    def test_pauses_partitions_restarts_and_flapping(self):
+        faults = ("pause", "partition", "restart", "flap")
+        violations, handovers = self.run_all(faults)
+        self.assertEqual(violations, [])
+        self.assertGreater(handovers, 20)
+
+    def test_lists_that_share_no_majority(self):
+        violations, handovers = self.run_all(("pause", "partition", "relist"))
+        self.assertEqual(violations, [])
+        self.assertGreater(handovers, 10)
+
+    def test_without_the_wait_the_check_finds_two_holders(self):
+        with mock.patch.object(timing, "SETTLE_SECONDS", 0.0):
+            violations, _ = self.run_all(("pause", "partition", "flap"))
+        self.assertTrue(violations)
+
+
+class NeighboursTest(unittest.TestCase):
+    """The shape of a large fleet."""
+
+    def test_every_host_hangs_below_its_relays(self):
+        entries = {
+            f"h{i}": simulated_hosts.Entry(f"h{i}", f"r{i % 4}")
+            for i in range(500)
+        }
+        found = {
+            name: neighbours.find(name, entries, entries) for name in entries
+        }
+        relays = {name for name in found if found[name].relays}
+        self.assertEqual(relays, neighbours.voters(entries))
+        self.assertEqual(len(relays), 12)
+        for name, mine in found.items():
+            self.assertEqual(len(mine.parents), 0 if name in relays else 2)
+            self.assertLessEqual(len(mine.children), 8)
+            for parent in mine.parents:
+                self.assertIn(name, found[parent].children)
+        reached = set(relays)
+        for _ in range(6):
+            for name in tuple(reached):
+                reached.update(found[name].children)
+        self.assertEqual(reached, set(entries))
+
+    def test_a_leaf_takes_an_outage_from_a_relay_but_a_relay_does_not(self):
+        clock = clocks.ManualClock()
+        entries = {f"h{i}": simulated_hosts.Entry(f"h{i}") for i in range(12)}
+        hosts = {n: simulated_hosts.Host(n, clock, entries) for n in entries}
+        voters = neighbours.voters(entries)
+        leaf = next(hosts[n] for n in sorted(entries) if n not in voters)
+        relays = [hosts[name] for name in sorted(voters)]
+        for _ in range(2):
+            simulated_hosts.heartbeat(relays)
+            simulated_hosts.exchange(leaf, relays[0])
+        simulated_hosts.heartbeat(relays)
+        self.assertEqual(leaf.membership.freshness().source, "outage")
+        self.assertEqual(leaf.membership.view(), relays[0].membership.view())
+        self.assertFalse(leaf.membership.stands())
+        clock.advance(timing.FRESH_SECONDS + 0.1)
+        simulated_hosts.exchange(relays[1], relays[0])
+        simulated_hosts.exchange(relays[0], leaf)
+        self.assertFalse(relays[0].membership.freshness().fresh)
+
+
+class ListTest(unittest.TestCase):
+    """Changes of the list are followed."""
+
+    def test_the_object_of_the_list_is_the_tables_own(self):
+        self.assertEqual(membership_module.HOSTS_OBJECT, "endpointslices/hosts")
