Renew a dead incarnation only while a majority answers

A host that a majority doesn't hear, but some do, renewed its incarnation at once, so that the view changed again every few seconds and no duty could be exercised anywhere. It now waits until a majority answers its pings. Freshness no longer copies all versions for each check; the proof of an outage is summed up once for each answer.

--- a/gooseberryweir/process/anti_entropy.py
+++ b/gooseberryweir/process/anti_entropy.py
@@ -67,7 +67,7 @@
     """
     if pong.state_digest != store.digest:
         _fetch_state(link, store, membership)
-    if pong.facts_digest != facts.digest or not membership.confirmed:
+    if pong.facts_digest != facts.digest or not membership.own.confirmed:
         _fetch_facts(link, facts, membership)
 
 
--- a/gooseberryweir/process/freshness.py
+++ b/gooseberryweir/process/freshness.py
@@ -4,7 +4,6 @@
 counts from before its question was sent, so whatever is delayed ages.
 """
 
-from collections.abc import Collection
 from typing import NamedTuple
 
 from gooseberryweir import clock as clocks
@@ -50,65 +49,96 @@
         return min(self.state_at, self.facts_at)
 
 
+class OutageProof(NamedTuple):
+    """What all answers together say of an outage of the platform.
+
+    Attributes:
+        platform_at: Newest platform evidence that any peer gave.
+        agreed_at: Since when a majority has agreed.
+    """
+
+    platform_at: float
+    agreed_at: float
+
+
 class Evidence:
     """All evidence of this host's freshness.
 
     Attributes:
+        host: Name of this host.
         clock: Source of time.
+        voters: The hosts whose majority proves an outage.
         platform_at: When the platform was last asked and had nothing newer.
         relayed_at: The same, as told by a peer with the same state.
         peers: Evidence from each peer.
+        proof: Proof of an outage by the newest answers, or None if they
+            were not summed up yet.
     """
 
-    def __init__(self, clock: clocks.Clock) -> None:
+    def __init__(self, host: str, clock: clocks.Clock) -> None:
+        self.host = host
         self.clock = clock
+        self.voters: frozenset[str] = frozenset()
         self.platform_at = NEVER
         self.relayed_at = NEVER
         self.peers: dict[str, PeerEvidence] = {}
+        self.proof: OutageProof | None = None
 
     def peer(self, name: str) -> PeerEvidence:
         """Returns the record of a peer, made if needed."""
         return self.peers.setdefault(name, PeerEvidence())
 
+    def replace_voters(self, voters: frozenset[str]) -> None:
+        """Takes the voters of a new list."""
+        self.voters = voters
+        self.forget_proof()
+
+    def forget_proof(self) -> None:
+        """Has the proof of an outage summed up again when it is next used."""
+        self.proof = None
+
     def platform_age(self) -> float:
         """Returns the age in seconds of the newest platform evidence."""
         newest = max(self.platform_at, self.relayed_at)
         return min(timing.NO_EVIDENCE_SECONDS, self.clock.monotonic() - newest)
 
-    def outage_age(self, host: str, voters: Collection[str]) -> float:
+    def outage_age(self) -> float:
         """Returns the age in seconds of the proof of an outage.
 
         A voter needs the agreement of a majority of the voters; another host
         takes the age that a relay or a parent gives. Either proof is void
         while any answer held platform evidence that is still fresh.
         """
+        if self.proof is None:
+            self.proof = self._sum_up()
         now = self.clock.monotonic()
-        earliest = now - timing.FRESH_SECONDS
-        if any(
-            peer.answered_at >= earliest and peer.platform_at >= earliest
-            for peer in self.peers.values()
-        ):
+        if self.proof.platform_at >= now - timing.FRESH_SECONDS:
             return timing.NO_EVIDENCE_SECONDS
-        if host in voters:
-            proof_at = self._majority_at(host, voters)
-        else:
-            proof_at = self._passed_on_at()
-        return min(timing.NO_EVIDENCE_SECONDS, now - proof_at)
-
-    def _majority_at(self, host: str, voters: Collection[str]) -> float:
-        """Returns the time since which a majority of the voters agreed."""
-        needed = len(voters) // 2
-        if not needed:
-            return self.clock.monotonic()
-        times = sorted(
-            (
-                self.peers[name].agreed_at()
-                for name in voters
-                if name != host and name in self.peers
+        agreed_at = self.proof.agreed_at
+        if len(self.voters) < 2 and self.host in self.voters:
+            agreed_at = now
+        return min(timing.NO_EVIDENCE_SECONDS, now - agreed_at)
+
+    def _sum_up(self) -> OutageProof:
+        """Builds the proof from the newest answers."""
+        votes = self.host in self.voters
+        return OutageProof(
+            max(
+                (peer.platform_at for peer in self.peers.values()),
+                default=NEVER,
             ),
-            reverse=True,
+            self._majority_at() if votes else self._passed_on_at(),
+        )
+
+    def _majority_at(self) -> float:
+        """Returns since when a majority of the voters has agreed."""
+        needed = len(self.voters) // 2
+        times = sorted(
+            self.peers[name].agreed_at()
+            for name in self.voters
+            if name != self.host and name in self.peers
         )
-        return times[needed - 1] if len(times) >= needed else NEVER
+        return times[-needed] if 0 < needed <= len(times) else NEVER
 
     def _passed_on_at(self) -> float:
         """Returns the newest outage evidence of a peer that agrees."""
@@ -120,13 +150,13 @@
             default=NEVER,
         )
 
-    def check(self, host: str, voters: Collection[str]) -> Freshness:
+    def check(self) -> Freshness:
         """Returns the freshness at this moment."""
         age = self.platform_age()
         if age <= timing.FRESH_SECONDS:
             own = self.platform_at >= self.relayed_at
             return Freshness(True, "platform" if own else "relayed", age)
-        age = self.outage_age(host, voters)
+        age = self.outage_age()
         if age <= timing.FRESH_SECONDS:
             return Freshness(True, "outage", age)
         return Freshness(False, "none", age)
--- /dev/null
+++ b/gooseberryweir/process/incarnation.py
@@ -0,0 +1,96 @@
+"""This host's own incarnation number, and when it has to take another."""
+
+import logging
+
+from gooseberryweir import clock as clocks
+from gooseberryweir import logs
+from gooseberryweir.process import facts as facts_module
+
+_log = logging.getLogger(__name__)
+
+
+class Incarnation:
+    """The incarnation of this process.
+
+    Attributes:
+        host: Name of this host.
+        value: The incarnation, milliseconds since the epoch.
+        clock: Source of time.
+        facts: Facts shared between the hosts.
+        confirmed: Whether a peer's facts were taken in since the start.
+        leaving: Whether this process has begun to shut down.
+        superseded: Whether a later process runs under this host's name.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        value: int,
+        clock: clocks.Clock,
+        facts: facts_module.Facts,
+    ) -> None:
+        self.host = host
+        self.value = value
+        self.clock = clock
+        self.facts = facts
+        self.confirmed = False
+        self.leaving = False
+        self.superseded = False
+        if not self._settle_first():
+            self._publish()
+
+    def leave(self) -> None:
+        """Tells all hosts that this incarnation is shutting down."""
+        self.leaving = True
+        self.facts.add(facts_module.leaving_key(self.host), self.value)
+
+    def is_dead(self) -> bool:
+        """Returns whether a majority found this incarnation dead."""
+        return self.facts.get(facts_module.dead_key(self.host)) >= self.value
+
+    def settle(self) -> None:
+        """Compares the incarnation with the facts after a change of them."""
+        newest = self.facts.get(facts_module.incarnation_key(self.host))
+        if newest > self.value and self.confirmed:
+            self._note_superseded(newest)
+        else:
+            self._settle_first()
+
+    def _settle_first(self) -> bool:
+        """Renews an incarnation that an earlier process had used already."""
+        newest = self.facts.get(facts_module.incarnation_key(self.host))
+        left = self.facts.get(facts_module.leaving_key(self.host))
+        used = newest > self.value or (left >= self.value and not self.leaving)
+        if used:
+            self.renew()
+        return used
+
+    def renew(self) -> None:
+        """Takes an incarnation later than all that were seen."""
+        newest = max(
+            self.value,
+            self.facts.get(facts_module.incarnation_key(self.host)),
+            self.facts.get(facts_module.leaving_key(self.host)),
+            self.facts.get(facts_module.dead_key(self.host)),
+        )
+        self.value = max(int(self.clock.wall() * 1000), newest + 1)
+        logs.event(_log, "incarnation-renewed", incarnation=self.value)
+        self._publish()
+        if self.leaving:
+            self.leave()
+
+    def _publish(self) -> None:
+        """Adds the fact of this incarnation."""
+        self.facts.add(facts_module.incarnation_key(self.host), self.value)
+
+    def _note_superseded(self, newest: int) -> None:
+        """Stops for good: a later process has taken this host's name."""
+        if not self.superseded:
+            self.superseded = True
+            logs.event(
+                _log,
+                "host-superseded",
+                logging.ERROR,
+                incarnation=self.value,
+                newest=newest,
+            )
--- a/gooseberryweir/process/membership.py
+++ b/gooseberryweir/process/membership.py
@@ -15,6 +15,8 @@
 from gooseberryweir.connection import messages
 from gooseberryweir.process import facts as facts_module
 from gooseberryweir.process import freshness as freshness_module
+from gooseberryweir.process import hearing as hearing_module
+from gooseberryweir.process import incarnation as incarnation_module
 from gooseberryweir.process import neighbours as neighbours_module
 from gooseberryweir.process import standing as standing_module
 from gooseberryweir.process import timing
@@ -49,21 +51,16 @@
 
     Attributes:
         host: Name of this host.
-        incarnation: Its incarnation, milliseconds since the epoch.
+        own: Its incarnation, and whether it has ended.
         clock: Source of time.
         tables: The tables of the version in force.
         facts: Facts shared between the hosts.
         store: The platform objects held.
         load: Returns this host's requests in flight, for its answers.
         loads: Newest load that each peer gave.
-        superseded: Whether a later process runs under this host's name.
-        confirmed: Whether a peer's facts were taken in since the start.
-        leaving: Whether this host has begun to shut down.
         standing: Votes on the view.
         evidence: Evidence of freshness.
-        heard: When each peer was last heard.
-        awake_since: Start of the last span without a pause.
-        ticked_at: When `tick` last ran.
+        hearing: When each peer was last heard.
     """
 
     def __init__(
@@ -76,31 +73,33 @@
         store: Store,
     ) -> None:
         self.host = host
-        self.incarnation = incarnation
         self.clock = clock
         self.tables = tables
         self.facts = facts
         self.store = store
         self.load: Callable[[], int] = lambda: 0
         self.loads: dict[str, int] = {}
-        self.superseded = False
-        self.confirmed = False
-        self.leaving = False
         self.standing = standing_module.Standing(host, clock)
-        self.evidence = freshness_module.Evidence(clock)
-        self.heard: dict[str, float] = {}
-        self.awake_since = self.ticked_at = clock.monotonic()
+        self.evidence = freshness_module.Evidence(host, clock)
+        self.hearing = hearing_module.Hearing(clock)
         self._view = view_module.EMPTY
         self._neighbours: neighbours_module.Neighbours | None = None
+        self._live: frozenset[str] | None = None
         self._voters: frozenset[str] = frozenset()
         self._silent: frozenset[str] = frozenset()
         self._stood = False
         self._fresh = False
+        self.own = incarnation_module.Incarnation(
+            host, incarnation, clock, facts
+        )
+        self._adopt_list()
         store.listeners.append(self._on_object)
         facts.listeners.append(self._on_facts)
-        self._adopt_list()
-        self._settle_incarnation()
-        facts.add(facts_module.incarnation_key(host), self.incarnation)
+
+    @property
+    def incarnation(self) -> int:
+        """This host's incarnation, milliseconds since the epoch."""
+        return self.own.value
 
     # What this host may do.
 
@@ -114,19 +113,19 @@
 
     def stands(self) -> bool:
         """Returns whether a majority shares this host's view now."""
-        return not self.superseded and self.standing.stands()
+        return not self.own.superseded and self.standing.stands()
 
     def may_exercise(self) -> bool:
         """Returns whether this host may act as holder of its duties now."""
-        return not self.superseded and self.standing.may_exercise()
+        return not self.own.superseded and self.standing.may_exercise()
 
     def freshness(self) -> freshness_module.Freshness:
         """Returns whether this host may do keyed work now."""
-        if self.superseded or not self.store.versions():
+        if self.own.superseded or not self.store.digest:
             return freshness_module.Freshness(
                 False, "none", timing.NO_EVIDENCE_SECONDS
             )
-        return self.evidence.check(self.host, self._voters)
+        return self.evidence.check()
 
     # Whom this host knows.
 
@@ -140,25 +139,23 @@
 
     def live(self) -> frozenset[str]:
         """Returns the listed hosts that are neither leaving nor dead."""
-        return view_module.live_hosts(self.facts, self.tables.hosts)
+        if self._live is None:
+            self._live = view_module.live_hosts(self.facts, self.tables.hosts)
+        return self._live
 
     def reachable(self) -> frozenset[str]:
         """Returns the live hosts less those that this host misses."""
-        return self.live().difference(self.suspects())
+        suspects = self.suspects()
+        return self.live().difference(suspects) if suspects else self.live()
 
     def suspects(self) -> tuple[str, ...]:
         """Returns the watched hosts not heard for `SILENCE_SECONDS`."""
-        earliest = self.clock.monotonic() - timing.SILENCE_SECONDS
-        if self.awake_since > earliest:
-            return ()
         watched = self._voters.union(self.neighbours().everyone())
         return tuple(
             sorted(
                 name
-                for name in watched
-                if name != self.host
-                and self.heard.get(name, self.awake_since) < earliest
-                and view_module.live_incarnation(self.facts, name)
+                for name in self.hearing.silent(watched - {self.host})
+                if view_module.live_incarnation(self.facts, name)
             )
         )
 
@@ -184,7 +181,7 @@
         known = self.facts.get(facts_module.incarnation_key(host))
         if incarnation and incarnation < known:
             return
-        self.heard[host] = self.clock.monotonic()
+        self.hearing.note(host, self.clock.monotonic())
         if incarnation > known:
             self.facts.add(facts_module.incarnation_key(host), incarnation)
 
@@ -205,7 +202,7 @@
             self.facts.add(
                 facts_module.incarnation_key(pong.host), pong.incarnation
             )
-        self.heard[pong.host] = max(sent_at, self.heard.get(pong.host, sent_at))
+        self.hearing.note(pong.host, sent_at)
         self.loads[pong.host] = pong.load
         self._take_evidence(peer, sent_at, pong)
         self.standing.votes[pong.host] = standing_module.Vote(
@@ -232,23 +229,25 @@
             )
         if pong.facts_digest == self.facts.digest:
             peer.facts_at = sent_at
+        self.evidence.forget_proof()
 
     def on_state_fetched(self, host: str, asked_at: float) -> None:
         """Notes that all state a peer held, when asked, is held here too."""
         peer = self.evidence.peer(host)
         peer.state_at = max(peer.state_at, asked_at)
+        self.evidence.forget_proof()
 
     def on_facts_fetched(self, host: str, asked_at: float) -> None:
         """Notes that all facts a peer held, when asked, are held here too."""
         peer = self.evidence.peer(host)
         peer.facts_at = max(peer.facts_at, asked_at)
-        self.confirmed = True
+        self.evidence.forget_proof()
+        self.own.confirmed = True
 
     # What this host tells.
 
     def pong(self) -> messages.Pong:
         """Returns this host's answer to a ping."""
-        quorum_age = self.evidence.outage_age(self.host, self._voters)
         return messages.Pong(
             self.host,
             self.incarnation,
@@ -259,22 +258,20 @@
             self.suspects(),
             self.load(),
             self.clock.monotonic() - self.standing.held_since,
-            quorum_age,
+            self.evidence.outage_age(),
         )
 
     def leave(self) -> None:
         """Tells all hosts that this incarnation is shutting down."""
-        self.leaving = True
-        self.facts.add(facts_module.leaving_key(self.host), self.incarnation)
+        self.own.leave()
 
     def tick(self) -> None:
         """Runs the periodic checks; call it each `HEARTBEAT_SECONDS`."""
-        now = self.clock.monotonic()
-        if now - self.ticked_at > timing.PAUSE_SECONDS:
-            self.awake_since = now
-        self.ticked_at = now
+        self.hearing.tick()
         self._log_silence()
         self._declare_dead()
+        if self.own.is_dead() and self.standing.hears_majority():
+            self.own.renew()
         self._log_changes()
 
     # Changes of the list and of facts.
@@ -287,6 +284,7 @@
     def _adopt_list(self) -> None:
         """Takes the voters from the list."""
         self._voters = neighbours_module.voters(self.tables.hosts)
+        self.evidence.replace_voters(self._voters)
         self._adopt_view()
 
     def _on_facts(self, new: dict[str, int]) -> None:
@@ -298,13 +296,13 @@
                 changed = True
                 self._on_host_fact(kind, host, value)
         if changed:
-            self._settle_incarnation()
+            self.own.settle()
             self._adopt_view()
 
     def _on_host_fact(self, kind: str, host: str, incarnation: int) -> None:
         """Notes and logs one new fact about a host."""
         if kind == "incarnation":
-            self.heard[host] = self.clock.monotonic()
+            self.hearing.note(host, self.clock.monotonic())
             name = "host-joined"
         else:
             name = f"host-{kind}"
@@ -312,7 +310,7 @@
 
     def _adopt_view(self) -> None:
         """Builds the view again and starts its age when it changed."""
-        self._neighbours = None
+        self._neighbours = self._live = None
         self._view = view_module.build(
             self.facts, self.tables.hosts, self._voters
         )
@@ -325,38 +323,6 @@
                 voters=len(self._voters),
             )
 
-    def _settle_incarnation(self) -> None:
-        """Takes a new incarnation if this one has ended or is in use."""
-        newest = self.facts.get(facts_module.incarnation_key(self.host))
-        if newest > self.incarnation and self.confirmed:
-            self._note_superseded(newest)
-            return
-        dead = self.facts.get(facts_module.dead_key(self.host))
-        left = self.facts.get(facts_module.leaving_key(self.host))
-        ended = max(dead, 0 if self.leaving else left)
-        if newest <= self.incarnation and ended < self.incarnation:
-            return
-        self.incarnation = max(
-            int(self.clock.wall() * 1000), newest + 1, ended + 1
-        )
-        logs.event(_log, "incarnation-renewed", incarnation=self.incarnation)
-        key = facts_module.incarnation_key(self.host)
-        self.facts.add(key, self.incarnation)
-        if self.leaving:
-            self.leave()
-
-    def _note_superseded(self, newest: int) -> None:
-        """Stops for good: a later process has taken this host's name."""
-        if not self.superseded:
-            self.superseded = True
-            logs.event(
-                _log,
-                "host-superseded",
-                logging.ERROR,
-                incarnation=self.incarnation,
-                newest=newest,
-            )
-
     # Periodic checks.
 
     def _log_silence(self) -> None:
@@ -372,7 +338,7 @@
             return
         earliest = self.clock.monotonic() - timing.STANDING_SECONDS
         for name in self._silent:
-            asked_after = max(earliest, self.heard.get(name, earliest))
+            asked_after = max(earliest, self.hearing.heard.get(name, earliest))
             count = 1 + self.standing.suspected_by(name, asked_after)
             if 2 * count > len(self._voters):
                 incarnation = view_module.live_incarnation(self.facts, name)
@@ -380,6 +346,7 @@
 
     def _log_changes(self) -> None:
         """Logs gains and losses of standing and of freshness."""
+        self.may_exercise()
         stands = self.stands()
         if stands != self._stood:
             self._stood = stands
--- a/gooseberryweir/process/peering.py
+++ b/gooseberryweir/process/peering.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
+import contextlib
 import logging
 import random
 from typing import Any
@@ -86,24 +87,30 @@
         self.server = peer_server.PeerServer(address, self._hello, self._handle)
         self.address = self.server.address
         self._tells = eventlet.GreenPool(MAX_TELLS)
-        self._manager: Any = None
+        self._stack = contextlib.ExitStack()
         self._tasks: dict[tuple[str, str], Any] = {}
 
     def __enter__(self) -> "Peering":
-        self.store.listeners.append(self._push_object)
-        self.facts.listeners.append(self._push_facts)
-        self.server.__enter__()
-        self._manager = eventlet.spawn(self._manage)
+        self._stack.enter_context(self.server)
+        self._stack.callback(self._close_links)
+        self._stack.callback(eventlet.spawn(self._manage).kill)
+        for listeners, listener in (
+            (self.store.listeners, self._push_object),
+            (self.facts.listeners, self._push_facts),
+        ):
+            listeners.append(listener)
+            self._stack.callback(listeners.remove, listener)
         return self
 
-    def __exit__(self, *exc: object) -> None:
-        self.store.listeners.remove(self._push_object)
-        self.facts.listeners.remove(self._push_facts)
-        for task in (self._manager, *self._tasks.values()):
+    def __exit__(self, *_exc: object) -> None:
+        self._stack.close()
+
+    def _close_links(self) -> None:
+        """Ends the tasks of the neighbours and closes all links."""
+        for task in self._tasks.values():
             task.kill()
         for link in list(self.links.values()):
             link.close()
-        self.server.__exit__(*exc)
 
     def call(self, host: str, message: Any, timeout: float) -> Any:
         """Sends a message to a host, dialled if need be; returns its reply.
--- a/gooseberryweir/process/standing.py
+++ b/gooseberryweir/process/standing.py
@@ -85,6 +85,16 @@
         now = self.clock.monotonic()
         return self._majorities(now - timing.STANDING_SECONDS, now)
 
+    def hears_majority(self) -> bool:
+        """Returns whether a majority answered lately, with any view."""
+        earliest = self.clock.monotonic() - timing.STANDING_SECONDS
+        count = sum(
+            name == self.host
+            or (name in self.votes and self.votes[name].asked_at >= earliest)
+            for name in self.voters
+        )
+        return 2 * count > len(self.voters)
+
     def may_exercise(self) -> bool:
         """Returns whether this host may act as the holder of its duties."""
         now = self.clock.monotonic()
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -133,7 +133,7 @@
         newer = self.first.incarnation + 5
         self.hosts[1].facts.add("incarnation/c0", newer)
         self.beats(1)
-        self.assertTrue(self.first.superseded)
+        self.assertTrue(self.first.own.superseded)
         self.assertFalse(self.first.freshness().fresh)
 
     def test_a_leaving_host_holds_no_duty(self):
