--- /dev/null
+++ b/gooseberryweir/process/links.py
@@ -0,0 +1,100 @@
+"""The open links of this host to others, by name."""
+
+from collections.abc import Callable
+from collections.abc import Collection
+import logging
+
+from gooseberryweir import clock as clocks
+from gooseberryweir import logs
+from gooseberryweir.connection import messages
+from gooseberryweir.connection import peer_link
+
+IDLE_LINK_SECONDS = 30.0
+
+_log = logging.getLogger(__name__)
+
+
+class Links:
+    """Links to other hosts; a context manager that closes them.
+
+    Attributes:
+        hello: Returns what this host says of itself.
+        clock: Source of time.
+        by_host: Newest link to each host, open or closed.
+        idle_since: Since when each link to another than a neighbour is idle.
+    """
+
+    def __init__(
+        self, hello: Callable[[], messages.Hello], clock: clocks.Clock
+    ) -> None:
+        self.hello = hello
+        self.clock = clock
+        self.by_host: dict[str, peer_link.PeerLink] = {}
+        self.idle_since: dict[str, float] = {}
+
+    def __enter__(self) -> "Links":
+        return self
+
+    def __exit__(self, *_exc: object) -> None:
+        for link in list(self.by_host.values()):
+            link.close()
+
+    def find(self, host: str) -> peer_link.PeerLink | None:
+        """Returns the open link to a host, or None."""
+        link = self.by_host.get(host)
+        return None if link is None or link.closed else link
+
+    def reach(
+        self, host: str, address: str, timeout: float
+    ) -> peer_link.PeerLink:
+        """Returns the open link to a host, dialled if there is none.
+
+        Args:
+            host: Name of the host; empty if only the address is known.
+            address: Its address, `IP:PORT`.
+            timeout: Seconds for dialling.
+
+        Raises:
+            peer_link.PeerError: It could not be reached, or another host
+                answered.
+        """
+        self.idle_since.pop(host, None)
+        link = self.find(host)
+        if link is not None:
+            return link
+        hello = self.hello()
+        link = peer_link.PeerLink(address, hello, timeout)
+        answered = link.peer.host
+        if answered == hello.host or host not in ("", answered):
+            link.close()
+            self._log_misnamed(host, address, answered)
+            raise peer_link.PeerError(f"{address} is {answered}, not {host}")
+        other = self.find(answered)
+        if other is not None:
+            link.close()
+            return other
+        self.by_host[answered] = link
+        return link
+
+    def _log_misnamed(self, listed: str, address: str, answered: str) -> None:
+        """Logs that a host answered by another name than the one listed."""
+        logs.event(
+            _log,
+            "host-misnamed",
+            logging.WARNING,
+            address=address,
+            listed=listed,
+            answered=answered,
+        )
+
+    def close_idle(self, neighbours: Collection[str]) -> None:
+        """Closes links to others than neighbours that go unused."""
+        now = self.clock.monotonic()
+        for host, link in list(self.by_host.items()):
+            if host in neighbours or link.pending:
+                self.idle_since.pop(host, None)
+            elif now - self.idle_since.setdefault(host, now) > (
+                IDLE_LINK_SECONDS
+            ):
+                del self.idle_since[host]
+                self.by_host.pop(host).close()
--- a/gooseberryweir/process/membership.py
+++ b/gooseberryweir/process/membership.py
@@ -20,6 +20,7 @@
 from gooseberryweir.process import neighbours as neighbours_module
 from gooseberryweir.process import standing as standing_module
 from gooseberryweir.process import timing
+from gooseberryweir.process import transitions as transitions_module
 from gooseberryweir.process import view as view_module
 
 HOSTS_OBJECT = "endpointslices/hosts"
@@ -61,6 +62,7 @@
         standing: Votes on the view.
         evidence: Evidence of freshness.
         hearing: When each peer was last heard.
+        transitions: What the last periodic check found.
     """
 
     def __init__(
@@ -86,9 +88,7 @@
         self._neighbours: neighbours_module.Neighbours | None = None
         self._live: frozenset[str] | None = None
         self._voters: frozenset[str] = frozenset()
-        self._silent: frozenset[str] = frozenset()
-        self._stood = False
-        self._fresh = False
+        self.transitions = transitions_module.Transitions()
         self.own = incarnation_module.Incarnation(
             host, incarnation, clock, facts
         )
@@ -268,11 +268,13 @@
     def tick(self) -> None:
         """Runs the periodic checks; call it each `HEARTBEAT_SECONDS`."""
         self.hearing.tick()
-        self._log_silence()
+        self.transitions.note_silent(self.suspects())
         self._declare_dead()
         if self.own.is_dead() and self.standing.hears_majority():
             self.own.renew()
-        self._log_changes()
+        self.may_exercise()
+        self.transitions.note_standing(self.stands(), self._view)
+        self.transitions.note_freshness(self.freshness())
 
     # Changes of the list and of facts.
 
@@ -325,41 +327,14 @@
 
     # Periodic checks.
 
-    def _log_silence(self) -> None:
-        """Logs the hosts that fell silent since the last check."""
-        silent = frozenset(self.suspects())
-        for name in sorted(silent - self._silent):
-            logs.event(_log, "host-silent", logging.WARNING, subject=name)
-        self._silent = silent
-
     def _declare_dead(self) -> None:
         """Adds the fact of a death that a majority of the voters agrees on."""
         if self.host not in self._voters:
             return
         earliest = self.clock.monotonic() - timing.STANDING_SECONDS
-        for name in self._silent:
+        for name in self.transitions.silent:
             asked_after = max(earliest, self.hearing.heard.get(name, earliest))
             count = 1 + self.standing.suspected_by(name, asked_after)
             if 2 * count > len(self._voters):
                 incarnation = view_module.live_incarnation(self.facts, name)
                 self.facts.add(facts_module.dead_key(name), incarnation)
-
-    def _log_changes(self) -> None:
-        """Logs gains and losses of standing and of freshness."""
-        self.may_exercise()
-        stands = self.stands()
-        if stands != self._stood:
-            self._stood = stands
-            name = "standing-gained" if stands else "standing-lost"
-            digest = f"{self._view.digest:016x}"
-            logs.event(_log, name, digest=digest)
-        fresh = self.freshness()
-        if fresh.fresh != self._fresh:
-            self._fresh = fresh.fresh
-            logs.event(
-                _log,
-                "freshness-changed",
-                fresh=fresh.fresh,
-                source=fresh.source,
-                age=fresh.age,
-            )
--- a/gooseberryweir/process/peering.py
+++ b/gooseberryweir/process/peering.py
@@ -22,6 +22,7 @@
 from gooseberryweir.connection import peer_server
 from gooseberryweir.process import anti_entropy
 from gooseberryweir.process import facts as facts_module
+from gooseberryweir.process import links as links_module
 from gooseberryweir.process import membership as membership_module
 from gooseberryweir.process import timing
 
@@ -30,7 +31,6 @@
 RETRY_FIRST_SECONDS = 0.1
 RETRY_LIMIT_SECONDS = 2.0
 MISSED_PINGS_LIMIT = 2
-IDLE_LINK_SECONDS = 30.0
 MAX_TELLS = 1000
 
 _log = logging.getLogger(__name__)
@@ -48,8 +48,7 @@
         random: Source of jitter.
         handlers: Function for each further type of message, which takes the
             message and returns the reply or None.
-        links: Open link to each host.
-        used_at: Since when each link to another than a neighbour is idle.
+        links: Open links to other hosts.
         server: The listening end.
         address: Its bound address, `IP:PORT`.
     """
@@ -82,8 +81,7 @@
         self.clock = clock
         self.random = jitter
         self.handlers: dict[type, Callable[[Any], Any]] = {}
-        self.links: dict[str, peer_link.PeerLink] = {}
-        self.used_at: dict[str, float] = {}
+        self.links = links_module.Links(self._hello, clock)
         self.server = peer_server.PeerServer(address, self._hello, self._handle)
         self.address = self.server.address
         self._tells = eventlet.GreenPool(MAX_TELLS)
@@ -92,25 +90,22 @@
 
     def __enter__(self) -> "Peering":
         self._stack.enter_context(self.server)
-        self._stack.callback(self._close_links)
+        self._stack.enter_context(self.links)
+        self._stack.callback(self._end_tasks)
         self._stack.callback(eventlet.spawn(self._manage).kill)
-        for listeners, listener in (
-            (self.store.listeners, self._push_object),
-            (self.facts.listeners, self._push_facts),
-        ):
-            listeners.append(listener)
-            self._stack.callback(listeners.remove, listener)
+        self.store.listeners.append(self._push_object)
+        self._stack.callback(self.store.listeners.remove, self._push_object)
+        self.facts.listeners.append(self._push_facts)
+        self._stack.callback(self.facts.listeners.remove, self._push_facts)
         return self
 
     def __exit__(self, *_exc: object) -> None:
         self._stack.close()
 
-    def _close_links(self) -> None:
-        """Ends the tasks of the neighbours and closes all links."""
+    def _end_tasks(self) -> None:
+        """Ends the tasks of the neighbours."""
         for task in self._tasks.values():
             task.kill()
-        for link in list(self.links.values()):
-            link.close()
 
     def call(self, host: str, message: Any, timeout: float) -> Any:
         """Sends a message to a host, dialled if need be; returns its reply.
@@ -139,7 +134,9 @@
             try:
                 self.membership.tick()
                 self._follow_neighbours()
-                self._close_idle()
+                neighbours = self.membership.neighbours().everyone()
+                if neighbours:
+                    self.links.close_idle(neighbours)
             except Exception:
                 _log.exception("event=peering-failed")
             self.clock.sleep(timing.HEARTBEAT_SECONDS)
@@ -165,7 +162,7 @@
         failures = 0
         while True:
             try:
-                link = self._reach(name, address, DIAL_SECONDS)
+                link = self.links.reach(name, address, DIAL_SECONDS)
                 failures = 0
                 self._keep_link(link)
             except peer_link.PeerError as error:
@@ -220,60 +217,15 @@
             self.membership.incarnation,
         )
 
-    def _reach(
-        self, name: str, address: str, timeout: float
-    ) -> peer_link.PeerLink:
-        """Returns the open link to a host, dialled if there is none."""
-        link = self.links.get(name)
-        if link is not None and not link.closed:
-            return link
-        link = peer_link.PeerLink(address, self._hello(), timeout)
-        answered = link.peer.host
-        if answered == self.membership.host or name not in ("", answered):
-            link.close()
-            self._log_misnamed(name, address, answered)
-            raise peer_link.PeerError(f"{address} is {answered}, not {name}")
-        other = self.links.get(answered)
-        if other is not None and not other.closed:
-            link.close()
-            return other
-        self.links[answered] = link
-        return link
-
-    def _log_misnamed(self, name: str, address: str, answered: str) -> None:
-        """Logs that a host answered by another name than the one listed."""
-        logs.event(
-            _log,
-            "host-misnamed",
-            logging.WARNING,
-            address=address,
-            listed=name,
-            answered=answered,
-        )
-
     def _open(self, host: str, timeout: float) -> peer_link.PeerLink:
-        """Returns an open link to a listed host."""
-        self.used_at.pop(host, None)
-        link = self.links.get(host)
-        if link is not None and not link.closed:
+        """Returns an open link to a host; a new one only if it is listed."""
+        link = self.links.find(host)
+        if link is not None:
             return link
         entry = self.membership.tables.hosts.get(host)
         if entry is None:
             raise peer_link.PeerError(f"{host} is not listed")
-        return self._reach(host, entry.peer, timeout)
-
-    def _close_idle(self) -> None:
-        """Closes links to others than neighbours that go unused."""
-        neighbours = self.membership.neighbours().everyone()
-        if not neighbours:
-            return
-        now = self.clock.monotonic()
-        for host, link in list(self.links.items()):
-            if host in neighbours or link.pending:
-                self.used_at.pop(host, None)
-            elif now - self.used_at.setdefault(host, now) > IDLE_LINK_SECONDS:
-                del self.used_at[host]
-                self.links.pop(host).close()
+        return self.links.reach(host, entry.peer, timeout)
 
     # Messages.
 
@@ -327,10 +279,9 @@
     def _tell(self, hosts: Iterable[str], message: Any) -> None:
         """Sends a message to hosts, each in a task; drops it if too many."""
         for host in hosts:
-            link = self.links.get(host)
-            if link is None or link.closed or not self._tells.free():
-                continue
-            self._tells.spawn_n(_tell_link, link, message)
+            link = self.links.find(host)
+            if link is not None and self._tells.free():
+                self._tells.spawn_n(_tell_link, link, message)
 
 
 def _tell_link(link: peer_link.PeerLink, message: Any) -> None:
--- a/test/test_peering.py
+++ b/test/test_peering.py
@@ -162,7 +162,7 @@
         with self.assertRaises(peer_link.PeerTimeoutError):
             first.peering.call("c2", draw, 0.2)
         ping = messages.Ping("c1", first.membership.incarnation)
-        link = first.peering.links["c2"]
+        link = first.peering.links.find("c2")
         self.assertEqual(link.call(ping, CALL_SECONDS).host, "c2")
 
     def test_a_host_started_anew_at_its_address_is_found_again(self):
