--- a/gooseberryweir/process/anti_entropy.py
+++ b/gooseberryweir/process/anti_entropy.py
@@ -1,29 +1,17 @@
 """Repair of state and facts between two hosts whose digests differ."""
 
-from typing import Any
-from typing import Protocol
-
 from gooseberryweir.connection import messages
 from gooseberryweir.connection import peer_link
 from gooseberryweir.process import facts as facts_module
 from gooseberryweir.process import membership as membership_module
+from gooseberryweir.version import objects
 
 FETCH_TIMEOUT_SECONDS = 1.5
 
 
-class Store(membership_module.Store, Protocol):
-    """The platform objects held, as far as the exchange goes."""
-
-    def apply(self, name: str, version: int, content: Any | None) -> bool:
-        """Takes an object if it is newer than the one held."""
-
-    def newer_than(
-        self, versions: dict[str, int]
-    ) -> tuple[tuple[str, int, Any], ...]:
-        """Returns the objects newer than the versions given."""
-
-
-def apply_objects(store: Store, message: messages.StateObjects) -> None:
+def apply_objects(
+    store: objects.ObjectStore, message: messages.StateObjects
+) -> None:
     """Takes the objects of a message that are newer than those held."""
     for name, version, content in message.objects:
         store.apply(name, version, content)
@@ -56,7 +44,7 @@
 def repair(
     link: peer_link.PeerLink,
     pong: messages.Pong,
-    store: Store,
+    store: objects.ObjectStore,
     facts: facts_module.Facts,
     membership: membership_module.Membership,
 ) -> None:
@@ -73,7 +61,7 @@
 
 def _fetch_state(
     link: peer_link.PeerLink,
-    store: Store,
+    store: objects.ObjectStore,
     membership: membership_module.Membership,
 ) -> None:
     """Fetches and applies the objects that the peer has newer."""
--- a/gooseberryweir/process/links.py
+++ b/gooseberryweir/process/links.py
@@ -49,6 +49,8 @@
     ) -> peer_link.PeerLink:
         """Returns the open link to a host, dialled if there is none.
 
+        A link to an earlier address of the host is closed.
+
         Args:
             host: Name of the host; empty if only the address is known.
             address: Its address, `IP:PORT`.
@@ -60,8 +62,10 @@
         """
         self.idle_since.pop(host, None)
         link = self.find(host)
-        if link is not None:
+        if link is not None and link.address == address:
             return link
+        if link is not None:
+            link.close()
         hello = self.hello()
         link = peer_link.PeerLink(address, hello, timeout)
         answered = link.peer.host
--- a/gooseberryweir/process/membership.py
+++ b/gooseberryweir/process/membership.py
@@ -6,9 +6,7 @@
 """
 
 from collections.abc import Callable
-from collections.abc import Mapping
 import logging
-from typing import Protocol
 
 from gooseberryweir import clock as clocks
 from gooseberryweir import logs
@@ -22,31 +20,14 @@
 from gooseberryweir.process import timing
 from gooseberryweir.process import transitions as transitions_module
 from gooseberryweir.process import view as view_module
+from gooseberryweir.version import objects
+from gooseberryweir.version import tables as tables_module
 
-HOSTS_OBJECT = "endpointslices/hosts"
 _HOST_FACTS = ("incarnation", "leaving", "dead")
 
 _log = logging.getLogger(__name__)
 
 
-class Tables(Protocol):
-    """The tables of the version in force, as far as membership reads them."""
-
-    @property
-    def hosts(self) -> Mapping[str, view_module.Listed]:
-        """The platform's list of hosts by name."""
-
-
-class Store(Protocol):
-    """The platform objects held, as far as membership reads them."""
-
-    digest: int
-    listeners: list[Callable[[str], None]]
-
-    def versions(self) -> dict[str, int]:
-        """Returns the version held of each object."""
-
-
 class Membership:
     """This host's place among the others.
 
@@ -70,9 +51,9 @@
         host: str,
         incarnation: int,
         clock: clocks.Clock,
-        tables: Tables,
+        tables: tables_module.Tables,
         facts: facts_module.Facts,
-        store: Store,
+        store: objects.ObjectStore,
     ) -> None:
         self.host = host
         self.clock = clock
@@ -280,7 +261,7 @@
 
     def _on_object(self, name: str) -> None:
         """Takes in a change of the platform's list of hosts."""
-        if name == HOSTS_OBJECT:
+        if name == objects.HOSTS:
             self._adopt_list()
 
     def _adopt_list(self) -> None:
--- a/gooseberryweir/process/neighbours.py
+++ b/gooseberryweir/process/neighbours.py
@@ -10,23 +10,15 @@
 from collections.abc import Collection
 from collections.abc import Mapping
 from typing import NamedTuple
-from typing import Protocol
 
 from gooseberryweir import rendezvous
+from gooseberryweir.version import tables
 
 FULL_MESH_HOSTS = 9
 RELAYS_PER_REGION = 3
 TREE_FAN_OUT = 4
 
 
-class Located(Protocol):
-    """A listed host, as far as its place among the others goes."""
-
-    @property
-    def region(self) -> str:
-        """Name of its region."""
-
-
 class Neighbours(NamedTuple):
     """The hosts that one host pings.
 
@@ -46,7 +38,7 @@
 
 
 def regional_orders(
-    hosts: Mapping[str, Located], live: Collection[str]
+    hosts: Mapping[str, tables.HostEntry], live: Collection[str]
 ) -> dict[str, list[str]]:
     """Returns the live hosts of each region in rendezvous order."""
     regions: dict[str, list[str]] = {}
@@ -58,7 +50,7 @@
     }
 
 
-def voters(hosts: Mapping[str, Located]) -> frozenset[str]:
+def voters(hosts: Mapping[str, tables.HostEntry]) -> frozenset[str]:
     """Returns the hosts that vote and may hold duties.
 
     They follow from the list alone: a host that dies goes on counting, so
@@ -88,7 +80,7 @@
 
 
 def find(
-    host: str, hosts: Mapping[str, Located], live: Collection[str]
+    host: str, hosts: Mapping[str, tables.HostEntry], live: Collection[str]
 ) -> Neighbours:
     """Returns the neighbours of a host.
 
--- a/gooseberryweir/process/peering.py
+++ b/gooseberryweir/process/peering.py
@@ -25,6 +25,7 @@
 from gooseberryweir.process import links as links_module
 from gooseberryweir.process import membership as membership_module
 from gooseberryweir.process import timing
+from gooseberryweir.version import objects
 
 DIAL_SECONDS = 1.0
 TELL_SECONDS = 1.0
@@ -59,7 +60,7 @@
         seeds: Sequence[str],
         membership: membership_module.Membership,
         facts: facts_module.Facts,
-        store: anti_entropy.Store,
+        store: objects.ObjectStore,
         clock: clocks.Clock,
         jitter: random.Random,
     ) -> None:
--- a/gooseberryweir/process/view.py
+++ b/gooseberryweir/process/view.py
@@ -2,25 +2,12 @@
 
 from collections.abc import Mapping
 from typing import NamedTuple
-from typing import Protocol
 
 import xxhash
 
 from gooseberryweir import rendezvous
 from gooseberryweir.process import facts as facts_module
-from gooseberryweir.process import neighbours
-
-
-class Listed(neighbours.Located, Protocol):
-    """What a view needs to know of a listed host."""
-
-    @property
-    def peer(self) -> str:
-        """Address for messages between hosts, `IP:PORT`."""
-
-    @property
-    def leaving(self) -> bool:
-        """Whether the platform lists it as leaving."""
+from gooseberryweir.version import tables
 
 
 class View(NamedTuple):
@@ -52,7 +39,7 @@
 
 
 def live_hosts(
-    facts: facts_module.Facts, hosts: Mapping[str, Listed]
+    facts: facts_module.Facts, hosts: Mapping[str, tables.HostEntry]
 ) -> frozenset[str]:
     """Returns the listed hosts that nothing speaks against.
 
@@ -73,7 +60,7 @@
 
 def build(
     facts: facts_module.Facts,
-    hosts: Mapping[str, Listed],
+    hosts: Mapping[str, tables.HostEntry],
     voters: frozenset[str],
 ) -> View:
     """Builds the view: the voters that are listed as staying and are alive."""
--- a/test/simulated_hosts.py
+++ b/test/simulated_hosts.py
@@ -13,6 +13,7 @@
 from gooseberryweir.process import facts as facts_module
 from gooseberryweir.process import membership as membership_module
 from gooseberryweir.process import timing
+from gooseberryweir.version import objects
 
 PROBE_SECONDS = 0.1
 RESOURCES = ("account/valle", "account/north", "slots/maps/centro")
@@ -46,7 +47,7 @@
         return self.version
 
     def versions(self) -> dict[str, int]:
-        names = [membership_module.HOSTS_OBJECT] if self.version else []
+        names = [objects.HOSTS] if self.version else []
         return dict.fromkeys(names, self.version)
 
 
@@ -79,7 +80,7 @@
             self.tables.hosts = hosts
             self.store.version = version
             for listener in self.store.listeners:
-                listener(membership_module.HOSTS_OBJECT)
+                listener(objects.HOSTS)
 
 
 def exchange(asker: Host, answerer: Host) -> None:
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -5,7 +5,6 @@
 from unittest import mock
 
 from gooseberryweir import clock as clocks
-from gooseberryweir.process import membership as membership_module
 from gooseberryweir.process import neighbours
 from gooseberryweir.process import timing
 from test import simulated_hosts
@@ -115,6 +114,24 @@
             dict(self.first.view().members)["c2"], third.incarnation
         )
 
+    def test_a_host_that_few_hear_does_not_change_the_view_again(self):
+        entries = {f"c{i}": simulated_hosts.Entry(f"c{i}") for i in range(5)}
+        hosts = [
+            simulated_hosts.Host(name, self.clock, entries) for name in entries
+        ]
+        self.beats(3, hosts)
+        last = hosts[4].membership
+        before = last.incarnation
+        for _ in range(20):
+            simulated_hosts.heartbeat(hosts[:4])
+            simulated_hosts.exchange(hosts[0], hosts[4])
+            simulated_hosts.exchange(hosts[4], hosts[0])
+            last.tick()
+            self.clock.advance(timing.HEARTBEAT_SECONDS)
+        self.assertEqual(last.incarnation, before)
+        self.assertTrue(last.own.is_dead())
+        self.assertTrue(hosts[0].membership.may_exercise())
+
     def test_one_voice_alone_declares_nobody_dead(self):
         self.beats(3)
         self.beats(12, self.hosts[:1])
@@ -219,10 +236,3 @@
         simulated_hosts.exchange(relays[1], relays[0])
         simulated_hosts.exchange(relays[0], leaf)
         self.assertFalse(relays[0].membership.freshness().fresh)
-
-
-class ListTest(unittest.TestCase):
-    """Changes of the list are followed."""
-
-    def test_the_object_of_the_list_is_the_tables_own(self):
-        self.assertEqual(membership_module.HOSTS_OBJECT, "endpointslices/hosts")
