--- a/gooseberryweir/process/standing.py
+++ b/gooseberryweir/process/standing.py
@@ -67,8 +67,13 @@
         return True
 
     def _replace_voters(self, voters: frozenset[str]) -> None:
-        """Keeps the old voters when majorities of old and new may not meet."""
-        if self.voters and (self.former or len(voters ^ self.voters) > 1):
+        """Keeps the old voters: hosts that hold the old list count by it.
+
+        Majorities of two lists need not meet. So the view needs a majority
+        of the old voters too, until one was seen: none of these hosts goes
+        back to the old list.
+        """
+        if self.voters:
             self.former.append(self.voters)
             self.former_until = (
                 self.clock.monotonic() + timing.FORMER_VOTERS_SECONDS
@@ -80,6 +85,16 @@
         now = self.clock.monotonic()
         return self._majorities(now - timing.STANDING_SECONDS, now)
 
+    def hears_majority(self) -> bool:
+        """Returns whether a majority answered lately, with any view."""
+        earliest = self.clock.monotonic() - timing.STANDING_SECONDS
+        count = sum(
+            name == self.host
+            or (name in self.votes and self.votes[name].asked_at >= earliest)
+            for name in self.voters
+        )
+        return 2 * count > len(self.voters)
+
     def may_exercise(self) -> bool:
         """Returns whether this host may act as the holder of its duties."""
         now = self.clock.monotonic()
