--- a/gooseberryweir/commands/explain.py
+++ b/gooseberryweir/commands/explain.py
@@ -39,15 +39,17 @@
                 raise
             refusal = error
             continue
-        for line in lines(answer):
+        for line in lines(answer.get("lines", answer)):
             operator.out(line)
         return
     raise refusal
 
 
 def lines(value: Any, path: str = "") -> Iterator[str]:
-    """Yields `path=value` for each plain value of a document."""
-    if isinstance(value, dict):
+    """Yields `path=value` for each plain value; lines stay as they are."""
+    if isinstance(value, list) and all(isinstance(at, str) for at in value):
+        yield from value
+    elif isinstance(value, dict):
         for key, each in value.items():
             yield from lines(each, f"{path}.{key}" if path else str(key))
     elif isinstance(value, list):
--- a/gooseberryweir/process/operator_http.py
+++ b/gooseberryweir/process/operator_http.py
@@ -140,7 +140,6 @@
     """
     fact = f"{withdrawals.FACT_PREFIX}{digest}"
     node.facts.merge({fact: 1})
-    node.peering.tell(messages.Facts({fact: 1}))
     own = node.membership.host
     others = sorted(set(node.tables.hosts) - {own})
     deadline = node.clock.monotonic() + CONFIRM_SECONDS
--- a/test/test_commands.py
+++ b/test/test_commands.py
@@ -294,7 +294,7 @@
     def test_exit_codes_are_those_of_the_reference(self):
         page = pathlib.Path("docs/reference/commands.md").read_text()
         listed = dict(
-            re.findall(r"^\| (\d) \| .* \| ([A-Z0-9_, x]+) \|$", page, re.M)
+            re.findall(r"^\| (\d) \| .* \| ([A-Z0-9_, x-]+) \|$", page, re.M)
         )
         for number, names in listed.items():
             for name in filter(codes.Code.__members__.get, names.split(", ")):
--- /dev/null
+++ b/test/test_operator_http.py
@@ -0,0 +1,175 @@
+"""The operator port, the relay decision and the writer of withdrawals."""
+
+import hashlib
+import io
+import json
+import types
+import unittest
+import unittest.mock
+
+from gooseberryweir import clock as clocks
+from gooseberryweir.connection import messages
+from gooseberryweir.connection import peer_link
+from gooseberryweir.process import facts as fact_sets
+from gooseberryweir.process import freshness
+from gooseberryweir.process import operator_http
+from gooseberryweir.process import platform
+from gooseberryweir.process import relay
+from gooseberryweir.process import withdrawals
+from gooseberryweir.version import tables as versions
+from test import test_platform_client
+
+DIGEST = "ab" * 32
+FACT = f"withdrawn/{DIGEST}"
+
+
+def entry(name, region="centro"):
+    address = "127.0.0.1:1"
+    return versions.HostEntry(
+        name, region, "a", address, address, address, False
+    )
+
+
+class FakePeering:
+    """Hosts that confirm, answer without the fact, or are silent."""
+
+    def __init__(self, confirming, deaf):
+        self.confirming = confirming
+        self.deaf = deaf
+
+    def call(self, host, message, timeout):
+        if host in self.confirming:
+            return messages.Facts(message.facts)
+        if host in self.deaf:
+            return messages.Facts({})
+        raise peer_link.PeerError("silent")
+
+
+class OperatorPortTest(unittest.TestCase):
+    """Calls through the WSGI application."""
+
+    def setUp(self):
+        self.facts = fact_sets.Facts()
+        token = hashlib.sha256(b"token").hexdigest()
+        self.settings = types.SimpleNamespace(operator_token_digest=token)
+        hosts = {name: entry(name) for name in ("c1", "c2", "c3", "c4")}
+        self.node = operator_http.Node(
+            settings=self.settings,
+            membership=types.SimpleNamespace(host="c1"),
+            tables=types.SimpleNamespace(hosts=hosts, keys={}),
+            facts=self.facts,
+            peering=FakePeering({"c2"}, {"c3"}),
+            counters=dict,
+            explain=lambda method, path, account: {"lines": [method + path]},
+            clock=clocks.ManualClock().interface(),
+        )
+
+    def call(self, method, path, body=b"", token="token", query=""):
+        environ = {
+            "REQUEST_METHOD": method,
+            "PATH_INFO": path,
+            "QUERY_STRING": query,
+            "CONTENT_LENGTH": str(len(body)),
+            "HTTP_AUTHORIZATION": f"Bearer {token}",
+            "wsgi.input": io.BytesIO(body),
+        }
+        start = unittest.mock.Mock()
+        application = operator_http.build_application(self.node)
+        answer = json.loads(b"".join(application(environ, start)))
+        return int(start.call_args.args[0].split()[0]), answer
+
+    def test_only_the_token_opens_it(self):
+        for token in ("", "other", "tokén"):
+            self.assertEqual(
+                self.call("GET", "/v1/explain", token=token)[0], 403
+            )
+        self.settings.operator_token_digest = ""
+        for token in ("", "token"):
+            status, answer = self.call("GET", "/v1/status", token=token)
+            self.assertEqual((status, answer["code"]), (403, 505))
+
+    def test_a_withdrawal_names_who_confirmed(self):
+        body = json.dumps({"digest": DIGEST}).encode()
+        status, answer = self.call("POST", "/v1/withdraw", body)
+        self.assertEqual(status, 200)
+        self.assertEqual(answer["confirmed"], ["c1", "c2"])
+        self.assertEqual(answer["missing"], ["c3", "c4"])
+        self.assertEqual(self.facts.get(FACT), 1)
+
+    def test_a_bad_digest_changes_nothing(self):
+        for body in (b"", b"{}", b"[]", b'{"digest": "AB"}', b"x" * 5000):
+            self.assertEqual(
+                self.call("POST", "/v1/withdraw", body)[0] // 100, 4
+            )
+        self.assertEqual(self.facts.snapshot(), {})
+
+    def test_explain_and_unknown_calls(self):
+        _, answer = self.call("GET", "/v1/explain", query="path=/maps")
+        self.assertEqual(answer, {"lines": ["GET/maps"]})
+        self.assertEqual(self.call("GET", "/v1/explain")[0], 400)
+        self.assertEqual(self.call("DELETE", "/v1/status")[0], 404)
+
+
+class WithdrawalsTest(test_platform_client.PlatformCase):
+    """Withdrawals made in an outage reach the platform."""
+
+    def test_the_holder_writes_what_waits_when_the_platform_is_back(self):
+        facts = fact_sets.Facts()
+        facts.merge({FACT: 1, "withdrawn/unknown": 1, "dead/c1": 1})
+        keys = {DIGEST: versions.KeyEntry("valle", False)}
+        tables = types.SimpleNamespace(keys=keys)
+        self.put("keys.valle", {"digests": {DIGEST: "issued", "x": "issued"}})
+        self.control(outage="refuse")
+
+        def write(holder):
+            membership = types.SimpleNamespace(
+                host="c1", holder=lambda resource: holder
+            )
+            withdrawals.write_pending(
+                self.api, facts, tables, membership, self.clock.interface()
+            )
+            if self.control()["switches"]["outage"]:
+                return None
+            stored = self.api.get(platform.STEERING_OBJECTS, "keys.valle")
+            return stored.version, stored.spec["digests"]
+
+        self.assertIsNone(write("c1"))
+        self.control(outage="")
+        self.assertEqual(write("c2")[0], 1)
+        wanted = 2, {DIGEST: "withdrawn", "x": "issued"}
+        self.assertEqual(write("c1"), wanted)
+        self.assertEqual(write("c1"), wanted)
+
+
+class RelayTest(unittest.TestCase):
+    """Three hosts of a region watch; others step in while they lack proof."""
+
+    def test_who_watches(self):
+        hosts = {f"c{number}": entry(f"c{number}") for number in range(12)}
+        tables = types.SimpleNamespace(hosts=hosts)
+        clock = clocks.ManualClock()
+        state = freshness.Freshness(True, "relayed", 1.0)
+        membership = types.SimpleNamespace(
+            facts=fact_sets.Facts(), freshness=lambda: state
+        )
+        duties = [
+            relay.relay_duty(
+                name, "centro", tables, membership, clock.interface()
+            )
+            for name in hosts
+        ]
+
+        def count():
+            return sum(duty() for duty in duties)
+
+        self.assertEqual(count(), 3)
+        state = freshness.Freshness(True, "relayed", 2.5)
+        self.assertEqual(count(), 12)
+        state = freshness.Freshness(True, "relayed", 1.0)
+        self.assertEqual(count(), 12)
+        clock.advance(relay.RELAY_HOLD_SECONDS)
+        self.assertEqual(count(), 3)
+        state = freshness.Freshness(True, "outage", 2.5)
+        self.assertEqual(count(), 3)
+        state = freshness.Freshness(False, "none", 9.0)
+        self.assertEqual(count(), 12)
--- /dev/null
+++ b/test/test_operators.py
@@ -0,0 +1,111 @@
+"""Operators' commands as real processes against three real hosts."""
+
+import json
+import subprocess
+import sys
+import unittest
+
+import yaml
+
+from test import _common
+from test import test_commands
+
+REGIONS = {"centro": ("a", "b"), "norte": ("a", "b"), "golfo": ("a", "b")}
+KEYS = "/apis/gooseberryweir.example/v1/steeringobjects/keys.valle"
+START_SECONDS = 30.0
+
+
+class OperatorsTest(unittest.TestCase):
+    """Apply, issue and withdraw while traffic could flow."""
+
+    def setUp(self):
+        self.document = json.loads(json.dumps(test_commands.DOCUMENT))
+        self.document["regions"] = {
+            name: {"zones": list(zones)} for name, zones in REGIONS.items()
+        }
+        self.deployment = _common.Deployment(
+            REGIONS,
+            self.document,
+            _common.spread(REGIONS, "maps", 3),
+            hosts=3,
+            accounts=("valle",),
+        )
+        self.deployment.__enter__()
+        self.addCleanup(self.deployment.__exit__)
+        _common.wait_until(
+            lambda: self.run_command("status").count("fresh=True") == 3,
+            START_SECONDS,
+        )
+
+    def start(self, *arguments):
+        deployment = self.deployment
+        options = [
+            *("--platform", deployment.platform_url),
+            *("--token", deployment.operator_token),
+            *("--operator", deployment.addresses["operator:norte-1"]),
+        ]
+        return subprocess.Popen(
+            [sys.executable, "-m", "gooseberryweir", *arguments, *options],
+            cwd=_common.ROOT,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+
+    def run_command(self, *arguments, exit_code=0):
+        process = self.start(*arguments)
+        output, errors = process.communicate(timeout=60)
+        self.assertEqual(process.returncode, exit_code, errors)
+        return output
+
+    def test_of_two_operators_one_wins_and_all_hosts_follow(self):
+        files = []
+        for rate in (20, 30):
+            self.document["accounts"]["valle"]["rate"] = rate
+            file = self.deployment.directory / f"rate-{rate}.yaml"
+            file.write_text(yaml.safe_dump(self.document))
+            files.append(str(file))
+        version = self.deployment.control()["version"]
+        self.run_command(
+            "apply", files[0], "--expect-version", "999", exit_code=3
+        )
+        racing = [
+            self.start("apply", file, "--expect-version", "1") for file in files
+        ]
+        results = [process.communicate(timeout=60) for process in racing]
+        ends = [process.returncode for process in racing]
+        self.assertEqual(sorted(ends), [0, 3], results)
+        self.assertEqual(self.deployment.control()["version"], version + 1)
+        self.assertIn("on 3 hosts", results[ends.index(0)][0])
+        self.assertIn(f"version {version + 1}", results[ends.index(3)][1])
+
+    def test_a_key_is_withdrawn_in_an_outage_and_stays_so(self):
+        deployment = self.deployment
+        key = self.run_command("key", "issue", "valle").split()[1]
+
+        def statuses():
+            return [
+                _common.request(
+                    "GET",
+                    f"http://{deployment.addresses[f'caller:{name}']}/maps",
+                    key=key,
+                ).status
+                for name in deployment.hosts
+            ]
+
+        self.assertEqual(statuses(), [200] * 3)
+        deployment.control(outage="refuse")
+        output = self.run_command("key", "withdraw", key)
+        self.assertEqual(output.count("confirmed, the key is refused"), 3)
+        self.assertIn("platform: not written", output)
+        self.assertEqual(statuses(), [401] * 3)
+        deployment.control(outage="")
+
+        def kept():
+            answer = _common.fetch_json(deployment.platform.url(KEYS))
+            return "withdrawn" in answer["spec"]["digests"].values()
+
+        _common.wait_until(kept)
+        self.assertEqual(statuses(), [401] * 3)
+        logs = "".join(host.text() for host in deployment.hosts.values())
+        self.assertNotIn(key, logs)
