--- a/test/_common.py
+++ b/test/_common.py
@@ -14,17 +14,18 @@
 import tempfile
 import time
 from typing import Any
-from typing import NamedTuple
 
 import urllib3
 import yaml
 
+from test import _fleet
+
 ROOT = pathlib.Path(__file__).parent.parent
 START_SECONDS = 30.0
 WAIT_SECONDS = 30.0
 POLL_SECONDS = 0.02
 LOG_TAIL_CHARACTERS = 4000
-SOURCES_SEED = 7
+KEYS_SEED = 7
 POOLS = urllib3.PoolManager(num_pools=200, maxsize=50, retries=False)
 
 
@@ -174,58 +175,6 @@
         self.process.wait()
 
 
-class UpstreamSpec(NamedTuple):
-    """An upstream to start; `arguments` go to the stand-in."""
-
-    name: str
-    service: str
-    region: str
-    zone: str
-    slots: int = 9
-    connections: int = 330
-    arguments: tuple[Any, ...] = ()
-
-
-class HostSpec(NamedTuple):
-    """A host to start."""
-
-    name: str
-    region: str
-    zone: str
-
-
-Regions = dict[str, tuple[str, ...]]
-
-
-def place(regions: Regions, count: int) -> list[HostSpec]:
-    """Spreads names over regions, then over their zones, in turn."""
-    places = []
-    names = list(regions)
-    for number in range(count):
-        region = names[number % len(names)]
-        turn = number // len(names)
-        zone = regions[region][turn % len(regions[region])]
-        places.append(HostSpec(f"{region}-{turn + 1}", region, zone))
-    return places
-
-
-def spread(
-    regions: Regions, service: str, count: int, slots: int = 9, *arguments: Any
-) -> list[UpstreamSpec]:
-    """Returns upstreams of a service spread over regions and zones."""
-    return [
-        UpstreamSpec(
-            f"{spot.name}-{service}",
-            service,
-            spot.region,
-            spot.zone,
-            slots,
-            arguments=arguments,
-        )
-        for spot in place(regions, count)
-    ]
-
-
 class Deployment:
     """Platform, upstreams and hosts, as real processes on loopback.
 
@@ -244,26 +193,28 @@
 
     def __init__(
         self,
-        regions: Regions,
+        regions: _fleet.Regions,
         declarations: dict[str, Any],
-        upstreams: list[UpstreamSpec],
+        upstreams: list[_fleet.UpstreamSpec],
         *,
         hosts: int = 3,
-        accounts: tuple[str, ...] = (),
         proxied: bool = False,
-        seed: int = SOURCES_SEED,
+        seed: int = KEYS_SEED,
         settings: dict[str, Any] | None = None,
     ) -> None:
         self.declarations = declarations
         self.proxied = proxied
         self.settings = settings or {}
         self.regions = regions
-        self.host_specs = {spec.name: spec for spec in place(regions, hosts)}
+        self.host_specs = {
+            spec.name: spec for spec in _fleet.place(regions, hosts)
+        }
         self.upstream_specs = {spec.name: spec for spec in upstreams}
         source = random.Random(seed)
         self.operator_token = f"{source.getrandbits(256):064x}"
         self.keys = {
-            account: f"{source.getrandbits(256):064x}" for account in accounts
+            account: f"{source.getrandbits(256):064x}"
+            for account in declarations["accounts"]
         }
         self.hosts: dict[str, Process] = {}
         self.upstreams: dict[str, Process] = {}
--- a/test/standins/serving.py
+++ b/test/standins/serving.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import contextlib
+import hashlib
 import json
 import socket
 import sys
@@ -95,9 +96,11 @@
 
 def caller_left(environ: Environ, seconds: float) -> bool:
     """Waits some seconds; returns True at once if the caller disconnects."""
+    if seconds <= 0:
+        return False
     sock = connection(environ)
     earlier = sock.gettimeout()
-    sock.settimeout(max(seconds, 0.0001))
+    sock.settimeout(seconds)
     try:
         if sock.recv(1, socket.MSG_PEEK) == b"":
             return True
@@ -111,6 +114,12 @@
         sock.settimeout(earlier)
 
 
+def payload(seed: str, size: int) -> bytes:
+    """Returns bytes that differ between seeds, so that mix-ups show."""
+    block = hashlib.sha256(seed.encode()).digest()
+    return (block * (size // len(block) + 1))[:size]
+
+
 def complain(text: str) -> None:
     """Prints one line to standard error."""
     print(text, file=sys.stderr, flush=True)
--- a/test/standins/upstream.py
+++ b/test/standins/upstream.py
@@ -198,7 +198,9 @@
         if echo["method"] == "HEAD":
             return []
         sent = size // 2 if short or dying else size
-        content = payload(environ.get("HTTP_IDEMPOTENCY_KEY", ""), size)[:sent]
+        content = serving.payload(
+            environ.get("HTTP_IDEMPOTENCY_KEY", ""), size
+        )[:sent]
         return stream(environ, content, short, dying)
 
     def report(self) -> dict[str, Any]:
@@ -232,12 +234,6 @@
         return serving.json_answer(start_response, "200 OK", document)
 
 
-def payload(seed: str, size: int) -> bytes:
-    """Returns bytes that differ between seeds, so that mix-ups show."""
-    block = hashlib.sha256(seed.encode()).digest()
-    return (block * (size // len(block) + 1))[:size]
-
-
 def stream(
     environ: serving.Environ, content: bytes, short: bool, dying: bool
 ) -> Any:
--- a/test/test_standins.py
+++ b/test/test_standins.py
@@ -3,13 +3,17 @@
 import contextlib
 import hashlib
 import json
+import os
 import pathlib
 import tempfile
 import unittest
 
+from returns import pipeline
 import urllib3
 
+from gooseberryweir.version import declarations
 from test import _common
+from test import _fleet
 
 API = "/apis/gooseberryweir.example/v1/"
 ANY_FAILURE = urllib3.exceptions.HTTPError
@@ -104,6 +108,13 @@
         self.control(outage="")
         self.assertEqual(self.call("GET", "steeringobjects").status, 200)
 
+    def test_hanging_outage(self):
+        self.control(outage="hang")
+        url = self.platform.url(f"{API}steeringobjects")
+        with self.assertRaises(urllib3.exceptions.ReadTimeoutError):
+            _common.request("GET", url, timeout=0.2)
+        self.assertEqual(self.control(outage="")["unanswered"], 1)
+
     def test_old_watch_is_gone(self):
         self.put("one", {})
         self.control(compact=True)
@@ -164,15 +175,26 @@
         with self.assertRaises(ANY_FAILURE):
             self.get("/x?bytes=200000&short=1")
 
-    def test_crash(self):
-        with self.assertRaises(ANY_FAILURE):
-            self.get("/x?crash=1")
-        self.assertEqual(self.upstream.wait(), 1)
-
-    def test_leaving(self):
-        _common.fetch_json(self.upstream.url("/_control"), {"leaving": True})
+    def test_ends_when_told(self):
+        for switch in ("crash_paths", "die_after_receive", "die_mid_answer"):
+            with self.subTest(switch):
+                upstream = self.start("upstream")
+                switches = {switch: ["/x"]}
+                _common.fetch_json(upstream.url("/_control"), switches)
+                with self.assertRaises(ANY_FAILURE):
+                    _common.request("GET", upstream.url("/x"))
+                self.assertEqual(upstream.wait(), 1)
+
+    def test_leaving_lying_and_hanging(self):
+        control = self.upstream.url("/_control")
+        _common.fetch_json(control, {"leaving": True, "lying": 7})
         self.assertEqual(self.get("/healthz").status, 503)
-        self.assertTrue(self.get("/load").json()["leaving"])
+        load = self.get("/load").json()
+        wanted = {"slots": 1, "busy": 7, "leaving": True, "cold": False}
+        self.assertEqual(load, wanted)
+        _common.fetch_json(control, {"hang": True})
+        with self.assertRaises(ANY_FAILURE):
+            self.get("/x", timeout=0.2)
 
 
 class FaultProxyTest(StandinCase):
@@ -197,9 +219,7 @@
         self.assertEqual(len(self.get("/x?bytes=3000000").data), 3_000_000)
 
     def test_cut_names_the_source_and_heals(self):
-        self.post(
-            "/_sources", {str(pathlib.Path("/proc/self").resolve().name): "b-1"}
-        )
+        self.post("/_sources", {str(os.getpid()): "b-1"})
         self.assertEqual(self.get().status, 200)
         open_names = _common.fetch_json(self.proxy.url("/_connections"))
         self.assertEqual(open_names, ["b-1>upstream:a-1"])
@@ -209,6 +229,14 @@
         self.post("/_rules", [{"match": "b-*>*:a-*"}])
         self.assertEqual(self.get().status, 200)
 
+    def test_reset_ends_open_connections_once(self):
+        names = self.proxy.url("/_connections")
+        self.assertEqual(self.get().status, 200)
+        self.assertEqual(_common.fetch_json(names), [">upstream:a-1"])
+        self.post("/_rules", [{"match": "*", "reset": True}])
+        _common.wait_until(lambda: not _common.fetch_json(names))
+        self.assertEqual(self.get().status, 200)
+
     def test_blackhole_holds_bytes_and_the_upstream_never_sees_them(self):
         self.post("/_rules", [{"match": "*", "blackhole": "out"}])
         with self.assertRaises(ANY_FAILURE):
@@ -228,9 +256,11 @@
 
     def test_lists_name_the_links_of_the_proxy(self):
         regions = {"centro": ("a", "b"), "norte": ("a",)}
-        upstreams = _common.spread(regions, "maps", 2, 8, "--service-ms", 0)
+        upstreams = _fleet.spread(regions, "maps", 2, 8, "--service-ms", 0)
+        document = _fleet.declare(regions, ("maps",), {"valle": (9.0, 9)})
+        self.assertTrue(pipeline.is_successful(declarations.parse(document)))
         with _common.Deployment(
-            regions, {}, upstreams, hosts=0, accounts=("valle",), proxied=True
+            regions, document, upstreams, hosts=0, proxied=True
         ) as deployment:
             deployment.delay(1, 2, 3)
             path = f"{API}endpointslices/service.maps"
