--- a/test/_declared.py
+++ b/test/_declared.py
@@ -3,97 +3,35 @@
 from typing import Any
 
 from test import _common
+from test import _fleet
 
-REGIONS: _common.Regions = {
+REGIONS: _fleet.Regions = {
     "north": ("north-a", "north-b"),
     "mid": ("mid-a", "mid-b"),
     "south": ("south-a", "south-b"),
 }
 ACCOUNTS = ("ada", "ben")
+SERVICE = "contracts"
 
 
-def declarations(**changes: Any) -> dict[str, Any]:
-    """Returns the declaration, with top-level sections replaced."""
-    names = list(REGIONS)
-    pairs = [(one, other) for one in names for other in names if one != other]
-    document: dict[str, Any] = {
-        "regions": {name: {"zones": list(REGIONS[name])} for name in names},
-        "links": [
-            {"between": [one, other], "latency_ms": 35, "gbit_per_second": 4}
-            for one, other in pairs
-            if one < other
-        ],
-        "shift_caps": [
-            {
-                "from": one,
-                "to": other,
-                "requests_per_second": 200,
-                "burst": 200,
-            }
-            for one, other in pairs
-        ],
-        "classes": {
-            "live": {
-                "importance": 1,
-                "latency_ms": 500,
-                "headroom": 0.1,
-                "crash_limit": 2,
-            },
-            "signing": {
-                "importance": 1,
-                "latency_ms": 2000,
-                "headroom": 0.1,
-                "crash_limit": 2,
-            },
-            "archive": {
-                "importance": 3,
-                "latency_ms": 5000,
-                "headroom": 0.3,
-                "crash_limit": 2,
-            },
-        },
-        "services": {"contracts": {"work_ms": 10}},
-        "routes": [
-            {
-                "path": "/status",
-                "methods": ["GET", "HEAD", "PUT"],
-                "service": "contracts",
-                "class": "live",
-                "idempotent": True,
-            },
-            {
-                "path": "/signings",
-                "methods": ["POST"],
-                "service": "contracts",
-                "class": "signing",
-                "idempotent": False,
-            },
-            {
-                "path": "/archive",
-                "methods": ["GET"],
-                "service": "contracts",
-                "class": "archive",
-                "idempotent": True,
-            },
-            {
-                "path": "/private",
-                "methods": ["GET"],
-                "service": "contracts",
-                "class": "live",
-                "idempotent": True,
-                "accounts": ["ada"],
-            },
-            {
-                "path": "/public",
-                "methods": ["GET"],
-                "service": "contracts",
-                "class": "live",
-                "idempotent": True,
-                "open": True,
-            },
-        ],
-        "accounts": {name: {"rate": 1000, "burst": 1000} for name in ACCOUNTS},
-    }
+def declarations(
+    accounts: dict[str, tuple[float, int]] | None = None,
+    cap: tuple[float, int] = (200.0, 200),
+    **changes: Any,
+) -> dict[str, Any]:
+    """Returns the declaration, with top-level sections replaced.
+
+    Args:
+        accounts: Rate and burst of each client account; two wide ones if
+            left out.
+        cap: Rate and burst of the cap on each shift.
+        changes: Sections that replace those of the declaration.
+    """
+    wide = dict.fromkeys(ACCOUNTS, (1000.0, 1000))
+    document = _fleet.declare(REGIONS, (SERVICE,), accounts or wide, 35.0, cap)
+    document["routes"][0]["methods"] = ["GET", "HEAD", "PUT"]
+    private = {**document["routes"][0], "path": "/private"}
+    document["routes"].append({**private, "accounts": [ACCOUNTS[0]]})
     return {**document, **changes}
 
 
@@ -109,9 +47,8 @@
     return _common.Deployment(
         REGIONS,
         document or declarations(),
-        _common.spread(REGIONS, "contracts", upstreams, slots, *arguments),
+        _fleet.spread(REGIONS, SERVICE, upstreams, slots, *arguments),
         hosts=hosts,
-        accounts=tuple((document or declarations())["accounts"]),
         **options,
     )
 
@@ -147,7 +84,7 @@
         )
 
 
-def wait_serving(running: _common.Deployment, path: str = "/status") -> None:
+def wait_serving(running: _common.Deployment, path: str = "/contracts") -> None:
     """Waits until every host serves a request."""
 
     def served(host: str) -> bool:
--- a/test/test_at_most_once.py
+++ b/test/test_at_most_once.py
@@ -11,7 +11,7 @@
 from test import _common
 from test import _declared
 
-PATH = "/signings"
+PATH = "/contracts/orders"
 # Seconds by which a frozen host has lost its freshness and its standing.
 FROZEN_SECONDS = 5.0
 
--- a/test/test_operators.py
+++ b/test/test_operators.py
@@ -8,6 +8,7 @@
 import yaml
 
 from test import _common
+from test import _fleet
 from test import test_commands
 
 REGIONS = {"centro": ("a", "b"), "norte": ("a", "b"), "golfo": ("a", "b")}
@@ -26,9 +27,8 @@
         self.deployment = _common.Deployment(
             REGIONS,
             self.document,
-            _common.spread(REGIONS, "maps", 3),
+            _fleet.spread(REGIONS, "maps", 3),
             hosts=3,
-            accounts=("valle",),
         )
         self.deployment.__enter__()
         self.addCleanup(self.deployment.__exit__)
