Tests of rates across hosts, failing with rates local to each host

Seen with nine hosts, rate 20/s and burst 10 (in starts beyond burst + rate x window): 454 over three floods, 757 through freezes and a cut region, 713 with the platform down, 73 with rate 5 and burst 1. Cause: each host admits the whole rate.

--- /dev/null
+++ b/test/test_rates.py
@@ -0,0 +1,131 @@
+"""No client account gets more than its rate and burst across all hosts."""
+
+import time
+import unittest
+
+from test import _declared
+from test import _load
+
+RATE = 20.0
+BURST = 10
+# A start at an upstream is seen later than its admission by the transit.
+TRANSIT_SECONDS = 0.2
+LOAD_SECONDS = 5.0
+
+
+class RateTest(unittest.TestCase):
+    """Nine real hosts; starts are counted at the upstreams."""
+
+    def start(self, accounts, hosts=9):
+        document = _declared.declarations(accounts)
+        self.running = self.enterContext(
+            _declared.deployment(
+                hosts,
+                3,
+                60,
+                "--service-ms",
+                "2",
+                document=document,
+                proxied=True,
+            )
+        )
+        _declared.wait_acquainted(self.running)
+        self.names = list(self.running.host_specs)
+
+    def check(self, account, rate, burst):
+        """Checks every window at the upstreams and returns the count."""
+        times = [
+            at
+            for report in self.running.reports().values()
+            for at, name, *_ in report["starts"]
+            if name == account
+        ]
+        excess = _load.worst_excess(times, rate, burst)
+        self.assertLessEqual(excess, rate * TRANSIT_SECONDS)
+        return len(times)
+
+    def flood(self, host, faults=None, seconds=LOAD_SECONDS):
+        """Sends five times the rate and returns what callers saw."""
+        stream = _load.Stream("ada", 5 * RATE, host)
+        return _load.run(self.running, [stream], seconds, faults=faults)
+
+    def to_all(self, number):
+        return self.names[number % len(self.names)]
+
+    def test_five_times_the_rate_to_one_to_all_and_moving(self):
+        self.start({"ada": (RATE, BURST), "ben": (RATE, BURST)})
+        self.flood(lambda number: self.names[0])
+        self.flood(self.to_all)
+        moving = 5 * RATE / 2
+        self.flood(lambda number: self.to_all(int(number / moving)))
+        count = self.check("ada", RATE, BURST)
+        # Most of the rate is to be had, however the load is spread.
+        self.assertGreater(count, 3 * LOAD_SECONDS * RATE * 0.5)
+
+    def test_through_kills_and_restarts(self):
+        self.start({"ada": (RATE, BURST), "ben": (RATE, BURST)})
+
+        def restart():
+            for name in self.names[:3]:
+                time.sleep(LOAD_SECONDS / 5)
+                self.running.hosts[name].kill()
+                self.running.start_host(name)
+                self.running.host_ready(name)
+                self.running.write_lists()
+
+        self.flood(self.to_all, restart)
+        self.flood(self.to_all)
+        self.check("ada", RATE, BURST)
+
+    def test_through_freezes_and_a_cut_region(self):
+        self.start({"ada": (RATE, BURST), "ben": (RATE, BURST)})
+
+        def faults():
+            frozen = [self.running.hosts[name] for name in self.names[:2]]
+            for host in frozen:
+                host.freeze()
+            time.sleep(LOAD_SECONDS / 2)
+            for host in frozen:
+                host.wake()
+            for other in ("mid", "south"):
+                self.running.between("north-*", f"{other}-*", blackhole="both")
+            time.sleep(LOAD_SECONDS / 2)
+            for other in ("mid", "south"):
+                self.running.between("north-*", f"{other}-*")
+
+        self.flood(self.to_all, faults)
+        self.flood(self.to_all)
+        self.check("ada", RATE, BURST)
+
+    def test_platform_down_and_a_host_killed(self):
+        self.start({"ada": (RATE, BURST), "ben": (RATE, BURST)})
+
+        def faults():
+            self.running.control(outage=True)
+            time.sleep(LOAD_SECONDS / 2)
+            self.running.hosts[self.names[4]].kill()
+
+        self.flood(self.to_all, faults)
+        seen = self.flood(self.to_all)
+        self.check("ada", RATE, BURST)
+        self.assertGreater(sum(each.status == 200 for each in seen), 0)
+
+    def test_small_bursts_with_nine_hosts(self):
+        accounts = {"ada": (5.0, 1), "ben": (5.0, 2), "cid": (5.0, 5)}
+        self.start(accounts)
+        streams = [
+            _load.Stream(name, 5 * rate, self.to_all)
+            for name, (rate, _) in accounts.items()
+        ]
+        _load.run(self.running, streams, LOAD_SECONDS)
+        for name, (rate, burst) in accounts.items():
+            count = self.check(name, rate, burst)
+            self.assertGreater(count, LOAD_SECONDS * rate * 0.5)
+
+
+class WorstExcessTest(unittest.TestCase):
+    """The check itself."""
+
+    def test_finds_the_worst_window(self):
+        self.assertLessEqual(_load.worst_excess([0, 1, 2], 1.0, 1), 0)
+        self.assertEqual(_load.worst_excess([0, 5, 5, 5], 1.0, 1), 2)
