--- a/gooseberryweir/process/freshness.py
+++ b/gooseberryweir/process/freshness.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from gooseberryweir import clock as clocks
+from gooseberryweir.connection import messages
 from gooseberryweir.process import timing
 
 NEVER = float("-inf")
@@ -88,6 +89,45 @@
         """Returns the record of a peer, made if needed."""
         return self.peers.setdefault(name, PeerEvidence())
 
+    def take(self, sent_at: float, pong: messages.Pong) -> None:
+        """Takes the ages that an answer to a ping gives.
+
+        Args:
+            sent_at: Monotonic instant before the ping was sent.
+            pong: The newest answer of its host.
+        """
+        peer = self.peer(pong.host)
+        peer.answered_at = sent_at
+        peer.platform_at = sent_at - pong.platform_age
+        peer.quorum_at = sent_at - pong.quorum_age
+        self.forget_proof()
+
+    def agree(
+        self,
+        host: str,
+        asked_at: float,
+        *,
+        state: bool = False,
+        facts: bool = False,
+    ) -> None:
+        """Notes that a peer held nothing that is not held here too.
+
+        With its state, its newest platform evidence counts here too.
+
+        Args:
+            host: Name of the peer.
+            asked_at: Monotonic instant before the peer was asked.
+            state: Whether its state is held here.
+            facts: Whether its facts are held here.
+        """
+        peer = self.peer(host)
+        if state:
+            peer.state_at = max(peer.state_at, asked_at)
+            self.relayed_at = max(self.relayed_at, peer.platform_at)
+        if facts:
+            peer.facts_at = max(peer.facts_at, asked_at)
+        self.forget_proof()
+
     def replace_voters(self, voters: frozenset[str]) -> None:
         """Takes the voters of a new list."""
         self.voters = voters
--- a/gooseberryweir/process/membership.py
+++ b/gooseberryweir/process/membership.py
@@ -23,7 +23,7 @@
 from gooseberryweir.version import objects
 from gooseberryweir.version import tables as tables_module
 
-_HOST_FACTS = ("incarnation", "leaving", "dead")
+_HOST_FACTS = ("incarnation/", "leaving/", "dead/")
 
 _log = logging.getLogger(__name__)
 
@@ -174,10 +174,9 @@
             pong: The answer; ignored if it is older than one taken in.
         """
         known = self.facts.get(facts_module.incarnation_key(pong.host))
-        peer = self.evidence.peer(pong.host)
         if pong.host == self.host or pong.incarnation < known:
             return
-        if sent_at < peer.answered_at:
+        if sent_at < self.evidence.peer(pong.host).answered_at:
             return
         if pong.incarnation > known:
             self.facts.add(
@@ -185,7 +184,13 @@
             )
         self.hearing.note(pong.host, sent_at)
         self.loads[pong.host] = pong.load
-        self._take_evidence(peer, sent_at, pong)
+        self.evidence.take(sent_at, pong)
+        self.evidence.agree(
+            pong.host,
+            sent_at,
+            state=pong.state_digest == self.store.digest,
+            facts=pong.facts_digest == self.facts.digest,
+        )
         self.standing.votes[pong.host] = standing_module.Vote(
             pong.view,
             sent_at,
@@ -193,36 +198,13 @@
             frozenset(pong.suspects),
         )
 
-    def _take_evidence(
-        self,
-        peer: freshness_module.PeerEvidence,
-        sent_at: float,
-        pong: messages.Pong,
-    ) -> None:
-        """Takes what an answer proves of the state and the facts."""
-        peer.answered_at = sent_at
-        peer.platform_at = sent_at - pong.platform_age
-        peer.quorum_at = sent_at - pong.quorum_age
-        if pong.state_digest == self.store.digest:
-            peer.state_at = sent_at
-            self.evidence.relayed_at = max(
-                self.evidence.relayed_at, peer.platform_at
-            )
-        if pong.facts_digest == self.facts.digest:
-            peer.facts_at = sent_at
-        self.evidence.forget_proof()
-
     def on_state_fetched(self, host: str, asked_at: float) -> None:
         """Notes that all state a peer held, when asked, is held here too."""
-        peer = self.evidence.peer(host)
-        peer.state_at = max(peer.state_at, asked_at)
-        self.evidence.forget_proof()
+        self.evidence.agree(host, asked_at, state=True)
 
     def on_facts_fetched(self, host: str, asked_at: float) -> None:
         """Notes that all facts a peer held, when asked, are held here too."""
-        peer = self.evidence.peer(host)
-        peer.facts_at = max(peer.facts_at, asked_at)
-        self.evidence.forget_proof()
+        self.evidence.agree(host, asked_at, facts=True)
         self.own.confirmed = True
 
     # What this host tells.
@@ -272,18 +254,16 @@
 
     def _on_facts(self, new: dict[str, int]) -> None:
         """Takes in new facts about hosts."""
-        changed = False
-        for key, value in new.items():
-            kind, _, host = key.partition("/")
-            if kind in _HOST_FACTS:
-                changed = True
-                self._on_host_fact(kind, host, value)
-        if changed:
+        keys = [key for key in new if key.startswith(_HOST_FACTS)]
+        for key in keys:
+            self._on_host_fact(key, new[key])
+        if keys:
             self.own.settle()
             self._adopt_view()
 
-    def _on_host_fact(self, kind: str, host: str, incarnation: int) -> None:
+    def _on_host_fact(self, key: str, incarnation: int) -> None:
         """Notes and logs one new fact about a host."""
+        kind, _, host = key.partition("/")
         if kind == "incarnation":
             self.hearing.note(host, self.clock.monotonic())
             name = "host-joined"
