--- a/gooseberryweir/process/membership.py
+++ b/gooseberryweir/process/membership.py
@@ -129,6 +129,17 @@
         suspects = self.suspects()
         return self.live().difference(suspects) if suspects else self.live()
 
+    def in_service(self) -> frozenset[str]:
+        """Returns the hosts that a look-up may name.
+
+        A listed host that no host has heard since it was listed is left out.
+        """
+        return frozenset(
+            name
+            for name in self.reachable()
+            if self.facts.get(facts_module.incarnation_key(name))
+        )
+
     def suspects(self) -> tuple[str, ...]:
         """Returns the watched hosts not heard for `SILENCE_SECONDS`."""
         watched = self._voters.union(self.neighbours().everyone())
