Token buckets: home, holder and tenure of a home

Cause: rates, bursts and shift caps are totals for all hosts. Draw.spent becomes totals by grant (a map): a late count of tokens whose grant had run out would otherwise be taken off a newer grant and let the level exceed the burst. Ruled out: first-in first-out accounting with the tokens run out paid first, which blocks capacity that nobody holds. A new home waits until grants of an earlier home have run out also when all hosts agree on the view at once, so that a fast change of the view cannot join two bursts.

--- a/gooseberryweir/connection/messages.py
+++ b/gooseberryweir/connection/messages.py
@@ -107,8 +107,8 @@
         incarnation: Its incarnation.
         view: View under which it takes the receiver for the home.
         want: Tokens wanted.
-        spent: Tokens of earlier grants of this home spent since the last
-            draw whose reply arrived.
+        spent: Tokens spent so far of each earlier grant, by the sequence of
+            its draw; totals, so that a repeated report does no harm.
         sequence: Number of this draw; grows by one for each new draw.
     """
 
@@ -117,7 +117,7 @@
     incarnation: int
     view: int
     want: int
-    spent: int
+    spent: dict[int, int]
     sequence: int
 
 
--- /dev/null
+++ b/gooseberryweir/process/bucket_holder.py
@@ -0,0 +1,394 @@
+"""The holder of tokens drawn from the home of a bucket.
+
+Takers spend tokens on hand; those who find none wait for the one draw in
+flight, in the order of their arrival and for a short time.
+"""
+
+import collections
+from collections.abc import Callable
+import math
+from typing import NamedTuple
+
+import eventlet
+from eventlet import event as events
+
+from gooseberryweir import clock as clocks
+from gooseberryweir.connection import messages
+from gooseberryweir.process import bucket_home
+from gooseberryweir.process import timing
+
+WAIT_SECONDS = 0.3
+CALL_SECONDS = 0.25
+UNREACHABLE_RETRY_SECONDS = 0.5
+SHORTEST_SLEEP_SECONDS = 0.001
+FAILURE_SLEEP_SECONDS = 0.02
+MAX_WAITERS = 64
+RESERVE_SHARE = 1 / 16
+LEAD_SECONDS = 0.1
+DEMAND_SECONDS = 0.5
+
+
+class Taken(NamedTuple):
+    """Tokens were spent."""
+
+
+class Refused(NamedTuple):
+    """No token can be had within the wait.
+
+    Attributes:
+        retry_after: Seconds after which to come back.
+    """
+
+    retry_after: float
+
+
+class Home(NamedTuple):
+    """How a holder reaches the home of its bucket.
+
+    Attributes:
+        find: Returns the home's host name, or None if not known.
+        call: Sends a draw to a host, waiting at most some seconds; returns
+            None if the host did not answer.
+        take: Takes tokens at the home in this process: 0 if taken, else
+            seconds until they are expected; None if it is not ready.
+        limits: Returns the limits of the bucket, or None if not declared.
+        view: Returns the digest of the view.
+    """
+
+    find: Callable[[], str | None]
+    call: Callable[[str, messages.Draw, float], messages.Grant | None]
+    take: Callable[[int], float | None]
+    limits: Callable[[], bucket_home.Limits | None]
+    view: Callable[[], int]
+
+
+class Hand:
+    """Tokens of one grant on hand."""
+
+    def __init__(self, granted: int, ends_at: float) -> None:
+        self.granted = granted
+        self.spent = 0
+        self.reported = 0
+        self.ends_at = ends_at
+
+
+class Waiter:
+    """A taker that waits for tokens until an instant."""
+
+    def __init__(self, tokens: int, give_up_at: float) -> None:
+        self.tokens = tokens
+        self.give_up_at = give_up_at
+        self.event = events.Event()
+
+    def settle(self, result: float | Refused) -> None:
+        """Ends the wait with the tokens' end, or a refusal."""
+        if not self.event.ready():
+            self.event.send(result)
+
+
+class Pending(NamedTuple):
+    """A draw without an answer.
+
+    Attributes:
+        home: The host that it is for.
+        sent_at: Instant before it was first sent.
+        draw: The message.
+    """
+
+    home: str
+    sent_at: float
+    draw: messages.Draw
+
+
+class BucketHolder:
+    """Tokens of one bucket on this host."""
+
+    def __init__(
+        self,
+        bucket: str,
+        host: str,
+        incarnation: int,
+        clock: clocks.Clock,
+        home: Home,
+    ) -> None:
+        self.bucket = bucket
+        self.host = host
+        self.incarnation = incarnation
+        self.clock = clock
+        self.home = home
+        self.hands: dict[int, Hand] = {}
+        self.waiters: collections.deque[Waiter] = collections.deque()
+        self.sequence = 0
+        self.pending: Pending | None = None
+        self.running = False
+        self.failures = 0
+        self.wake = events.Event()
+        self.retry_at = -math.inf
+        self.refuse_until = -math.inf
+        self.asked = 0.0
+        self.asked_at = clock.monotonic()
+
+    def take(
+        self, tokens: int = 1, deadline: float = math.inf
+    ) -> Taken | Refused:
+        """Spends tokens, or says when to come back.
+
+        Args:
+            tokens: How many.
+            deadline: Instant on the monotonic clock; the wait is short too.
+        """
+        now = self.clock.monotonic()
+        self.count_demand(tokens, now)
+        if not self.waiters and self.take_now(tokens):
+            return Taken()
+        waiter = Waiter(tokens, min(deadline, now + WAIT_SECONDS))
+        hopeless = min(self.retry_at, self.refuse_until) > waiter.give_up_at
+        if hopeless or len(self.waiters) >= MAX_WAITERS:
+            return Refused(max(self.retry_at - now, SHORTEST_SLEEP_SECONDS))
+        return self.wait(waiter)
+
+    def take_now(self, tokens: int) -> bool:
+        """Spends tokens without a wait, on hand or at the home if here."""
+        if self.spend(tokens) is not None:
+            self.start()
+            return True
+        return self.home.find() == self.host and self.home.take(tokens) == 0
+
+    def wait(self, waiter: Waiter) -> Taken | Refused:
+        """Queues a taker until it is settled or gives up."""
+        self.waiters.append(waiter)
+        self.start()
+        left = waiter.give_up_at - self.clock.monotonic()
+        try:
+            result = waiter.event.wait(timeout=max(left, 0.0))
+        finally:
+            if waiter in self.waiters:
+                self.waiters.remove(waiter)
+        if result is None:
+            return Refused(UNREACHABLE_RETRY_SECONDS)
+        if isinstance(result, Refused):
+            return result
+        if self.clock.monotonic() >= result:
+            return Refused(SHORTEST_SLEEP_SECONDS)
+        return Taken()
+
+    def spend(self, tokens: int) -> float | None:
+        """Spends tokens on hand; returns the instant of their end."""
+        now = self.clock.monotonic()
+        self.discard(now)
+        usable = [
+            hand
+            for hand in self.hands.values()
+            if now < hand.ends_at and hand.spent < hand.granted
+        ]
+        if sum(hand.granted - hand.spent for hand in usable) < tokens:
+            return None
+        ends_at = math.inf
+        for hand in sorted(usable, key=lambda hand: hand.ends_at):
+            part = min(tokens, hand.granted - hand.spent)
+            if part:
+                hand.spent += part
+                tokens -= part
+                ends_at = min(ends_at, hand.ends_at)
+        return ends_at
+
+    def discard(self, now: float) -> None:
+        """Forgets grants that the home has let run out as well."""
+        ended = [
+            sequence
+            for sequence, hand in self.hands.items()
+            if hand.ends_at + timing.GRANT_SECONDS < now
+        ]
+        for sequence in ended:
+            del self.hands[sequence]
+
+    def on_hand(self, now: float) -> int:
+        """Returns the tokens that may be spent now."""
+        return sum(
+            hand.granted - hand.spent
+            for hand in self.hands.values()
+            if now < hand.ends_at
+        )
+
+    def count_demand(self, tokens: int, now: float) -> None:
+        """Adds to the decaying count of tokens asked for."""
+        self.asked *= math.exp((self.asked_at - now) / DEMAND_SECONDS)
+        self.asked += tokens
+        self.asked_at = now
+
+    def reserve(self, now: float) -> int:
+        """Returns the tokens to keep on hand for the demand expected."""
+        limits = self.home.limits()
+        if limits is None:
+            return 0
+        decay = math.exp((self.asked_at - now) / DEMAND_SECONDS)
+        demand = self.asked * decay / DEMAND_SECONDS
+        most = int(limits.burst * RESERVE_SHARE)
+        return min(int(demand * LEAD_SECONDS), most)
+
+    def want(self, now: float) -> int:
+        """Returns the tokens to draw: for the waiters and the reserve."""
+        needed = sum(waiter.tokens for waiter in self.waiters)
+        return max(0, needed + self.reserve(now) - self.on_hand(now))
+
+    def start(self) -> None:
+        """Makes the drawing task run, or run sooner."""
+        if not self.running:
+            if self.waiters or self.has_work():
+                self.running = True
+                eventlet.spawn_n(self.run)
+        elif self.waiters and not self.wake.ready():
+            self.wake.send(True)
+
+    def has_work(self) -> bool:
+        """Whether there is something to report or to draw ahead."""
+        if self.home.find() == self.host:
+            return False
+        return self.unreported() or self.want(self.clock.monotonic()) > 0
+
+    def unreported(self) -> bool:
+        """Whether the home does not know of all tokens spent."""
+        self.discard(self.clock.monotonic())
+        return any(hand.spent > hand.reported for hand in self.hands.values())
+
+    def run(self) -> None:
+        """Draws while somebody waits or there is something to report."""
+        try:
+            while self.waiters or self.has_work():
+                if not self.waiters:
+                    self.pause(self.report_delay())
+                delay = self.draw_once()
+                if delay > 0:
+                    self.clock.sleep(delay)
+        finally:
+            self.running = False
+            self.refuse_all(UNREACHABLE_RETRY_SECONDS)
+
+    def report_delay(self) -> float:
+        """Returns how long to gather reports: not at all for small bursts."""
+        limits = self.home.limits()
+        small = limits is not None and limits.burst * RESERVE_SHARE < 1
+        if small and self.failures == 0:
+            return SHORTEST_SLEEP_SECONDS
+        return bucket_home.REPORT_SECONDS
+
+    def pause(self, seconds: float) -> None:
+        """Sleeps until a taker waits."""
+        self.wake = events.Event()
+        self.wake.wait(timeout=seconds)
+
+    def draw_once(self) -> float:
+        """Makes one draw and settles waiters; returns seconds to pause."""
+        home = self.home.find()
+        if home == self.host:
+            return self.take_here()
+        if home is None:
+            self.refuse_all(UNREACHABLE_RETRY_SECONDS)
+            return bucket_home.REPORT_SECONDS
+        grant = self.draw_from(home)
+        if grant is not None and not grant.home:
+            second = self.home.find()
+            if second is not None and second not in (home, self.host):
+                grant = self.draw_from(second)
+        if grant is None:
+            self.failures += 1
+            return FAILURE_SLEEP_SECONDS
+        if not grant.home:
+            self.failures += 1
+            self.refuse_all(UNREACHABLE_RETRY_SECONDS)
+            return bucket_home.REPORT_SECONDS
+        self.failures = 0
+        return self.settle(grant.retry_after)
+
+    def draw_from(self, home: str) -> messages.Grant | None:
+        """Sends a draw, or repeats the one that was not answered."""
+        now = self.clock.monotonic()
+        pending = self.pending
+        if (
+            pending is None
+            or pending.home != home
+            or now - pending.sent_at > timing.GRANT_SECONDS / 2
+        ):
+            pending = self.pending = Pending(home, now, self.next_draw(now))
+        grant = self.home.call(home, pending.draw, CALL_SECONDS)
+        if grant is None:
+            return None
+        self.pending = None
+        if grant.home:
+            self.acknowledge(pending.draw)
+        if grant.granted > 0:
+            ends_at = pending.sent_at + grant.lifetime
+            self.hands[pending.draw.sequence] = Hand(grant.granted, ends_at)
+        return grant
+
+    def acknowledge(self, draw: messages.Draw) -> None:
+        """Notes what the home has learnt from an answered draw."""
+        for sequence, spent in draw.spent.items():
+            hand = self.hands.get(sequence)
+            if hand is not None:
+                hand.reported = max(hand.reported, spent)
+                if hand.reported >= hand.granted:
+                    del self.hands[sequence]
+
+    def next_draw(self, now: float) -> messages.Draw:
+        """Builds a new draw."""
+        self.sequence += 1
+        self.discard(now)
+        return messages.Draw(
+            self.bucket,
+            self.host,
+            self.incarnation,
+            self.home.view(),
+            self.want(now),
+            {
+                sequence: hand.spent
+                for sequence, hand in self.hands.items()
+                if hand.spent
+            },
+            self.sequence,
+        )
+
+    def settle(self, retry_after: float) -> float:
+        """Gives the tokens on hand to the waiters in their order."""
+        self.note_delay(retry_after)
+        while self.waiters:
+            ends_at = self.spend(self.waiters[0].tokens)
+            if ends_at is None:
+                break
+            self.waiters.popleft().settle(ends_at)
+        self.refuse_late(retry_after)
+        return max(retry_after, SHORTEST_SLEEP_SECONDS) if self.waiters else 0.0
+
+    def take_here(self) -> float:
+        """Gives tokens of the home in this process to the waiters."""
+        while self.waiters:
+            delay = self.home.take(self.waiters[0].tokens)
+            if delay is None:
+                self.refuse_all(UNREACHABLE_RETRY_SECONDS)
+                return 0.0
+            if delay > 0:
+                self.note_delay(delay)
+                self.refuse_late(delay)
+                return max(delay, SHORTEST_SLEEP_SECONDS)
+            ends_at = self.clock.monotonic() + timing.STANDING_SECONDS
+            self.waiters.popleft().settle(ends_at)
+        return 0.0
+
+    def note_delay(self, delay: float) -> None:
+        """Remembers when a token is due, to refuse at once until then."""
+        now = self.clock.monotonic()
+        self.retry_at = now + delay
+        self.refuse_until = now + 2 * WAIT_SECONDS
+
+    def refuse_late(self, delay: float) -> None:
+        """Refuses the waiters that give up before a token is due."""
+        due_at = self.clock.monotonic() + delay
+        for waiter in list(self.waiters):
+            if waiter.give_up_at < due_at:
+                self.waiters.remove(waiter)
+                waiter.settle(Refused(delay))
+
+    def refuse_all(self, delay: float) -> None:
+        """Refuses every waiter."""
+        while self.waiters:
+            self.waiters.popleft().settle(Refused(delay))
--- /dev/null
+++ b/gooseberryweir/process/buckets.py
@@ -0,0 +1,121 @@
+"""Token buckets across hosts, tied to membership and the peers."""
+
+from collections.abc import Callable
+import math
+from typing import Any
+from typing import Protocol
+
+from gooseberryweir import clock as clocks
+from gooseberryweir.connection import messages
+from gooseberryweir.process import bucket_holder
+from gooseberryweir.process import bucket_home
+from gooseberryweir.process import tenure as tenures
+
+
+class Peering(Protocol):
+    """What is used of `peering.Peering`."""
+
+    handlers: dict[type, Callable[[Any], Any]]
+
+    def call(self, host: str, message: Any, timeout: float) -> Any:
+        """Sends a message and returns the reply."""
+
+
+class Buckets:
+    """The token buckets as seen from this host: homes and holders.
+
+    Args:
+        host: Name of this host.
+        incarnation: Its incarnation.
+        clock: The clock.
+        tenure: When this host is a home.
+        peering: The links to the peers.
+        errors: What `peering.call` raises when a host did not answer.
+        limits: Returns the limits of a bucket, None if not declared.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        incarnation: int,
+        clock: clocks.Clock,
+        tenure: tenures.Tenure,
+        peering: Peering,
+        errors: tuple[type[Exception], ...],
+        limits: Callable[[str], bucket_home.Limits | None],
+    ) -> None:
+        self.host = host
+        self.incarnation = incarnation
+        self.clock = clock
+        self.tenure = tenure
+        self.peering = peering
+        self.errors = errors
+        self.limits = limits
+        self.homes = tenures.Homes[bucket_home.BucketHome](tenure)
+        self.holders: dict[str, bucket_holder.BucketHolder] = {}
+        peering.handlers[messages.Draw] = self.handle
+
+    def take(
+        self, bucket: str, tokens: int = 1, deadline: float = math.inf
+    ) -> bucket_holder.Taken | bucket_holder.Refused:
+        """Spends tokens of a bucket.
+
+        Args:
+            bucket: Such as `account/valle` or `shift/norte/centro`.
+            tokens: How many.
+            deadline: Instant on the monotonic clock until which to wait; the
+                wait is short in any case.
+        """
+        holder = self.holders.get(bucket)
+        if holder is None:
+            holder = self.holders[bucket] = self.make_holder(bucket)
+        return holder.take(tokens, deadline)
+
+    def make_holder(self, bucket: str) -> bucket_holder.BucketHolder:
+        """Builds the holder of a bucket on this host."""
+        home = bucket_holder.Home(
+            find=lambda: self.tenure.membership.holder(bucket),
+            call=self.call,
+            take=lambda tokens: self.take_at_home(bucket, tokens),
+            limits=lambda: self.limits(bucket),
+            view=lambda: self.tenure.membership.view().digest,
+        )
+        return bucket_holder.BucketHolder(
+            bucket, self.host, self.incarnation, self.clock, home
+        )
+
+    def call(
+        self, host: str, draw: messages.Draw, timeout: float
+    ) -> messages.Grant | None:
+        """Sends a draw; None if there is no answer."""
+        try:
+            reply = self.peering.call(host, draw, timeout)
+        except self.errors:
+            return None
+        return reply if isinstance(reply, messages.Grant) else None
+
+    def handle(self, draw: messages.Draw) -> messages.Grant:
+        """Answers a draw of another host."""
+        now = self.clock.monotonic()
+        home = self.home(draw.bucket, now)
+        if home is None:
+            return messages.Grant(0, 0.0, 0.0, False, 0.0)
+        return home.draw(draw, now)
+
+    def take_at_home(self, bucket: str, tokens: int) -> float | None:
+        """Takes tokens here; None if this host is not the home, or not yet."""
+        now = self.clock.monotonic()
+        home = self.home(bucket, now)
+        return None if home is None else home.take(tokens, now)
+
+    def home(self, bucket: str, now: float) -> bucket_home.BucketHome | None:
+        """Returns the home of a bucket if it is here and may be exercised."""
+        limits = self.limits(bucket)
+        if limits is None:
+            return None
+        home = self.homes.get(
+            bucket, lambda: bucket_home.BucketHome(limits, now)
+        )
+        if home is not None:
+            home.configure(limits, now)
+        return home
--- /dev/null
+++ b/gooseberryweir/process/tenure.py
@@ -0,0 +1,142 @@
+"""When this host is the home of a resource, and with which state.
+
+The state of a home is kept only while no other host can have been the home in
+between, and is started only when every grant of an earlier home has run out.
+"""
+
+from collections.abc import Callable
+import math
+from typing import Generic
+from typing import Protocol
+from typing import TypeVar
+
+from gooseberryweir import clock as clocks
+from gooseberryweir.process import timing
+
+MARGIN_SECONDS = 0.05
+
+State = TypeVar("State")
+
+
+class View(Protocol):
+    """The hosts eligible for duties."""
+
+    @property
+    def digest(self) -> int:
+        """Digest of the hosts and their incarnations."""
+
+    @property
+    def members(self) -> tuple[tuple[str, int], ...]:
+        """Names and incarnations of the hosts."""
+
+
+class Membership(Protocol):
+    """What is used of `membership.Membership`."""
+
+    def view(self) -> View:
+        """Returns the current view."""
+
+    def holder(self, resource: str) -> str | None:
+        """Returns the host that holds a resource under the view."""
+
+    def stands(self) -> bool:
+        """Whether a majority agrees on the view."""
+
+    def may_exercise(self) -> bool:
+        """Whether this host may act as a holder now."""
+
+
+class Tenure:
+    """How long this host has stood and may have exercised its duties."""
+
+    def __init__(
+        self, host: str, clock: clocks.Clock, membership: Membership
+    ) -> None:
+        self.host = host
+        self.clock = clock
+        self.membership = membership
+        self.digest: int | None = None
+        self.seen_at = -math.inf
+        self.standing_since = math.inf
+        self.exercised_since = math.inf
+        self.exercised_at = -math.inf
+        self.drop_all: list[Callable[[], None]] = []
+        self.drop_lost: list[Callable[[], None]] = []
+
+    def refresh(self) -> bool:
+        """Brings the tenure up to now; True if duties may be exercised.
+
+        Call it often (several times a second) and at each change of the view.
+        The time is read before the membership is asked, so that a pause in
+        between cannot lengthen a right.
+        """
+        now = self.clock.monotonic()
+        digest = self.membership.view().digest
+        stands = self.membership.stands()
+        exercises = stands and self.membership.may_exercise()
+        gap = now - self.seen_at > timing.STANDING_SECONDS
+        if digest != self.digest or gap or not stands:
+            self.standing_since = math.inf
+            self.exercised_since = math.inf
+        if stands:
+            self.standing_since = min(self.standing_since, now)
+        if exercises:
+            self.exercise(now)
+        if digest != self.digest:
+            self.digest = digest
+            _call_all(self.drop_lost)
+        self.seen_at = now
+        return exercises
+
+    def exercise(self, now: float) -> None:
+        """Notes that duties may be exercised now."""
+        if now - self.exercised_at >= timing.STANDING_SECONDS:
+            _call_all(self.drop_all)
+        self.exercised_at = now
+        self.exercised_since = min(self.exercised_since, now)
+
+    def ready(self) -> bool:
+        """Whether the grants of every earlier home have run out.
+
+        They have once this view stood for the whole waiting time, or once
+        every host shared it (the other way to exercise) for a grant's time.
+        """
+        now = self.clock.monotonic()
+        wait = timing.GRANT_SECONDS + MARGIN_SECONDS
+        waited = now - self.exercised_since >= wait
+        wait += timing.STANDING_SECONDS
+        return waited or now - self.standing_since >= wait
+
+
+class Homes(Generic[State]):
+    """The states of the resources whose home is this host."""
+
+    def __init__(self, tenure: Tenure) -> None:
+        self.tenure = tenure
+        self.states: dict[str, State] = {}
+        tenure.drop_all.append(self.states.clear)
+        tenure.drop_lost.append(self.drop_lost)
+
+    def drop_lost(self) -> None:
+        """Drops the states of resources that another host holds now."""
+        membership = self.tenure.membership
+        for name in list(self.states):
+            if membership.holder(name) != self.tenure.host:
+                del self.states[name]
+
+    def get(self, name: str, create: Callable[[], State]) -> State | None:
+        """Returns the state of a resource, or None if not its home now."""
+        if not self.tenure.refresh():
+            return None
+        if self.tenure.membership.holder(name) != self.tenure.host:
+            self.states.pop(name, None)
+            return None
+        state = self.states.get(name)
+        if state is None and self.tenure.ready():
+            state = self.states[name] = create()
+        return state
+
+
+def _call_all(functions: list[Callable[[], None]]) -> None:
+    for function in functions:
+        function()
--- /dev/null
+++ b/gooseberryweir/process/timing.py
@@ -0,0 +1,7 @@
+"""Times that hosts agree on; all in seconds."""
+
+HEARTBEAT_SECONDS = 0.5
+FRESH_SECONDS = 3.0
+STANDING_SECONDS = 2.0
+GRANT_SECONDS = 2.0
+SILENCE_SECONDS = 2.0
