Slot pools: capacities and home

Cause: slots of an upstream are shared by all hosts. SlotGrant.slots becomes the total a host may hold, so that the home can lower it and a repeated or late answer cannot add slots twice; a field tells which classes may use a reserve.

--- a/gooseberryweir/connection/messages.py
+++ b/gooseberryweir/connection/messages.py
@@ -147,7 +147,8 @@
         host: Name of the drawing host.
         incarnation: Its incarnation.
         view: View under which it takes the receiver for the home.
-        want: Further slots wanted, by class of work.
+        want: Further slots wanted, by class of work; under the empty name
+            those for the reserve.
         held: Slots kept, in use or in reserve, by upstream name; every other
             slot granted before is given back.
         busy: Slots in use, by upstream name.
@@ -168,17 +169,21 @@
     """Slots granted.
 
     Attributes:
-        slots: Slots granted now, by upstream name.
+        slots: All slots that the host may have in use, by upstream name,
+            those it holds already included.
         lifetime: Seconds, from before the draw was sent, within which they
-            and all slots held must be used or drawn again.
-        retry_after: Seconds after which a slot is expected, if none.
+            must be used or drawn again.
+        retry_after: Seconds after which a slot is expected, if some lack.
         home: False if the answering host is not the home, or not ready.
+        importance: The lowest importance (largest number) of work that may
+            use a slot now.
     """
 
     slots: dict[str, int]
     lifetime: float
     retry_after: float
     home: bool
+    importance: int
 
 
 class Forward(NamedTuple):
