--- a/gooseberryweir/process/slot_home.py
+++ b/gooseberryweir/process/slot_home.py
@@ -11,31 +11,17 @@
 from gooseberryweir import rendezvous
 from gooseberryweir.connection import messages
 from gooseberryweir.process import slot_capacity
+from gooseberryweir.process import slot_limits
 from gooseberryweir.process import timing
 
 MARGIN_SECONDS = 0.05
 MAX_REQUEST_SECONDS = 600.0
 REPORT_WAIT_SECONDS = 2.0
-IMPORTANCE_STEP = 0.05
 PEAK_SECONDS = 3.0
 FREED_SECONDS = 2.0
 UNMET_SECONDS = 0.6
 SHORTEST_RETRY_SECONDS = 0.02
 LONGEST_RETRY_SECONDS = 1.0
-RESERVE_CLASS = ""
-ALL_CLASSES = 1 << 30
-
-
-class WorkClass(NamedTuple):
-    """What the home knows of a class of work.
-
-    Attributes:
-        importance: 1 is the highest.
-        headroom: Share of the slots, 0 to 1, that it leaves free.
-    """
-
-    importance: int
-    headroom: float
 
 
 class Pool(NamedTuple):
@@ -52,7 +38,7 @@
     service: str
     region: str
     capacities: slot_capacity.Capacities
-    classes: Callable[[], dict[str, WorkClass]]
+    classes: Callable[[], dict[str, slot_limits.WorkClass]]
     members: Callable[[], tuple[tuple[str, int], ...]]
 
 
@@ -127,7 +113,7 @@
             timing.GRANT_SECONDS,
             retry_after,
             True,
-            self.lowest_class(usable),
+            self.lowest_importance(usable),
         )
 
     def usable(self, now: float) -> dict[str, int]:
@@ -141,48 +127,17 @@
         }
 
     def limits(self, usable: dict[str, int]) -> dict[str, int]:
-        """Returns the most slots in the region up to which a class is granted.
-
-        A class leaves its headroom free; each step down in importance is held
-        back by a further twentieth of the slots, at least one.
-        """
+        """Returns up to how many slots held each class is granted."""
         total = sum(usable.values())
-        step = max(1, int(total * IMPORTANCE_STEP))
-        classes = self.pool.classes()
-        limits: dict[str, int] = {}
-        above = total + step
-        for importance in sorted({row.importance for row in classes.values()}):
-            rows = {
-                name: min(int(total * (1.0 - row.headroom)), above - step)
-                for name, row in classes.items()
-                if row.importance == importance
-            }
-            above = min(rows.values())
-            limits.update(rows)
-        if limits:
-            limits[RESERVE_CLASS] = min(limits.values())
-        floor = min(1, total)
-        return {name: max(floor, limit) for name, limit in limits.items()}
-
-    def lowest_class(self, usable: dict[str, int]) -> int:
-        """Returns the lowest importance that may use slots now."""
+        return slot_limits.region_limits(total, self.pool.classes())
+
+    def lowest_importance(self, usable: dict[str, int]) -> int:
+        """Returns the lowest importance that may use a slot now."""
         counted = self.counted()
         held = sum(counted.get(upstream, 0) for upstream in usable)
-        limits = self.limits(usable)
-        classes = self.pool.classes()
-        open_to = [
-            row.importance
-            for name, row in classes.items()
-            if held <= limits[name]
-        ]
-        closed = [
-            row.importance
-            for name, row in classes.items()
-            if held > limits[name]
-        ]
-        if not closed:
-            return ALL_CLASSES
-        return max((i for i in open_to if i < min(closed)), default=0)
+        return slot_limits.lowest_importance(
+            held, self.limits(usable), self.pool.classes()
+        )
 
     def trim(
         self,
@@ -225,7 +180,7 @@
                 for name in message.want
                 if name in classes
             ),
-            default=ALL_CLASSES,
+            default=slot_limits.ALL_CLASSES,
         )
         return sum(
             count
@@ -265,7 +220,7 @@
                 counted[upstream] = counted.get(upstream, 0) + 1
                 granted[upstream] = granted.get(upstream, 0) + 1
                 held += 1
-        unmet.pop(RESERVE_CLASS, None)
+        unmet.pop(slot_limits.RESERVE_CLASS, None)
         holding.unmet = unmet
         if not unmet:
             holding.unmet_until = -math.inf
@@ -279,7 +234,9 @@
         classes = self.pool.classes()
         known = [name for name in want if name in classes]
         known.sort(key=lambda name: (classes[name].importance, name))
-        return known + [name for name in want if name == RESERVE_CLASS]
+        return known + [
+            name for name in want if name == slot_limits.RESERVE_CLASS
+        ]
 
     def least_loaded(
         self, counted: dict[str, int], usable: dict[str, int], host: str
--- /dev/null
+++ b/gooseberryweir/process/slots.py
@@ -0,0 +1,159 @@
+"""Slots of upstreams across hosts, tied to membership and the peers."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import math
+from typing import NamedTuple
+
+from gooseberryweir import clock as clocks
+from gooseberryweir.connection import messages
+from gooseberryweir.process import buckets
+from gooseberryweir.process import slot_capacity
+from gooseberryweir.process import slot_holder
+from gooseberryweir.process import slot_home
+from gooseberryweir.process import slot_limits
+from gooseberryweir.process import tenure as tenures
+
+UNKNOWN_IMPORTANCE = slot_limits.ALL_CLASSES + 1
+
+
+class Sources(NamedTuple):
+    """Where the knowledge of pools comes from.
+
+    Attributes:
+        capacity: Knowledge of the upstreams.
+        classes: Returns the classes of work that use a service.
+        pools: Returns all pools as pairs of service and region.
+    """
+
+    capacity: slot_capacity.Sources
+    classes: Callable[[str], dict[str, slot_limits.WorkClass]]
+    pools: Callable[[], Iterable[tuple[str, str]]]
+
+
+class Slots:
+    """The pools of upstreams as seen from this host: homes and holders.
+
+    Args:
+        host: Name of this host.
+        incarnation: Its incarnation.
+        clock: The clock.
+        tenure: When this host is a home.
+        peering: The links to the peers.
+        errors: What `peering.call` raises when a host did not answer.
+        sources: Where the knowledge of pools comes from.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        incarnation: int,
+        clock: clocks.Clock,
+        tenure: tenures.Tenure,
+        peering: buckets.Peering,
+        errors: tuple[type[Exception], ...],
+        sources: Sources,
+    ) -> None:
+        self.host = host
+        self.incarnation = incarnation
+        self.clock = clock
+        self.tenure = tenure
+        self.peering = peering
+        self.errors = errors
+        self.sources = sources
+        self.capacities = slot_capacity.Capacities(clock, sources.capacity)
+        self.homes = tenures.Homes[slot_home.SlotHome](tenure)
+        self.holders: dict[str, slot_holder.SlotHolder] = {}
+        peering.handlers[messages.DrawSlots] = self.handle
+
+    def acquire(
+        self,
+        service: str,
+        region: str,
+        work_class: str,
+        exclude: frozenset[str] = frozenset(),
+        deadline: float = math.inf,
+    ) -> slot_holder.Lease | slot_holder.Refused:
+        """Takes a slot of a service in a region.
+
+        Args:
+            service: Name of the service.
+            region: Name of the region.
+            work_class: Class of the work.
+            exclude: Upstreams not to use.
+            deadline: Instant on the monotonic clock until which to wait; the
+                wait is short in any case.
+        """
+        holder = self.holder(service, region)
+        return holder.acquire(work_class, exclude, deadline)
+
+    def refresh(self) -> None:
+        """Looks at what changed; call it several times a second."""
+        for service, region in self.sources.pools():
+            self.capacities.refresh(service)
+            self.holder(service, region).start()
+
+    def holder(self, service: str, region: str) -> slot_holder.SlotHolder:
+        """Returns the holder of a pool on this host."""
+        pool = f"slots/{service}/{region}"
+        holder = self.holders.get(pool)
+        if holder is None:
+            holder = self.make_holder(pool, service, region)
+            self.holders[pool] = holder
+        return holder
+
+    def make_holder(
+        self, pool: str, service: str, region: str
+    ) -> slot_holder.SlotHolder:
+        """Builds the holder of a pool on this host."""
+        home = slot_holder.Home(
+            find=lambda: self.tenure.membership.holder(pool),
+            call=self.call,
+            usable=lambda name: name in self.capacities.usable(service, region),
+            importance=lambda name: self.importance(service, name),
+            view=lambda: self.tenure.membership.view().digest,
+        )
+        return slot_holder.SlotHolder(
+            pool, self.host, self.incarnation, self.clock, home
+        )
+
+    def importance(self, service: str, work_class: str) -> int:
+        """Returns the importance of a class; unknown classes get no slot."""
+        row = self.sources.classes(service).get(work_class)
+        return UNKNOWN_IMPORTANCE if row is None else row.importance
+
+    def call(
+        self, host: str, draw: messages.DrawSlots, timeout: float
+    ) -> messages.SlotGrant | None:
+        """Sends a draw, or answers it here; None if there is no answer."""
+        if host == self.host:
+            return self.handle(draw)
+        try:
+            reply = self.peering.call(host, draw, timeout)
+        except self.errors:
+            return None
+        return reply if isinstance(reply, messages.SlotGrant) else None
+
+    def handle(self, draw: messages.DrawSlots) -> messages.SlotGrant:
+        """Answers a draw of a host."""
+        now = self.clock.monotonic()
+        _, service, region = draw.pool.split("/", 2)
+        home = self.homes.get(
+            draw.pool, lambda: self.make_home(service, region, now)
+        )
+        if home is None:
+            return messages.SlotGrant({}, 0.0, 0.0, False, 0)
+        return home.draw(draw, now)
+
+    def make_home(
+        self, service: str, region: str, now: float
+    ) -> slot_home.SlotHome:
+        """Builds the home of a pool."""
+        pool = slot_home.Pool(
+            service,
+            region,
+            self.capacities,
+            lambda: self.sources.classes(service),
+            lambda: self.tenure.membership.view().members,
+        )
+        return slot_home.SlotHome(pool, now)
