Shares: token buckets and slot pools through homes, wired in

Cause: rates and slots were local to each host. Membership already waits until every grant under another view has run out, so the waiting of its own in tenure.py is removed.

--- a/gooseberryweir/connection/messages.py
+++ b/gooseberryweir/connection/messages.py
@@ -53,6 +53,10 @@
         view: Digest of the hosts that it holds eligible for duties.
         suspects: Names of hosts that it has not heard for the silence time.
         load: Its own load: requests in flight.
+        view_age: Seconds for which it has held that view without a break.
+        quorum_age: Seconds since the oldest of the answers by which a
+            majority agreed that the platform is out; a large number if none.
+            It is no proof of the platform's state.
     """
 
     host: str
@@ -63,6 +67,8 @@
     view: int
     suspects: tuple[str, ...]
     load: int
+    view_age: float
+    quorum_age: float
 
 
 class FetchState(NamedTuple):
@@ -152,6 +158,7 @@
         held: Slots kept, in use or in reserve, by upstream name; every other
             slot granted before is given back.
         busy: Slots in use, by upstream name.
+        avoid: Upstreams on which no slot is wanted.
         sequence: Number of this draw; grows by one for each new draw.
     """
 
@@ -162,6 +169,7 @@
     want: dict[str, int]
     held: dict[str, int]
     busy: dict[str, int]
+    avoid: tuple[str, ...]
     sequence: int
 
 
@@ -257,6 +265,16 @@
     """A peer sent something that is not a message."""
 
 
+# What decoding a stream may raise; the stream is of no use afterwards.
+BROKEN_STREAM = (
+    ProtocolError,
+    msgpack.UnpackException,
+    msgpack.BufferFull,
+    ValueError,
+    TypeError,
+)
+
+
 def encode(message: Any, correlation: int = 0) -> bytes:
     """Packs a message with its correlation number."""
     parts = [_NUMBERS[type(message)], correlation, *message]
--- a/gooseberryweir/process/bucket_holder.py
+++ b/gooseberryweir/process/bucket_holder.py
@@ -107,7 +107,7 @@
         self,
         bucket: str,
         host: str,
-        incarnation: int,
+        incarnation: Callable[[], int],
         clock: clocks.Clock,
         home: Home,
     ) -> None:
@@ -337,7 +337,7 @@
         return messages.Draw(
             self.bucket,
             self.host,
-            self.incarnation,
+            self.incarnation(),
             self.home.view(),
             self.want(now),
             {
--- a/gooseberryweir/process/buckets.py
+++ b/gooseberryweir/process/buckets.py
@@ -26,7 +26,7 @@
 
     Args:
         host: Name of this host.
-        incarnation: Its incarnation.
+        incarnation: Returns its incarnation.
         clock: The clock.
         tenure: When this host is a home.
         peering: The links to the peers.
@@ -37,7 +37,7 @@
     def __init__(
         self,
         host: str,
-        incarnation: int,
+        incarnation: Callable[[], int],
         clock: clocks.Clock,
         tenure: tenures.Tenure,
         peering: Peering,
--- a/gooseberryweir/process/slot_capacity.py
+++ b/gooseberryweir/process/slot_capacity.py
@@ -8,9 +8,9 @@
 from collections.abc import Iterable
 import math
 from typing import NamedTuple
-from typing import Protocol
 
 from gooseberryweir import clock as clocks
+from gooseberryweir.version import tables
 
 COLD_RAMP_SECONDS = 10.0
 COLD_SHARE = 0.25
@@ -18,26 +18,6 @@
 FOREIGN_SHARE = 0.5
 
 
-class Upstream(Protocol):
-    """What is used of `tables.UpstreamEntry`."""
-
-    @property
-    def name(self) -> str:
-        """Name of the upstream."""
-
-    @property
-    def region(self) -> str:
-        """Its region."""
-
-    @property
-    def slots(self) -> int:
-        """Requests that it runs at once."""
-
-    @property
-    def leaving(self) -> bool:
-        """Whether it leaves."""
-
-
 class Report(NamedTuple):
     """What an upstream said of its load.
 
@@ -62,7 +42,7 @@
         reported: Returns the newest load report of an upstream, or None.
     """
 
-    upstreams: Callable[[str], Iterable[Upstream]]
+    upstreams: Callable[[str], Iterable[tables.UpstreamEntry]]
     drains: Callable[[], frozenset[str]]
     healthy: Callable[[str], bool]
     reported: Callable[[str], Report | None]
@@ -95,20 +75,29 @@
             self.warm_since[service] = listed
         return listed
 
-    def usable(self, service: str, region: str) -> dict[str, int]:
-        """Returns the slots of each upstream that takes new work."""
-        warm_since = self.refresh(service)
+    def entries(
+        self, service: str, region: str
+    ) -> dict[str, tables.UpstreamEntry]:
+        """Returns the upstreams of a region that take new work."""
         drains = self.sources.drains()
         if f"region/{region}" in drains:
             return {}
-        now = self.clock.monotonic()
         return {
-            upstream.name: ramp(upstream.slots, now - warm_since[upstream.name])
+            upstream.name: upstream
             for upstream in self.sources.upstreams(service)
             if upstream.region == region
-            and upstream.name in warm_since
             and not upstream.leaving
             and f"upstream/{upstream.name}" not in drains
+            and self.sources.healthy(upstream.name)
+        }
+
+    def usable(self, service: str, region: str) -> dict[str, int]:
+        """Returns the slots of each upstream that takes new work."""
+        warm_since = self.refresh(service)
+        now = self.clock.monotonic()
+        return {
+            name: ramp(entry.slots, now - warm_since[name])
+            for name, entry in self.entries(service, region).items()
         }
 
     def foreign(self, upstream: str, slots: int, own_peak: int) -> int:
--- a/gooseberryweir/process/slot_holder.py
+++ b/gooseberryweir/process/slot_holder.py
@@ -6,7 +6,6 @@
 
 import bisect
 from collections.abc import Callable
-from collections.abc import Container
 import logging
 import math
 from types import TracebackType
@@ -20,6 +19,7 @@
 from gooseberryweir import rendezvous
 from gooseberryweir.connection import messages
 from gooseberryweir.process import slot_limits
+from gooseberryweir.version import tables
 
 WAIT_SECONDS = 2.0
 CALL_SECONDS = 0.25
@@ -51,10 +51,12 @@
     """A slot in use; leaving the context gives it up.
 
     Attributes:
-        upstream: Name of the upstream.
+        upstream: The upstream.
     """
 
-    def __init__(self, upstream: str, release: Callable[[], None]) -> None:
+    def __init__(
+        self, upstream: tables.UpstreamEntry, release: Callable[[], None]
+    ) -> None:
         self.upstream = upstream
         self.release_once: Callable[[], None] | None = release
 
@@ -83,14 +85,16 @@
         find: Returns the home's host name, or None if not known.
         call: Sends a draw to a host, waiting at most some seconds; returns
             None if the host did not answer.
-        usable: Returns the upstreams that take new work now.
+        entries: Returns the upstreams that take new work now, by name.
+        dead: Returns the upstreams found dead by this host lately.
         importance: Returns the importance of a class of work.
         view: Returns the digest of the view.
     """
 
     find: Callable[[], str | None]
     call: Callable[[str, messages.DrawSlots, float], messages.SlotGrant | None]
-    usable: Callable[[], Container[str]]
+    entries: Callable[[], dict[str, tables.UpstreamEntry]]
+    dead: Callable[[], frozenset[str]]
     importance: Callable[[str], int]
     view: Callable[[], int]
 
@@ -125,7 +129,7 @@
         self,
         pool: str,
         host: str,
-        incarnation: int,
+        incarnation: Callable[[], int],
         clock: clocks.Clock,
         home: Home,
     ) -> None:
@@ -219,7 +223,9 @@
                 result.release()
         return Refused(UNREACHABLE_RETRY_SECONDS)
 
-    def pick(self, importance: int, exclude: frozenset[str]) -> str | None:
+    def pick(
+        self, importance: int, exclude: frozenset[str]
+    ) -> tables.UpstreamEntry | None:
         """Returns the upstream to use now from the reserve, if any.
 
         The end of the slots is checked here, at the moment of use.
@@ -228,29 +234,29 @@
             return None
         if importance > self.lowest_importance:
             return None
-        usable = self.home.usable()
+        entries = self.home.entries()
         free = [
-            upstream
+            entries[upstream]
             for upstream, allowed in self.allowed.items()
             if self.in_use.get(upstream, 0) < allowed
             and upstream not in exclude
-            and upstream in usable
+            and upstream in entries
         ]
         return min(
             free,
-            key=lambda upstream: (
-                self.in_use.get(upstream, 0),
-                -rendezvous.score(self.host, upstream),
+            key=lambda entry: (
+                self.in_use.get(entry.name, 0) / max(1, entry.slots),
+                -rendezvous.score(self.host, entry.name),
             ),
             default=None,
         )
 
-    def use(self, upstream: str) -> Lease:
+    def use(self, entry: tables.UpstreamEntry) -> Lease:
         """Puts a slot in use."""
-        self.in_use[upstream] = self.in_use.get(upstream, 0) + 1
+        self.in_use[entry.name] = self.in_use.get(entry.name, 0) + 1
         self.unused = min(self.unused, self.spare())
         started = self.clock.monotonic()
-        return Lease(upstream, lambda: self.release(upstream, started))
+        return Lease(entry, lambda: self.release(entry.name, started))
 
     def release(self, upstream: str, started: float) -> None:
         """Puts a slot in the reserve, or notes that it must go back."""
@@ -406,28 +412,35 @@
         return messages.DrawSlots(
             self.pool,
             self.host,
-            self.incarnation,
+            self.incarnation(),
             self.home.view(),
             want,
             held,
             dict(self.in_use),
+            self.avoid(),
             self.sequence,
         )
 
+    def avoid(self) -> tuple[str, ...]:
+        """Returns the upstreams that no waiter may use, or that are dead."""
+        names = [waiter.exclude for waiter in self.waiters]
+        excluded = names[0].intersection(*names) if names else frozenset()
+        return tuple(sorted(excluded.union(self.home.dead())))
+
     def keep(self, now: float) -> dict[str, int]:
         """Returns the slots to keep, those in use included."""
         held = dict(self.in_use)
         if now >= self.ends_at:
             return held
         surplus = 0
-        usable = self.home.usable()
+        entries = self.home.entries()
         if now >= self.window_at + IDLE_SLOT_SECONDS:
             surplus = 0 if self.waiters else self.unused - self.reserve()
             self.window_at = now
             self.unused = self.spare()
         for upstream, allowed in self.allowed.items():
             spare = allowed - self.in_use.get(upstream, 0)
-            if spare <= 0 or upstream not in usable:
+            if spare <= 0 or upstream not in entries:
                 continue
             given = min(spare, max(0, surplus))
             surplus -= given
--- a/gooseberryweir/process/slot_home.py
+++ b/gooseberryweir/process/slot_home.py
@@ -213,7 +213,7 @@
         unmet: dict[str, int] = {}
         for name in self.by_importance(message.want):
             for _ in range(message.want[name]):
-                upstream = self.least_loaded(counted, usable, message.host)
+                upstream = self.least_loaded(counted, usable, message)
                 if upstream is None or held >= limits.get(name, 0):
                     unmet[name] = unmet.get(name, 0) + 1
                     continue
@@ -239,7 +239,10 @@
         ]
 
     def least_loaded(
-        self, counted: dict[str, int], usable: dict[str, int], host: str
+        self,
+        counted: dict[str, int],
+        usable: dict[str, int],
+        message: messages.DrawSlots,
     ) -> str | None:
         """Returns the upstream with the smallest part of its slots held."""
         if not self.open():
@@ -248,12 +251,13 @@
             upstream
             for upstream, slots in usable.items()
             if counted.get(upstream, 0) < slots
+            and upstream not in message.avoid
         ]
         return min(
             free,
             key=lambda upstream: (
                 counted.get(upstream, 0) / usable[upstream],
-                -rendezvous.score(host, upstream),
+                -rendezvous.score(message.host, upstream),
             ),
             default=None,
         )
--- a/gooseberryweir/process/slots.py
+++ b/gooseberryweir/process/slots.py
@@ -14,6 +14,8 @@
 from gooseberryweir.process import slot_limits
 from gooseberryweir.process import tenure as tenures
 
+Lease = slot_holder.Lease
+Refused = slot_holder.Refused
 UNKNOWN_IMPORTANCE = slot_limits.ALL_CLASSES + 1
 
 
@@ -24,11 +26,13 @@
         capacity: Knowledge of the upstreams.
         classes: Returns the classes of work that use a service.
         pools: Returns all pools as pairs of service and region.
+        dead: Returns the upstreams that this host found dead lately.
     """
 
     capacity: slot_capacity.Sources
     classes: Callable[[str], dict[str, slot_limits.WorkClass]]
     pools: Callable[[], Iterable[tuple[str, str]]]
+    dead: Callable[[], frozenset[str]]
 
 
 class Slots:
@@ -36,7 +40,7 @@
 
     Args:
         host: Name of this host.
-        incarnation: Its incarnation.
+        incarnation: Returns its incarnation.
         clock: The clock.
         tenure: When this host is a home.
         peering: The links to the peers.
@@ -47,7 +51,7 @@
     def __init__(
         self,
         host: str,
-        incarnation: int,
+        incarnation: Callable[[], int],
         clock: clocks.Clock,
         tenure: tenures.Tenure,
         peering: buckets.Peering,
@@ -73,7 +77,7 @@
         work_class: str,
         exclude: frozenset[str] = frozenset(),
         deadline: float = math.inf,
-    ) -> slot_holder.Lease | slot_holder.Refused:
+    ) -> Lease | Refused:
         """Takes a slot of a service in a region.
 
         Args:
@@ -109,7 +113,8 @@
         home = slot_holder.Home(
             find=lambda: self.tenure.membership.holder(pool),
             call=self.call,
-            usable=lambda name: name in self.capacities.usable(service, region),
+            entries=lambda: self.capacities.entries(service, region),
+            dead=self.sources.dead,
             importance=lambda name: self.importance(service, name),
             view=lambda: self.tenure.membership.view().digest,
         )
--- a/gooseberryweir/process/tenure.py
+++ b/gooseberryweir/process/tenure.py
@@ -1,7 +1,7 @@
 """When this host is the home of a resource, and with which state.
 
 The state of a home is kept only while no other host can have been the home in
-between, and is started only when every grant of an earlier home has run out.
+between.
 """
 
 from collections.abc import Callable
@@ -13,8 +13,6 @@
 from gooseberryweir import clock as clocks
 from gooseberryweir.process import timing
 
-MARGIN_SECONDS = 0.05
-
 State = TypeVar("State")
 
 
@@ -39,15 +37,16 @@
     def holder(self, resource: str) -> str | None:
         """Returns the host that holds a resource under the view."""
 
-    def stands(self) -> bool:
-        """Whether a majority agrees on the view."""
-
     def may_exercise(self) -> bool:
         """Whether this host may act as a holder now."""
 
 
 class Tenure:
-    """How long this host has stood and may have exercised its duties."""
+    """Watches whether this host may act as a home.
+
+    Membership lets a host act only once every grant under another view has
+    run out, so a new home may begin at once, with an empty state.
+    """
 
     def __init__(
         self, host: str, clock: clocks.Clock, membership: Membership
@@ -56,9 +55,6 @@
         self.clock = clock
         self.membership = membership
         self.digest: int | None = None
-        self.seen_at = -math.inf
-        self.standing_since = math.inf
-        self.exercised_since = math.inf
         self.exercised_at = -math.inf
         self.drop_all: list[Callable[[], None]] = []
         self.drop_lost: list[Callable[[], None]] = []
@@ -72,40 +68,15 @@
         """
         now = self.clock.monotonic()
         digest = self.membership.view().digest
-        stands = self.membership.stands()
-        exercises = stands and self.membership.may_exercise()
-        gap = now - self.seen_at > timing.STANDING_SECONDS
-        if digest != self.digest or gap or not stands:
-            self.standing_since = math.inf
-            self.exercised_since = math.inf
-        if stands:
-            self.standing_since = min(self.standing_since, now)
-        if exercises:
-            self.exercise(now)
         if digest != self.digest:
             self.digest = digest
             _call_all(self.drop_lost)
-        self.seen_at = now
-        return exercises
-
-    def exercise(self, now: float) -> None:
-        """Notes that duties may be exercised now."""
+        if not self.membership.may_exercise():
+            return False
         if now - self.exercised_at >= timing.STANDING_SECONDS:
             _call_all(self.drop_all)
         self.exercised_at = now
-        self.exercised_since = min(self.exercised_since, now)
-
-    def ready(self) -> bool:
-        """Whether the grants of every earlier home have run out.
-
-        They have once this view stood for the whole waiting time, or once
-        every host shared it (the other way to exercise) for a grant's time.
-        """
-        now = self.clock.monotonic()
-        wait = timing.GRANT_SECONDS + MARGIN_SECONDS
-        waited = now - self.exercised_since >= wait
-        wait += timing.STANDING_SECONDS
-        return waited or now - self.standing_since >= wait
+        return True
 
 
 class Homes(Generic[State]):
@@ -132,7 +103,7 @@
             self.states.pop(name, None)
             return None
         state = self.states.get(name)
-        if state is None and self.tenure.ready():
+        if state is None:
             state = self.states[name] = create()
         return state
 
