--- a/gooseberryweir/process/bucket_home.py
+++ b/gooseberryweir/process/bucket_home.py
@@ -199,20 +199,22 @@
         ]
 
     def share(self, drawer: Drawer, want: int, now: float) -> int:
-        """Returns a drawer's max-min fair share of the level."""
+        """Returns a drawer's max-min fair share of the level.
+
+        What does not divide goes to those who waited longest for a grant.
+        """
         wants = [(want, drawer)]
         wants += [(other.want, other) for other in self.waiting(drawer, now)]
         wants.sort(key=lambda entry: entry[0])
         remaining = int(self.level)
-        shares: dict[int, int] = {}
-        for index, (wanted, entry) in enumerate(wants):
-            fair = min(wanted, remaining // (len(wants) - index))
-            shares[id(entry)] = fair
-            remaining -= fair
-        short = [entry for wanted, entry in wants if shares[id(entry)] < wanted]
-        short.sort(key=lambda entry: entry.granted_at)
-        extra = drawer in short[:remaining]
-        return shares[id(drawer)] + int(extra)
+        while wants and wants[0][0] <= remaining // len(wants):
+            wanted, entry = wants.pop(0)
+            remaining -= wanted
+            if entry is drawer:
+                return want
+        equal, rest = divmod(remaining, len(wants))
+        longest = sorted(wants, key=lambda entry: entry[1].granted_at)
+        return equal + any(entry is drawer for _, entry in longest[:rest])
 
     def postpone(
         self, drawer: Drawer, want: int, now: float, least: int = 1
