Slots move to hosts that wait within a few round trips

Now an answer says whether others wait; then slots not in use go back at once, waiters poll every 30 ms, and hosts in use redraw every 0.2 s. Ruled out: recalling for each wait without counting what is on its way back.

--- a/gooseberryweir/connection/messages.py
+++ b/gooseberryweir/connection/messages.py
@@ -185,6 +185,7 @@
         home: False if the answering host is not the home, or not ready.
         importance: The lowest importance (largest number) of work that may
             use a slot now.
+        contended: Whether other hosts wait for slots.
     """
 
     slots: dict[str, int]
@@ -192,6 +193,7 @@
     retry_after: float
     home: bool
     importance: int
+    contended: bool
 
 
 class Forward(NamedTuple):
--- a/gooseberryweir/process/slot_holder.py
+++ b/gooseberryweir/process/slot_holder.py
@@ -23,7 +23,8 @@
 
 WAIT_SECONDS = 2.0
 CALL_SECONDS = 0.25
-RENEW_SECONDS = 0.5
+RENEW_SECONDS = 0.2
+POLL_SECONDS = 0.03
 IDLE_SLOT_SECONDS = 0.25
 UNREACHABLE_RETRY_SECONDS = 0.5
 FAILURE_SLEEP_SECONDS = 0.1
@@ -156,6 +157,7 @@
         self.window_at = -math.inf
         self.unused = 0
         self.recalled = False
+        self.contended = False
         self.hold_seconds = 0.0
         self.asked = 0.0
         self.asked_at = clock.monotonic()
@@ -278,6 +280,10 @@
             for upstream, allowed in self.allowed.items()
         )
 
+    def idle_seconds(self) -> float:
+        """Returns how long an unused slot is kept."""
+        return SHORTEST_DRAW_SECONDS if self.contended else IDLE_SLOT_SECONDS
+
     def serve(self) -> None:
         """Gives slots in reserve to waiters, the most important first."""
         for waiter in list(self.waiters):
@@ -302,6 +308,8 @@
 
     def reserve(self) -> int:
         """Returns the slots to keep in reserve for the demand expected."""
+        if self.contended:
+            return 0
         now = self.clock.monotonic()
         decay = math.exp((self.asked_at - now) / DEMAND_SECONDS)
         demand = self.asked * decay / DEMAND_SECONDS
@@ -331,7 +339,7 @@
         spare = self.spare()
         reserve = self.reserve()
         if spare > reserve:
-            due = min(due, self.window_at + IDLE_SLOT_SECONDS)
+            due = min(due, self.window_at + self.idle_seconds())
         if spare < reserve:
             due = min(due, max(self.reserve_at, self.drawn_at))
         return max(due, self.retry_at)
@@ -367,7 +375,9 @@
             self.retry_at = now + FAILURE_SLEEP_SECONDS
             self.expected_at = now + UNREACHABLE_RETRY_SECONDS
         else:
-            self.retry_at = now + max(SHORTEST_DRAW_SECONDS, grant.retry_after)
+            self.retry_at = now + min(
+                POLL_SECONDS, max(SHORTEST_DRAW_SECONDS, grant.retry_after)
+            )
             self.expected_at = now + grant.retry_after
         self.serve()
         self.refuse_late()
@@ -383,6 +393,7 @@
         self.allowed = dict(grant.slots)
         self.ends_at = sent_at + grant.lifetime
         self.lowest_importance = grant.importance
+        self.contended = grant.contended
         self.unused = min(self.unused, self.spare())
         if self.spare() < self.reserve():
             self.reserve_at = sent_at + RENEW_SECONDS
@@ -434,8 +445,12 @@
             return held
         surplus = 0
         entries = self.home.entries()
-        if now >= self.window_at + IDLE_SLOT_SECONDS:
-            surplus = 0 if self.waiters else self.unused - self.reserve()
+        if now >= self.window_at + self.idle_seconds():
+            surplus = self.unused - self.reserve()
+            if self.contended:
+                surplus = self.spare()
+            elif self.waiters:
+                surplus = 0
             self.window_at = now
             self.unused = self.spare()
         for upstream, allowed in self.allowed.items():
--- a/gooseberryweir/process/slot_home.py
+++ b/gooseberryweir/process/slot_home.py
@@ -19,7 +19,8 @@
 REPORT_WAIT_SECONDS = 2.0
 PEAK_SECONDS = 3.0
 FREED_SECONDS = 2.0
-UNMET_SECONDS = 0.6
+UNMET_SECONDS = 0.25
+UNKNOWN_RETRY_SECONDS = 0.5
 SHORTEST_RETRY_SECONDS = 0.02
 LONGEST_RETRY_SECONDS = 1.0
 
@@ -47,7 +48,7 @@
 
     def __init__(self) -> None:
         self.sequence = 0
-        self.reply = messages.SlotGrant({}, 0.0, 0.0, True, 0)
+        self.reply = messages.SlotGrant({}, 0.0, 0.0, True, 0, False)
         self.counted: dict[str, int] = {}
         self.ends_at = -math.inf
         self.unmet: dict[str, int] = {}
@@ -84,7 +85,7 @@
         if message.sequence == holding.sequence:
             return holding.reply
         if message.sequence < holding.sequence:
-            return messages.SlotGrant({}, 0.0, 0.0, False, 0)
+            return messages.SlotGrant({}, 0.0, 0.0, False, 0, False)
         self.reporters.add(message.host)
         self.count_freed(holding.counted, message.held, now)
         holding.counted = dict(message.held)
@@ -114,6 +115,7 @@
             retry_after,
             True,
             self.lowest_importance(usable),
+            bool(self.unmet_elsewhere(holding, slot_limits.ALL_CLASSES, now)),
         )
 
     def usable(self, now: float) -> dict[str, int]:
@@ -156,8 +158,11 @@
         counted = self.counted()
         limits = self.limits(usable)
         held = sum(counted.get(upstream, 0) for upstream in usable)
-        surplus = max(0, held - max(limits.values(), default=0))
-        surplus = max(surplus, self.unmet_elsewhere(holding, message, now))
+        surplus = held - max(limits.values(), default=0)
+        best = self.best_importance(message.want)
+        unmet = self.unmet_elsewhere(holding, best, now)
+        coming = max(0, -surplus) + self.coming_back(holding)
+        surplus = max(0, surplus, unmet - coming)
         keep: dict[str, int] = {}
         for upstream, slots in message.held.items():
             busy = min(slots, message.busy.get(upstream, 0))
@@ -169,19 +174,32 @@
         excess = sum(keep.values()) - self.fair_share(limits, now)
         return recall(keep, min(surplus, excess))
 
-    def unmet_elsewhere(
-        self, holding: Holding, message: messages.DrawSlots, now: float
-    ) -> int:
-        """Returns wants of other hosts at least as important as these."""
+    def coming_back(self, holding: Holding) -> int:
+        """Returns the slots that other hosts were told to give back."""
+        return sum(
+            max(0, slots - other.reply.slots.get(upstream, 0))
+            for other in self.holdings.values()
+            if other is not holding
+            for upstream, slots in other.counted.items()
+        )
+
+    def best_importance(self, want: dict[str, int]) -> int:
+        """Returns the highest importance among the classes wanted."""
         classes = self.pool.classes()
-        lowest = min(
-            (
-                classes[name].importance
-                for name in message.want
-                if name in classes
-            ),
+        return min(
+            (classes[name].importance for name in want if name in classes),
             default=slot_limits.ALL_CLASSES,
         )
+
+    def unmet_elsewhere(self, holding: Holding, lowest: int, now: float) -> int:
+        """Returns the slots that other hosts wait for.
+
+        Args:
+            holding: The host left out.
+            lowest: The lowest importance (largest number) counted.
+            now: The time.
+        """
+        classes = self.pool.classes()
         return sum(
             count
             for other in self.holdings.values()
@@ -212,9 +230,10 @@
         granted: dict[str, int] = {}
         unmet: dict[str, int] = {}
         for name in self.by_importance(message.want):
+            limit = limits.get(name, 0) - self.unmet_above(holding, name, now)
             for _ in range(message.want[name]):
                 upstream = self.least_loaded(counted, usable, message)
-                if upstream is None or held >= limits.get(name, 0):
+                if upstream is None or held >= limit:
                     unmet[name] = unmet.get(name, 0) + 1
                     continue
                 counted[upstream] = counted.get(upstream, 0) + 1
@@ -229,6 +248,12 @@
         holding.unmet_until = now + UNMET_SECONDS
         return granted, retry_after
 
+    def unmet_above(self, holding: Holding, name: str, now: float) -> int:
+        """Returns the slots that others want for more important work."""
+        row = self.pool.classes().get(name)
+        lowest = slot_limits.ALL_CLASSES if row is None else row.importance - 1
+        return self.unmet_elsewhere(holding, lowest, now)
+
     def by_importance(self, want: dict[str, int]) -> list[str]:
         """Returns the classes wanted, the most important first."""
         classes = self.pool.classes()
@@ -284,7 +309,7 @@
         decay = math.exp((self.freed_at - now) / FREED_SECONDS)
         rate = self.freed * decay / FREED_SECONDS
         if rate * LONGEST_RETRY_SECONDS <= 1:
-            rate = 1 / UNMET_SECONDS
+            return UNKNOWN_RETRY_SECONDS
         delay = (1 + ahead) / rate
         return min(LONGEST_RETRY_SECONDS, max(SHORTEST_RETRY_SECONDS, delay))
 
--- a/gooseberryweir/process/slots.py
+++ b/gooseberryweir/process/slots.py
@@ -147,7 +147,7 @@
             draw.pool, lambda: self.make_home(service, region, now)
         )
         if home is None:
-            return messages.SlotGrant({}, 0.0, 0.0, False, 0)
+            return messages.SlotGrant({}, 0.0, 0.0, False, 0, False)
         return home.draw(draw, now)
 
     def make_home(
