--- a/test/test_slots.py
+++ b/test/test_slots.py
@@ -240,7 +240,6 @@
             eventlet.sleep(3.0)
         live = self.results["live", "Lease"]
         self.assertGreater(live, self.results["archive", "Lease"])
-        print(f"slots in a surge: {dict(self.results)}")
 
     def test_a_slot_that_ran_out_during_a_pause_is_not_used(self):
         with virtual_time.virtual_time() as clock:
