--- a/test/standins/serving.py
+++ b/test/standins/serving.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import contextlib
+import hashlib
 import json
 import socket
 import sys
@@ -73,6 +74,13 @@
     return json.loads(environ["wsgi.input"].read() or b"{}")
 
 
+def set_switch(switches: Any, name: str, value: Any) -> None:
+    """Sets one switch, which must be there."""
+    if name not in vars(switches):
+        raise KeyError(name)
+    setattr(switches, name, value)
+
+
 def connection(environ: Environ) -> Any:
     """Returns the caller's socket."""
     return environ["eventlet.input"].get_socket()
@@ -88,9 +96,11 @@
 
 def caller_left(environ: Environ, seconds: float) -> bool:
     """Waits some seconds; returns True at once if the caller disconnects."""
+    if seconds <= 0:
+        return False
     sock = connection(environ)
     earlier = sock.gettimeout()
-    sock.settimeout(max(seconds, 0.0001))
+    sock.settimeout(seconds)
     try:
         if sock.recv(1, socket.MSG_PEEK) == b"":
             return True
@@ -104,6 +114,12 @@
         sock.settimeout(earlier)
 
 
+def payload(seed: str, size: int) -> bytes:
+    """Returns bytes that differ between seeds, so that mix-ups show."""
+    block = hashlib.sha256(seed.encode()).digest()
+    return (block * (size // len(block) + 1))[:size]
+
+
 def complain(text: str) -> None:
     """Prints one line to standard error."""
     print(text, file=sys.stderr, flush=True)
