Rates and slots shared among hosts, measured upstreams, a fast fault proxy

Cause of hosts that answered nothing with nine hosts behind the proxy: the proxy looked through the whole table of sockets for each new connection, 9 s of processor time in 8 s once thousands stood in it. Ruled out: the hosts, which were idle.

--- a/gooseberryweir/process/measurer.py
+++ b/gooseberryweir/process/measurer.py
@@ -28,8 +28,6 @@
 MAX_REPORT_BYTES = 4096
 # Unanswered probes in a row after which an upstream takes no new work.
 FAILED_PROBES = 2
-# Time for which a host that saw an upstream die keeps away from it.
-AVOID_SECONDS = 2.0
 
 
 class Load(NamedTuple):
@@ -76,7 +74,6 @@
     Attributes:
         loads: Newest report of each upstream by name.
         failures: Unanswered probes in a row, by name.
-        avoid_until: Instant until which an upstream that died is avoided.
     """
 
     def __init__(
@@ -92,7 +89,6 @@
         self.is_home = is_home
         self.loads: dict[str, Load] = {}
         self.failures: dict[str, int] = {}
-        self.avoid_until: dict[str, float] = {}
         self.entries: dict[str, tables_module.UpstreamEntry] = {}
         self.http = urllib3.PoolManager(retries=False, maxsize=2)
         self.probes = eventlet.GreenPool(MAX_PROBES)
@@ -173,21 +169,16 @@
         except (urllib3.exceptions.HTTPError, OSError, ValueError):
             return None
 
-    def died(self, entry: tables_module.UpstreamEntry) -> None:
-        """Notes that a request found an upstream not accepting connections."""
-        now = self.clock.monotonic()
-        self.avoid_until[entry.name] = now + AVOID_SECONDS
-
     def healthy(self, name: str) -> bool:
         """Returns whether an upstream may take new work."""
         entry = self.entries.get(name)
-        if entry is not None and self.leaves(entry):
+        if entry is None:
+            return True
+        if self.leaves(entry):
             return False
-        if self.failures.get(name, 0) >= FAILED_PROBES:
-            pool = f"slots/{entry.service}/{entry.region}" if entry else ""
-            if self.is_home(pool):
-                return False
-        return self.avoid_until.get(name, 0.0) <= self.clock.monotonic()
+        if self.failures.get(name, 0) < FAILED_PROBES:
+            return True
+        return not self.is_home(f"slots/{entry.service}/{entry.region}")
 
     def reported(self, name: str) -> slot_capacity.Report | None:
         """Returns the newest load report of an upstream."""
--- a/gooseberryweir/process/serve.py
+++ b/gooseberryweir/process/serve.py
@@ -27,6 +27,7 @@
 from gooseberryweir.connection import upstream_http
 from gooseberryweir.process import context as contexts
 from gooseberryweir.process import facts as facts_module
+from gooseberryweir.process import measurer as measurer_module
 from gooseberryweir.process import membership as membership_module
 from gooseberryweir.process import operator_http
 from gooseberryweir.process import peering as peering_module
@@ -116,8 +117,18 @@
                 random.Random(),
             )
         )
+        measurer = stack.enter_context(
+            measurer_module.Measurer(
+                clock,
+                tables,
+                facts,
+                lambda pool: membership.holder(pool) == settings.host,
+            )
+        )
         shares = stack.enter_context(
-            shares_module.Shares(clock, tables, facts, membership, peering)
+            shares_module.Shares(
+                clock, tables, facts, membership, peering, measurer
+            )
         )
         context = contexts.Context(
             settings=settings,
--- a/gooseberryweir/process/shares.py
+++ b/gooseberryweir/process/shares.py
@@ -3,7 +3,6 @@
 `Shares` is a context manager that owns the task which looks at changes.
 """
 
-from collections.abc import Callable
 from types import TracebackType
 
 import eventlet
@@ -15,6 +14,7 @@
 from gooseberryweir.process import bucket_home
 from gooseberryweir.process import buckets
 from gooseberryweir.process import facts as facts_module
+from gooseberryweir.process import measurer as measurer_module
 from gooseberryweir.process import membership as membership_module
 from gooseberryweir.process import slot_capacity
 from gooseberryweir.process import slot_limits
@@ -24,15 +24,6 @@
 
 REFRESH_SECONDS = 0.2
 DEAD_SECONDS = 2.0
-# How long an upstream's own word that it leaves is heeded; the platform's
-# list says so long before.
-LEAVING_SECONDS = 600.0
-
-
-def _no_report(upstream: str) -> slot_capacity.Report | None:
-    """Returns no load report."""
-    del upstream
-    return None
 
 
 class Shares:
@@ -52,12 +43,13 @@
         facts: facts_module.Facts,
         membership: membership_module.Membership,
         peering: buckets.Peering,
-        reported: Callable[[str], slot_capacity.Report | None] = _no_report,
+        measurer: measurer_module.Measurer,
     ) -> None:
         self.clock = clock
         self.tables = tables
         self.facts = facts
         self.membership = membership
+        self.measurer = measurer
         self.dead_until: dict[str, float] = {}
         host = membership.host
         self.tenure = tenures.Tenure(host, clock, membership)
@@ -74,7 +66,7 @@
             lambda service: tables.upstreams.get(service, ()),
             lambda: tables.drains,
             self.healthy,
-            reported,
+            measurer.reported,
         )
         sources = slots.Sources(capacity, self.classes, self.pools, self.dead)
         self.slots = slots.Slots(*common, sources)
@@ -105,11 +97,8 @@
             deadline: Monotonic instant until which to wait at most.
 
         Returns:
-            None if it was taken, or there is no such cap; else seconds after
-            which to come back.
+            None if it was taken, else seconds after which to come back.
         """
-        if bucket.startswith("shift/") and not self.bucket_limits(bucket):
-            return None
         result = self.buckets.take(bucket, deadline=deadline)
         if isinstance(result, bucket_holder.Refused):
             return result.retry_after
@@ -150,13 +139,10 @@
         return frozenset(self.dead_until)
 
     def healthy(self, upstream: str) -> bool:
-        """Whether an upstream is neither dead nor said that it leaves."""
+        """Whether an upstream was not found dead and its measures are good."""
         if upstream in self.dead_until and upstream in self.dead():
             return False
-        left_ms = self.facts.get(f"leaving-upstream/{upstream}")
-        if not left_ms:
-            return True
-        return self.clock.wall() - left_ms / 1000 > LEAVING_SECONDS
+        return self.measurer.healthy(upstream)
 
     def run(self) -> None:
         """Looks at what changed, several times a second."""
--- a/gooseberryweir/request/routing.py
+++ b/gooseberryweir/request/routing.py
@@ -61,15 +61,23 @@
 
 
 def regions_of(context: contexts.Context, service: str) -> dict[str, float]:
-    """Returns the one-way latency to each region that runs a service."""
+    """Returns the one-way latency to each region that may run a service.
+
+    Another region may only if a shift cap towards it is declared.
+    """
     declared = context.tables.declarations
     if declared is None:
         return {}
     origin = context.settings.region
+    reachable = {origin}
+    reachable.update(
+        cap.target for cap in declared.shift_caps if cap.origin == origin
+    )
     return {
         upstream.region: latency_between(declared, origin, upstream.region)
         for upstream in context.tables.upstreams.get(service, ())
         if not upstream.leaving
+        and upstream.region in reachable
         and f"region/{upstream.region}" not in context.tables.drains
     }
 
--- a/test/standins/fault_proxy.py
+++ b/test/standins/fault_proxy.py
@@ -39,6 +39,12 @@
 PIECE_BYTES = 65_536
 MAX_PIECES_HELD = 1024
 POLL_SECONDS = 0.02
+# Numbers of sock_diag(7): protocol, message type, mask of all states, and where
+# an answer holds the inode.
+SOCK_DIAG = 4
+SOCK_DIAG_BY_FAMILY = 20
+ALL = 0xFFFFFFFF
+INODE_OFFSET = 84
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -246,18 +252,36 @@
                     yield target[8:-1]
 
 
+def inode_of(near_port: int, far_port: int) -> str:
+    """Returns the inode of one end of a loopback connection.
+
+    Asks the kernel for just this socket (sock_diag(7)); a look through the
+    whole table of sockets takes milliseconds once there are thousands.
+    """
+    loopback = socket.inet_aton("127.0.0.1") + bytes(12)
+    ports = struct.pack("!HH", near_port, far_port)
+    identity = ports + loopback + loopback + bytes(4) + b"\xff" * 8
+    family = struct.pack("=BBBxI", socket.AF_INET, socket.IPPROTO_TCP, 0, ALL)
+    body = family + identity
+    head = struct.pack("=IHHII", 16 + len(body), SOCK_DIAG_BY_FAMILY, 1, 1, 0)
+    kernel = socket.socket(socket.AF_NETLINK, socket.SOCK_DGRAM, SOCK_DIAG)
+    with contextlib.closing(kernel):
+        kernel.sendto(head + body, (0, 0))
+        answer = kernel.recv(4096)
+    kind = struct.unpack_from("=H", answer, 4)[0]
+    if kind != SOCK_DIAG_BY_FAMILY:
+        return ""
+    return str(struct.unpack_from("=I", answer, INODE_OFFSET)[0])
+
+
 def source_of(near_port: int, far_port: int, sources: dict[str, str]) -> str:
     """Returns the name of the process that opened a loopback connection."""
     if not sources:
         return ""
-    ends = [f"0100007F:{port:04X}" for port in (near_port, far_port)]
-    table = pathlib.Path("/proc/net/tcp").read_text(encoding="ascii")
-    for row in table.splitlines():
-        fields = row.split()
-        if fields[1:3] == ends:
-            for pid, name in sources.items():
-                if fields[9] in sockets_of(pid):
-                    return name
+    inode = inode_of(near_port, far_port)
+    for pid, name in sources.items():
+        if inode in sockets_of(pid):
+            return name
     return ""
 
 
