--- a/gooseberryweir/__main__.py
+++ b/gooseberryweir/__main__.py
@@ -7,9 +7,7 @@
 import warnings
 
 # Eventlet announces its own retirement on import; see docs/design/libraries.md.
-warnings.filterwarnings(
-    "ignore", category=DeprecationWarning, module="eventlet"
-)
+warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
 
 import eventlet
 
