--- /dev/null
+++ b/demo/listing.py
@@ -0,0 +1,61 @@
+"""Lists hosts and upstreams in the stand-in of the platform.
+
+A real platform keeps these lists itself. Standard input holds a line for each
+process: `hosts` or a service, name, region, zone, and its ports.
+"""
+
+import collections
+import json
+import sys
+from typing import Any
+
+import urllib3
+
+PREFIX = "/apis/gooseberryweir.example/v1/endpointslices"
+SLOTS = 8
+CONNECTIONS = 330
+
+
+def entry_of(words: list[str]) -> dict[str, Any]:
+    """Returns the entry of one process in the platform's list."""
+    _, name, region, zone, *ports = words
+    addresses = {
+        port: f"127.0.0.1:{number}"
+        for port, number in (word.split("=") for word in ports)
+    }
+    entry = {"name": name, "region": region, "zone": zone, "leaving": False}
+    if "port" not in addresses:
+        return {**entry, **addresses}
+    return {
+        **entry,
+        "address": addresses["port"],
+        "slots": SLOTS,
+        "connections": CONNECTIONS,
+    }
+
+
+def main() -> None:
+    """Writes one object for the hosts and one for each service."""
+    lists = collections.defaultdict(list)
+    for line in sys.stdin:
+        words = line.split()
+        name = "hosts" if words[0] == "hosts" else f"service.{words[0]}"
+        lists[name].append(entry_of(words))
+    for name, endpoints in lists.items():
+        document = {
+            "metadata": {"name": name},
+            "spec": {"endpoints": endpoints},
+        }
+        answer = urllib3.request(
+            "POST",
+            sys.argv[1] + PREFIX,
+            body=json.dumps(document),
+            headers={"Content-Type": "application/json"},
+            retries=False,
+        )
+        if answer.status != 201:
+            sys.exit(f"{name}: the platform answered {answer.status}")
+
+
+if __name__ == "__main__":
+    main()
--- a/gooseberryweir/process/measurer.py
+++ b/gooseberryweir/process/measurer.py
@@ -134,7 +134,10 @@
             self.failures[entry.name] = count
             if count == FAILED_PROBES:
                 logs.event(
-                    LOGGER, "upstream-silent", logging.WARNING, upstream=entry.name
+                    LOGGER,
+                    "upstream-silent",
+                    logging.WARNING,
+                    upstream=entry.name,
                 )
             return
         self.failures.pop(entry.name, None)
