--- a/gooseberryweir/connection/messages.py
+++ b/gooseberryweir/connection/messages.py
@@ -113,8 +113,8 @@
         incarnation: Its incarnation.
         view: View under which it takes the receiver for the home.
         want: Tokens wanted.
-        spent: Tokens of earlier grants of this home spent since the last
-            draw whose reply arrived.
+        spent: Tokens spent so far of each earlier grant, by the sequence of
+            its draw; totals, so that a repeated report does no harm.
         sequence: Number of this draw; grows by one for each new draw.
     """
 
@@ -123,7 +123,7 @@
     incarnation: int
     view: int
     want: int
-    spent: int
+    spent: dict[int, int]
     sequence: int
 
 
@@ -153,10 +153,12 @@
         host: Name of the drawing host.
         incarnation: Its incarnation.
         view: View under which it takes the receiver for the home.
-        want: Further slots wanted, by class of work.
+        want: Further slots wanted, by class of work; under the empty name
+            those for the reserve.
         held: Slots kept, in use or in reserve, by upstream name; every other
             slot granted before is given back.
         busy: Slots in use, by upstream name.
+        avoid: Upstreams on which no slot is wanted.
         sequence: Number of this draw; grows by one for each new draw.
     """
 
@@ -167,6 +169,7 @@
     want: dict[str, int]
     held: dict[str, int]
     busy: dict[str, int]
+    avoid: tuple[str, ...]
     sequence: int
 
 
@@ -174,17 +177,23 @@
     """Slots granted.
 
     Attributes:
-        slots: Slots granted now, by upstream name.
+        slots: All slots that the host may have in use, by upstream name,
+            those it holds already included.
         lifetime: Seconds, from before the draw was sent, within which they
-            and all slots held must be used or drawn again.
-        retry_after: Seconds after which a slot is expected, if none.
+            must be used or drawn again.
+        retry_after: Seconds after which a slot is expected, if some lack.
         home: False if the answering host is not the home, or not ready.
+        importance: The lowest importance (largest number) of work that may
+            use a slot now.
+        contended: Whether other hosts wait for slots.
     """
 
     slots: dict[str, int]
     lifetime: float
     retry_after: float
     home: bool
+    importance: int
+    contended: bool
 
 
 class Forward(NamedTuple):
