--- a/test/test_docs.py
+++ b/test/test_docs.py
@@ -14,6 +14,7 @@
 EVENT = re.compile(r"[a-z]+(-[a-z]+)+\Z")
 LINK = re.compile(r"\]\(([^)#:]+)(?:#[^)]*)?\)")
 COMMAND = re.compile(r"^ {4}bash (\S+)", re.MULTILINE)
+PAGE = re.compile(r"docs/[a-z/-]+\.md")
 ROW = re.compile(r"^\| (.*) \|$", re.MULTILINE)
 
 
@@ -115,6 +116,16 @@
         ]
         self.assertEqual(missing, [])
 
+    def test_pages_named_in_code_exist(self):
+        named = {
+            name
+            for path in (_common.ROOT / "gooseberryweir").rglob("*.py")
+            for name in PAGE.findall(path.read_text(encoding="utf-8"))
+        }
+        self.assertTrue(named)
+        missing = [name for name in named if not (_common.ROOT / name).exists()]
+        self.assertEqual(missing, [])
+
     def test_index_names_every_page(self):
         index = (DOCS / "README.md").read_text(encoding="utf-8")
         linked = {(DOCS / name).resolve() for name in LINK.findall(index)}
