Close two gaps that mutations of the code showed in the tests

Treating every list as proof, and sending a key that looks like a digest, both passed the tests before; each now fails one.

--- a/test/test_commands.py
+++ b/test/test_commands.py
@@ -220,6 +220,17 @@
         sent = json.dumps([host.asked for host in self.hosts])
         self.assertNotIn(self.key, sent)
 
+    def test_a_key_in_the_form_of_a_digest_is_not_sent(self):
+        key = "ab" * 32
+        self.digest = hashlib.sha256(key.encode()).hexdigest()
+        self.put("keys.valle", {"digests": {self.digest: "issued"}})
+        keys.withdraw(self.operator, key)
+        self.assertEqual(
+            self.spec("keys.valle")["digests"], {self.digest: "withdrawn"}
+        )
+        sent = json.dumps([host.asked for host in self.hosts])
+        self.assertNotIn(key, sent)
+
     def test_a_withdrawal_in_an_outage_says_what_is_confirmed(self):
         self.control(outage="refuse")
         by_hand = self.operator._replace(addresses=[self.hosts[0].operator])
--- a/test/test_watcher.py
+++ b/test/test_watcher.py
@@ -90,6 +90,17 @@
         self.assertEqual(self.calls("list"), lists)
         self.assertEqual(self.calls("get"), 1)
 
+    def test_a_newer_object_that_cannot_be_had_leaves_no_proof(self):
+        self.watcher.list_all(KIND)
+        old = self.api.get(KIND, "config")
+        self.put("config", {"value": 2})
+        for answer in (None, old):
+            with unittest.mock.patch.object(
+                self.api, "get", return_value=answer
+            ):
+                self.watcher.check_versions(KIND)
+        self.assertEqual((self.value(), len(self.answered)), (1, 1))
+
     def test_a_deletion_missed_is_found_and_a_new_creation_wins(self):
         self.watcher.list_all(KIND)
         _common.request(
