--- a/test/virtual_time.py
+++ b/test/virtual_time.py
@@ -1,7 +1,7 @@
 """An eventlet hub whose time is a manual clock: tasks run in virtual time."""
 
 import contextlib
-import itertools
+import math
 
 import eventlet
 from eventlet import hubs
@@ -9,9 +9,6 @@
 
 from gooseberryweir import clock as clocks
 
-# Too short to add up to anything within a test.
-TICK_SECONDS = 1e-11
-
 
 class VirtualHub(poll.Hub):
     """Moves the time forward whenever every task sleeps."""
@@ -19,13 +16,18 @@
     manual = clocks.ManualClock()
 
     def __init__(self):
-        # Timers of one instant would run in the order of their addresses in
-        # memory; readings that never repeat keep the order of creation.
-        self.readings = itertools.count()
-        super().__init__(clock=self.reading)
+        super().__init__(clock=lambda: self.manual.now)
+        self.taken = set()
 
-    def reading(self):
-        return self.manual.now + next(self.readings) * TICK_SECONDS
+    def add_timer(self, timer):
+        # Timers of one instant would run in the order of their addresses in
+        # memory; the next free instant keeps the order of their creation.
+        scheduled = self.clock() + timer.seconds
+        while scheduled in self.taken:
+            scheduled = math.nextafter(scheduled, math.inf)
+        self.taken.add(scheduled)
+        self.next_timers.append((scheduled, timer))
+        return scheduled
 
     def wait(self, seconds=None):
         self.manual.advance(max(0.0, seconds or 0.0))
