--- a/test/_load.py
+++ b/test/_load.py
@@ -12,7 +12,7 @@
 
 from test import _common
 
-THREADS = 64
+THREADS = 256
 
 
 class Seen(NamedTuple):
@@ -26,6 +26,7 @@
         status: HTTP status; 0 for a broken connection.
         code: Result code of a refusal, or 0.
         ran: What a refusal said, "yes" for an answer, else "unknown".
+        path: Path and query asked for.
     """
 
     account: str
@@ -35,6 +36,7 @@
     status: int
     code: int
     ran: str
+    path: str
 
 
 class Stream(NamedTuple):
@@ -79,7 +81,9 @@
     except (urllib3.exceptions.HTTPError, OSError):
         pass
     seconds = time.monotonic() - sent_at
-    return Seen(stream.account, host, sent_at, seconds, status, code, ran)
+    return Seen(
+        stream.account, host, sent_at, seconds, status, code, ran, stream.path
+    )
 
 
 def run(
