Less important work no longer delays the estimate for more important work

Cause: the home told a host when to expect a slot by counting all that others wait for, archive pulls included, so a live request that would have been next was refused at once. Ruled out: the limits by importance, which kept a slot free.

--- a/gooseberryweir/process/slot_home.py
+++ b/gooseberryweir/process/slot_home.py
@@ -301,11 +301,9 @@
         """Returns seconds until a slot is expected for this host."""
         if not usable:
             return LONGEST_RETRY_SECONDS
-        ahead = sum(
-            sum(other.unmet.values())
-            for other in self.holdings.values()
-            if other is not holding and other.unmet_until > now
-        )
+        classes = self.pool.classes()
+        lowest = min(classes[name].importance for name in holding.unmet)
+        ahead = self.unmet_elsewhere(holding, lowest, now)
         decay = math.exp((self.freed_at - now) / FREED_SECONDS)
         rate = self.freed * decay / FREED_SECONDS
         if rate * LONGEST_RETRY_SECONDS <= 1:
