--- a/gooseberryweir/connection/messages.py
+++ b/gooseberryweir/connection/messages.py
@@ -245,6 +245,30 @@
     detail: str
 
 
+class AskPermit(NamedTuple):
+    """Asks the home of a request's fingerprint whether it may run now.
+
+    Attributes:
+        name: The fingerprint.
+        host: Name of the asking host.
+        release: True gives the permit back instead.
+    """
+
+    name: str
+    host: str
+    release: bool
+
+
+class Permitted(NamedTuple):
+    """The answer to `AskPermit`.
+
+    Attributes:
+        permitted: Whether the request may run now.
+    """
+
+    permitted: bool
+
+
 _TYPES: tuple[type, ...] = (
     Hello,
     Ping,
@@ -259,6 +283,8 @@
     SlotGrant,
     Forward,
     Answer,
+    AskPermit,
+    Permitted,
 )
 _NUMBERS = {kind: number for number, kind in enumerate(_TYPES)}
 
--- a/gooseberryweir/process/serve.py
+++ b/gooseberryweir/process/serve.py
@@ -31,6 +31,7 @@
 from gooseberryweir.process import membership as membership_module
 from gooseberryweir.process import operator_http
 from gooseberryweir.process import peering as peering_module
+from gooseberryweir.process import permits as permits_module
 from gooseberryweir.process import platform as platform_module
 from gooseberryweir.process import relay
 from gooseberryweir.process import settings as settings_module
@@ -139,7 +140,13 @@
             membership=membership,
             peering=peering,
             shares=shares,
-            suspects=suspects_module.Suspects(facts, clock),
+            suspects=suspects_module.Suspects(
+                facts,
+                clock,
+                permits_module.Permits(
+                    settings.region, clock, tables, membership, peering
+                ),
+            ),
             ledger=tickets.TicketLedger(settings.host, clock),
             upstreams=stack.enter_context(upstream_http.UpstreamConnections()),
             budget=body.BodyBudget(BODY_BUDGET_BYTES),
--- a/gooseberryweir/process/suspects.py
+++ b/gooseberryweir/process/suspects.py
@@ -3,7 +3,8 @@
 A crash is a fact shared among hosts: which request (by fingerprint) was in
 flight at which upstream when it ended. A fingerprint that completed since is
 cleared, so a common request that ran beside the culprit is not refused. A
-fingerprint that never completed here runs one at a time on each host.
+fingerprint that never completed here runs one at a time, on each host by a
+gate and among hosts by a permit.
 
 See docs/design/crashing-requests.md for the ways weighed.
 """
@@ -17,6 +18,7 @@
 
 from gooseberryweir import clock as clocks
 from gooseberryweir.process import facts as facts_module
+from gooseberryweir.process import permits as permits_module
 
 # Crashes of one upstream closer together than this are one crash, seen by
 # several hosts.
@@ -35,9 +37,15 @@
 class Suspects:
     """Crashes and completions of requests, by fingerprint."""
 
-    def __init__(self, facts: facts_module.Facts, clock: clocks.Clock) -> None:
+    def __init__(
+        self,
+        facts: facts_module.Facts,
+        clock: clocks.Clock,
+        permits: permits_module.Permits,
+    ) -> None:
         self.facts = facts
         self.clock = clock
+        self.permits = permits
         self.proven: OrderedDict[str, None] = OrderedDict()
         self.running: dict[str, semaphore.Semaphore] = {}
         self.crashes: dict[str, dict[str, list[int]]] = {}
@@ -98,12 +106,26 @@
             yield False
             return
         try:
-            yield True
+            with self._permitted(name, timeout) as permitted:
+                yield permitted
         finally:
             gate.release()
             if gate.balance > 0:
                 self.running.pop(name, None)
 
+    @contextlib.contextmanager
+    def _permitted(self, name: str, timeout: float) -> Iterator[bool]:
+        """Holds the permit of the fleet; kept after a crash until it ends."""
+        if name in self.proven:
+            yield True
+            return
+        everywhere = self.count(name) > 0
+        permitted = self.permits.wait(name, everywhere, timeout)
+        crashes = self.count(name)
+        yield permitted
+        if permitted and self.count(name) == crashes:
+            self.permits.release(name, everywhere)
+
 
 def _distinct(times: list[int]) -> int:
     """Counts times that lie further apart than one crash."""
--- a/gooseberryweir/request/dispatch.py
+++ b/gooseberryweir/request/dispatch.py
@@ -27,6 +27,8 @@
 MAX_ATTEMPTS = 3
 # Seconds for finding out whether an upstream still accepts connections.
 DEATH_CHECK_SECONDS = 0.3
+DEATH_CHECK_PAUSE_SECONDS = 0.02
+DEATH_CHECKS = 4
 ACCOUNT_HEADER = "Gooseberryweir-Account"
 
 
@@ -116,8 +118,8 @@
     return tuple(headers)
 
 
-def is_down(address: str) -> bool:
-    """Returns whether an upstream refuses connections."""
+def refuses_connections(address: str) -> bool:
+    """Returns whether nothing listens at an upstream's address."""
     host, _, port = address.rpartition(":")
     try:
         with eventlet.Timeout(DEATH_CHECK_SECONDS):
@@ -129,6 +131,19 @@
     return False
 
 
+def is_down(context: contexts.Context, address: str) -> bool:
+    """Returns whether an upstream has ended.
+
+    A process that ends closes its sockets one by one, so its listener may
+    outlive the connection by a moment: a few looks are needed.
+    """
+    for _ in range(DEATH_CHECKS):
+        if refuses_connections(address):
+            return True
+        context.clock.sleep(DEATH_CHECK_PAUSE_SECONDS)
+    return False
+
+
 def _check(context: contexts.Context, work: Work) -> None:
     """Raises if the request may not be dispatched at this moment."""
     refusal = admission.still_admitted(context, work.admitted)
@@ -159,7 +174,7 @@
 ) -> RefusedError:
     """Notes an upstream's death and says whether to try another one."""
     name = lease.upstream.name
-    down = is_down(lease.upstream.address)
+    down = is_down(context, lease.upstream.address)
     if down:
         context.suspects.crashed(work.suspect, name)
         context.shares.upstream_died(lease.upstream)
