A new process needs its peers before it is fresh

Cause: a host keeps nothing, so after a start it had lost what the majority before it held, yet one answer of the platform, or agreement with one stale host in an outage, made it fresh. It then ran a key withdrawn in the outage and served an older configuration.

Now a process that starts, and any host after it was not fresh, is fresh by the platform only once enough peers had nothing that it lacked, or after platform evidence without a break for JOIN_SECONDS (5 s). A process that was never fresh is no part of a majority in an outage; Pong says so (recovered).

Ruled out: waiting JOIN_SECONDS always (each start would refuse for 5 s); asking the platform twice (an old read can repeat).

Four tests of test_membership assumed hosts that were fresh from the first instant without peers; their set-up now has the hosts join first and their assertions stand as they were. Three tests of the new rule are added.

--- a/gooseberryweir/connection/messages.py
+++ b/gooseberryweir/connection/messages.py
@@ -57,6 +57,7 @@
         quorum_age: Seconds since the oldest of the answers by which a
             majority agreed that the platform is out; a large number if none.
             It is no proof of the platform's state.
+        recovered: Whether it was fresh once since its process started.
     """
 
     host: str
@@ -69,6 +70,7 @@
     load: int
     view_age: float
     quorum_age: float
+    recovered: bool
 
 
 class FetchState(NamedTuple):
--- a/gooseberryweir/process/freshness.py
+++ b/gooseberryweir/process/freshness.py
@@ -35,6 +35,7 @@
         state_at: When it was last asked and held nothing that we lacked.
         facts_at: The same for facts.
         quorum_at: Time of its evidence of an outage.
+        recovered: Whether it had recovered what it lost at its start.
     """
 
     def __init__(self) -> None:
@@ -43,6 +44,7 @@
         self.state_at = NEVER
         self.facts_at = NEVER
         self.quorum_at = NEVER
+        self.recovered = False
 
     def agreed_at(self) -> float:
         """Returns when it last agreed in both state and facts."""
@@ -73,6 +75,12 @@
         peers: Evidence from each peer.
         proof: Proof of an outage by the newest answers, or None if they
             were not summed up yet.
+        recovered: Whether this process holds again what the one before it
+            may have held: it has been fresh once.
+        joined: Whether nothing can be missing from before the last time
+            that this host was not fresh.
+        platform_since: Start of the platform evidence without a break, used
+            while not joined.
     """
 
     def __init__(self, host: str, clock: clocks.Clock) -> None:
@@ -83,6 +91,9 @@
         self.relayed_at = NEVER
         self.peers: dict[str, PeerEvidence] = {}
         self.proof: OutageProof | None = None
+        self.recovered = False
+        self.joined = False
+        self.platform_since: float | None = None
 
     def peer(self, name: str) -> PeerEvidence:
         """Returns the record of a peer, made if needed."""
@@ -131,15 +142,35 @@
         )
 
     def _majority_at(self) -> float:
-        """Returns since when a majority of the voters has agreed."""
-        needed = len(self.voters) // 2
+        """Returns since when a majority of the voters has agreed.
+
+        A peer that has not recovered counts for nothing: it may have lost
+        what the majority before it held.
+        """
+        needed = self._needed()
         times = sorted(
-            self.peers[name].agreed_at()
-            for name in self.voters
-            if name != self.host and name in self.peers
+            peer.agreed_at() for peer in self._voting() if peer.recovered
         )
         return times[-needed] if 0 < needed <= len(times) else NEVER
 
+    def _needed(self) -> int:
+        """Returns how many peers meet every majority.
+
+        A process that has not recovered may itself have been one of a
+        majority before it was started again, so it needs one more if the
+        number of voters is odd.
+        """
+        count = len(self.voters)
+        return count // 2 if self.recovered else (count + 1) // 2
+
+    def _voting(self) -> list[PeerEvidence]:
+        """Returns the records of the peers that are voters."""
+        return [
+            self.peers[name]
+            for name in self.voters
+            if name != self.host and name in self.peers
+        ]
+
     def _passed_on_at(self) -> float:
         """Returns the newest outage evidence of a peer that agrees."""
         return max(
@@ -151,7 +182,22 @@
         )
 
     def check(self) -> Freshness:
-        """Returns the freshness at this moment."""
+        """Returns the freshness at this moment.
+
+        After it was lost, and at the start, the platform alone does not give
+        it back: what peers took in meanwhile may not be in the platform yet.
+        """
+        found = self._newest()
+        if not found.fresh:
+            self.joined = False
+            self.platform_since = None
+            return found
+        if not self.joined and not self._join(found):
+            return found._replace(fresh=False, source="none")
+        return found
+
+    def _newest(self) -> Freshness:
+        """Returns what the newest evidence gives."""
         age = self.platform_age()
         if age <= timing.FRESH_SECONDS:
             own = self.platform_at >= self.relayed_at
@@ -160,3 +206,37 @@
         if age <= timing.FRESH_SECONDS:
             return Freshness(True, "outage", age)
         return Freshness(False, "none", age)
+
+    def _join(self, found: Freshness) -> bool:
+        """Becomes fresh again if enough peers had nothing that is missing.
+
+        The proof of an outage shows that in itself. If too few peers answer,
+        platform evidence without a break for `JOIN_SECONDS` does: by then
+        they have written to the platform what they took in.
+        """
+        now = self.clock.monotonic()
+        if found.source == "outage":
+            self.joined = True
+        else:
+            if self.platform_since is None:
+                self.platform_since = now
+            waited = now - self.platform_since >= timing.JOIN_SECONDS
+            self.joined = waited or self._heard_enough(now)
+        if self.joined and not self.recovered:
+            self.recovered = True
+            self.forget_proof()
+        return self.joined
+
+    def _heard_enough(self, now: float) -> bool:
+        """Returns whether enough peers agreed within `FRESH_SECONDS`."""
+        if self.voters == {self.host}:
+            return True
+        if not self.voters:
+            return False
+        peers = list(self.peers.values())
+        needed = 1
+        if self.host in self.voters:
+            peers, needed = self._voting(), self._needed()
+        earliest = now - timing.FRESH_SECONDS
+        agreed = [peer for peer in peers if peer.agreed_at() >= earliest]
+        return len(agreed) >= needed
--- a/gooseberryweir/process/membership.py
+++ b/gooseberryweir/process/membership.py
@@ -159,6 +159,7 @@
         Args:
             asked_at: Monotonic instant before the question was sent.
         """
+        self.evidence.check()
         self.evidence.platform_at = max(self.evidence.platform_at, asked_at)
 
     def on_heard(self, host: str, incarnation: int = 0) -> None:
@@ -214,6 +215,7 @@
         peer.answered_at = sent_at
         peer.platform_at = sent_at - pong.platform_age
         peer.quorum_at = sent_at - pong.quorum_age
+        peer.recovered = pong.recovered
         if pong.state_digest == self.store.digest:
             peer.state_at = sent_at
             self.evidence.relayed_at = max(
@@ -251,6 +253,7 @@
             self.load(),
             self.clock.monotonic() - self.standing.held_since,
             self.evidence.outage_age(),
+            self.evidence.recovered,
         )
 
     def leave(self) -> None:
--- a/gooseberryweir/process/timing.py
+++ b/gooseberryweir/process/timing.py
@@ -4,6 +4,9 @@
 PING_TIMEOUT_SECONDS = 1.0
 FRESH_SECONDS = 3.0
 STANDING_SECONDS = 2.0
+# Platform evidence without a break for this long makes a host fresh again
+# that hears too few peers.
+JOIN_SECONDS = 5.0
 GRANT_SECONDS = 2.0
 SILENCE_SECONDS = 2.0
 # A voter's answer lends weight to a duty only after it held the view this
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -37,10 +37,18 @@
             simulated_hosts.heartbeat(self.hosts if hosts is None else hosts)
             self.clock.advance(timing.HEARTBEAT_SECONDS)
 
+    def join(self):
+        """Has every host be fresh once and hear the others."""
+        for host in self.hosts:
+            host.membership.platform_answered(self.clock.now)
+        self.beats(2)
+
     def source(self, host=None):
         return (host or self.first).freshness().source
 
     def test_platform_evidence_counts_from_before_the_question(self):
+        self.join()
+        self.clock.advance(1.5)
         self.first.platform_answered(self.clock.now - 2.0)
         self.assertEqual(self.source(), "platform")
         self.clock.advance(1.5)
@@ -48,6 +56,8 @@
 
     def test_a_peer_with_the_same_state_passes_the_age_on(self):
         second, third = self.hosts[1].membership, self.hosts[2]
+        self.join()
+        self.clock.advance(timing.FRESH_SECONDS)
         self.first.platform_answered(self.clock.now - 1.0)
         third.store.version = 7
         self.beats(2)
@@ -79,6 +89,7 @@
         self.assertEqual(self.source(), "none")
 
     def test_no_outage_while_a_peer_hears_a_platform_with_other_state(self):
+        self.join()
         self.beats(8)
         self.assertEqual(self.source(), "outage")
         self.hosts[2].store.version = 7
@@ -86,6 +97,37 @@
         self.beats(1)
         self.assertEqual(self.source(), "none")
 
+    def test_a_new_process_needs_its_peers_beside_the_platform(self):
+        self.first.platform_answered(self.clock.now)
+        self.assertEqual(self.source(), "none")
+        simulated_hosts.exchange(self.hosts[0], self.hosts[1])
+        self.assertEqual(self.source(), "none")
+        simulated_hosts.exchange(self.hosts[0], self.hosts[2])
+        self.assertEqual(self.source(), "platform")
+
+    def test_a_host_that_hears_no_peer_joins_by_the_platform_in_time(self):
+        for _ in range(int(timing.JOIN_SECONDS)):
+            self.first.platform_answered(self.clock.now)
+            self.assertEqual(self.source(), "none")
+            self.clock.advance(1.0)
+        self.first.platform_answered(self.clock.now)
+        self.assertEqual(self.source(), "platform")
+        self.clock.advance(timing.FRESH_SECONDS + 0.1)
+        self.first.platform_answered(self.clock.now)
+        self.assertEqual(self.source(), "none")
+
+    def test_a_new_process_is_no_part_of_a_majority_in_an_outage(self):
+        self.join()
+        self.beats(8)
+        entries = self.hosts[0].tables.hosts
+        again = simulated_hosts.Host("c2", self.clock, entries)
+        self.beats(8, [self.hosts[0], again])
+        self.assertEqual(self.source(), "none")
+        self.assertEqual(self.source(again.membership), "none")
+        self.beats(2, [*self.hosts[:2], again])
+        self.assertEqual(self.source(), "outage")
+        self.assertEqual(self.source(again.membership), "outage")
+
     def test_a_host_without_state_is_never_fresh(self):
         for host in self.hosts:
             host.store.version = 0
@@ -225,6 +267,11 @@
         voters = neighbours.voters(entries)
         leaf = next(hosts[n] for n in sorted(entries) if n not in voters)
         relays = [hosts[name] for name in sorted(voters)]
+        for relay in relays:
+            relay.membership.platform_answered(clock.now)
+        for _ in range(2):
+            simulated_hosts.heartbeat(relays)
+        clock.advance(timing.FRESH_SECONDS + 0.1)
         for _ in range(2):
             simulated_hosts.heartbeat(relays)
             simulated_hosts.exchange(leaf, relays[0])
