--- a/gooseberryweir/process/serve.py
+++ b/gooseberryweir/process/serve.py
@@ -116,7 +116,9 @@
                 random.Random(),
             )
         )
-        shares = stack.enter_context(shares_module.Shares(tables, clock))
+        shares = stack.enter_context(
+            shares_module.Shares(clock, tables, facts, membership, peering)
+        )
         context = contexts.Context(
             settings=settings,
             clock=clock,
