Old lists and late events are waited for in the configuration tests

Taking objects of any version passed test_old_reads and the shuffled watch: the first never lists again, the second ended before the late events came.

--- a/test/test_configuration.py
+++ b/test/test_configuration.py
@@ -18,6 +18,8 @@
 CONFLICT_EXIT = 3
 # Requests to each of two hosts, long enough for several of their heartbeats.
 SAMPLES_OF_A_PAIR = 100
+# Delay of watch events, longer than it takes to find the newest otherwise.
+LATE_SECONDS = 1.5
 
 
 def marker(number):
@@ -117,12 +119,22 @@
 
     def test_watch_late_twice_and_shuffled(self):
         self.running.control(
-            watch_late_ms=1500, watch_twice=True, watch_shuffled=True
+            watch_late_ms=1000 * LATE_SECONDS,
+            watch_twice=True,
+            watch_shuffled=True,
         )
         for _ in range(3):
             accepted_at = self.put()
+        self.sample_until(accepted_at + LATE_SECONDS + 1.5)
         self.check(accepted_at)
 
+    def sample_until(self, instant):
+        """Goes on until each host was asked after a monotonic instant."""
+        for host in self.names:
+            _common.wait_until(
+                lambda host=host: self.prober.since(host, instant)
+            )
+
     def test_watch_silent(self):
         self.running.control(watch_late_ms=60_000)
         self.check(self.put())
@@ -131,6 +143,26 @@
         self.running.control(stale_reads=True)
         self.check(self.put())
 
+    def test_old_full_list(self):
+        """Watches end and their history is gone, so hosts list again."""
+        self.running.control(stale_reads=True)
+        self.put()
+        self.prober.wait_accepted(self.markers[-1])
+        self.running.control(watch_late_ms=60_000)
+        lists = self.running.control()["calls"]["steeringobjects list"]
+        self.running.put("steeringobjects", "drains", {"drains": {}})
+        self.running.control(compact=True)
+        self.running.rules("*>platform:*", reset=True)
+        _common.wait_until(
+            lambda: (
+                self.running.control()["calls"]["steeringobjects list"]
+                >= lists + len(self.names)
+            )
+        )
+        self.sample_until(time.monotonic() + 1.0)
+        self.prober.wait_accepted(self.markers[-1])
+        self.check_never_reverts()
+
     def test_list_lag(self):
         self.running.control(list_lag_ms=8000)
         self.running.write_lists()
