--- a/test/virtual_time.py
+++ b/test/virtual_time.py
@@ -1,6 +1,7 @@
 """An eventlet hub whose time is a manual clock: tasks run in virtual time."""
 
 import contextlib
+import math
 
 import eventlet
 from eventlet import hubs
@@ -16,6 +17,17 @@
 
     def __init__(self):
         super().__init__(clock=lambda: self.manual.now)
+        self.taken = set()
+
+    def add_timer(self, timer):
+        # Timers of one instant would run in the order of their addresses in
+        # memory; the next free instant keeps the order of their creation.
+        scheduled = self.clock() + timer.seconds
+        while scheduled in self.taken:
+            scheduled = math.nextafter(scheduled, math.inf)
+        self.taken.add(scheduled)
+        self.next_timers.append((scheduled, timer))
+        return scheduled
 
     def wait(self, seconds=None):
         self.manual.advance(max(0.0, seconds or 0.0))
