--- a/gooseberryweir/process/membership.py
+++ b/gooseberryweir/process/membership.py
@@ -159,6 +159,7 @@
         Args:
             asked_at: Monotonic instant before the question was sent.
         """
+        self.evidence.check()
         self.evidence.platform_at = max(self.evidence.platform_at, asked_at)
 
     def on_heard(self, host: str, incarnation: int = 0) -> None:
@@ -233,6 +234,7 @@
             self.load(),
             self.clock.monotonic() - self.standing.held_since,
             self.evidence.outage_age(),
+            self.evidence.recovered,
         )
 
     def leave(self) -> None:
