A request that ends upstreams is stopped by the whole fleet

Cause of bystanders refused although other regions were idle: a region tried without any wait could not even be asked for a slot; each is now given the round trip, and the queue of the last resort is tried in every region, not just the nearest. Ruled out: condemnation of bystanders (they were refused with 302, not 307).

--- a/gooseberryweir/request/dispatch.py
+++ b/gooseberryweir/request/dispatch.py
@@ -270,6 +270,7 @@
     context: contexts.Context, work: Work, exclude: set[str]
 ) -> Iterator[DispatchedAnswer]:
     """Leases a slot and sends the request to its upstream."""
+    _check_suspect(context, work)
     with contextlib.ExitStack() as turn:
         left = work.deadline - context.clock.monotonic()
         if not turn.enter_context(context.suspects.turn(work.suspect, left)):
--- a/gooseberryweir/request/routing.py
+++ b/gooseberryweir/request/routing.py
@@ -20,6 +20,8 @@
 LOGGER = logging.getLogger(__name__)
 # One-way latency assumed between regions that no link joins, milliseconds.
 UNLINKED_LATENCY_MS = 100.0
+# Time that the home of a pool or cap takes to answer beside the round trip.
+ASK_SECONDS = 0.05
 
 
 class Candidate(NamedTuple):
@@ -88,27 +90,26 @@
     """Returns the regions to try, in order.
 
     A request waits in a nearer region for as long as the round trip to the
-    next one takes, since a slot that comes free by then is no later. If no
-    region has a slot at once, it waits in the nearest one.
+    next one takes, since a slot that comes free by then is no later, and
+    anywhere at least for as long as it takes to ask. If no region has a slot
+    soon, it queues in the nearest one that expects one in time.
 
     Args:
         context: The process.
         service: Name of the service.
-        patience: Seconds that the request may wait in all.
+        patience: Seconds that the request may wait in a queue.
     """
     latencies = regions_of(context, service)
     ranked = sorted(latencies, key=lambda region: (latencies[region], region))
-    steps = []
+    soon = []
     for position, region in enumerate(ranked):
         latency = latencies[region]
         following = ranked[position + 1 : position + 2]
         extra = latencies[following[0]] - latency if following else 0.0
-        wait = min(patience, 2 * extra / 1000)
-        steps.append(Candidate(region, latency, wait))
-    if ranked and patience > 0:
-        nearest = ranked[0]
-        steps.append(Candidate(nearest, latencies[nearest], patience))
-    return tuple(steps)
+        wait = ASK_SECONDS + 2 * (latency + extra) / 1000
+        soon.append(Candidate(region, latency, wait))
+    queued = [candidate._replace(wait=patience) for candidate in soon]
+    return (*soon, *queued) if patience > 0 else tuple(soon)
 
 
 def _lease(
@@ -135,8 +136,10 @@
     origin = context.settings.region
     if candidate.region == origin:
         return lease
+    asked_at = context.clock.monotonic()
     token = context.shares.take(
-        f"shift/{origin}/{candidate.region}", context.clock.monotonic()
+        f"shift/{origin}/{candidate.region}",
+        min(deadline, asked_at + candidate.wait),
     )
     if token is None:
         return lease
