Callers' interface: strict heads and chunks, refusals of HEAD, watch after streamed bodies

Cause: refusals of HEAD carried a body; a look-up could name no host; an upstream's Gooseberryweir-* headers reached callers; chunk sizes such as 0x5, bare LF and NUL were taken; a caller that left after a streamed body did not cancel.

--- a/gooseberryweir/connection/caller_http.py
+++ b/gooseberryweir/connection/caller_http.py
@@ -8,19 +8,34 @@
 import contextlib
 import json
 import re
+import socket
 from typing import Any
+from typing import NamedTuple
 
 import eventlet
 from eventlet import wsgi
 
 from gooseberryweir import codes
+from gooseberryweir.connection import chunks
 
 TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+\Z")
+REQUEST_LINE = re.compile(
+    rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+ [\x21-\x7e]+ HTTP/1\.[01]\r\n\Z"
+)
+HEADER_LINE = re.compile(
+    rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\t\x20-\x7e\x80-\xff]*\r\n\Z"
+)
+END_LINE = b"\r\n"
 DIGITS = re.compile(r"[0-9]{1,15}\Z")
 # Bytes; a piece of an answer is passed on at once, however small.
 MINIMUM_PIECE_BYTES = 1
 # Seconds that an idle or stalled caller connection is kept.
 IDLE_SECONDS = 75.0
+REQUEST_LINE_BYTES = 16384
+# How long, and for how many bytes, to read on after a refusal, so that a
+# caller that still sends gets to read it.
+LINGER_SECONDS = 1.0
+LINGER_BYTES = 1024 * 1024
 
 
 def refusal_headers(refusal: codes.Refusal) -> list[tuple[str, str]]:
@@ -64,75 +79,167 @@
     encodings = headers.get_all("transfer-encoding", [])
     if lengths and encodings or len(lengths) > 1 or len(encodings) > 1:
         return codes.Code.AMBIGUOUS_LENGTH
-    if encodings and encodings[0].strip().lower() != "chunked":
+    if encodings and encodings[0].strip(" \t").lower() != "chunked":
         return codes.Code.BAD_LENGTH
-    if lengths and not DIGITS.match(lengths[0].strip()):
+    if lengths and not DIGITS.match(lengths[0].strip(" \t")):
         return codes.Code.BAD_LENGTH
     return None
 
 
-def protocol_class(
-    max_header_bytes: int, leaving: Callable[[], bool]
-) -> type[wsgi.HttpProtocol]:
-    """Builds the protocol class for one server.
+class HeadLines:
+    """The header lines of a request as sent.
 
-    Args:
+    Attributes:
+        lines: The file to read them from.
+        faulty: Whether one was no header line, or the last one was missing.
+    """
+
+    def __init__(self, lines: Any) -> None:
+        self.lines = lines
+        self.faulty = False
+
+    def readline(self, size: int = -1) -> bytes:
+        """Reads one line and notes whether it is well formed."""
+        line: bytes = self.lines.readline(size)
+        if line != END_LINE and not HEADER_LINE.match(line):
+            self.faulty = True
+        return line
+
+
+class Rules(NamedTuple):
+    """What a server demands of its connections.
+
+    Attributes:
         max_header_bytes: Bound on all header lines of a request.
         leaving: Whether answers should close their connection.
+        on_refusal: Told of each refusal made here.
     """
 
-    class CallerProtocol(wsgi.HttpProtocol):
-        """Reads request heads strictly and refuses in JSON."""
-
-        def refuse(self, code: codes.Code) -> bool:
-            """Answers a refusal and closes the connection."""
-            refusal = codes.refuse(code)
-            body = refusal_body(refusal)
-            status = codes.TABLE[code].status
-            lines = [f"HTTP/1.1 {status} Refused"]
-            pairs = refusal_headers(refusal)
-            lines += [f"{name}: {value}" for name, value in pairs]
-            lines += [f"Content-Length: {len(body)}", "Connection: close"]
-            head = "\r\n".join(lines) + "\r\n\r\n"
-            with contextlib.suppress(OSError):
-                self.wfile.write(head.encode() + body)
-                self.wfile.flush()
-            self.close_connection = True
+    max_header_bytes: int
+    leaving: Callable[[], bool]
+    on_refusal: Callable[[codes.Refusal], None]
+
+
+class CallerProtocol(wsgi.HttpProtocol):
+    """Reads request heads strictly and refuses in JSON."""
+
+    rules: Rules
+    rfile: Any
+
+    def refuse(self, code: codes.Code) -> bool:
+        """Answers a refusal and closes the connection."""
+        refusal = codes.refuse(code)
+        self.rules.on_refusal(refusal)
+        body = refusal_body(refusal)
+        status = codes.TABLE[code].status
+        lines = [f"HTTP/1.1 {status} Refused"]
+        pairs = refusal_headers(refusal)
+        lines += [f"{name}: {value}" for name, value in pairs]
+        lines += [f"Content-Length: {len(body)}", "Connection: close"]
+        head = "\r\n".join(lines) + "\r\n\r\n"
+        if self.raw_requestline.startswith(b"HEAD "):
+            body = b""
+        with contextlib.suppress(OSError):
+            self.wfile.write(head.encode() + body)
+            self.wfile.flush()
+            linger(self.connection)
+        self.close_connection = True
+        return False
+
+    def _read_request_line(self) -> bytes:
+        """Reads the request line; empty once it was refused."""
+        line: bytes = super()._read_request_line() or b""
+        if len(line) < REQUEST_LINE_BYTES:
+            return line
+        self.raw_requestline = line
+        self.refuse(codes.Code.HEADERS_TOO_LARGE)
+        return b""
+
+    def get_environ(self) -> dict[str, Any]:
+        """Returns the WSGI environment with strict reading of chunks."""
+        environ: dict[str, Any] = super().get_environ()
+        body = environ["wsgi.input"]
+        if body.chunked_input:
+            body.rfile = chunks.ChunkLines(body.rfile, self.end)
+        return environ
+
+    def end(self) -> None:
+        """Lets no further request be read from the connection."""
+        self.close_connection = True
+
+    def parse_request(self) -> bool:
+        """Parses the request head; False once it was refused."""
+        if not REQUEST_LINE.match(self.raw_requestline):
+            return self.refuse(codes.Code.BAD_PATH)
+        if self.raw_requestline.split()[1].startswith(b"//"):
+            # The library would make it one slash.
+            return self.refuse(codes.Code.BAD_PATH)
+        self.rfile = lines = HeadLines(self.rfile)
+        try:
+            parsed = super().parse_request()
+        except (wsgi.HeaderLineTooLong, wsgi.HeadersTooLarge):
+            return self.refuse(codes.Code.HEADERS_TOO_LARGE)
+        except ValueError:
+            return self.refuse(codes.Code.FOLDED_HEADER)
+        if not parsed:
             return False
+        if lines.faulty:
+            return self.refuse(codes.Code.FOLDED_HEADER)
+        fault = self.fault()
+        if fault is not None:
+            return self.refuse(fault)
+        if self.rules.leaving():
+            self.close_connection = True
+        return True
+
+    def fault(self) -> codes.Code | None:
+        """Returns what is wrong with the parsed headers, if anything."""
+        size = sum(len(n) + len(v) + 4 for n, v in self.headers.items())
+        if size > self.rules.max_header_bytes:
+            return codes.Code.HEADERS_TOO_LARGE
+        chunked = "transfer-encoding" in self.headers
+        if chunked and self.request_version != "HTTP/1.1":
+            return codes.Code.BAD_LENGTH
+        return head_fault(self.headers)
+
+    def send_error(
+        self, code: Any, message: Any = None, explain: Any = None
+    ) -> None:
+        """Replaces the library's HTML error by a refusal."""
+        too_large = int(code) == 431
+        self.refuse(
+            codes.Code.HEADERS_TOO_LARGE if too_large else codes.Code.BAD_PATH
+        )
+
+
+def protocol_class(bound_rules: Rules) -> type[CallerProtocol]:
+    """Builds the protocol class for one server."""
+
+    class BoundProtocol(CallerProtocol):
+        """The protocol with the rules of its server."""
+
+        rules = bound_rules
+
+    return BoundProtocol
+
+
+def linger(connection: Any) -> None:
+    """Ends the sending side and reads on for a bounded time."""
+    connection.shutdown(socket.SHUT_WR)
+    left = LINGER_BYTES
+    with (
+        contextlib.suppress(eventlet.Timeout),
+        eventlet.Timeout(LINGER_SECONDS),
+    ):
+        while left > 0:
+            piece = connection.recv(min(left, 64 * 1024))
+            if not piece:
+                return
+            left -= len(piece)
+
 
-        def parse_request(self) -> bool:
-            """Parses the request head; False once it was refused."""
-            self.refused = False
-            try:
-                parsed = super().parse_request()
-            except (wsgi.HeaderLineTooLong, wsgi.HeadersTooLarge):
-                return self.refuse(codes.Code.HEADERS_TOO_LARGE)
-            except ValueError:
-                return self.refuse(codes.Code.FOLDED_HEADER)
-            if not parsed:
-                return False
-            size = sum(len(n) + len(v) + 4 for n, v in self.headers.items())
-            if size > max_header_bytes:
-                return self.refuse(codes.Code.HEADERS_TOO_LARGE)
-            fault = head_fault(self.headers)
-            if fault is not None:
-                return self.refuse(fault)
-            if leaving():
-                self.close_connection = True
-            return True
-
-        def send_error(
-            self, code: Any, message: Any = None, explain: Any = None
-        ) -> None:
-            """Replaces the library's HTML error by a refusal."""
-            too_large = int(code) == 431
-            self.refuse(
-                codes.Code.HEADERS_TOO_LARGE
-                if too_large
-                else codes.Code.BAD_PATH
-            )
-
-    return CallerProtocol
+def ignore_refusal(_: codes.Refusal) -> None:
+    """Does nothing with a refusal."""
 
 
 def serve(
@@ -141,6 +248,7 @@
     pool: eventlet.GreenPool,
     max_header_bytes: int,
     leaving: Callable[[], bool],
+    on_refusal: Callable[[codes.Refusal], None] = ignore_refusal,
 ) -> None:
     """Serves callers until the task is killed; then ends idle connections.
 
@@ -152,9 +260,9 @@
         log_output=False,
         debug=False,
         custom_pool=pool,
-        protocol=protocol_class(max_header_bytes, leaving),
+        protocol=protocol_class(Rules(max_header_bytes, leaving, on_refusal)),
         minimum_chunk_size=MINIMUM_PIECE_BYTES,
         keepalive=IDLE_SECONDS,
         socket_timeout=IDLE_SECONDS,
-        url_length_limit=16384,
+        url_length_limit=REQUEST_LINE_BYTES,
     )
--- a/gooseberryweir/connection/upstream_http.py
+++ b/gooseberryweir/connection/upstream_http.py
@@ -19,6 +19,8 @@
 PIECE_BYTES = 64 * 1024
 # An upstream marks with this header that it did not begin the work.
 SHED_HEADER = "Gooseberryweir-Shed"
+# Headers that urllib3 would add of its own.
+ADDED_HEADERS = ("User-Agent", "Accept-Encoding")
 
 
 class UpstreamRequest(NamedTuple):
@@ -45,11 +47,13 @@
     Attributes:
         status: HTTP status.
         headers: Headers to pass on to the caller.
+        shed: Whether the upstream says that it did not begin the work.
         response: The library's response, for the body.
     """
 
     status: int
     headers: tuple[tuple[str, str], ...]
+    shed: bool
     response: Any
 
 
@@ -66,16 +70,23 @@
 
 
 def answer_headers(headers: Any) -> tuple[tuple[str, str], ...]:
-    """Returns the headers of an answer without the hop-by-hop ones."""
+    """Returns the headers of an answer that a caller may see.
+
+    Hop-by-hop headers go, and those of this system: an upstream's answer
+    must not look like a refusal.
+    """
     named = {
         name.strip().lower()
         for name in headers.get("connection", "").split(",")
     }
     dropped = incoming.HOP_BY_HOP | named
+    if "chunked" in headers.get("transfer-encoding", "").lower():
+        dropped |= {"content-length"}
     return tuple(
         (name, value)
         for name, value in headers.iteritems()
         if name.lower() not in dropped
+        and not name.lower().startswith(incoming.OWN_PREFIX)
     )
 
 
@@ -137,8 +148,12 @@
         response = None
         try:
             response = _open(pool, request, timeout)
+            shed = response.status == 503 and SHED_HEADER in response.headers
             yield UpstreamAnswer(
-                response.status, answer_headers(response.headers), response
+                response.status,
+                answer_headers(response.headers),
+                shed,
+                response,
             )
         finally:
             if response is not None:
@@ -158,6 +173,9 @@
     headers = urllib3.HTTPHeaderDict()
     for name, value in request.headers:
         headers.add(name, value)
+    for name in ADDED_HEADERS:
+        if name not in headers:
+            headers.add(name, urllib3.util.SKIP_HEADER)
     try:
         return pool.urlopen(
             request.method,
--- a/gooseberryweir/process/context.py
+++ b/gooseberryweir/process/context.py
@@ -8,6 +8,7 @@
 from gooseberryweir.process import facts as facts_module
 from gooseberryweir.process import membership as membership_module
 from gooseberryweir.process import peering as peering_module
+from gooseberryweir.process import reporting
 from gooseberryweir.process import settings as settings_module
 from gooseberryweir.process import shares as shares_module
 from gooseberryweir.process import suspects as suspects_module
@@ -23,6 +24,7 @@
         settings: Settings of the process.
         clock: Source of time.
         metrics: Figures for statsd.
+        outcomes: What became of the requests of each client account.
         tables: What the platform's objects say.
         facts: Facts shared among hosts.
         membership: Freshness, view and standing.
@@ -37,6 +39,7 @@
     settings: settings_module.Settings
     clock: clocks.Clock
     metrics: metrics_module.Metrics
+    outcomes: reporting.Outcomes
     tables: tables_module.Tables
     facts: facts_module.Facts
     membership: membership_module.Membership
--- a/gooseberryweir/process/serve.py
+++ b/gooseberryweir/process/serve.py
@@ -33,6 +33,7 @@
 from gooseberryweir.process import peering as peering_module
 from gooseberryweir.process import platform as platform_module
 from gooseberryweir.process import relay
+from gooseberryweir.process import reporting
 from gooseberryweir.process import settings as settings_module
 from gooseberryweir.process import shares as shares_module
 from gooseberryweir.process import suspects as suspects_module
@@ -105,6 +106,7 @@
         settings.host, incarnation, clock, tables, facts, store
     )
     metrics = metrics_module.open_metrics(settings.statsd)
+    outcomes = reporting.Outcomes()
     with contextlib.ExitStack() as stack:
         peering = stack.enter_context(
             peering_module.Peering(
@@ -134,6 +136,7 @@
             settings=settings,
             clock=clock,
             metrics=metrics,
+            outcomes=outcomes,
             tables=tables,
             facts=facts,
             membership=membership,
@@ -148,6 +151,7 @@
             once.handle_forward(context, message)
         )
         _open_platform(stack, context, store)
+        stack.enter_context(reporting.reports(shares, outcomes, metrics, clock))
         yield context
 
 
@@ -202,6 +206,7 @@
             pool,
             settings.max_header_bytes,
             lambda: stop.requested,
+            lambda refusal: application.note_refusal(context, "", refusal),
         )
         operator_task = eventlet.spawn(
             caller_http.serve,
--- a/gooseberryweir/request/application.py
+++ b/gooseberryweir/request/application.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 import contextlib
+import itertools
 import logging
 from typing import Any
 
@@ -12,6 +13,7 @@
 from gooseberryweir.connection import disconnect
 from gooseberryweir.connection import messages
 from gooseberryweir.process import context as contexts
+from gooseberryweir.process import reporting
 from gooseberryweir.process import suspects
 from gooseberryweir.request import admission
 from gooseberryweir.request import answer as answers
@@ -25,6 +27,8 @@
 LOGGER = logging.getLogger(__name__)
 # Bytes up to which a body is held so that the request can be sent again.
 REPEAT_BODY_BYTES = 64 * 1024
+# Codes that mean "not run" only if nothing was sent to an upstream yet.
+BODY_CODES = (codes.Code.BAD_LENGTH, codes.Code.BODY_TOO_LARGE)
 
 
 class StreamedBody:
@@ -45,15 +49,24 @@
             yield from self.pieces
         except Exception as error:
             # Lets the owners see the fault; they raise what it means.
-            self.owned.__exit__(type(error), error, error.__traceback__)
+            with self.cut_logged():
+                self.owned.__exit__(type(error), error, error.__traceback__)
             raise
 
     def close(self) -> None:
         """Ends what the request owns; called by the server in every case."""
-        try:
+        with self.cut_logged():
             self.owned.close()
+
+    @contextlib.contextmanager
+    def cut_logged(self) -> Iterator[None]:
+        """Logs what cut the answer short instead of raising it."""
+        try:
+            yield
         except dispatch.RefusedError as error:
             logs.event(LOGGER, "answer-cut", code=int(error.refusal.code))
+        except disconnect.CallerGoneError:
+            logs.event(LOGGER, "caller-gone")
 
 
 def make_application(context: contexts.Context) -> Callable[..., Any]:
@@ -62,22 +75,42 @@
     def application(
         environ: dict[str, Any], start_response: Any
     ) -> Iterable[bytes]:
-        request = incoming.parse(environ)
-        if isinstance(request, codes.Refusal):
-            found = _refused(context, "", request)
-        elif request.path == lookup.PATH:
-            query = environ.get("QUERY_STRING", "")
-            found = lookup.look_up(context, request, query)
-        else:
-            found = _serve(context, request)
-        return answers.start(found, start_response)
+        try:
+            found = _answer(context, environ)
+        except Exception as error:
+            # The process goes on; the caller is told that we don't know.
+            logs.event(
+                LOGGER,
+                "request-failed",
+                logging.ERROR,
+                error=type(error).__name__,
+            )
+            found = _refused(context, "", codes.refuse(codes.Code.INTERNAL))
+        head = environ["REQUEST_METHOD"] == "HEAD"
+        return answers.start(found, start_response, head)
 
     return application
 
 
-def _refused(
-    context: contexts.Context, account: str, refusal: codes.Refusal
+def _answer(
+    context: contexts.Context, environ: dict[str, Any]
 ) -> answers.Answer:
+    """Answers a look-up or a request on a service's path."""
+    request = incoming.parse(environ)
+    if isinstance(request, codes.Refusal):
+        return _refused(context, "", request)
+    if request.path != lookup.PATH:
+        return _serve(context, request)
+    found = lookup.look_up(context, request, environ.get("QUERY_STRING", ""))
+    if isinstance(found, codes.Refusal):
+        return _refused(context, "", found)
+    return found
+
+
+def note_refusal(
+    context: contexts.Context, account: str, refusal: codes.Refusal
+) -> None:
+    """Logs and counts a refusal."""
     logs.event(
         LOGGER,
         "request-refused",
@@ -87,6 +120,16 @@
         detail=refusal.detail,
     )
     context.metrics.increment(f"refused.{int(refusal.code)}")
+    if account and refusal.code in reporting.WITHIN_RATE:
+        context.metrics.increment(f"refused_within_rate.{account}")
+        context.outcomes.refused_within_rate(account)
+
+
+def _refused(
+    context: contexts.Context, account: str, refusal: codes.Refusal
+) -> answers.Answer:
+    """Returns the answer that tells a refusal."""
+    note_refusal(context, account, refusal)
     return answers.from_refusal(refusal)
 
 
@@ -117,6 +160,7 @@
     if ticket is None:
         refusal = codes.refuse(codes.Code.TICKET_INVALID)
         return _refused(context, account, refusal)
+    finish = dispatch.timed(context, admitted)
     limit = context.settings.max_body_bytes
     size = limit if request.content_length is None else request.content_length
     with context.budget.reserve(size) as reserved:
@@ -145,6 +189,7 @@
             outcome = once.forward(context, ticket.host, message)
     if isinstance(outcome, codes.Refusal):
         return _refused(context, account, outcome)
+    finish(outcome.status)
     return answers.Answer(outcome.status, outcome.headers, [outcome.body])
 
 
@@ -152,59 +197,93 @@
     context: contexts.Context,
     request: incoming.Incoming,
     admitted: admission.Admitted,
-) -> dispatch.Work | codes.Refusal:
-    """Reads a small body whole and leaves a large one to be streamed."""
+    watch: disconnect.CallerWatch,
+) -> dispatch.Work:
+    """Reads a small body whole and leaves a large one to be streamed.
+
+    Raises:
+        bodies.BodyCutError: The body ended early or was malformed.
+        bodies.BodyTooLargeError: The body is over the limit.
+    """
     size = request.content_length
     limit = context.settings.max_body_bytes
     if size is not None and size > limit:
-        return codes.refuse(codes.Code.BODY_TOO_LARGE)
-    held = size is not None and size <= REPEAT_BODY_BYTES
-    body = bodies.whole(request, limit) if held else b""
-    if isinstance(body, codes.Refusal):
-        return body
+        raise bodies.BodyTooLargeError
+    most = REPEAT_BODY_BYTES if size is None or size <= REPEAT_BODY_BYTES else 0
+    begun = bodies.begin(request, limit, most)
+    whole = begun.rest is None
+    if whole:
+        watch.begin()
+        size = len(begun.held)
     return dispatch.Work(
         admitted,
         request.method,
         request.target,
         request.headers,
-        (body or None) if held else bodies.pieces(request, limit),
+        (begun.held or None) if whole else _streamed(begun, watch),
         size,
         request.ticket,
         suspects.fingerprint(
-            admitted.account, request.method, request.target, body
+            admitted.account,
+            request.method,
+            request.target,
+            begun.held if whole else b"",
         ),
         context.clock.monotonic() + request.timeout,
-        repeatable=held,
+        repeatable=whole,
     )
 
 
+def _streamed(
+    begun: bodies.Begun, watch: disconnect.CallerWatch
+) -> Iterator[bytes]:
+    """Yields the body as it comes, then begins to watch the caller."""
+    yield begun.held
+    yield from begun.rest or ()
+    watch.begin()
+
+
 def _serve_idempotent(
     context: contexts.Context,
     request: incoming.Incoming,
     admitted: admission.Admitted,
 ) -> answers.Answer:
     """Serves an idempotent request, its answer streamed."""
-    work = _work(context, request, admitted)
-    if isinstance(work, codes.Refusal):
-        return _refused(context, admitted.account, work)
-    with contextlib.ExitStack() as owned:
-        try:
+    sent = False
+    try:
+        with contextlib.ExitStack() as owned:
+            watch = owned.enter_context(disconnect.CallerWatch(request.caller))
+            work = _work(context, request, admitted, watch)
             dispatch.take_rate(context, admitted, work.deadline)
-            if work.repeatable:
-                owned.enter_context(
-                    disconnect.cancel_on_disconnect(request.caller)
-                )
-            found = owned.enter_context(dispatch.run(context, work))
-        except dispatch.RefusedError as error:
-            return _refused(context, admitted.account, error.refusal)
-        except disconnect.CallerGoneError:
-            refusal = codes.refuse(codes.Code.OUTCOME_UNKNOWN, "caller gone")
-            return _refused(context, admitted.account, refusal)
-        except (bodies.BodyCutError, bodies.BodyTooLargeError):
-            refusal = codes.refuse(codes.Code.BAD_LENGTH, ran=codes.Ran.UNKNOWN)
-            return _refused(context, admitted.account, refusal)
-        finish = dispatch.timed(context, work)
-        owned.callback(finish, found.status)
-        streamed = StreamedBody(found.body, owned.pop_all())
-        return answers.Answer(found.status, found.headers, streamed)
-    raise AssertionError("unreachable")
+            sent = True
+            return _streaming(context, work, owned)
+    except dispatch.RefusedError as error:
+        refusal = error.refusal
+    except disconnect.CallerGoneError:
+        refusal = codes.refuse(codes.Code.OUTCOME_UNKNOWN, "caller gone")
+    except bodies.BodyCutError:
+        refusal = codes.refuse(codes.Code.BAD_LENGTH)
+    except bodies.BodyTooLargeError:
+        refusal = codes.refuse(codes.Code.BODY_TOO_LARGE)
+    if sent and refusal.code in BODY_CODES:
+        refusal = refusal._replace(ran=codes.Ran.UNKNOWN)
+    return _refused(context, admitted.account, refusal)
+
+
+def _streaming(
+    context: contexts.Context,
+    work: dispatch.Work,
+    owned: contextlib.ExitStack,
+) -> answers.Answer:
+    """Runs a request and returns its answer, which owns what it needs.
+
+    The first piece is awaited, so that an upstream that ends before it can
+    still be told as a refusal.
+    """
+    finish = dispatch.timed(context, work.admitted)
+    found = owned.enter_context(dispatch.run(context, work))
+    first = next(found.body, b"")
+    owned.callback(finish, found.status)
+    pieces = itertools.chain((first,), found.body)
+    streamed = StreamedBody(pieces, owned.pop_all())
+    return answers.Answer(found.status, found.headers, streamed)
--- a/gooseberryweir/request/body.py
+++ b/gooseberryweir/request/body.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 import contextlib
 from typing import Any
+from typing import NamedTuple
 
 from eventlet import wsgi
 
@@ -70,6 +71,41 @@
         raise BodyCutError from error
 
 
+class Begun(NamedTuple):
+    """A body of which the beginning was read.
+
+    Attributes:
+        held: What was read.
+        rest: What follows, or None if that was all.
+    """
+
+    held: bytes
+    rest: Iterator[bytes] | None
+
+
+def begin(request: incoming.Incoming, limit: int, most: int) -> Begun:
+    """Reads a body whole if it has at most some bytes, else its beginning.
+
+    Args:
+        request: The request.
+        limit: Bytes beyond which the body is refused.
+        most: Bytes up to which it is read whole.
+
+    Raises:
+        BodyCutError: The body ended early or was malformed.
+        BodyTooLargeError: The body is over the limit.
+    """
+    rest = pieces(request, limit)
+    held: list[bytes] = []
+    size = 0
+    for piece in rest:
+        held.append(piece)
+        size += len(piece)
+        if size > most:
+            return Begun(b"".join(held), rest)
+    return Begun(b"".join(held), None)
+
+
 def whole(request: incoming.Incoming, limit: int) -> bytes | codes.Refusal:
     """Returns the whole body, or the refusal of one that can't be read."""
     try:
--- a/gooseberryweir/request/dispatch.py
+++ b/gooseberryweir/request/dispatch.py
@@ -211,13 +211,6 @@
     )
 
 
-def _is_shed(answer: upstream_http.UpstreamAnswer) -> bool:
-    return answer.status == 503 and any(
-        name.lower() == upstream_http.SHED_HEADER.lower()
-        for name, _ in answer.headers
-    )
-
-
 @contextlib.contextmanager
 def _attempt(
     context: contexts.Context,
@@ -241,7 +234,7 @@
             upstream.address, upstream.connections, request, timeout
         ) as answer,
     ):
-        if _is_shed(answer):
+        if answer.shed:
             refusal = codes.refuse(codes.Code.UPSTREAM_SHED)
             raise RefusedError(refusal, again=work.repeatable)
         context.suspects.succeeded(work.suspect)
@@ -310,19 +303,22 @@
             )
 
 
-def timed(context: contexts.Context, work: Work) -> Callable[[int], None]:
+def timed(
+    context: contexts.Context, admitted: admission.Admitted
+) -> Callable[[int], None]:
     """Returns a function to call with the status once the answer is out."""
     began = context.clock.monotonic()
 
     def finish(status: int) -> None:
         milliseconds = (context.clock.monotonic() - began) * 1000
-        work_class = work.admitted.work_class
+        work_class = admitted.work_class
         context.metrics.timing(f"latency.{work_class}", milliseconds)
+        context.outcomes.answered(admitted.account, milliseconds)
         logs.event(
             LOGGER,
             "request-answered",
             logging.DEBUG,
-            account=work.admitted.account,
+            account=admitted.account,
             work_class=work_class,
             status=status,
             milliseconds=milliseconds,
--- a/gooseberryweir/request/lookup.py
+++ b/gooseberryweir/request/lookup.py
@@ -13,6 +13,7 @@
 from gooseberryweir.request import routing
 
 PATH = "/v1/hosts"
+METHODS = ("GET", "HEAD")
 
 
 class LookUpHost(TypedDict):
@@ -74,7 +75,7 @@
 
 def look_up(
     context: contexts.Context, request: incoming.Incoming, query: str
-) -> answers.Answer:
+) -> answers.Answer | codes.Refusal:
     """Answers a look-up.
 
     Args:
@@ -82,18 +83,24 @@
         request: The request; its key is optional.
         query: Query string; `region=NAME` names the caller's region.
     """
+    if request.method not in METHODS:
+        return codes.refuse(codes.Code.BAD_METHOD)
     stale = admission.freshness_fault(context)
     if stale is not None:
-        return answers.from_refusal(stale)
+        return stale
     account = ""
     if request.key_digest:
         found = admission.account_of(context, request.key_digest)
         if isinstance(found, codes.Refusal):
-            return answers.from_refusal(found)
+            return found
         account = found
     region = _region_of(query) or context.settings.region
+    hosts = ranked_hosts(context, account, region)
+    if not hosts:
+        # The configuration may be known before the list of hosts.
+        return codes.refuse(codes.Code.HOST_STARTING)
     document = LookUp(
-        hosts=ranked_hosts(context, account, region),
+        hosts=hosts,
         ttl=context.settings.look_up_seconds,
     )
     if account:
--- a/gooseberryweir/version/references.py
+++ b/gooseberryweir/version/references.py
@@ -71,6 +71,13 @@
             yield validation.Fault(
                 f"{place}.accounts", "", "should be empty on an open route"
             )
+        if route.get("open") is True and route.get("idempotent") is False:
+            yield validation.Fault(
+                f"{place}.open",
+                "True",
+                "should be false if idempotent is: only callers with a key"
+                " get tickets",
+            )
         path = route.get("path")
         if isinstance(path, str) and paths.setdefault(path, place) != place:
             yield validation.Fault(
--- a/test/standins/serving.py
+++ b/test/standins/serving.py
@@ -1,6 +1,7 @@
 """What the stand-ins share: JSON over eventlet's WSGI server."""
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import contextlib
 import hashlib
 import json
@@ -51,11 +52,15 @@
 
 
 def json_answer(
-    start_response: Callable, status: str, document: Any
+    start_response: Callable,
+    status: str,
+    document: Any,
+    extra: Sequence[tuple[str, str]] = (),
 ) -> list[bytes]:
-    """Answers with a JSON document."""
+    """Answers with a JSON document, with extra headers."""
     body = json.dumps(document).encode()
     headers = [
+        *extra,
         ("Content-Type", "application/json"),
         ("Content-Length", str(len(body))),
     ]
@@ -69,6 +74,13 @@
     return dict(urllib.parse.parse_qsl(text, keep_blank_values=True))
 
 
+def asked_headers(environ: Environ) -> list[tuple[str, str]]:
+    """Returns the answer headers that `header=NAME:VALUE` asks for."""
+    pairs = urllib.parse.parse_qsl(environ.get("QUERY_STRING", ""))
+    texts = [value for name, value in pairs if name == "header"]
+    return [(text.partition(":")[0], text.partition(":")[2]) for text in texts]
+
+
 def json_body(environ: Environ) -> Any:
     """Reads a JSON request body."""
     return json.loads(environ["wsgi.input"].read() or b"{}")
--- a/test/standins/upstream.py
+++ b/test/standins/upstream.py
@@ -187,11 +187,12 @@
         }
         short = "short" in query
         dying = self.switches.die_mid_answer
+        extra = serving.asked_headers(environ)
         if not (short or dying or "bytes" in query):
-            answer = serving.json_answer(start_response, "200 OK", echo)
+            answer = serving.json_answer(start_response, "200 OK", echo, extra)
             return [] if echo["method"] == "HEAD" else answer
         size = int(query.get("bytes", PIECE_BYTES))
-        headers = [("Content-Type", "application/octet-stream")]
+        headers = [("Content-Type", "application/octet-stream"), *extra]
         if "chunked" not in query or echo["method"] == "HEAD":
             headers.append(("Content-Length", str(size)))
         start_response("200 OK", headers)
--- /dev/null
+++ b/test/test_bodies.py
@@ -0,0 +1,331 @@
+"""Bodies, connections, disconnects and deadlines through real processes."""
+
+import hashlib
+import random
+import unittest
+
+from test import _common
+from test import _declared
+from test import _raw
+from test.standins import serving
+
+SIZES = (0, 1, 20_000_000)
+MAX_BODY_BYTES = 32 * 1024 * 1024
+SEED = 11
+# More than is held, so that the body is streamed.
+STREAMED_BYTES = 200_000
+
+
+class HostTest(unittest.TestCase):
+    """One deployment for all tests of a class."""
+
+    settings = {"max_body_bytes": MAX_BODY_BYTES, "statsd": "127.0.0.1:9"}
+
+    @classmethod
+    def setUpClass(cls):
+        cls.running = cls.enterClassContext(
+            _declared.deployment(3, 3, 9, settings=cls.settings)
+        )
+        _declared.wait_serving(cls.running)
+        cls.host = next(iter(cls.running.host_specs))
+        cls.key = cls.running.keys["ada"]
+
+    def connect(self):
+        address = self.running.addresses[f"caller:{self.host}"]
+        return self.enterContext(_raw.Connection(address))
+
+    def total(self, name):
+        """Returns a figure summed over the upstreams."""
+        reports = self.running.reports().values()
+        return sum(report[name] for report in reports)
+
+
+class BodiesTest(HostTest):
+    """Every size, chunked and with Content-Length, both ways; statsd down."""
+
+    def check_upload(self, content, lines, sent):
+        connection = self.connect()
+        head = _raw.head("PUT", "/contracts", *lines, key=self.key)
+        connection.send(head, sent)
+        echo = connection.answer().document()
+        digest = hashlib.sha256(content).hexdigest()
+        self.assertEqual(echo["body_length"], len(content))
+        self.assertEqual(echo["body_sha256"], digest)
+
+    def test_up_with_content_length(self):
+        for size in SIZES:
+            with self.subTest(size=size):
+                content = random.Random(SEED).randbytes(size)
+                self.check_upload(content, [f"Content-Length: {size}"], content)
+
+    def test_up_chunked(self):
+        for size in SIZES:
+            with self.subTest(size=size):
+                content = random.Random(SEED).randbytes(size)
+                self.check_upload(
+                    content,
+                    ["Transfer-Encoding: chunked"],
+                    _raw.chunked(content, 70_001),
+                )
+
+    def test_up_with_a_ticket(self):
+        batch = _declared.look_up(self.running, self.host, "ada")["tickets"]
+        for number, size in enumerate(SIZES):
+            with self.subTest(size=size):
+                content = random.Random(SEED).randbytes(size)
+                answer = self.running.call(
+                    self.host,
+                    "POST",
+                    "/contracts/orders",
+                    "ada",
+                    body=content,
+                    headers={"Idempotency-Key": f"{batch['prefix']}{number}"},
+                )
+                digest = hashlib.sha256(content).hexdigest()
+                self.assertEqual(answer.json()["body_sha256"], digest)
+
+    def test_down(self):
+        for size in SIZES:
+            for form in ("", "&chunked"):
+                with self.subTest(size=size, form=form):
+                    connection = self.connect()
+                    target = f"/contracts?bytes={size}{form}"
+                    connection.send(_raw.head("GET", target, key=self.key))
+                    answer = connection.answer()
+                    self.assertEqual(answer.body, serving.payload("", size))
+                    with_length = "content-length" in answer.headers
+                    self.assertEqual(with_length, not form)
+
+    def test_body_over_the_limit(self):
+        connection = self.connect()
+        size = MAX_BODY_BYTES + 1
+        length = f"Content-Length: {size}"
+        connection.send(
+            _raw.head("PUT", "/contracts", length, key=self.key), bytes(size)
+        )
+        answer = connection.answer()
+        self.assertEqual(answer.status, 413)
+        self.assertEqual(answer.document()["ran"], "no")
+        connection.send(
+            _raw.head(
+                "PUT", "/contracts", "Transfer-Encoding: chunked", key=self.key
+            ),
+            _raw.chunked(bytes(size), 65_536),
+        )
+        answer = connection.answer()
+        self.assertEqual(answer.status, 413)
+        self.assertEqual(answer.document()["ran"], "unknown")
+
+
+class ConnectionsTest(HostTest):
+    """Keep-alive, HEAD and pipelined requests on one connection."""
+
+    def test_keep_alive(self):
+        connection = self.connect()
+        for number in range(5):
+            connection.send(
+                _raw.head("GET", f"/contracts?n={number}", key=self.key)
+            )
+            answer = connection.answer()
+            self.assertEqual(answer.document()["query"], f"n={number}")
+
+    def test_head_has_no_body_and_the_connection_goes_on(self):
+        connection = self.connect()
+        cases = (
+            ("/contracts", 200),
+            ("/contracts?bytes=5000", 200),
+            ("/contracts?bytes=5000&chunked", 200),
+            ("/contracts/none/%2f", 400),
+            ("/nowhere", 404),
+            ("/v1/hosts", 200),
+        )
+        for target, status in cases:
+            with self.subTest(target=target):
+                connection.send(_raw.head("HEAD", target, key=self.key))
+                answer = connection.answer("HEAD")
+                self.assertEqual((answer.status, answer.body), (status, b""))
+                connection.send(_raw.head("GET", "/contracts", key=self.key))
+                self.assertEqual(connection.answer().status, 200)
+
+    def test_head_refused_before_the_application(self):
+        connection = self.connect()
+        connection.send(
+            _raw.head("HEAD", "/contracts", "Content-Length: -1", key=self.key)
+        )
+        head, _, body = connection.rest().partition(b"\r\n\r\n")
+        self.assertIn(b" 400 ", head)
+        self.assertEqual(body, b"")
+
+    def test_pipelined(self):
+        connection = self.connect()
+        requests = [
+            _raw.head("GET", "/contracts?n=0&sleep_ms=100", key=self.key),
+            _raw.head(
+                "PUT", "/contracts?n=1", "Content-Length: 5", key=self.key
+            )
+            + b"GET /",
+            _raw.head(
+                "PUT",
+                "/contracts?n=2",
+                "Transfer-Encoding: chunked",
+                key=self.key,
+            )
+            + _raw.chunked(b"GET /x HTTP/1.1", 4),
+            _raw.head("HEAD", "/nowhere"),
+            _raw.head("GET", "/nowhere"),
+            _raw.head("GET", "/contracts?n=3", key=self.key),
+        ]
+        connection.send(*requests)
+        methods = ("GET", "PUT", "PUT", "HEAD", "GET", "GET")
+        answers = [connection.answer(method) for method in methods]
+        statuses = [answer.status for answer in answers]
+        self.assertEqual(statuses, [200, 200, 200, 404, 404, 200])
+        echoes = [answers[n].document()["query"] for n in (0, 1, 2, 5)]
+        self.assertEqual(echoes, ["n=0&sleep_ms=100", "n=1", "n=2", "n=3"])
+
+    def test_expect_continue(self):
+        connection = self.connect()
+        lines = ("Expect: 100-continue", "Content-Length: 3")
+        connection.send(_raw.head("PUT", "/contracts", *lines, key=self.key))
+        self.assertIn(b" 100 ", connection.reader.readline())
+        connection.reader.readline()
+        connection.send(b"abc")
+        self.assertEqual(connection.answer().document()["body_length"], 3)
+
+
+class DisconnectTest(HostTest):
+    """A caller that goes cancels the upstream's work."""
+
+    def check_cancelled(self, *parts):
+        before = self.total("cancelled")
+        connection = self.connect()
+        connection.send(*parts)
+        _common.wait_until(lambda: self.total("busy") == 1, what="it runs")
+        connection.socket.close()
+        connection.reader.raw.close()
+        _common.wait_until(
+            lambda: self.total("cancelled") == before + 1, what="cancelled"
+        )
+        _common.wait_until(lambda: self.total("busy") == 0)
+
+    def test_without_a_body(self):
+        target = "/contracts?sleep_ms=60000"
+        self.check_cancelled(_raw.head("GET", target, key=self.key))
+
+    def test_with_a_held_and_a_streamed_body(self):
+        target = "/contracts?sleep_ms=60000"
+        for size in (10, STREAMED_BYTES):
+            with self.subTest(size=size):
+                length = f"Content-Length: {size}"
+                head = _raw.head("PUT", target, length, key=self.key)
+                self.check_cancelled(head, bytes(size))
+
+    def test_with_a_chunked_body(self):
+        target = "/contracts?sleep_ms=60000"
+        for size in (10, STREAMED_BYTES):
+            with self.subTest(size=size):
+                coding = "Transfer-Encoding: chunked"
+                head = _raw.head("PUT", target, coding, key=self.key)
+                self.check_cancelled(head, _raw.chunked(bytes(size), 50_000))
+
+    def test_in_the_middle_of_a_body(self):
+        connection = self.connect()
+        length = f"Content-Length: {STREAMED_BYTES}"
+        connection.send(
+            _raw.head("PUT", "/contracts", length, key=self.key), bytes(90_000)
+        )
+        connection.socket.close()
+        connection.reader.raw.close()
+        connection = self.connect()
+        connection.send(_raw.head("GET", "/contracts", key=self.key))
+        self.assertEqual(connection.answer().status, 200)
+
+
+class DeadlineTest(HostTest):
+    """The caller's timeout is passed on, reduced, and honoured."""
+
+    def send(self, timeout, target):
+        connection = self.connect()
+        line = f"Request-Timeout: {timeout}"
+        connection.send(_raw.head("GET", target, line, key=self.key))
+        return connection.answer()
+
+    def test_passed_on_reduced(self):
+        echo = self.send(5, "/contracts").document()
+        values = [v for n, v in echo["headers"] if n == "Request-Timeout"]
+        self.assertEqual(len(values), 1)
+        self.assertLess(float(values[0]), 5.0)
+        self.assertGreater(float(values[0]), 0.0)
+
+    def test_honoured(self):
+        answer = self.send(0.3, "/contracts?sleep_ms=60000")
+        self.assertEqual(answer.status, 504)
+        self.assertNotEqual(answer.headers.get("gooseberryweir-ran"), "no")
+        _common.wait_until(lambda: self.total("busy") == 0)
+
+    def test_malformed_ones_are_refused(self):
+        for text in ("0", "-1", "nan", "inf", "601", "5s", "1, 2"):
+            with self.subTest(text=text):
+                answer = self.send(text, "/contracts")
+                self.assertEqual(answer.document()["code"], 217)
+                self.assertEqual(answer.document()["ran"], "no")
+
+
+class CutAnswersTest(HostTest):
+    """A cut answer is never passed off as whole."""
+
+    def read(self, target):
+        connection = self.connect()
+        connection.send(_raw.head("GET", target, key=self.key))
+        return connection.rest()
+
+    def check_cut(self, query, size):
+        data = self.read(f"/contracts?bytes={size}{query}")
+        head, _, body = data.partition(b"\r\n\r\n")
+        self.assertIn(b" 200 ", head)
+        self.assertGreater(len(body), 0)
+        self.assertLess(len(body), size)
+        self.assertFalse(body.endswith(b"0\r\n\r\n"))
+        length = f"content-length: {size}".encode()
+        self.assertEqual(length in head.lower(), "chunked" not in query)
+
+    def test_short_answer(self):
+        for query in ("&short", "&short&chunked"):
+            for size in (1000, 5_000_000):
+                with self.subTest(query=query, size=size):
+                    self.check_cut(query, size)
+
+    def test_upstream_ends_in_the_middle(self):
+        for query in ("", "&chunked"):
+            with self.subTest(query=query):
+                for process in self.living():
+                    switches = {"die_mid_answer": True}
+                    _common.fetch_json(process.url("/_control"), switches)
+                before = len(self.living())
+                self.check_cut(query, 5_000_000)
+                _common.wait_until(lambda n=before: len(self.living()) < n)
+
+    def living(self):
+        upstreams = self.running.upstreams.values()
+        return [process for process in upstreams if process.alive()]
+
+
+class DeathTest(HostTest):
+    """After an upstream died under a request, nothing says "not run"."""
+
+    def test_later_refusal_is_unknown(self):
+        for process in self.running.upstreams.values():
+            switches = {"die_after_receive": True}
+            _common.fetch_json(process.url("/_control"), switches)
+        connection = self.connect()
+        connection.send(_raw.head("GET", "/contracts", key=self.key))
+        refused = connection.answer().document()
+        self.assertEqual(refused["ran"], "unknown")
+        text = self.running.hosts[self.host].text()
+        self.assertIn("event=request-retried", text)
+        # The last refusal is one of a request that was not sent again.
+        self.assertEqual(refused["error"], "suspect_request")
+
+
+if __name__ == "__main__":
+    unittest.main()
