Shifts: wait for the answer of a home; a dying upstream is asked twice

Cause: a shift token was taken without a wait, so the first shift of a host that is not the home of the cap was refused as capped (303) with the cap unused; a farther region's slots were given no wait where links are equal. An upstream that exits closes connections before its listener, so is_down saw it alive. Deadlines now begin with the request's head, not after its body.

--- a/gooseberryweir/request/application.py
+++ b/gooseberryweir/request/application.py
@@ -161,6 +161,7 @@
         refusal = codes.refuse(codes.Code.TICKET_INVALID)
         return _refused(context, account, refusal)
     finish = dispatch.timed(context, admitted)
+    deadline = context.clock.monotonic() + request.timeout
     limit = context.settings.max_body_bytes
     size = limit if request.content_length is None else request.content_length
     with context.budget.reserve(size) as reserved:
@@ -180,7 +181,7 @@
             request.target,
             request.headers,
             body,
-            request.timeout,
+            max(0.0, deadline - context.clock.monotonic()),
             0,
         )
         if ticket.host == context.settings.host:
@@ -197,6 +198,7 @@
     context: contexts.Context,
     request: incoming.Incoming,
     admitted: admission.Admitted,
+    deadline: float,
     watch: disconnect.CallerWatch,
 ) -> dispatch.Work:
     """Reads a small body whole and leaves a large one to be streamed.
@@ -229,7 +231,7 @@
             request.target,
             begun.held if whole else b"",
         ),
-        context.clock.monotonic() + request.timeout,
+        deadline,
         repeatable=whole,
     )
 
@@ -250,10 +252,11 @@
 ) -> answers.Answer:
     """Serves an idempotent request, its answer streamed."""
     sent = False
+    deadline = context.clock.monotonic() + request.timeout
     try:
         with contextlib.ExitStack() as owned:
             watch = owned.enter_context(disconnect.CallerWatch(request.caller))
-            work = _work(context, request, admitted, watch)
+            work = _work(context, request, admitted, deadline, watch)
             dispatch.take_rate(context, admitted, work.deadline)
             sent = True
             return _streaming(context, work, owned)
--- a/gooseberryweir/request/dispatch.py
+++ b/gooseberryweir/request/dispatch.py
@@ -27,6 +27,7 @@
 MAX_ATTEMPTS = 3
 # Seconds for finding out whether an upstream still accepts connections.
 DEATH_CHECK_SECONDS = 0.3
+DEATH_PAUSE_SECONDS = 0.05
 ACCOUNT_HEADER = "Gooseberryweir-Account"
 
 
@@ -117,7 +118,18 @@
 
 
 def is_down(address: str) -> bool:
-    """Returns whether an upstream refuses connections."""
+    """Returns whether an upstream refuses connections.
+
+    A process that ends may close its connections a moment before its
+    listener, so one that still accepts is asked once more.
+    """
+    if _refuses(address):
+        return True
+    eventlet.sleep(DEATH_PAUSE_SECONDS)
+    return _refuses(address)
+
+
+def _refuses(address: str) -> bool:
     host, _, port = address.rpartition(":")
     try:
         with eventlet.Timeout(DEATH_CHECK_SECONDS):
--- a/gooseberryweir/request/routing.py
+++ b/gooseberryweir/request/routing.py
@@ -20,6 +20,8 @@
 LOGGER = logging.getLogger(__name__)
 # One-way latency assumed between regions that no link joins, milliseconds.
 UNLINKED_LATENCY_MS = 100.0
+# Seconds for the home of slots or shift tokens to answer a draw.
+DRAW_SECONDS = 0.1
 
 
 class Candidate(NamedTuple):
@@ -88,8 +90,10 @@
     """Returns the regions to try, in order.
 
     A request waits in a nearer region for as long as the round trip to the
-    next one takes, since a slot that comes free by then is no later. If no
-    region has a slot at once, it waits in the nearest one.
+    next one takes, since a slot that comes free by then is no later. In a
+    farther one it waits at least for an answer of the home of its slots. If
+    no region has a slot so soon, it waits in each, the nearest first; one
+    that expects no slot in that time refuses at once.
 
     Args:
         context: The process.
@@ -103,11 +107,13 @@
         latency = latencies[region]
         following = ranked[position + 1 : position + 2]
         extra = latencies[following[0]] - latency if following else 0.0
-        wait = min(patience, 2 * extra / 1000)
+        least = DRAW_SECONDS if position else 0.0
+        wait = min(patience, max(least, 2 * extra / 1000))
         steps.append(Candidate(region, latency, wait))
-    if ranked and patience > 0:
-        nearest = ranked[0]
-        steps.append(Candidate(nearest, latencies[nearest], patience))
+    if patience > 0:
+        steps += [
+            Candidate(region, latencies[region], patience) for region in ranked
+        ]
     return tuple(steps)
 
 
@@ -135,8 +141,9 @@
     origin = context.settings.region
     if candidate.region == origin:
         return lease
+    give_up_at = min(deadline, context.clock.monotonic() + DRAW_SECONDS)
     token = context.shares.take(
-        f"shift/{origin}/{candidate.region}", context.clock.monotonic()
+        f"shift/{origin}/{candidate.region}", give_up_at
     )
     if token is None:
         return lease
@@ -187,6 +194,7 @@
     if declared is None:
         return codes.refuse(codes.Code.HOST_STARTING)
     target_seconds = declared.classes[admitted.work_class].latency_ms / 1000
+    deadline = min(deadline, context.clock.monotonic() + target_seconds)
     tried: list[Attempt] = []
     for candidate in candidates(
         context, admitted.route.service, target_seconds
