--- a/test/test_bodies.py
+++ b/test/test_bodies.py
@@ -18,6 +18,9 @@
 STREAMED_BYTES = 200_000
 BODY_DELAY_SECONDS = 0.3
 TIMEOUT = "Request-Timeout"
+# Longer than any wait of a test, so that only the caller ends the work.
+LONG_WORK = "/contracts?sleep_ms=300000"
+LONG_TIMEOUT = "Request-Timeout: 300"
 
 
 class HostTest(unittest.TestCase):
@@ -213,23 +216,23 @@
         _common.wait_until(lambda: self.total("busy") == 0)
 
     def test_without_a_body(self):
-        target = "/contracts?sleep_ms=60000"
-        self.check_cancelled(_raw.head("GET", target, key=self.key))
+        self.check_cancelled(
+            _raw.head("GET", LONG_WORK, LONG_TIMEOUT, key=self.key)
+        )
 
     def test_with_a_held_and_a_streamed_body(self):
-        target = "/contracts?sleep_ms=60000"
         for size in (10, STREAMED_BYTES):
             with self.subTest(size=size):
                 length = f"Content-Length: {size}"
-                head = _raw.head("PUT", target, length, key=self.key)
+                lines = (LONG_TIMEOUT, length)
+                head = _raw.head("PUT", LONG_WORK, *lines, key=self.key)
                 self.check_cancelled(head, bytes(size))
 
     def test_with_a_chunked_body(self):
-        target = "/contracts?sleep_ms=60000"
         for size in (10, STREAMED_BYTES):
             with self.subTest(size=size):
-                coding = "Transfer-Encoding: chunked"
-                head = _raw.head("PUT", target, coding, key=self.key)
+                lines = (LONG_TIMEOUT, "Transfer-Encoding: chunked")
+                head = _raw.head("PUT", LONG_WORK, *lines, key=self.key)
                 self.check_cancelled(head, _raw.chunked(bytes(size), 50_000))
 
     def test_in_the_middle_of_a_body(self):
