--- a/gooseberryweir/request/incoming.py
+++ b/gooseberryweir/request/incoming.py
@@ -131,7 +131,9 @@
 
 def path_fault(path: str, query: str) -> bool:
     """Returns whether a path or query is ambiguous or malformed."""
-    if not PATH.match(path) or ESCAPE.search(path) or not QUERY.match(query):
+    if not PATH.match(path) or not QUERY.match(query):
+        return True
+    if ESCAPE.search(path) or ESCAPE.search(query):
         return True
     decoded = urllib.parse.unquote(path, encoding="latin1")
     if "%2f" in path.lower() or "\\" in decoded or "\0" in decoded:
--- /dev/null
+++ b/test/test_smuggling.py
@@ -0,0 +1,223 @@
+"""Requests that two servers could read in two ways are refused, not run.
+
+Each is sent with a second request hidden behind it, which must never reach an
+upstream, and the process goes on serving.
+"""
+
+import unittest
+
+from gooseberryweir.version import declarations
+from gooseberryweir.version import validation
+from test import _declared
+from test import _raw
+from test.test_bodies import HostTest
+
+HIDDEN = b"GET /contracts/hidden HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "
+
+# Name, what replaces the header lines after the key, code.
+LENGTHS = (
+    ("negative", b"Content-Length: -1\r\n", 208),
+    ("plus", b"Content-Length: +5\r\n", 208),
+    ("hexadecimal", b"Content-Length: 0x5\r\n", 208),
+    ("underscore", b"Content-Length: 1_0\r\n", 208),
+    ("words", b"Content-Length: five\r\n", 208),
+    ("empty", b"Content-Length:\r\n", 208),
+    ("no-break space", b"Content-Length: \xa05\r\n", 208),
+    ("enormous", b"Content-Length: 99999999999999999999\r\n", 208),
+    ("two", b"Content-Length: 5\r\nContent-Length: 6\r\n", 209),
+    ("twice the same", b"Content-Length: 5\r\nContent-Length: 5\r\n", 209),
+    ("list", b"Content-Length: 5, 5\r\n", 208),
+    ("both", b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", 209),
+    (
+        "both, turned",
+        b"transfer-encoding: chunked\r\ncontent-length: 5\r\n",
+        209,
+    ),
+    ("list of codings", b"Transfer-Encoding: chunked, identity\r\n", 208),
+    ("coding before", b"Transfer-Encoding: gzip, chunked\r\n", 208),
+    ("unknown coding", b"Transfer-Encoding: xchunked\r\n", 208),
+    ("identity", b"Transfer-Encoding: identity\r\n", 208),
+    ("quoted", b'Transfer-Encoding: "chunked"\r\n', 208),
+    ("coding after no-break space", b"Transfer-Encoding: \xa0chunked\r\n", 208),
+    ("empty coding", b"Transfer-Encoding:\r\n", 208),
+    (
+        "two codings",
+        b"Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n",
+        209,
+    ),
+)
+LINES = (
+    ("folded", b"X-A: 1\r\n 2\r\n", 210),
+    ("folded by tab", b"X-A: 1\r\n\tTransfer-Encoding: chunked\r\n", 210),
+    ("folded first", b" X-A: 1\r\n", 210),
+    ("space before colon", b"Transfer-Encoding : chunked\r\n", 210),
+    ("no colon", b"Transfer-Encoding chunked\r\n", 210),
+    ("no name", b": chunked\r\n", 210),
+    ("bare LF", b"X-A: 1\nTransfer-Encoding: chunked\r\n", 210),
+    ("bare CR", b"X-A: 1\rTransfer-Encoding: chunked\r\n", 210),
+    ("NUL", b"X-A: 1\x002\r\n", 210),
+    ("NUL in a name", b"X\0-A: 1\r\n", 210),
+    ("control character", b"X-A: \x0b1\r\n", 210),
+    ("vertical tab in coding", b"Transfer-Encoding: \x0bchunked\r\n", 210),
+    ("long line", b"X-A: " + b"a" * 9000 + b"\r\n", 207),
+    ("many bytes", (b"X-A: " + b"a" * 4000 + b"\r\n") * 5, 207),
+    ("many lines", b"X-A: 1\r\n" * 150, 207),
+)
+# Name, request line, code.
+STARTS = (
+    ("absolute form", b"GET http://x/contracts HTTP/1.1\r\n", 211),
+    ("other scheme", b"GET file:///etc/passwd HTTP/1.1\r\n", 211),
+    ("asterisk", b"OPTIONS * HTTP/1.1\r\n", 211),
+    ("authority", b"CONNECT x:80 HTTP/1.1\r\n", 211),
+    ("dot segments", b"GET /open/../contracts HTTP/1.1\r\n", 211),
+    ("dot segment at the end", b"GET /contracts/.. HTTP/1.1\r\n", 211),
+    ("one dot", b"GET /contracts/./x HTTP/1.1\r\n", 211),
+    ("escaped dots", b"GET /contracts/open/%2e%2E/x HTTP/1.1\r\n", 211),
+    ("escaped slash", b"GET /contracts%2fopen HTTP/1.1\r\n", 211),
+    ("escaped slash, capital", b"GET /contracts%2Fopen HTTP/1.1\r\n", 211),
+    ("double slash", b"GET /contracts//open HTTP/1.1\r\n", 211),
+    ("double slash first", b"GET //contracts HTTP/1.1\r\n", 211),
+    ("backslash", b"GET /contracts\\open HTTP/1.1\r\n", 211),
+    ("escaped backslash", b"GET /contracts/%5c.. HTTP/1.1\r\n", 211),
+    ("escaped NUL", b"GET /contracts/%00 HTTP/1.1\r\n", 211),
+    ("NUL", b"GET /contracts/\0 HTTP/1.1\r\n", 211),
+    ("half an escape", b"GET /contracts/%2 HTTP/1.1\r\n", 211),
+    ("no escape", b"GET /contracts/%zz HTTP/1.1\r\n", 211),
+    ("half an escape in the query", b"GET /contracts?%zz HTTP/1.1\r\n", 211),
+    ("fragment", b"GET /contracts#x HTTP/1.1\r\n", 211),
+    ("bytes over 127", b"GET /contracts/\xc3\xa9 HTTP/1.1\r\n", 211),
+    ("two spaces", b"GET  /contracts HTTP/1.1\r\n", 211),
+    ("tab", b"GET\t/contracts HTTP/1.1\r\n", 211),
+    ("space in the path", b"GET /contracts /x HTTP/1.1\r\n", 211),
+    ("no version", b"GET /contracts\r\n", 211),
+    ("version 2", b"GET /contracts HTTP/2.0\r\n", 211),
+    ("version 1.2", b"GET /contracts HTTP/1.2\r\n", 211),
+    ("bare LF", b"GET /contracts HTTP/1.1\n", 211),
+    ("long", b"GET /contracts/" + b"a" * 20_000 + b" HTTP/1.1\r\n", 207),
+)
+CHUNKS = (
+    ("negative size", b"-5\r\nhello\r\n0\r\n\r\n"),
+    ("plus", b"+5\r\nhello\r\n0\r\n\r\n"),
+    ("hexadecimal prefix", b"0x5\r\nhello\r\n0\r\n\r\n"),
+    ("underscore", b"0_5\r\nhello\r\n0\r\n\r\n"),
+    ("space before size", b" 5\r\nhello\r\n0\r\n\r\n"),
+    ("space after size", b"5 \r\nhello\r\n0\r\n\r\n"),
+    ("empty size", b"\r\nhello\r\n0\r\n\r\n"),
+    ("bare LF after size", b"5\nhello\r\n0\r\n\r\n"),
+    ("more than the size", b"5\r\nhelloXX\r\n0\r\n\r\n"),
+    ("no end of chunk", b"5\r\nhello0\r\n\r\n"),
+    ("NUL in extension", b"5;a=\0\r\nhello\r\n0\r\n\r\n"),
+    ("bare LF in trailer", b"5\r\nhello\r\n0\r\nX-A: 1\n\r\n"),
+    ("huge size", b"fffffffffffffffff\r\nhello\r\n0\r\n\r\n"),
+    ("long extension", b"5;" + b"a" * 5000 + b"\r\nhello\r\n0\r\n\r\n"),
+)
+
+
+class SmugglingTest(HostTest):
+    """Raw bytes on a connection."""
+
+    def setUp(self):
+        self.start = b"GET /contracts HTTP/1.1\r\n"
+        self.key_line = f"Host: x\r\nAuthorization: Bearer {self.key}\r\n"
+        self.hidden = HIDDEN + self.key.encode() + b"\r\n\r\n"
+
+    def check(self, code, *parts):
+        """Checks one refusal, and that nothing was run."""
+        before = self.total_starts()
+        connection = self.connect()
+        connection.send(*parts)
+        answer = connection.answer()
+        document = answer.document()
+        self.assertEqual((document["code"], document["ran"]), (code, "no"))
+        self.assertEqual(answer.headers["gooseberryweir-ran"], "no")
+        self.assertEqual(answer.headers["content-type"], "application/json")
+        self.assertEqual(connection.rest(), b"")
+        self.assertEqual(self.total_starts(), before)
+        connection = self.connect()
+        connection.send(_raw.head("GET", "/contracts", key=self.key))
+        self.assertEqual(connection.answer().status, 200)
+
+    def total_starts(self):
+        reports = self.running.reports().values()
+        return sum(len(report["starts"]) for report in reports)
+
+    def check_lines(self, cases):
+        key_line = self.key_line.encode()
+        for name, lines, code in cases:
+            with self.subTest(name):
+                head = self.start + key_line + lines + b"\r\n"
+                self.check(code, head, b"0\r\n\r\n", self.hidden)
+
+    def test_lengths(self):
+        self.check_lines(LENGTHS)
+
+    def test_header_lines(self):
+        self.check_lines(LINES)
+
+    def test_request_lines(self):
+        for name, start, code in STARTS:
+            with self.subTest(name):
+                # The connection is closed, so that `rest` ends.
+                lines = f"{self.key_line}Connection: close\r\n\r\n".encode()
+                self.check(code, start, lines)
+
+    def test_chunks(self):
+        head = _raw.head(
+            "PUT", "/contracts", "Transfer-Encoding: chunked", key=self.key
+        )
+        for name, body in CHUNKS:
+            with self.subTest(name):
+                self.check(208, head, body, self.hidden)
+
+    def test_chunked_in_an_old_version(self):
+        head = _raw.head(
+            "PUT", "/contracts", "Transfer-Encoding: chunked", key=self.key
+        )
+        old = head.replace(b"HTTP/1.1", b"HTTP/1.0")
+        self.check(208, old, b"0\r\n\r\n", self.hidden)
+
+    def test_head_cut_short(self):
+        head = _raw.head("GET", "/contracts", key=self.key)
+        connection = self.connect()
+        before = self.total_starts()
+        connection.send(head[:-2])
+        connection.socket.shutdown(_raw.socket.SHUT_WR)
+        self.assertEqual(connection.answer().document()["code"], 210)
+        self.assertEqual(self.total_starts(), before)
+
+    def test_body_cut_short(self):
+        for line, body in (
+            ("Content-Length: 9", b"1234"),
+            ("Transfer-Encoding: chunked", b"9\r\n1234"),
+            ("Transfer-Encoding: chunked", b"4\r\n1234\r\n"),
+        ):
+            with self.subTest(line):
+                before = self.total_starts()
+                connection = self.connect()
+                head = _raw.head("PUT", "/contracts", line, key=self.key)
+                connection.send(head, body)
+                connection.socket.shutdown(_raw.socket.SHUT_WR)
+                document = connection.answer().document()
+                self.assertEqual(document["code"], 208)
+                self.assertEqual(document["ran"], "no")
+                self.assertEqual(self.total_starts(), before)
+
+    def test_refusal_is_read_while_a_large_body_is_sent(self):
+        lines = ("Content-Length: 900000", "Transfer-Encoding: chunked")
+        head = _raw.head("PUT", "/contracts", *lines, key=self.key)
+        self.check(209, head, bytes(900_000))
+
+
+class OpenRouteTest(unittest.TestCase):
+    """A route open to all can't need tickets, which only keys get."""
+
+    def test_open_and_not_idempotent_is_a_fault(self):
+        document = _declared.declarations()
+        document["routes"][3]["idempotent"] = False
+        faults = declarations.parse(document).failure()
+        self.assertEqual([fault.path for fault in faults], ["routes[3].open"])
+        self.assertIsInstance(faults[0], validation.Fault)
+
+
+if __name__ == "__main__":
+    unittest.main()
