--- a/test/test_bodies.py
+++ b/test/test_bodies.py
@@ -26,12 +26,13 @@
 class HostTest(unittest.TestCase):
     """One deployment for all tests of a class."""
 
+    upstreams = 3
     settings = {"max_body_bytes": MAX_BODY_BYTES, "statsd": "127.0.0.1:9"}
 
     @classmethod
     def setUpClass(cls):
         cls.running = cls.enterClassContext(
-            _declared.deployment(3, 3, 9, settings=cls.settings)
+            _declared.deployment(3, cls.upstreams, 9, settings=cls.settings)
         )
         _declared.wait_serving(cls.running)
         cls.host = next(iter(cls.running.host_specs))
@@ -335,6 +336,8 @@
 class DeathTest(HostTest):
     """After an upstream died under a request, nothing says "not run"."""
 
+    upstreams = 1
+
     def test_later_refusal_is_unknown(self):
         for process in self.running.upstreams.values():
             switches = {"die_after_receive": True}
