--- a/gooseberryweir/connection/messages.py
+++ b/gooseberryweir/connection/messages.py
@@ -57,6 +57,7 @@
         quorum_age: Seconds since the oldest of the answers by which a
             majority agreed that the platform is out; a large number if none.
             It is no proof of the platform's state.
+        recovered: Whether it was fresh once since its process started.
     """
 
     host: str
@@ -69,6 +70,7 @@
     load: int
     view_age: float
     quorum_age: float
+    recovered: bool
 
 
 class FetchState(NamedTuple):
@@ -245,6 +247,30 @@
     detail: str
 
 
+class AskPermit(NamedTuple):
+    """Asks the home of a request's fingerprint whether it may run now.
+
+    Attributes:
+        name: The fingerprint.
+        host: Name of the asking host.
+        release: True gives the permit back instead.
+    """
+
+    name: str
+    host: str
+    release: bool
+
+
+class Permitted(NamedTuple):
+    """The answer to `AskPermit`.
+
+    Attributes:
+        permitted: Whether the request may run now.
+    """
+
+    permitted: bool
+
+
 _TYPES: tuple[type, ...] = (
     Hello,
     Ping,
@@ -259,6 +285,8 @@
     SlotGrant,
     Forward,
     Answer,
+    AskPermit,
+    Permitted,
 )
 _NUMBERS = {kind: number for number, kind in enumerate(_TYPES)}
 
