Shares: new homes hear silent hosts out; takers that never wait

The home now waits for SILENCE_SECONDS+GRANT_SECONDS, after which a silent host is dead by the facts. Shift tokens are asked for without patience: such takers leave their want to the next draw, so that the next one finds a token. Refused says whether a home answered, so that a missing home need not be told as a rate passed. Decaying counts stood four times: one class now.

--- a/gooseberryweir/process/bucket_holder.py
+++ b/gooseberryweir/process/bucket_holder.py
@@ -15,6 +15,8 @@
 from gooseberryweir import clock as clocks
 from gooseberryweir.connection import messages
 from gooseberryweir.process import bucket_home
+from gooseberryweir.process import bucket_waiters
+from gooseberryweir.process import decay
 from gooseberryweir.process import timing
 
 WAIT_SECONDS = 0.3
@@ -23,25 +25,12 @@
 SHORTEST_SLEEP_SECONDS = 0.001
 FAILURE_SLEEP_SECONDS = 0.02
 MAX_WAITERS = 64
+MAX_MISSED = 1
 RESERVE_SHARE = 1 / 16
 LEAD_SECONDS = 0.1
 DEMAND_SECONDS = 0.5
 
 
-class Taken(NamedTuple):
-    """Tokens were spent."""
-
-
-class Refused(NamedTuple):
-    """No token can be had within the wait.
-
-    Attributes:
-        retry_after: Seconds after which to come back.
-    """
-
-    retry_after: float
-
-
 class Home(NamedTuple):
     """How a holder reaches the home of its bucket.
 
@@ -62,30 +51,6 @@
     view: Callable[[], int]
 
 
-class Hand:
-    """Tokens of one grant on hand."""
-
-    def __init__(self, granted: int, ends_at: float) -> None:
-        self.granted = granted
-        self.spent = 0
-        self.reported = 0
-        self.ends_at = ends_at
-
-
-class Waiter:
-    """A taker that waits for tokens until an instant."""
-
-    def __init__(self, tokens: int, give_up_at: float) -> None:
-        self.tokens = tokens
-        self.give_up_at = give_up_at
-        self.event = events.Event()
-
-    def settle(self, result: float | Refused) -> None:
-        """Ends the wait with the tokens' end, or a refusal."""
-        if not self.event.ready():
-            self.event.send(result)
-
-
 class Pending(NamedTuple):
     """A draw without an answer.
 
@@ -116,21 +81,24 @@
         self.incarnation = incarnation
         self.clock = clock
         self.home = home
-        self.hands: dict[int, Hand] = {}
-        self.waiters: collections.deque[Waiter] = collections.deque()
+        self.hands: dict[int, bucket_waiters.Hand] = {}
+        self.waiters: collections.deque[bucket_waiters.Waiter] = (
+            collections.deque()
+        )
         self.sequence = 0
         self.pending: Pending | None = None
         self.running = False
         self.failures = 0
+        self.answered = False
+        self.missed = 0
         self.wake = events.Event()
         self.retry_at = -math.inf
         self.refuse_until = -math.inf
-        self.asked = 0.0
-        self.asked_at = clock.monotonic()
+        self.asked = decay.DecayingCount(DEMAND_SECONDS, clock.monotonic())
 
     def take(
         self, tokens: int = 1, deadline: float = math.inf
-    ) -> Taken | Refused:
+    ) -> bucket_waiters.Taken | bucket_waiters.Refused:
         """Spends tokens, or says when to come back.
 
         Args:
@@ -138,13 +106,16 @@
             deadline: Instant on the monotonic clock; the wait is short too.
         """
         now = self.clock.monotonic()
-        self.count_demand(tokens, now)
+        self.asked.add(tokens, now)
         if not self.waiters and self.take_now(tokens):
-            return Taken()
-        waiter = Waiter(tokens, min(deadline, now + WAIT_SECONDS))
+            return bucket_waiters.Taken()
+        waiter = bucket_waiters.Waiter(
+            tokens, min(deadline, now + WAIT_SECONDS)
+        )
         hopeless = min(self.retry_at, self.refuse_until) > waiter.give_up_at
         if hopeless or len(self.waiters) >= MAX_WAITERS:
-            return Refused(max(self.retry_at - now, SHORTEST_SLEEP_SECONDS))
+            delay = max(self.retry_at - now, SHORTEST_SLEEP_SECONDS)
+            return bucket_waiters.Refused(delay, self.answered)
         return self.wait(waiter)
 
     def take_now(self, tokens: int) -> bool:
@@ -154,7 +125,9 @@
             return True
         return self.home.find() == self.host and self.home.take(tokens) == 0
 
-    def wait(self, waiter: Waiter) -> Taken | Refused:
+    def wait(
+        self, waiter: bucket_waiters.Waiter
+    ) -> bucket_waiters.Taken | bucket_waiters.Refused:
         """Queues a taker until it is settled or gives up."""
         self.waiters.append(waiter)
         self.start()
@@ -165,12 +138,16 @@
             if waiter in self.waiters:
                 self.waiters.remove(waiter)
         if result is None:
-            return Refused(UNREACHABLE_RETRY_SECONDS)
-        if isinstance(result, Refused):
+            self.missed = min(MAX_MISSED, self.missed + waiter.tokens)
+            self.start()
+            return bucket_waiters.Refused(
+                UNREACHABLE_RETRY_SECONDS, self.answered
+            )
+        if isinstance(result, bucket_waiters.Refused):
             return result
         if self.clock.monotonic() >= result:
-            return Refused(SHORTEST_SLEEP_SECONDS)
-        return Taken()
+            return bucket_waiters.Refused(SHORTEST_SLEEP_SECONDS, False)
+        return bucket_waiters.Taken()
 
     def spend(self, tokens: int) -> float | None:
         """Spends tokens on hand; returns the instant of their end."""
@@ -210,25 +187,21 @@
             if now < hand.ends_at
         )
 
-    def count_demand(self, tokens: int, now: float) -> None:
-        """Adds to the decaying count of tokens asked for."""
-        self.asked *= math.exp((self.asked_at - now) / DEMAND_SECONDS)
-        self.asked += tokens
-        self.asked_at = now
-
     def reserve(self, now: float) -> int:
         """Returns the tokens to keep on hand for the demand expected."""
         limits = self.home.limits()
         if limits is None:
             return 0
-        decay = math.exp((self.asked_at - now) / DEMAND_SECONDS)
-        demand = self.asked * decay / DEMAND_SECONDS
         most = int(limits.burst * RESERVE_SHARE)
-        return min(int(demand * LEAD_SECONDS), most)
+        return min(int(self.asked.rate(now) * LEAD_SECONDS), most)
 
     def want(self, now: float) -> int:
-        """Returns the tokens to draw: for the waiters and the reserve."""
-        needed = sum(waiter.tokens for waiter in self.waiters)
+        """Returns the tokens to draw: for the takers and the reserve.
+
+        Takers that did not wait long enough count in one draw more, so that
+        those who never wait find a token the next time.
+        """
+        needed = self.missed + sum(waiter.tokens for waiter in self.waiters)
         return max(0, needed + self.reserve(now) - self.on_hand(now))
 
     def start(self) -> None:
@@ -292,6 +265,7 @@
                 grant = self.draw_from(second)
         if grant is None:
             self.failures += 1
+            self.answered = False
             return FAILURE_SLEEP_SECONDS
         if not grant.home:
             self.failures += 1
@@ -318,7 +292,9 @@
             self.acknowledge(pending.draw)
         if grant.granted > 0:
             ends_at = pending.sent_at + grant.lifetime
-            self.hands[pending.draw.sequence] = Hand(grant.granted, ends_at)
+            self.hands[pending.draw.sequence] = bucket_waiters.Hand(
+                grant.granted, ends_at
+            )
         return grant
 
     def acknowledge(self, draw: messages.Draw) -> None:
@@ -334,12 +310,14 @@
         """Builds a new draw."""
         self.sequence += 1
         self.discard(now)
+        want = self.want(now)
+        self.missed = 0
         return messages.Draw(
             self.bucket,
             self.host,
             self.incarnation(),
             self.home.view(),
-            self.want(now),
+            want,
             {
                 sequence: hand.spent
                 for sequence, hand in self.hands.items()
@@ -377,6 +355,7 @@
     def note_delay(self, delay: float) -> None:
         """Remembers when a token is due, to refuse at once until then."""
         now = self.clock.monotonic()
+        self.answered = True
         self.retry_at = now + delay
         self.refuse_until = now + 2 * WAIT_SECONDS
 
@@ -386,9 +365,11 @@
         for waiter in list(self.waiters):
             if waiter.give_up_at < due_at:
                 self.waiters.remove(waiter)
-                waiter.settle(Refused(delay))
+                waiter.settle(bucket_waiters.Refused(delay, True))
 
     def refuse_all(self, delay: float) -> None:
-        """Refuses every waiter."""
+        """Refuses every waiter, for want of a home."""
+        if self.waiters:
+            self.answered = False
         while self.waiters:
-            self.waiters.popleft().settle(Refused(delay))
+            self.waiters.popleft().settle(bucket_waiters.Refused(delay, False))
--- a/gooseberryweir/process/bucket_home.py
+++ b/gooseberryweir/process/bucket_home.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from gooseberryweir.connection import messages
+from gooseberryweir.process import decay
 from gooseberryweir.process import timing
 
 MARGIN_SECONDS = 0.05
@@ -68,8 +69,7 @@
         self.level = 0.0
         self.updated_at = now
         self.drawers: dict[tuple[str, int], Drawer] = {}
-        self.asked = 0.0
-        self.asked_at = now
+        self.asked = decay.DecayingCount(DEMAND_SECONDS, now)
 
     def outstanding(self) -> int:
         """Returns the tokens granted, not reported spent nor run out."""
@@ -129,6 +129,7 @@
             return drawer.reply
         if message.sequence < drawer.sequence or self.superseded(key):
             return messages.Grant(0, 0.0, UNKNOWN_RETRY_SECONDS, True, 0.0)
+        self.asked.add(message.want, now)
         granted, retry_after = self.grant(drawer, message.want, now)
         if granted:
             drawer.portions[message.sequence] = Portion(
@@ -140,7 +141,7 @@
             timing.GRANT_SECONDS,
             retry_after,
             True,
-            self.demand(message.want, now),
+            self.asked.rate(now),
         )
         return drawer.reply
 
@@ -152,7 +153,7 @@
         """
         self.update(now)
         drawer = self.drawer(OWN, now)
-        self.demand(tokens, now)
+        self.asked.add(tokens, now)
         if self.share(drawer, tokens, now) >= tokens:
             self.level -= tokens
             drawer.want = 0
@@ -233,11 +234,3 @@
         drawer.want = want
         drawer.want_until = now + min(WANT_SECONDS, delay + REPORT_SECONDS)
         return delay
-
-    def demand(self, want: int, now: float) -> float:
-        """Counts tokens asked for; returns the recent demand a second."""
-        elapsed = max(0.0, now - self.asked_at)
-        self.asked *= math.exp(-elapsed / DEMAND_SECONDS)
-        self.asked += want
-        self.asked_at = now
-        return self.asked / DEMAND_SECONDS
--- a/gooseberryweir/process/buckets.py
+++ b/gooseberryweir/process/buckets.py
@@ -9,6 +9,7 @@
 from gooseberryweir.connection import messages
 from gooseberryweir.process import bucket_holder
 from gooseberryweir.process import bucket_home
+from gooseberryweir.process import bucket_waiters
 from gooseberryweir.process import tenure as tenures
 
 
@@ -57,7 +58,7 @@
 
     def take(
         self, bucket: str, tokens: int = 1, deadline: float = math.inf
-    ) -> bucket_holder.Taken | bucket_holder.Refused:
+    ) -> bucket_waiters.Taken | bucket_waiters.Refused:
         """Spends tokens of a bucket.
 
         Args:
--- a/gooseberryweir/process/shares.py
+++ b/gooseberryweir/process/shares.py
@@ -11,8 +11,8 @@
 
 from gooseberryweir import clock as clocks
 from gooseberryweir.connection import peer_link
-from gooseberryweir.process import bucket_holder
 from gooseberryweir.process import bucket_home
+from gooseberryweir.process import bucket_waiters
 from gooseberryweir.process import buckets
 from gooseberryweir.process import facts as facts_module
 from gooseberryweir.process import membership as membership_module
@@ -111,7 +111,7 @@
         if bucket.startswith("shift/") and not self.bucket_limits(bucket):
             return None
         result = self.buckets.take(bucket, deadline=deadline)
-        if isinstance(result, bucket_holder.Refused):
+        if isinstance(result, bucket_waiters.Refused):
             return result.retry_after
         return None
 
--- a/gooseberryweir/process/slot_holder.py
+++ b/gooseberryweir/process/slot_holder.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable
 import logging
 import math
-from types import TracebackType
 from typing import NamedTuple
 
 import eventlet
@@ -18,6 +17,8 @@
 from gooseberryweir import logs
 from gooseberryweir import rendezvous
 from gooseberryweir.connection import messages
+from gooseberryweir.process import decay
+from gooseberryweir.process import slot_lease
 from gooseberryweir.process import slot_limits
 from gooseberryweir.version import tables
 
@@ -38,47 +39,6 @@
 _logger = logging.getLogger(__name__)
 
 
-class Refused(NamedTuple):
-    """No slot can be had within the wait.
-
-    Attributes:
-        retry_after: Seconds after which to come back.
-    """
-
-    retry_after: float
-
-
-class Lease:
-    """A slot in use; leaving the context gives it up.
-
-    Attributes:
-        upstream: The upstream.
-    """
-
-    def __init__(
-        self, upstream: tables.UpstreamEntry, release: Callable[[], None]
-    ) -> None:
-        self.upstream = upstream
-        self.release_once: Callable[[], None] | None = release
-
-    def __enter__(self) -> "Lease":
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        self.release()
-
-    def release(self) -> None:
-        """Gives the slot up; a second call does nothing."""
-        release, self.release_once = self.release_once, None
-        if release is not None:
-            release()
-
-
 class Home(NamedTuple):
     """How a holder reaches the home of its pool.
 
@@ -100,29 +60,6 @@
     view: Callable[[], int]
 
 
-class Waiter:
-    """A request that waits for a slot."""
-
-    def __init__(
-        self,
-        importance: int,
-        order: int,
-        work_class: str,
-        exclude: frozenset[str],
-        give_up_at: float,
-    ) -> None:
-        self.rank = (importance, order)
-        self.importance = importance
-        self.work_class = work_class
-        self.exclude = exclude
-        self.give_up_at = give_up_at
-        self.event = events.Event()
-
-    def settle(self, result: Lease | Refused) -> None:
-        """Ends the wait."""
-        self.event.send(result)
-
-
 class SlotHolder:
     """Slots of one pool on this host."""
 
@@ -143,7 +80,7 @@
         self.in_use: dict[str, int] = {}
         self.ends_at = -math.inf
         self.lowest_importance = 0
-        self.waiters: list[Waiter] = []
+        self.waiters: list[slot_lease.Waiter] = []
         self.order = 0
         self.sequence = 0
         self.running = False
@@ -159,15 +96,14 @@
         self.recalled = False
         self.contended = False
         self.hold_seconds = 0.0
-        self.asked = 0.0
-        self.asked_at = clock.monotonic()
+        self.asked = decay.DecayingCount(DEMAND_SECONDS, clock.monotonic())
 
     def acquire(
         self,
         work_class: str,
         exclude: frozenset[str] = frozenset(),
         deadline: float = math.inf,
-    ) -> Lease | Refused:
+    ) -> slot_lease.Lease | slot_lease.Refused:
         """Takes a slot, waiting for one if one is expected in time.
 
         Args:
@@ -176,7 +112,7 @@
             deadline: Instant on the monotonic clock until which to wait.
         """
         now = self.clock.monotonic()
-        self.count_demand(now)
+        self.asked.add(1, now)
         importance = self.home.importance(work_class)
         if not self.waiters:
             upstream = self.pick(importance, exclude)
@@ -186,21 +122,27 @@
                 return lease
         self.order += 1
         give_up_at = min(deadline, now + WAIT_SECONDS)
-        waiter = Waiter(importance, self.order, work_class, exclude, give_up_at)
+        waiter = slot_lease.Waiter(
+            importance, self.order, work_class, exclude, give_up_at
+        )
         position = bisect.bisect(
             [other.rank for other in self.waiters], waiter.rank
         )
         delay = self.expected_delay(position)
         if now + delay > give_up_at or position >= MAX_WAITERS:
-            return Refused(max(delay, SHORTEST_DRAW_SECONDS))
+            return slot_lease.Refused(max(delay, SHORTEST_DRAW_SECONDS))
         self.waiters.insert(position, waiter)
         if len(self.waiters) > MAX_WAITERS:
-            self.waiters.pop().settle(Refused(UNREACHABLE_RETRY_SECONDS))
+            self.waiters.pop().settle(
+                slot_lease.Refused(UNREACHABLE_RETRY_SECONDS)
+            )
         self.serve()
         self.start()
         return self.wait(waiter)
 
-    def wait(self, waiter: Waiter) -> Lease | Refused:
+    def wait(
+        self, waiter: slot_lease.Waiter
+    ) -> slot_lease.Lease | slot_lease.Refused:
         """Waits until a waiter is settled or gives up."""
         left = max(0.0, waiter.give_up_at - self.clock.monotonic())
         try:
@@ -210,20 +152,23 @@
             raise
         if result is None:
             result = self.withdraw(waiter)
-        if isinstance(result, Lease) and self.clock.monotonic() >= self.ends_at:
+        if (
+            isinstance(result, slot_lease.Lease)
+            and self.clock.monotonic() >= self.ends_at
+        ):
             result.release()
-            return Refused(SHORTEST_DRAW_SECONDS)
+            return slot_lease.Refused(SHORTEST_DRAW_SECONDS)
         return result
 
-    def withdraw(self, waiter: Waiter) -> Refused:
+    def withdraw(self, waiter: slot_lease.Waiter) -> slot_lease.Refused:
         """Takes a waiter back; a slot that it got is given up."""
         if waiter in self.waiters:
             self.waiters.remove(waiter)
         elif waiter.event.ready():
             result = waiter.event.wait()
-            if isinstance(result, Lease):
+            if isinstance(result, slot_lease.Lease):
                 result.release()
-        return Refused(UNREACHABLE_RETRY_SECONDS)
+        return slot_lease.Refused(UNREACHABLE_RETRY_SECONDS)
 
     def pick(
         self, importance: int, exclude: frozenset[str]
@@ -253,12 +198,14 @@
             default=None,
         )
 
-    def use(self, entry: tables.UpstreamEntry) -> Lease:
+    def use(self, entry: tables.UpstreamEntry) -> slot_lease.Lease:
         """Puts a slot in use."""
         self.in_use[entry.name] = self.in_use.get(entry.name, 0) + 1
         self.unused = min(self.unused, self.spare())
         started = self.clock.monotonic()
-        return Lease(entry, lambda: self.release(entry.name, started))
+        return slot_lease.Lease(
+            entry, lambda: self.release(entry.name, started)
+        )
 
     def release(self, upstream: str, started: float) -> None:
         """Puts a slot in the reserve, or notes that it must go back."""
@@ -300,19 +247,11 @@
             return home_delay
         return min(home_delay, self.hold_seconds * (position + 1) / in_use)
 
-    def count_demand(self, now: float) -> None:
-        """Adds one to the decaying count of slots asked for."""
-        self.asked *= math.exp((self.asked_at - now) / DEMAND_SECONDS)
-        self.asked += 1
-        self.asked_at = now
-
     def reserve(self) -> int:
         """Returns the slots to keep in reserve for the demand expected."""
         if self.contended:
             return 0
-        now = self.clock.monotonic()
-        decay = math.exp((self.asked_at - now) / DEMAND_SECONDS)
-        demand = self.asked * decay / DEMAND_SECONDS
+        demand = self.asked.rate(self.clock.monotonic())
         return min(MAX_RESERVE, round(demand * RESERVE_DRAW_SECONDS))
 
     def start(self) -> None:
@@ -359,7 +298,9 @@
         finally:
             self.running = False
             while self.waiters:
-                self.waiters.pop().settle(Refused(UNREACHABLE_RETRY_SECONDS))
+                self.waiters.pop().settle(
+                    slot_lease.Refused(UNREACHABLE_RETRY_SECONDS)
+                )
 
     def draw_once(self) -> None:
         """Makes one draw, at another host if the home has moved."""
@@ -470,4 +411,4 @@
             delay = self.expected_delay(position)
             if now + delay > waiter.give_up_at:
                 self.waiters.remove(waiter)
-                waiter.settle(Refused(delay))
+                waiter.settle(slot_lease.Refused(delay))
--- a/gooseberryweir/process/slot_home.py
+++ b/gooseberryweir/process/slot_home.py
@@ -10,13 +10,15 @@
 
 from gooseberryweir import rendezvous
 from gooseberryweir.connection import messages
+from gooseberryweir.process import decay
 from gooseberryweir.process import slot_capacity
 from gooseberryweir.process import slot_limits
 from gooseberryweir.process import timing
 
 MARGIN_SECONDS = 0.05
 MAX_REQUEST_SECONDS = 600.0
-REPORT_WAIT_SECONDS = 2.0
+# A host that is silent for longer is dead by the facts by then.
+REPORT_WAIT_SECONDS = timing.SILENCE_SECONDS + timing.GRANT_SECONDS
 PEAK_SECONDS = 3.0
 FREED_SECONDS = 2.0
 UNMET_SECONDS = 0.25
@@ -64,8 +66,7 @@
         self.holdings: dict[tuple[str, int], Holding] = {}
         self.reporters: set[str] = set()
         self.peaks: dict[str, tuple[int, float]] = {}
-        self.freed = 0.0
-        self.freed_at = now
+        self.freed = decay.DecayingCount(FREED_SECONDS, now)
 
     def counted(self) -> dict[str, int]:
         """Returns the slots counted on each upstream."""
@@ -166,7 +167,7 @@
         keep: dict[str, int] = {}
         for upstream, slots in message.held.items():
             busy = min(slots, message.busy.get(upstream, 0))
-            over = counted[upstream] - usable.get(upstream, 0)
+            over = counted.get(upstream, 0) - usable.get(upstream, 0)
             spare = max(0, min(slots - busy, slots - busy - over))
             taken = min(spare, surplus)
             surplus -= taken
@@ -306,8 +307,7 @@
             for other in self.holdings.values()
             if other is not holding and other.unmet_until > now
         )
-        decay = math.exp((self.freed_at - now) / FREED_SECONDS)
-        rate = self.freed * decay / FREED_SECONDS
+        rate = self.freed.rate(now)
         if rate * LONGEST_RETRY_SECONDS <= 1:
             return UNKNOWN_RETRY_SECONDS
         delay = (1 + ahead) / rate
@@ -321,9 +321,7 @@
             max(0, slots - held.get(upstream, 0))
             for upstream, slots in before.items()
         )
-        self.freed *= math.exp((self.freed_at - now) / FREED_SECONDS)
-        self.freed += freed
-        self.freed_at = now
+        self.freed.add(freed, now)
 
     def peak(self, upstream: str, now: float) -> int:
         """Returns the most slots counted lately on an upstream."""
--- a/gooseberryweir/process/slots.py
+++ b/gooseberryweir/process/slots.py
@@ -11,11 +11,12 @@
 from gooseberryweir.process import slot_capacity
 from gooseberryweir.process import slot_holder
 from gooseberryweir.process import slot_home
+from gooseberryweir.process import slot_lease
 from gooseberryweir.process import slot_limits
 from gooseberryweir.process import tenure as tenures
 
-Lease = slot_holder.Lease
-Refused = slot_holder.Refused
+Lease = slot_lease.Lease
+Refused = slot_lease.Refused
 UNKNOWN_IMPORTANCE = slot_limits.ALL_CLASSES + 1
 
 
--- a/test/virtual_time.py
+++ b/test/virtual_time.py
@@ -15,8 +15,16 @@
     manual = clocks.ManualClock()
 
     def __init__(self):
+        self.added = 0
         super().__init__(clock=lambda: self.manual.now)
 
+    def add_timer(self, timer):
+        """Adds a timer; those for the same time run in their order."""
+        self.added += 1
+        at = self.clock() + timer.seconds + self.added * 1e-10
+        self.next_timers.append((at, timer))
+        return at
+
     def wait(self, seconds=None):
         self.manual.advance(max(0.0, seconds or 0.0))
 
