--- a/test/virtual_time.py
+++ b/test/virtual_time.py
@@ -1,6 +1,7 @@
 """An eventlet hub whose time is a manual clock: tasks run in virtual time."""
 
 import contextlib
+import math
 
 import eventlet
 from eventlet import hubs
@@ -17,6 +18,17 @@
     def __init__(self):
         self.added = 0
         super().__init__(clock=lambda: self.manual.now)
+        self.taken = set()
+
+    def add_timer(self, timer):
+        # Timers of one instant would run in the order of their addresses in
+        # memory; the next free instant keeps the order of their creation.
+        scheduled = self.clock() + timer.seconds
+        while scheduled in self.taken:
+            scheduled = math.nextafter(scheduled, math.inf)
+        self.taken.add(scheduled)
+        self.next_timers.append((scheduled, timer))
+        return scheduled
 
     def add_timer(self, timer):
         """Adds a timer; those for the same time run in their order."""
