Judge the right of a home per resource

Cause: any change of the view started the settling time of every home anew, so one host's death refused all accounts for seconds. A Pong now tells the views of the last seconds; a voter counts for a resource if all of them give it to this incarnation. Former voters are still forgotten only on a majority for the very view. Ruled out: counting views by host name alone (a restarted process would inherit its predecessor's right and not its state). Before: test_host_death fails, buckets of all hosts are refused; after: only those whose home died or restarted. Timers of one instant in virtual time run in a seeded order.

--- a/gooseberryweir/codes.py
+++ b/gooseberryweir/codes.py
@@ -47,6 +47,7 @@
     DEADLINE_PASSED = 308
     UPSTREAM_SHED = 309
     HOST_OVERLOADED = 310
+    NO_HOME = 311
     OUTCOME_UNKNOWN = 401
     UPSTREAM_DIED = 402
     UPSTREAM_TIMEOUT = 403
@@ -141,6 +142,12 @@
     Code.HOST_OVERLOADED: CodeRow(
         503, _NO, 1, "this host has too many open requests"
     ),
+    Code.NO_HOME: CodeRow(
+        503,
+        _NO,
+        1,
+        "the share of the client account is not known at the moment",
+    ),
     Code.OUTCOME_UNKNOWN: CodeRow(
         502, _UNKNOWN, None, "whether the request ran is not known"
     ),
--- a/gooseberryweir/connection/messages.py
+++ b/gooseberryweir/connection/messages.py
@@ -50,10 +50,10 @@
             its state was the platform's current state; a large number if none.
         state_digest: Digest of its platform objects and their versions.
         facts_digest: Digest of its facts.
-        view: Digest of the hosts that it holds eligible for duties.
+        views: The views that it held lately, newest first and without a gap:
+            the digest of each, and the seconds since it was adopted.
         suspects: Names of hosts that it has not heard for the silence time.
         load: Its own load: requests in flight.
-        view_age: Seconds for which it has held that view without a break.
         quorum_age: Seconds since the oldest of the answers by which a
             majority agreed that the platform is out; a large number if none.
             It is no proof of the platform's state.
@@ -64,10 +64,9 @@
     platform_age: float
     state_digest: int
     facts_digest: int
-    view: int
+    views: tuple[tuple[int, float], ...]
     suspects: tuple[str, ...]
     load: int
-    view_age: float
     quorum_age: float
 
 
--- a/gooseberryweir/process/membership.py
+++ b/gooseberryweir/process/membership.py
@@ -96,9 +96,17 @@
         """Returns whether a majority shares this host's view now."""
         return not self.own.superseded and self.standing.stands()
 
-    def may_exercise(self) -> bool:
-        """Returns whether this host may act as holder of its duties now."""
-        return not self.own.superseded and self.standing.may_exercise()
+    def may_exercise(self, resource: str | None = None) -> bool:
+        """Returns whether this host may act as a holder now.
+
+        Args:
+            resource: The duty; None for all that its view gives it.
+        """
+        if self.own.superseded:
+            return False
+        if resource is None:
+            return self.standing.may_exercise()
+        return self.standing.may_hold(resource)
 
     def freshness(self) -> freshness_module.Freshness:
         """Returns whether this host may do keyed work now."""
@@ -203,9 +211,8 @@
             facts=pong.facts_digest == self.facts.digest,
         )
         self.standing.votes[pong.host] = standing_module.Vote(
-            pong.view,
+            self.standing.received(pong.views),
             sent_at,
-            self.clock.monotonic() - pong.view_age,
             frozenset(pong.suspects),
         )
 
@@ -228,10 +235,9 @@
             self.evidence.platform_age(),
             self.store.digest,
             self.facts.digest,
-            self._view.digest,
+            self.standing.ages(),
             self.suspects(),
             self.load(),
-            self.clock.monotonic() - self.standing.held_since,
             self.evidence.outage_age(),
         )
 
@@ -288,7 +294,7 @@
         self._view = view_module.build(
             self.facts, self.tables.hosts, self._voters
         )
-        if self.standing.adopt(self._view.digest, self._voters):
+        if self.standing.adopt(self._view, self._voters):
             logs.event(
                 _log,
                 "view-changed",
--- a/gooseberryweir/process/shares.py
+++ b/gooseberryweir/process/shares.py
@@ -89,7 +89,9 @@
         if self.task is not None:
             self.task.kill()
 
-    def take(self, bucket: str, deadline: float) -> float | None:
+    def take(
+        self, bucket: str, deadline: float
+    ) -> bucket_waiters.Refused | None:
         """Takes one token of a bucket, waiting a short time for it.
 
         Args:
@@ -97,12 +99,10 @@
             deadline: Monotonic instant until which to wait at most.
 
         Returns:
-            None if it was taken, else seconds after which to come back.
+            None if it was taken, else when to come back and why.
         """
         result = self.buckets.take(bucket, deadline=deadline)
-        if isinstance(result, bucket_waiters.Refused):
-            return result.retry_after
-        return None
+        return result if isinstance(result, bucket_waiters.Refused) else None
 
     def acquire(
         self,
--- a/gooseberryweir/process/standing.py
+++ b/gooseberryweir/process/standing.py
@@ -1,36 +1,78 @@
-"""Standing: whether a majority of the voters hold the same view as we do.
-
-Why no two hosts hold one duty: a host exercises at time t only if each voter
-of some majority held the host's view without a break from before
-t - SETTLE_SECONDS until after t - STANDING_SECONDS. Two majorities share a
-voter. Let the old holder give a grant at t0 that still lives at t, so
-t0 > t - GRANT_SECONDS. The shared voter then held the old view at
-t0 - STANDING_SECONDS, which lies after t - SETTLE_SECONDS and not after
-t - STANDING_SECONDS, where it held the new one: a contradiction.
+"""Standing: whether a majority of the voters give a resource to this host.
+
+A view gives each resource to one incarnation of one host. Why no two of them
+hold one resource: a host acts for it at time t only if each voter of some
+majority held, without a break from before t - SETTLE_SECONDS until after
+t - STANDING_SECONDS, only views that give the resource to that incarnation.
+Two majorities share a voter. Let the old holder give a grant at t0 that still
+lives at t, so t0 > t - GRANT_SECONDS. At t0 - STANDING_SECONDS the shared
+voter then held a view that gives the resource to the old holder. That instant
+lies after t - SETTLE_SECONDS and not after t - STANDING_SECONDS, where it
+held only views that give it to the new one: a contradiction.
+
+Which views these are makes no difference, nor whether they changed meanwhile,
+so a change that leaves a resource where it is interrupts nothing. A host
+judges the views of a voter by their digests and knows those that it held
+itself; any other counts against it. An answer found good stays good for
+STANDING_SECONDS after its question, whatever the voter says later, since the
+proof is about what the voter held before.
+
+A host also needs to have held only such views itself for GRANT_SECONDS: a
+holder that lost the resource for a moment, by its own view alone, dropped its
+state, so its grants must run out before it begins again with none.
+
+A voter that only changed its list of voters may count too. Former voters are
+forgotten only once a majority of them, and of the voters, held the very view
+of this host, with its list, for SETTLE_SECONDS: a host that still counts by
+the old list does not know that view, and needs one of them.
 """
 
 from collections.abc import Collection
+from collections.abc import Iterable
+from collections.abc import Iterator
+from collections.abc import Mapping
+import math
 from typing import NamedTuple
 
 from gooseberryweir import clock as clocks
 from gooseberryweir.process import timing
+from gooseberryweir.process import view as view_module
+
+MAX_SPANS = 16
+MAX_RIGHTS = 20_000
 
 
 class Vote(NamedTuple):
     """What a peer's newest answer said of its view.
 
     Attributes:
-        digest: Digest of the view.
-        asked_at: When the answer was asked for; it held the view after that.
-        held_since: When it had surely adopted the view already.
+        spans: The views that it held lately, newest first, without a gap.
+        asked_at: When the answer was asked for; it held the newest view
+            after that.
         suspects: Hosts that it has not heard for the silence time.
     """
 
-    digest: int
+    spans: tuple["Span", ...]
     asked_at: float
-    held_since: float
     suspects: frozenset[str]
 
+    @property
+    def digest(self) -> int:
+        """Digest of the newest view, or 0."""
+        return self.spans[0].digest if self.spans else 0
+
+
+class Span(NamedTuple):
+    """A view that was held until the next newer one was adopted.
+
+    Attributes:
+        digest: Digest of the view.
+        since: When it had surely been adopted already.
+    """
+
+    digest: int
+    since: float
+
 
 class Standing:
     """The votes of the peers and the groups that must each give a majority.
@@ -39,7 +81,10 @@
         host: Name of this host.
         clock: Source of time.
         digest: Digest of this host's view.
-        held_since: When this host adopted it.
+        owner: Name and incarnation of this host by its view, or None.
+        spans: The views that this host held lately, newest first.
+        recent: The members of the views held lately.
+        rights: Until when each resource may be held by the answers so far.
         voters: The hosts that vote, by the newest list.
         former: Earlier sets of voters that may still act by their own list.
         former_until: When the platform's word that they are gone is enough.
@@ -50,22 +95,44 @@
         self.host = host
         self.clock = clock
         self.digest = 0
-        self.held_since = clock.monotonic()
+        self.owner: tuple[str, int] | None = None
+        self.spans: tuple[Span, ...] = (Span(0, clock.monotonic()),)
+        self.recent = view_module.Recent()
+        self.rights: dict[str, float] = {}
         self.voters: frozenset[str] = frozenset()
         self.former: list[frozenset[str]] = []
         self.former_until = 0.0
         self.votes: dict[str, Vote] = {}
 
-    def adopt(self, digest: int, voters: frozenset[str]) -> bool:
+    def adopt(self, view: view_module.View, voters: frozenset[str]) -> bool:
         """Takes a view and its voters; returns whether they are new."""
         if voters != self.voters:
             self._replace_voters(voters)
-        if digest == self.digest:
+        if view.digest == self.digest:
             return False
-        self.digest = digest
-        self.held_since = self.clock.monotonic()
+        self.rights.clear()
+        self.digest = view.digest
+        incarnation = dict(view.members).get(self.host)
+        self.owner = None if incarnation is None else (self.host, incarnation)
+        self.recent.add(view)
+        now = self.clock.monotonic()
+        self.spans = _trim((Span(view.digest, now), *self.spans), now)
         return True
 
+    def ages(self) -> tuple[tuple[int, float], ...]:
+        """Returns the views held lately as a `Pong` tells them."""
+        now = self.clock.monotonic()
+        self.spans = _trim(self.spans, now)
+        return tuple((digest, now - since) for digest, since in self.spans)
+
+    def received(self, views: Iterable[tuple[int, float]]) -> tuple[Span, ...]:
+        """Returns the spans that a `Pong` received now tells.
+
+        They are taken to begin later than they did, by the time it travelled.
+        """
+        now = self.clock.monotonic()
+        return tuple(Span(digest, now - age) for digest, age in views)
+
     def _replace_voters(self, voters: frozenset[str]) -> None:
         """Keeps the old voters: hosts that hold the old list count by it.
 
@@ -79,6 +146,7 @@
                 self.clock.monotonic() + timing.FORMER_VOTERS_SECONDS
             )
         self.voters = voters
+        self.rights.clear()
 
     def stands(self) -> bool:
         """Returns whether a majority answered with this view lately."""
@@ -95,8 +163,72 @@
         )
         return 2 * count > len(self.voters)
 
+    def may_hold(self, resource: str) -> bool:
+        """Returns whether this host may act as the holder of a resource.
+
+        What the answers so far allow is kept until it lapses; the clock is
+        read at each call.
+        """
+        now = self.clock.monotonic()
+        if now < self.rights.get(resource, -math.inf):
+            return True
+        self.rights.pop(resource, None)
+        until = self._held_until(resource, now)
+        if now >= until:
+            return False
+        if len(self.rights) >= MAX_RIGHTS:
+            self.rights.clear()
+        self.rights[resource] = until
+        return True
+
+    def _held_until(self, resource: str, now: float) -> float:
+        """Returns until when the answers so far let this host hold it."""
+        if self.host not in self.voters or self.owner is None:
+            return -math.inf
+        self._forget_former(now)
+        grants_ended = now - timing.GRANT_SECONDS
+        if self._given_since(resource, self.spans) > grants_ended:
+            return -math.inf
+        settled = {
+            name: asked_at
+            for name, asked_at in self._supporters(
+                resource, now - timing.SETTLE_SECONDS
+            )
+        }
+        until = min(
+            _majority_until(group, settled)
+            for group in [self.voters, *self.former]
+        )
+        if now < until or self.former:
+            return until
+        # As in `_unanimous`: only the grants have to run out.
+        unanimous = dict(self._supporters(resource, grants_ended))
+        return min(
+            unanimous.get(name, -math.inf) + timing.STANDING_SECONDS
+            for name in self.voters
+        )
+
+    def _supporters(
+        self, resource: str, held_before: float
+    ) -> Iterator[tuple[str, float]]:
+        """Yields the hosts that give it to this host, and when asked."""
+        if self._given_since(resource, self.spans) <= held_before:
+            yield self.host, math.inf
+        for name, vote in self.votes.items():
+            if self._given_since(resource, vote.spans) <= held_before:
+                yield name, vote.asked_at
+
+    def _given_since(self, resource: str, spans: tuple[Span, ...]) -> float:
+        """Returns since when all views held give it to this host."""
+        since = math.inf
+        for span in spans:
+            if self.recent.holder(span.digest, resource) != self.owner:
+                break
+            since = span.since
+        return since
+
     def may_exercise(self) -> bool:
-        """Returns whether this host may act as the holder of its duties."""
+        """Returns whether this host may act for all that its view gives it."""
         now = self.clock.monotonic()
         asked_after = now - timing.STANDING_SECONDS
         if self._majorities(asked_after, now - timing.SETTLE_SECONDS):
@@ -108,13 +240,17 @@
         """Returns whether every group gives a majority for the view."""
         if self.host not in self.voters or not self.digest:
             return False
-        if self.former and self.clock.monotonic() > self.former_until:
-            self.former.clear()
+        self._forget_former(self.clock.monotonic())
         return all(
             2 * self._count(group, asked_after, held_before) > len(group)
             for group in [self.voters, *self.former]
         )
 
+    def _forget_former(self, now: float) -> None:
+        """Takes the platform's word for it that former voters are gone."""
+        if self.former and now > self.former_until:
+            self.former.clear()
+
     def _unanimous(self, asked_after: float, held_before: float) -> bool:
         """Returns whether all possible earlier holders held this view.
 
@@ -139,13 +275,13 @@
     ) -> bool:
         """Returns whether a host held the view through the whole span."""
         if name == self.host:
-            return self.held_since <= held_before
+            return self.spans[0].since <= held_before
         vote = self.votes.get(name)
         return (
             vote is not None
             and vote.digest == self.digest
             and vote.asked_at >= asked_after
-            and vote.held_since <= held_before
+            and vote.spans[0].since <= held_before
         )
 
     def suspected_by(self, name: str, asked_after: float) -> int:
@@ -155,3 +291,25 @@
             for voter, vote in self.votes.items()
             if voter in self.voters and voter != self.host
         )
+
+
+def _trim(spans: tuple[Span, ...], now: float) -> tuple[Span, ...]:
+    """Drops the views that were replaced before an answer could matter."""
+    horizon = now - timing.SETTLE_SECONDS - timing.HEARTBEAT_SECONDS
+    kept = 1
+    while kept < len(spans) and spans[kept - 1].since > horizon:
+        kept += 1
+    return spans[: min(kept, MAX_SPANS)]
+
+
+def _majority_until(
+    group: Collection[str], asked_at: Mapping[str, float]
+) -> float:
+    """Returns until when the answers make up a majority of a group."""
+    times = sorted(
+        (asked_at[name] for name in group if name in asked_at), reverse=True
+    )
+    needed = len(group) // 2
+    if len(times) <= needed:
+        return -math.inf
+    return times[needed] + timing.STANDING_SECONDS
--- a/gooseberryweir/process/tenure.py
+++ b/gooseberryweir/process/tenure.py
@@ -1,11 +1,11 @@
 """When this host is the home of a resource, and with which state.
 
 The state of a home is kept only while no other host can have been the home in
-between.
+between: until its view gives the resource to another host, or until its right
+has lapsed for `STANDING_SECONDS`. Each resource is judged by itself.
 """
 
 from collections.abc import Callable
-import math
 from typing import Generic
 from typing import Protocol
 from typing import TypeVar
@@ -37,15 +37,21 @@
     def holder(self, resource: str) -> str | None:
         """Returns the host that holds a resource under the view."""
 
-    def may_exercise(self) -> bool:
-        """Whether this host may act as a holder now."""
+    def may_exercise(self, resource: str) -> bool:
+        """Whether this host may act as the holder of a resource now."""
 
 
 class Tenure:
-    """Watches whether this host may act as a home.
+    """Keeps the rights of this host to act as a home up to date.
 
-    Membership lets a host act only once every grant under another view has
-    run out, so a new home may begin at once, with an empty state.
+    Membership lets a host act only once every grant of another home has run
+    out, so a new home may begin at once, with an empty state.
+
+    Attributes:
+        host: Name of this host.
+        clock: Source of time.
+        membership: What decides.
+        renewals: Functions called by `refresh`, one for each `Homes`.
     """
 
     def __init__(
@@ -54,29 +60,28 @@
         self.host = host
         self.clock = clock
         self.membership = membership
-        self.digest: int | None = None
-        self.exercised_at = -math.inf
-        self.drop_all: list[Callable[[], None]] = []
-        self.drop_lost: list[Callable[[], None]] = []
+        self.renewals: list[Callable[[], None]] = []
 
-    def refresh(self) -> bool:
-        """Brings the tenure up to now; True if duties may be exercised.
+    def refresh(self) -> None:
+        """Renews the right to each state held, or drops the state.
 
         Call it often (several times a second) and at each change of the view.
-        The time is read before the membership is asked, so that a pause in
-        between cannot lengthen a right.
         """
-        now = self.clock.monotonic()
-        digest = self.membership.view().digest
-        if digest != self.digest:
-            self.digest = digest
-            _call_all(self.drop_lost)
-        if not self.membership.may_exercise():
-            return False
-        if now - self.exercised_at >= timing.STANDING_SECONDS:
-            _call_all(self.drop_all)
-        self.exercised_at = now
-        return True
+        for renew in self.renewals:
+            renew()
+
+
+class Held(Generic[State]):
+    """The state of a resource.
+
+    Attributes:
+        state: The state.
+        exercised_at: When this host last had the right to act on it.
+    """
+
+    def __init__(self, state: State, exercised_at: float) -> None:
+        self.state = state
+        self.exercised_at = exercised_at
 
 
 class Homes(Generic[State]):
@@ -84,30 +89,41 @@
 
     def __init__(self, tenure: Tenure) -> None:
         self.tenure = tenure
-        self.states: dict[str, State] = {}
-        tenure.drop_all.append(self.states.clear)
-        tenure.drop_lost.append(self.drop_lost)
+        self.held: dict[str, Held[State]] = {}
+        tenure.renewals.append(self.renew_all)
+
+    def renew_all(self) -> None:
+        """Renews the right to each state held, or drops the state."""
+        for name in list(self.held):
+            self.renew(name)
 
-    def drop_lost(self) -> None:
-        """Drops the states of resources that another host holds now."""
+    def renew(self, name: str) -> bool:
+        """Returns whether this host may act; drops a state that is void.
+
+        The time is read before the membership is asked, so that a pause in
+        between cannot lengthen a right.
+        """
+        now = self.tenure.clock.monotonic()
         membership = self.tenure.membership
-        for name in list(self.states):
-            if membership.holder(name) != self.tenure.host:
-                del self.states[name]
+        if membership.holder(name) != self.tenure.host:
+            self.held.pop(name, None)
+            return False
+        held = self.held.get(name)
+        lapsed_at = now - timing.STANDING_SECONDS
+        if held is not None and held.exercised_at <= lapsed_at:
+            del self.held[name]
+            held = None
+        if not membership.may_exercise(name):
+            return False
+        if held is not None:
+            held.exercised_at = now
+        return True
 
     def get(self, name: str, create: Callable[[], State]) -> State | None:
         """Returns the state of a resource, or None if not its home now."""
-        if not self.tenure.refresh():
-            return None
-        if self.tenure.membership.holder(name) != self.tenure.host:
-            self.states.pop(name, None)
+        now = self.tenure.clock.monotonic()
+        if not self.renew(name):
             return None
-        state = self.states.get(name)
-        if state is None:
-            state = self.states[name] = create()
-        return state
-
-
-def _call_all(functions: list[Callable[[], None]]) -> None:
-    for function in functions:
-        function()
+        if name not in self.held:
+            self.held[name] = Held(create(), now)
+        return self.held[name].state
--- a/gooseberryweir/request/dispatch.py
+++ b/gooseberryweir/request/dispatch.py
@@ -86,14 +86,19 @@
     """Takes one token of the client account's rate.
 
     Raises:
-        RefusedError: The account is over its rate.
+        RefusedError: The account is over its rate, or no home answered.
     """
     if not admitted.account:
         return
     refused = context.shares.take(f"account/{admitted.account}", deadline)
     if refused is not None:
-        context.metrics.increment(f"rate_refused.{admitted.account}")
-        refusal = codes.refuse(codes.Code.RATE_EXCEEDED, retry_after=refused)
+        if refused.over_rate:
+            code = codes.Code.RATE_EXCEEDED
+            context.metrics.increment(f"rate_refused.{admitted.account}")
+        else:
+            code = codes.Code.NO_HOME
+            context.metrics.increment(f"rate_unknown.{admitted.account}")
+        refusal = codes.refuse(code, retry_after=refused.retry_after)
         raise RefusedError(refusal, again=False)
 
 
--- a/test/share_world.py
+++ b/test/share_world.py
@@ -41,7 +41,8 @@
         del resource
         return self.known[0]
 
-    def may_exercise(self):
+    def may_exercise(self, resource):
+        del resource
         now = self.world.clock.monotonic()
         return self.known == self.world.home and now >= self.world.begins_at
 
--- a/test/simulated_hosts.py
+++ b/test/simulated_hosts.py
@@ -257,7 +257,9 @@
     def grant(self, resource: str, name: str, host: Host) -> None:
         """Gives a grant if the host may, and checks it against the others."""
         membership = host.membership
-        if membership.holder(resource) != name or not membership.may_exercise():
+        if membership.holder(resource) != name or (
+            not membership.may_exercise(resource)
+        ):
             return
         now = self.clock.now
         for (other, granter), until in self.grants.items():
--- a/test/test_buckets.py
+++ b/test/test_buckets.py
@@ -207,7 +207,7 @@
             spends.append(world.clock.monotonic())
 
     def worst(self, limits, seed, seconds=12.0):
-        with virtual_time.virtual_time() as clock:
+        with virtual_time.virtual_time(seed) as clock:
             spends = self.run_fleet(
                 seed, clock, lambda host: limits, seconds, limits
             )
@@ -234,7 +234,7 @@
         for seed in range(2):
             with (
                 self.subTest(seed=seed),
-                virtual_time.virtual_time() as clock,
+                virtual_time.virtual_time(seed) as clock,
             ):
                 begin = clock.monotonic()
                 lags = random.Random(seed)
@@ -263,7 +263,7 @@
     def run_account(self, limits, share, seed):
         refused = []
         chance = random.Random(seed)
-        with virtual_time.virtual_time() as clock:
+        with virtual_time.virtual_time(seed) as clock:
             world = share_world.World(clock, chance)
             parts = {
                 host: buckets.Buckets(
--- /dev/null
+++ b/test/test_host_death.py
@@ -0,0 +1,104 @@
+"""The death of one host of nine, seen by the homes on the others."""
+
+import logging
+import unittest
+
+from gooseberryweir import clock as clocks
+from gooseberryweir.connection import messages
+from gooseberryweir.process import bucket_home
+from gooseberryweir.process import tenure
+from gooseberryweir.process import timing
+from test import simulated_hosts
+
+BUCKETS = tuple(f"account/a{number}" for number in range(40))
+LIMITS = bucket_home.Limits(20.0, 20)
+STEP_SECONDS = 0.1
+BEAT_STEPS = round(timing.HEARTBEAT_SECONDS / STEP_SECONDS)
+
+
+class HostDeathTest(unittest.TestCase):
+    """Homes on nine hosts, drawn from every tenth of a second."""
+
+    def setUp(self):
+        logging.getLogger("gooseberryweir").setLevel(logging.CRITICAL)
+        self.addCleanup(
+            logging.getLogger("gooseberryweir").setLevel, logging.NOTSET
+        )
+        self.clock = clocks.ManualClock()
+        entries = {f"c{i}": simulated_hosts.Entry(f"c{i}") for i in range(9)}
+        self.hosts = {
+            name: simulated_hosts.Host(name, self.clock, entries)
+            for name in entries
+        }
+        self.homes = {
+            name: tenure.Homes(
+                tenure.Tenure(name, self.clock.interface(), host.membership)
+            )
+            for name, host in self.hosts.items()
+        }
+        self.sequence = 0
+
+    def grant(self, bucket):
+        """Draws a token of a bucket from its home and reports it spent."""
+        self.sequence += 2
+        now = self.clock.now
+        membership = self.hosts["c0"].membership
+        homes = self.homes.get(membership.holder(bucket))
+        home = homes and homes.get(
+            bucket, lambda: bucket_home.BucketHome(LIMITS, now)
+        )
+        if not home:
+            return False
+        for sequence, want, spent in (
+            (self.sequence, 1, {}),
+            (self.sequence + 1, 0, {self.sequence: 1}),
+        ):
+            draw = messages.Draw(bucket, "d", 1, 1, want, spent, sequence)
+            grant = home.draw(draw, now)
+            granted = grant.granted or sequence != self.sequence
+        return granted
+
+    def run_for(self, seconds):
+        """Returns by bucket the instants at which it gave no token."""
+        refused = {bucket: [] for bucket in BUCKETS}
+        for step in range(round(seconds / STEP_SECONDS)):
+            if step % BEAT_STEPS == 0:
+                simulated_hosts.heartbeat(list(self.hosts.values()))
+            for homes in self.homes.values():
+                homes.tenure.refresh()
+            for bucket in BUCKETS:
+                if not self.grant(bucket):
+                    refused[bucket].append(step * STEP_SECONDS)
+            self.clock.advance(STEP_SECONDS)
+        return {bucket: at for bucket, at in refused.items() if at}
+
+    def test_only_the_buckets_of_the_dead_host_are_refused(self):
+        self.run_for(8.0)
+        self.assertEqual(self.run_for(2.0), {})
+        lost = {
+            bucket
+            for bucket in BUCKETS
+            if self.hosts["c0"].membership.holder(bucket) == "c5"
+        }
+        del self.hosts["c5"], self.homes["c5"]
+        refused = self.run_for(12.0)
+        self.assertEqual(set(refused), lost)
+        longest = timing.SILENCE_SECONDS + timing.SETTLE_SECONDS
+        longest += 3 * timing.HEARTBEAT_SECONDS
+        self.assertLess(max(at[-1] for at in refused.values()), longest)
+
+    def test_only_the_buckets_of_a_restarted_host_are_refused(self):
+        self.run_for(8.0)
+        entries = self.hosts["c0"].tables.hosts
+        host = simulated_hosts.Host("c5", self.clock, entries)
+        self.hosts["c5"] = host
+        self.homes["c5"] = tenure.Homes(
+            tenure.Tenure("c5", self.clock.interface(), host.membership)
+        )
+        refused = self.run_for(12.0)
+        holders = {self.hosts["c0"].membership.holder(b) for b in refused}
+        self.assertEqual(holders, {"c5"})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -98,7 +98,7 @@
         old_at, old = self.clock.now, self.hosts[1].membership.pong()
         self.beats(3, self.hosts[:2])
         digest = self.first.view().digest
-        self.first.on_pong(old_at - 1.0, old._replace(view=1))
+        self.first.on_pong(old_at - 1.0, old._replace(views=((1, 9.0),)))
         self.assertEqual(self.first.standing.votes["c1"].digest, digest)
 
     def test_a_silent_host_is_dead_and_comes_back_as_another(self):
--- a/test/test_slots.py
+++ b/test/test_slots.py
@@ -209,7 +209,7 @@
         self.excess = 0
         chance = random.Random(seed)
         platform = Platform(*(entry(f"u{n}", 5) for n in range(4)))
-        with virtual_time.virtual_time() as clock:
+        with virtual_time.virtual_time(seed) as clock:
             self.start(clock, chance, platform)
             for number, host in enumerate(share_world.HOSTS):
                 eventlet.spawn_n(self.load, host, chance, 20 / (1 + number))
--- a/test/virtual_time.py
+++ b/test/virtual_time.py
@@ -1,7 +1,7 @@
 """An eventlet hub whose time is a manual clock: tasks run in virtual time."""
 
 import contextlib
-import math
+import random
 
 import eventlet
 from eventlet import hubs
@@ -9,31 +9,22 @@
 
 from gooseberryweir import clock as clocks
 
+TIE_SECONDS = 1e-7
+
 
 class VirtualHub(poll.Hub):
     """Moves the time forward whenever every task sleeps."""
 
     manual = clocks.ManualClock()
+    seed = 0
 
     def __init__(self):
-        self.added = 0
+        self.order = random.Random(self.seed)
         super().__init__(clock=lambda: self.manual.now)
-        self.taken = set()
-
-    def add_timer(self, timer):
-        # Timers of one instant would run in the order of their addresses in
-        # memory; the next free instant keeps the order of their creation.
-        scheduled = self.clock() + timer.seconds
-        while scheduled in self.taken:
-            scheduled = math.nextafter(scheduled, math.inf)
-        self.taken.add(scheduled)
-        self.next_timers.append((scheduled, timer))
-        return scheduled
 
     def add_timer(self, timer):
-        """Adds a timer; those for the same time run in their order."""
-        self.added += 1
-        at = self.clock() + timer.seconds + self.added * 1e-10
+        """Adds a timer; those of one instant run in a seeded order."""
+        at = self.clock() + timer.seconds + self.order.random() * TIE_SECONDS
         self.next_timers.append((at, timer))
         return at
 
@@ -42,10 +33,15 @@
 
 
 @contextlib.contextmanager
-def virtual_time():
-    """Runs the calling thread's tasks in virtual time; yields a clock."""
+def virtual_time(seed=0):
+    """Runs the calling thread's tasks in virtual time; yields a clock.
+
+    Args:
+        seed: Decides the order of what is due at one instant.
+    """
     before = type(hubs.get_hub())
     VirtualHub.manual = clocks.ManualClock()
+    VirtualHub.seed = seed
     hubs.use_hub(VirtualHub)
     manual = VirtualHub.manual
     try:
