Tell an unknown share from an exceeded rate: code 311

Cause: every refusal of a token became 301, also when no home answered. Before: test_take_rate gets 301 for both; after: 311 when no home answered. The answer of Shares.take is the Refused tuple now.

--- a/gooseberryweir/request/routing.py
+++ b/gooseberryweir/request/routing.py
@@ -135,13 +135,15 @@
     origin = context.settings.region
     if candidate.region == origin:
         return lease
-    token = context.shares.take(
+    refused = context.shares.take(
         f"shift/{origin}/{candidate.region}", context.clock.monotonic()
     )
-    if token is None:
+    if refused is None:
         return lease
     lease.release()
-    return codes.refuse(codes.Code.SHIFT_CAPPED, retry_after=token)
+    return codes.refuse(
+        codes.Code.SHIFT_CAPPED, retry_after=refused.retry_after
+    )
 
 
 def _log_choice(
--- /dev/null
+++ b/test/test_take_rate.py
@@ -0,0 +1,30 @@
+"""A refusal for want of a token says whether the account is over its rate."""
+
+import types
+import unittest
+from unittest import mock
+
+from gooseberryweir import codes
+from gooseberryweir.process import bucket_waiters
+from gooseberryweir.request import dispatch
+
+
+class TakeRateTest(unittest.TestCase):
+    """The code of a refusal by the account's rate."""
+
+    def code(self, over_rate):
+        refused = bucket_waiters.Refused(0.5, over_rate)
+        context = types.SimpleNamespace(
+            shares=mock.Mock(**{"take.return_value": refused}),
+            metrics=mock.Mock(),
+        )
+        admitted = types.SimpleNamespace(account="valle")
+        with self.assertRaises(dispatch.RefusedError) as caught:
+            dispatch.take_rate(context, admitted, 1.0)
+        self.assertEqual(caught.exception.refusal.ran, codes.Ran.NO)
+        self.assertFalse(caught.exception.again)
+        return caught.exception.refusal.code
+
+    def test_no_home_is_not_over_the_rate(self):
+        self.assertEqual(self.code(True), codes.Code.RATE_EXCEEDED)
+        self.assertEqual(self.code(False), codes.Code.NO_HOME)
