--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -7,6 +7,7 @@
 from gooseberryweir import clock as clocks
 from gooseberryweir.process import neighbours
 from gooseberryweir.process import timing
+from gooseberryweir.process import view
 from test import simulated_hosts
 
 SEEDS = range(12)
@@ -101,6 +102,19 @@
         self.first.on_pong(old_at - 1.0, old._replace(views=((1, 9.0),)))
         self.assertEqual(self.first.standing.votes["c1"].digest, digest)
 
+    def test_a_resource_lost_for_a_moment_waits_for_its_grants_to_end(self):
+        self.beats(12)
+        names = (f"account/a{number}" for number in range(100))
+        mine = next(n for n in names if self.first.holder(n) == "c0")
+        self.assertTrue(self.first.may_exercise(mine))
+        standing, mine_again = self.first.standing, self.first.view()
+        without = view.View(7, mine_again.members[1:])
+        for each in (without, mine_again):
+            standing.adopt(each, standing.voters)
+        self.assertFalse(self.first.may_exercise(mine))
+        self.beats(5)
+        self.assertTrue(self.first.may_exercise(mine))
+
     def test_a_silent_host_is_dead_and_comes_back_as_another(self):
         self.beats(3)
         self.beats(6, self.hosts[:2])
