--- a/gooseberryweir/connection/messages.py
+++ b/gooseberryweir/connection/messages.py
@@ -40,6 +40,22 @@
     incarnation: int
 
 
+class HeldView(NamedTuple):
+    """A view that a host held; arrives as a bare tuple.
+
+    Attributes:
+        digest: Digest of the view.
+        age: Seconds since it was adopted.
+        lost: Name and incarnation of each host that the view before held
+            eligible and this one does not, with the seconds since that host
+            was last heard before the change.
+    """
+
+    digest: int
+    age: float
+    lost: tuple[tuple[str, int, float], ...]
+
+
 class Pong(NamedTuple):
     """What a peer knows at the time of its answer.
 
@@ -50,10 +66,9 @@
             its state was the platform's current state; a large number if none.
         state_digest: Digest of its platform objects and their versions.
         facts_digest: Digest of its facts.
-        view: Digest of the hosts that it holds eligible for duties.
+        views: The views that it held lately, newest first and without a gap.
         suspects: Names of hosts that it has not heard for the silence time.
         load: Its own load: requests in flight.
-        view_age: Seconds for which it has held that view without a break.
         quorum_age: Seconds since the oldest of the answers by which a
             majority agreed that the platform is out; a large number if none.
             It is no proof of the platform's state.
@@ -65,10 +80,9 @@
     platform_age: float
     state_digest: int
     facts_digest: int
-    view: int
+    views: tuple[HeldView, ...]
     suspects: tuple[str, ...]
     load: int
-    view_age: float
     quorum_age: float
     recovered: bool
 
--- a/gooseberryweir/request/routing.py
+++ b/gooseberryweir/request/routing.py
@@ -137,14 +137,16 @@
     if candidate.region == origin:
         return lease
     asked_at = context.clock.monotonic()
-    token = context.shares.take(
+    refused = context.shares.take(
         f"shift/{origin}/{candidate.region}",
         min(deadline, asked_at + candidate.wait),
     )
-    if token is None:
+    if refused is None:
         return lease
     lease.release()
-    return codes.refuse(codes.Code.SHIFT_CAPPED, retry_after=token)
+    return codes.refuse(
+        codes.Code.SHIFT_CAPPED, retry_after=refused.retry_after
+    )
 
 
 def _log_choice(
