--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements run by hand."""
--- /dev/null
+++ b/test/_operators.py
@@ -0,0 +1,113 @@
+"""Operators that use the commands, and what came of it."""
+
+import json
+import os
+import subprocess
+import sys
+import time
+from typing import Any
+from typing import NamedTuple
+
+from test import _common
+
+COMMAND_SECONDS = 60.0
+CONFIG = "/apis/gooseberryweir.example/v1/steeringobjects/config"
+
+
+class Outcome(NamedTuple):
+    """How a command ended.
+
+    Attributes:
+        exit_code: Its exit code.
+        lines: Monotonic instant and text of each line printed.
+    """
+
+    exit_code: int
+    lines: list[tuple[float, str]]
+
+    def said(self, text: str) -> float:
+        """Returns when it printed a line with this text, or 0."""
+        return next((at for at, line in self.lines if text in line), 0.0)
+
+
+class Epoch(NamedTuple):
+    """A declaration that an operator tried to put in force.
+
+    Attributes:
+        path: A route that only it and its successors declare.
+        accepted_at: When it was accepted, or 0 if it was refused.
+    """
+
+    path: str
+    accepted_at: float
+
+
+def start(
+    running: _common.Deployment, *arguments: str
+) -> "subprocess.Popen[str]":
+    """Starts a command that may use all hosts."""
+    options = ["--platform", running.platform.url()]
+    options += ["--token", running.operator_token]
+    for name in running.host_specs:
+        options += ["--operator", running.addresses[f"operator:{name}"]]
+    return subprocess.Popen(
+        [sys.executable, "-m", "gooseberryweir", *arguments, *options],
+        cwd=_common.ROOT,
+        stdin=subprocess.DEVNULL,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+        env={**os.environ, "PYTHONUNBUFFERED": "1"},
+    )
+
+
+def finish(process: "subprocess.Popen[str]") -> Outcome:
+    """Notes a command's lines as they come and waits for its end."""
+    lines = []
+    assert process.stdout is not None
+    for line in process.stdout:
+        lines.append((time.monotonic(), line.rstrip()))
+    return Outcome(process.wait(COMMAND_SECONDS), lines)
+
+
+def run(running: _common.Deployment, *arguments: str) -> Outcome:
+    """Runs a command to its end."""
+    return finish(start(running, *arguments))
+
+
+def declared(running: _common.Deployment) -> Any:
+    """Returns the declaration and its version, once the platform answers."""
+
+    def read() -> Any:
+        try:
+            return _common.fetch_json(running.platform.url(CONFIG))
+        except Exception:
+            return None
+
+    found = _common.wait_until(read, what="the platform answers an operator")
+    version = int(found["metadata"]["resourceVersion"])
+    return found["spec"]["declarations"], version
+
+
+def race(
+    running: _common.Deployment, number: int
+) -> tuple[list[Epoch], list[Outcome]]:
+    """Lets two operators apply different declarations to one version."""
+    document, version = declared(running)
+    processes, paths = [], []
+    for name in ("a", "b"):
+        path = f"/epoch{number}{name}"
+        route = {**document["routes"][0], "path": path, "open": True}
+        changed = {**document, "routes": [*document["routes"], route]}
+        file = running.directory / f"epoch-{number}-{name}.yaml"
+        file.write_text(json.dumps(changed), encoding="utf-8")
+        paths.append(path)
+        processes.append(
+            start(running, "apply", str(file), "--expect-version", str(version))
+        )
+    outcomes = [finish(each) for each in processes]
+    epochs = [
+        Epoch(path, outcome.said("accepted as version"))
+        for path, outcome in zip(paths, outcomes, strict=True)
+    ]
+    return epochs, outcomes
--- a/test/standins/fault_proxy.py
+++ b/test/standins/fault_proxy.py
@@ -237,9 +237,10 @@
 
 
 def reset_on_close(sockets: tuple[Any, ...]) -> None:
-    """Makes the closing of these sockets a reset."""
+    """Makes the closing of these sockets a reset, if they are still open."""
     for sock in sockets:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
 
 
 def sockets_of(pid: str) -> Iterator[str]:
--- a/test/standins/upstream.py
+++ b/test/standins/upstream.py
@@ -7,7 +7,9 @@
 
 import argparse
 import collections
+from collections.abc import Iterable
 import hashlib
+import json
 import os
 import random
 import time
@@ -119,6 +121,7 @@
         """Runs work in a slot, or sheds it."""
         if self.busy >= self.arguments.slots:
             self.shed += 1
+            self.note("shed", "", environ["PATH_INFO"], "", ())
             headers = [("Gooseberryweir-Shed", "1"), ("Content-Length", "0")]
             start_response("503 Service Unavailable", headers)
             return []
@@ -138,6 +141,7 @@
         identifier = environ.get("HTTP_IDEMPOTENCY_KEY", "")
         account = environ.get("HTTP_GOOSEBERRYWEIR_ACCOUNT", "")
         self.starts.append((time.monotonic(), account, path, identifier))
+        self.note("start", account, path, identifier, environ["headers_raw"])
         self.accounts[account] += 1
         if identifier:
             self.runs[identifier] += 1
@@ -155,6 +159,28 @@
         self.completed += 1
         return self.answer(environ, start_response, query, body)
 
+    def note(
+        self,
+        event: str,
+        account: str,
+        path: str,
+        identifier: str,
+        headers: Iterable[tuple[str, str]],
+    ) -> None:
+        """Prints one event as JSON, so that it outlives this process."""
+        if not self.arguments.journal:
+            return
+        line = {
+            "event": event,
+            "at": time.monotonic(),
+            "account": account,
+            "path": path,
+            "id": identifier,
+            "busy": self.busy,
+            "headers": dict(headers),
+        }
+        print(json.dumps(line), flush=True)
+
     def work_seconds(self, query: dict[str, str]) -> float:
         """Returns how long the next work takes, in seconds."""
         if "sleep_ms" in query:
@@ -287,6 +313,9 @@
     )
     parser.add_argument("--cold-ms", type=float, default=0.0)
     parser.add_argument("--cold-requests", type=int, default=0)
+    parser.add_argument(
+        "--journal", action="store_true", help="print a line for each start"
+    )
     parser.add_argument("--port", type=int, default=0)
     upstream = Upstream(parser.parse_args())
     listener = serving.listen(upstream.arguments.port)
