A slow link between hosts is retired, not closed, while calls wait on it

Two missed pings closed the link and so failed every forwarded request on it: the caller of a signing of some seconds was told that its outcome is unknown although the run went on. The new test failed with 'is closed' before. Weighed: a link of its own for forwards (a second connection for each pair of hosts); taken: the link takes no new calls and closes after the last reply.

Membership's log events about other hosts are named peer-joined, peer-leaving and peer-dead; host-leaving was also what a host says of its own stop.

--- a/gooseberryweir/connection/peer_link.py
+++ b/gooseberryweir/connection/peer_link.py
@@ -2,7 +2,8 @@
 
 A link says `Hello` first and takes the peer's `Hello` for an answer. After
 that any task may call or tell over it; one task reads the replies. Any error
-closes the link for good; the owner dials a new one.
+closes the link for good; the owner dials a new one. A link that is only slow
+is retired instead, so that long calls over it can still get their replies.
 """
 
 import contextlib
@@ -45,6 +46,7 @@
         address: Address of the peer, `IP:PORT`.
         peer: What the peer said of itself.
         closed: Whether the link can't be used any more.
+        retired: Whether it takes no new calls and closes after the last.
         pending: Waiting calls by their correlation number.
         reader: The task that reads replies, once the link is open.
     """
@@ -64,6 +66,7 @@
         """
         self.address = address
         self.closed = False
+        self.retired = False
         self.pending: dict[int, events.Event] = {}
         self.reader: Any = None
         self._writer = semaphore.Semaphore()
@@ -110,6 +113,8 @@
                 return reply.wait()
         finally:
             self.pending.pop(correlation, None)
+            if self.retired and not self.pending:
+                self.close()
 
     def tell(self, message: Any, timeout: float) -> None:
         """Sends a message that has no reply.
@@ -124,6 +129,12 @@
         with eventlet.Timeout(timeout, PeerTimeoutError("send timed out")):
             self._send(messages.encode(message))
 
+    def retire(self) -> None:
+        """Closes the link once the calls in progress have ended."""
+        self.retired = True
+        if not self.pending:
+            self.close()
+
     def close(self) -> None:
         """Closes the connection and fails all waiting calls."""
         if self.closed:
--- a/gooseberryweir/process/links.py
+++ b/gooseberryweir/process/links.py
@@ -21,6 +21,7 @@
         hello: Returns what this host says of itself.
         clock: Source of time.
         by_host: Newest link to each host, open or closed.
+        retired: Links that only wait for the calls in progress.
         idle_since: Since when each link to another than a neighbour is idle.
     """
 
@@ -30,26 +31,36 @@
         self.hello = hello
         self.clock = clock
         self.by_host: dict[str, peer_link.PeerLink] = {}
+        self.retired: set[peer_link.PeerLink] = set()
         self.idle_since: dict[str, float] = {}
 
     def __enter__(self) -> "Links":
         return self
 
     def __exit__(self, *_exc: object) -> None:
-        for link in list(self.by_host.values()):
+        for link in [*self.by_host.values(), *self.retired]:
             link.close()
 
     def find(self, host: str) -> peer_link.PeerLink | None:
         """Returns the open link to a host, or None."""
         link = self.by_host.get(host)
-        return None if link is None or link.closed else link
+        if link is None or link.closed or link.retired:
+            return None
+        return link
+
+    def retire(self, link: peer_link.PeerLink) -> None:
+        """Has a link used no more; calls in progress over it go on."""
+        link.retire()
+        self.retired = {each for each in self.retired if not each.closed}
+        if not link.closed:
+            self.retired.add(link)
 
     def reach(
         self, host: str, address: str, timeout: float
     ) -> peer_link.PeerLink:
         """Returns the open link to a host, dialled if there is none.
 
-        A link to an earlier address of the host is closed.
+        A link to an earlier address of the host is retired.
 
         Args:
             host: Name of the host; empty if only the address is known.
@@ -65,7 +76,7 @@
         if link is not None and link.address == address:
             return link
         if link is not None:
-            link.close()
+            self.retire(link)
         hello = self.hello()
         link = peer_link.PeerLink(address, hello, timeout)
         answered = link.peer.host
--- a/gooseberryweir/process/membership.py
+++ b/gooseberryweir/process/membership.py
@@ -277,9 +277,9 @@
         kind, _, host = key.partition("/")
         if kind == "incarnation":
             self.hearing.note(host, self.clock.monotonic())
-            name = "host-joined"
+            name = "peer-joined"
         else:
-            name = f"host-{kind}"
+            name = f"peer-{kind}"
         logs.event(_log, name, subject=host, incarnation=incarnation)
 
     def _adopt_view(self) -> None:
--- a/gooseberryweir/process/peering.py
+++ b/gooseberryweir/process/peering.py
@@ -181,7 +181,11 @@
         return min(RETRY_LIMIT_SECONDS, limit) * self.random.uniform(0.5, 1.0)
 
     def _keep_link(self, link: peer_link.PeerLink) -> None:
-        """Pings over a link until it is closed or misses too many pings."""
+        """Pings over a link until it is closed or misses too many pings.
+
+        Then it is retired: a call of a caller's request takes longer than
+        that, and its reply may still come.
+        """
         missed = 0
         try:
             while missed < MISSED_PINGS_LIMIT:
@@ -192,7 +196,7 @@
         except Exception:
             link.close()
             raise
-        link.close()
+        self.links.retire(link)
         raise peer_link.PeerError("too many pings without an answer")
 
     def _exchange(self, link: peer_link.PeerLink) -> bool:
--- a/test/test_peering.py
+++ b/test/test_peering.py
@@ -115,6 +115,30 @@
         self.until(lambda: last.freshness().source == "relayed")
         self.until(last.may_exercise)
 
+    def test_a_call_in_progress_survives_missed_pings(self):
+        first, second = self.start_listed("c1", "c2")
+        answer = messages.Answer(200, (), b"done", 0, "yes", -1.0, "")
+        began, go_on = events.Event(), events.Event()
+
+        def slow(_):
+            began.send()
+            go_on.wait()
+            return answer
+
+        second.peering.handlers[messages.Forward] = slow
+        question = messages.Forward("t", "a", "", "GET", "/", (), b"", 9.0, 0)
+        call = eventlet.spawn(first.peering.call, "c2", question, WAIT_SECONDS)
+        began.wait()
+        link = first.peering.links.find("c2")
+        pong = second.membership.pong
+        second.membership.pong = lambda: eventlet.sleep(WAIT_SECONDS)
+        self.until(lambda: first.peering.links.find("c2") is not link)
+        second.membership.pong = pong
+        self.until(lambda: first.peering.links.find("c2"))
+        go_on.send()
+        self.assertEqual(call.wait(), answer)
+        self.until(lambda: link.closed)
+
     def test_new_facts_are_pushed_to_all_neighbours(self):
         hosts = self.start_listed("c1", "c2", "c3")
         pushed = []
