--- a/test/_common.py
+++ b/test/_common.py
@@ -26,7 +26,7 @@
 POLL_SECONDS = 0.02
 LOG_TAIL_CHARACTERS = 4000
 KEYS_SEED = 7
-POOLS = urllib3.PoolManager(num_pools=200, maxsize=50, retries=False)
+POOLS = urllib3.PoolManager(num_pools=200, maxsize=200, retries=False)
 
 
 def wait_until(
--- a/test/_judge.py
+++ b/test/_judge.py
@@ -12,7 +12,6 @@
 
 from test import _callers
 from test import _common
-from test import _declared
 from test import _load
 
 # From the decision to send to the start at the upstream, on a busy machine.
@@ -170,13 +169,26 @@
 
     def shifts(self) -> list[str]:
         """No shift passes its cap."""
+        times = self.crossings()
+        found = []
+        for cap in self.running.declarations["shift_caps"]:
+            pair = (cap["from"], cap["to"])
+            rate, burst = cap["requests_per_second"], cap["burst"]
+            excess = _load.worst_excess(times[pair], rate, burst)
+            if excess > rate * (TRANSIT_SECONDS + self.hold):
+                found.append(f"shift: {pair} by {excess:.1f}")
+        return found
+
+    def crossings(self) -> dict[tuple[str, str], list[float]]:
+        """Returns when work went from one region to another.
+
+        A signing is dispatched by the host that issued its ticket.
+        """
+        sent_to = {each.request.path: each.host for each in self.seen}
+        specs = self.running.upstream_specs
         times: dict[tuple[str, str], list[float]] = collections.defaultdict(
             list
         )
-        sent_to = {}
-        for attempt in self.seen:
-            sent_to[attempt.request.path] = attempt.host
-        specs = self.running.upstream_specs
         for start in self.starts:
             host = start.ticket.partition(":")[0] or sent_to.get(start.path)
             if host not in self.running.host_specs:
@@ -185,14 +197,7 @@
             target = specs[start.upstream].region
             if origin != target:
                 times[origin, target].append(start.at)
-        found = []
-        for cap in self.running.declarations["shift_caps"]:
-            pair = (cap["from"], cap["to"])
-            rate, burst = cap["requests_per_second"], cap["burst"]
-            excess = _load.worst_excess(times[pair], rate, burst)
-            if excess > rate * (TRANSIT_SECONDS + self.hold):
-                found.append(f"shift: {pair} by {excess:.1f}")
-        return found
+        return times
 
     def slots(self) -> list[str]:
         """No upstream is sent more than its slots hold."""
@@ -212,8 +217,3 @@
         f" status={attempt.status} code={attempt.code} ran={attempt.ran}"
         f" {attempt.fault}"
     )
-
-
-def is_service_path(path: str) -> bool:
-    """Returns whether a path is one of the service's."""
-    return path.startswith(f"/{_declared.SERVICE}")
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -162,6 +162,63 @@
         self.assertNotEqual(self.first.holder("account/valle"), holder)
 
 
+class LongOutageTest(unittest.TestCase):
+    """The platform is down for ten minutes."""
+
+    def setUp(self):
+        self.clock = clocks.ManualClock()
+        self.entries = {
+            f"c{number}": simulated_hosts.Entry(f"c{number}")
+            for number in range(9)
+        }
+        self.hosts = [
+            simulated_hosts.Host(name, self.clock, self.entries)
+            for name in self.entries
+        ]
+
+    def beats(self, seconds):
+        """Yields after each heartbeat."""
+        for _ in range(int(seconds / timing.HEARTBEAT_SECONDS)):
+            simulated_hosts.heartbeat(self.hosts)
+            yield
+            self.clock.advance(timing.HEARTBEAT_SECONDS)
+
+    def sources(self):
+        return {host.membership.freshness().source for host in self.hosts}
+
+    def holders(self, resource):
+        return [
+            host.membership.host
+            for host in self.hosts
+            if host.membership.may_exercise()
+            and host.membership.holder(resource) == host.membership.host
+        ]
+
+    def test_all_serve_throughout_and_one_that_restarts_joins_them(self):
+        for host in self.hosts:
+            host.membership.platform_answered(self.clock.now)
+        for _ in self.beats(timing.FRESH_SECONDS + timing.SETTLE_SECONDS):
+            pass
+        for _ in self.beats(300.0):
+            self.assertEqual(self.sources(), {"outage"})
+            self.assertEqual(len(self.holders("account/valle")), 1)
+        self.hosts[0].facts.add("withdrawn/key", 1)
+        restarted = simulated_hosts.Host("c4", self.clock, {}, version=0)
+        self.hosts[4] = restarted
+        for _ in self.beats(timing.FRESH_SECONDS):
+            self.assertEqual(restarted.membership.freshness().source, "none")
+        restarted.take_list(1, self.entries)
+        for _ in self.beats(timing.FRESH_SECONDS + 2 * timing.SETTLE_SECONDS):
+            self.assertLessEqual(len(self.holders("account/valle")), 1)
+        for _ in self.beats(300.0):
+            self.assertEqual(self.sources(), {"outage"})
+            self.assertEqual(len(self.holders("account/valle")), 1)
+        self.assertEqual(restarted.facts.get("withdrawn/key"), 1)
+        for host in self.hosts:
+            host.membership.platform_answered(self.clock.now)
+        self.assertEqual(self.sources(), {"platform"})
+
+
 class OneHolderTest(unittest.TestCase):
     """Grants of two holders never overlap, whatever fails."""
 
