Facts that nobody needs any more are forgotten

Withdrawals and crashes stayed for the life of the fleet, and each exchange of facts carried all of them. A withdrawal is dropped where the platform's object, as held, says the same; a crash at a full hour after it stopped to count. Ruled out: by age alone, which could lose a withdrawal made in a long outage.

--- a/gooseberryweir/process/facts.py
+++ b/gooseberryweir/process/facts.py
@@ -1,7 +1,8 @@
 """Facts: a map of integers that only grow, shared between all hosts.
 
 Merging takes the larger value of each key, so it is commutative, associative
-and idempotent: facts may arrive late, twice and in any order.
+and idempotent: facts may arrive late, twice and in any order. Facts that no
+host needs any more are dropped; see `forgetting`.
 """
 
 from collections.abc import Callable
@@ -24,12 +25,15 @@
         values: Value of each key.
         digest: XOR of the hash of each pair; equal maps have equal digests.
         listeners: Called with what was new after each change.
+        needless: Tells whether a fact may be forgotten; a needless one is
+            not taken in.
     """
 
     def __init__(self) -> None:
         self.values: dict[str, int] = {}
         self.digest = 0
         self.listeners: list[Listener] = []
+        self.needless: Callable[[str, int], bool] = _always_needed
 
     def get(self, key: str) -> int:
         """Returns the value of a key, or 0 if there is none."""
@@ -55,7 +59,7 @@
         new = {
             key: value
             for key, value in facts.items()
-            if value > self.values.get(key, 0)
+            if value > self.values.get(key, 0) and not self.needless(key, value)
         }
         for key, value in new.items():
             self._replace(key, value)
@@ -64,6 +68,32 @@
                 listener(new)
         return new
 
+    def forget(self) -> int:
+        """Drops the needless facts; returns how many there were."""
+        dropped = [
+            (key, value)
+            for key, value in self.values.items()
+            if self.needless(key, value)
+        ]
+        for key, value in dropped:
+            del self.values[key]
+            self.digest ^= hash_pair(key, value)
+        return len(dropped)
+
+    def reply(self, asked: Mapping[str, int]) -> dict[str, int]:
+        """Merges facts and returns all facts for the one who sent them.
+
+        Those of the sender's facts that are needless here are among them,
+        since what they say is known here.
+        """
+        self.merge(asked)
+        known = {
+            key: value
+            for key, value in asked.items()
+            if self.needless(key, value)
+        }
+        return {**known, **self.values}
+
     def _replace(self, key: str, value: int) -> None:
         """Sets one value and updates the digest."""
         old = self.values.get(key)
@@ -73,6 +103,11 @@
         self.digest ^= hash_pair(key, value)
 
 
+def _always_needed(key: str, value: int) -> bool:
+    """Keeps every fact."""
+    return False
+
+
 def incarnation_key(host: str) -> str:
     """Returns the key of the newest incarnation of a host."""
     return f"incarnation/{host}"
--- a/gooseberryweir/process/membership.py
+++ b/gooseberryweir/process/membership.py
@@ -242,6 +242,7 @@
     def tick(self) -> None:
         """Runs the periodic checks; call it each `HEARTBEAT_SECONDS`."""
         self.hearing.tick()
+        self.facts.forget()
         self.transitions.note_silent(self.suspects())
         self._declare_dead()
         if self.own.is_dead() and self.standing.hears_majority():
--- a/gooseberryweir/process/peering.py
+++ b/gooseberryweir/process/peering.py
@@ -246,8 +246,7 @@
         if isinstance(message, messages.StateObjects):
             return anti_entropy.apply_objects(self.store, message)
         if isinstance(message, messages.FetchFacts):
-            self.facts.merge(message.facts)
-            return messages.Facts(self.facts.snapshot())
+            return messages.Facts(self.facts.reply(message.facts))
         if isinstance(message, messages.Facts):
             self.facts.merge(message.facts)
             return None
--- a/gooseberryweir/process/serve.py
+++ b/gooseberryweir/process/serve.py
@@ -27,6 +27,7 @@
 from gooseberryweir.connection import upstream_http
 from gooseberryweir.process import context as contexts
 from gooseberryweir.process import facts as facts_module
+from gooseberryweir.process import forgetting
 from gooseberryweir.process import measurer as measurer_module
 from gooseberryweir.process import membership as membership_module
 from gooseberryweir.process import operator_http
@@ -100,6 +101,7 @@
     store = objects.ObjectStore()
     tables = tables_module.Tables(store)
     facts = facts_module.Facts()
+    facts.needless = forgetting.rule(tables, clock)
     incarnation = int(clock.wall() * 1000)
     membership = membership_module.Membership(
         settings.host, incarnation, clock, tables, facts, store
--- a/test/test_facts.py
+++ b/test/test_facts.py
@@ -1,9 +1,15 @@
 """Facts converge whatever the order in which they arrive."""
 
+import hashlib
 import random
 import unittest
 
+from gooseberryweir import clock as clocks
 from gooseberryweir.process import facts as facts_module
+from gooseberryweir.process import forgetting
+from gooseberryweir.process import suspects
+from gooseberryweir.version import objects
+from gooseberryweir.version import tables as tables_module
 
 
 class FactsTest(unittest.TestCase):
@@ -33,3 +39,41 @@
             heard, [{"dead/c1": 5, "withdrawn/ab": 1}, {"dead/c1": 6}]
         )
         self.assertEqual(facts.get("absent"), 0)
+
+
+class ForgettingTest(unittest.TestCase):
+    """Facts end when the platform, or the hour, makes them needless."""
+
+    def setUp(self):
+        self.clock = clocks.ManualClock()
+        self.store = objects.ObjectStore()
+        tables = tables_module.Tables(self.store)
+        self.facts = facts_module.Facts()
+        self.facts.needless = forgetting.rule(tables, self.clock.interface())
+        self.digest = hashlib.sha256(b"key").hexdigest()
+        self.withdrawn = {f"withdrawn/{self.digest}": 1}
+
+    def write_keys(self, version, state):
+        spec = {"id": "x", "digests": {self.digest: state}}
+        self.store.apply("steeringobjects/keys.ada", version, spec)
+        self.facts.forget()
+
+    def test_a_withdrawal_lasts_until_the_platform_holds_it(self):
+        empty = self.facts.digest
+        self.facts.merge(self.withdrawn)
+        self.write_keys(1, "issued")
+        self.assertEqual(self.facts.snapshot(), self.withdrawn)
+        self.write_keys(2, "withdrawn")
+        self.assertEqual(self.facts.snapshot(), {})
+        self.assertEqual(self.facts.digest, empty)
+        self.assertEqual(self.facts.merge(self.withdrawn), {})
+        self.assertEqual(self.facts.reply(self.withdrawn), self.withdrawn)
+        self.assertEqual(self.facts.digest, empty)
+
+    def test_a_crash_lasts_for_as_long_as_it_counts(self):
+        at = int(self.clock.interface().wall() * 1000)
+        self.facts.add("crash/f/u/1", at)
+        self.clock.advance(suspects.FORGET_MS / 1000)
+        self.assertEqual(self.facts.forget(), 0)
+        self.clock.advance(forgetting.CRASH_HOURS * 3600)
+        self.assertEqual(self.facts.forget(), 1)
