--- a/test/_faults.py
+++ b/test/_faults.py
@@ -51,9 +51,10 @@
         "watches": ["platform"],
         "lost": ["platform"],
         "lag": ["platform"],
+        "stale": ["platform"],
     }
     always = ["race", "race", "withdraw", "withdraw", "drain"]
-    drawn = source.sample(sorted(targets), 8) + ["stop-host", "leave-upstream"]
+    drawn = source.sample(sorted(targets), 9) + ["stop-host", "leave-upstream"]
     events = [
         _world.Event(
             source.uniform(0.5, seconds),
--- a/test/_world.py
+++ b/test/_world.py
@@ -234,6 +234,10 @@
         """Lets the lists lag."""
         self.switch(seconds, list_lag_ms=2000.0)
 
+    def stale(self, _: str, seconds: float) -> None:
+        """Lets the platform answer reads from an old state."""
+        self.switch(seconds, stale_reads=True)
+
     # Operators.
 
     def race(self, _: str, seconds: float) -> None:
