--- a/test/_conditions.py
+++ b/test/_conditions.py
@@ -2,7 +2,7 @@
 
 The users' bounds are times. Each is checked with `_world.MARGIN_SECONDS` more
 for a busy machine, and where a pause that was injected can delay the matter
-itself, with the longest of them too; each check says so.
+itself, with the length of that too; each check says so.
 """
 
 from gooseberryweir import codes
@@ -11,6 +11,11 @@
 from test import _operators
 from test import _world
 
+# Faults in which the platform doesn't tell of a change, or not all hosts.
+SILENCING = frozenset(
+    ("refuse", "hang", "slow", "watches", "lag", "stale")
+    + ("cut-host", "cut-platform", "cut-regions", "blackhole-regions")
+)
 KEY_SECONDS = 5.0
 CONFIG_SECONDS = 9.0
 
@@ -22,7 +27,7 @@
         *keys(world, judged),
         *leaving(world, judged),
         *stops(world),
-        *configuration(world, judged.hold),
+        *configuration(world),
     ]
 
 
@@ -46,12 +51,13 @@
     What was sent before may be held by an injected pause, so only requests
     that callers sent after the bound count.
     """
-    sent = {each.request.path: each.sent_at for each in world.callers.seen}
+    latest_first = sorted(world.callers.seen, key=lambda each: -each.sent_at)
+    sent = {each.request.path: each.sent_at for each in latest_first}
     found = []
     for span in world.left:
         bound = span.began + _world.LEAVING_SECONDS + _world.MARGIN_SECONDS
         if span.what == "listed":
-            bound += judged.hold
+            bound += trouble(world, span.began, span.ended)
         found += [
             f"leaving: {span} got {start}"
             for start in judged.starts
@@ -92,20 +98,31 @@
     )
 
 
-def configuration(world: _world.World, hold: float) -> list[str]:
+def trouble(world: _world.World, began: float, ended: float) -> float:
+    """Returns for how long hosts could not learn of a change in this time.
+
+    No host can know a change that the platform doesn't tell, or that was told
+    on the other side of a cut.
+    """
+    return sum(
+        max(0.0, min(span.ended, ended) - max(span.began, began))
+        for span in world.spans
+        if span.what in SILENCING
+    )
+
+
+def configuration(world: _world.World) -> list[str]:
     """An accepted declaration is in force and never reverts.
 
-    A host that is cut off for the whole bound may serve the old one for as
-    long as no host can know better: the longest fault is added.
+    The bound is longer by the time in which hosts could not learn of it.
     """
     found = []
     known_at: dict[tuple[str, str], float] = {}
     for probe in sorted(world.probes, key=lambda each: each.ended_at):
         epoch = next(e for e in world.epochs if e.path == probe.path)
         key = (probe.host, probe.path)
-        bound = (
-            epoch.accepted_at + CONFIG_SECONDS + _world.MARGIN_SECONDS + hold
-        )
+        bound = epoch.accepted_at + CONFIG_SECONDS + _world.MARGIN_SECONDS
+        bound += trouble(world, epoch.accepted_at, probe.sent_at)
         if probe.code == codes.Code.UNKNOWN_ROUTE:
             if epoch.accepted_at and probe.sent_at > bound:
                 found.append(f"configuration not in force: {probe}")
--- a/test/_world.py
+++ b/test/_world.py
@@ -157,7 +157,7 @@
             self.running.leaving.add(name)
             self.running.write_lists()
         began = time.monotonic()
-        time.sleep(LEAVING_SECONDS + MARGIN_SECONDS + seconds)
+        time.sleep(LEAVING_SECONDS + MARGIN_SECONDS + 2 * seconds)
         self.left.append(Span("listed", name, began, time.monotonic()))
         with self.lists:
             self.running.leaving.discard(name)
