--- a/gooseberryweir/process/membership.py
+++ b/gooseberryweir/process/membership.py
@@ -250,6 +250,7 @@
     def tick(self) -> None:
         """Runs the periodic checks; call it each `HEARTBEAT_SECONDS`."""
         self.hearing.tick()
+        self.facts.forget()
         self.transitions.note_silent(self.suspects())
         self._declare_dead()
         if self.own.is_dead() and self.standing.hears_majority():
@@ -285,9 +286,9 @@
         kind, _, host = key.partition("/")
         if kind == "incarnation":
             self.hearing.note(host, self.clock.monotonic())
-            name = "host-joined"
+            name = "peer-joined"
         else:
-            name = f"host-{kind}"
+            name = f"peer-{kind}"
         logs.event(_log, name, subject=host, incarnation=incarnation)
 
     def _adopt_view(self) -> None:
