Client blocks as packed shards; look-ups use the caller's address

A look-up without region= took the host's region for the caller's. Blocks now come as steeringobjects/blocks.N, one shard for each first octet: shards can't overlap, so the order of arrival doesn't matter (ruled out: shards cut by count, where moving a block between two of them makes the outcome depend on which write comes first).

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements behind docs/CAPACITY.md; each script prints one table."""
--- /dev/null
+++ b/bench/usage.py
@@ -0,0 +1,80 @@
+"""What processes use: processor time, memory and bytes on TCP connections."""
+
+from collections.abc import Iterable
+import pathlib
+import re
+import subprocess
+from typing import NamedTuple
+
+PID = re.compile(r"pid=(\d+)")
+SENT = re.compile(r"\bbytes_sent:(\d+)")
+RECEIVED = re.compile(r"\bbytes_received:(\d+)")
+
+
+class Usage(NamedTuple):
+    """What processes used since they started.
+
+    Attributes:
+        cpu_seconds: Processor time.
+        sent: Bytes sent on connections that are open now.
+        received: Bytes received on them.
+    """
+
+    cpu_seconds: float
+    sent: int
+    received: int
+
+
+def cpu_seconds(pid: int) -> float:
+    """Returns the processor time of a process, in seconds."""
+    text = pathlib.Path(f"/proc/{pid}/schedstat").read_text()
+    return int(text.split()[0]) / 1e9
+
+
+def resident_mb(pid: int) -> float:
+    """Returns the resident memory of a process in MB (10^6 bytes)."""
+    text = pathlib.Path(f"/proc/{pid}/statm").read_text()
+    return int(text.split()[1]) * 4096 / 1e6
+
+
+def measure(pids: Iterable[int]) -> dict[int, Usage]:
+    """Returns the usage of processes, by process id."""
+    lines = subprocess.run(
+        ["ss", "-tinpHO", "state", "established"],
+        capture_output=True,
+        check=True,
+        text=True,
+    ).stdout.splitlines()
+    traffic = {pid: [0, 0] for pid in pids}
+    for line in lines:
+        owner = PID.search(line)
+        if owner is None or int(owner.group(1)) not in traffic:
+            continue
+        totals = traffic[int(owner.group(1))]
+        for position, pattern in enumerate((SENT, RECEIVED)):
+            found = pattern.search(line)
+            totals[position] += int(found.group(1)) if found else 0
+    return {
+        pid: Usage(cpu_seconds(pid), *totals) for pid, totals in traffic.items()
+    }
+
+
+def between(before: dict[int, Usage], after: dict[int, Usage]) -> list[Usage]:
+    """Returns what each process used between two measurements."""
+    return [
+        Usage(*(new - old for new, old in zip(after[pid], used, strict=True)))
+        for pid, used in before.items()
+    ]
+
+
+def fit(sizes: list[float], values: list[float]) -> tuple[float, float]:
+    """Returns slope and intercept of the least-squares line."""
+    count = len(sizes)
+    mean_size, mean_value = sum(sizes) / count, sum(values) / count
+    spread = sum((size - mean_size) ** 2 for size in sizes)
+    joint = sum(
+        (size - mean_size) * (value - mean_value)
+        for size, value in zip(sizes, values, strict=True)
+    )
+    slope = joint / spread
+    return slope, mean_value - slope * mean_size
--- a/gooseberryweir/request/incoming.py
+++ b/gooseberryweir/request/incoming.py
@@ -53,6 +53,7 @@
         content_length: Bytes of the body, or None for a chunked body.
         body: The WSGI input.
         caller: The caller's socket.
+        address: The caller's IP number.
     """
 
     method: str
@@ -65,6 +66,7 @@
     content_length: int | None
     body: Any
     caller: Any
+    address: str = ""
 
 
 def passed_on(
@@ -181,4 +183,5 @@
         ),
         body=environ["wsgi.input"],
         caller=environ["eventlet.input"].get_socket(),
+        address=environ.get("REMOTE_ADDR", ""),
     )
--- a/gooseberryweir/request/lookup.py
+++ b/gooseberryweir/request/lookup.py
@@ -11,6 +11,7 @@
 from gooseberryweir.request import answer as answers
 from gooseberryweir.request import incoming
 from gooseberryweir.request import routing
+from gooseberryweir.version import steering_table
 
 PATH = "/v1/hosts"
 
@@ -80,7 +81,9 @@
     Args:
         context: The process.
         request: The request; its key is optional.
-        query: Query string; `region=NAME` names the caller's region.
+        query: Query string; `region=NAME` names the caller's region. Without
+            it the region is that of the caller's address block, or else that
+            of this host.
     """
     stale = admission.freshness_fault(context)
     if stale is not None:
@@ -91,7 +94,7 @@
         if isinstance(found, codes.Refusal):
             return answers.from_refusal(found)
         account = found
-    region = _region_of(query) or context.settings.region
+    region = _region_of(query) or _nearest_region(context, request.address)
     document = LookUp(
         hosts=ranked_hosts(context, account, region),
         ttl=context.settings.look_up_seconds,
@@ -112,6 +115,12 @@
     return ""
 
 
+def _nearest_region(context: contexts.Context, address: str) -> str:
+    """Returns the region of a caller's address, this host's if unknown."""
+    site = steering_table.site_of(context.tables.blocks, address)
+    return context.settings.region if site is None else site.region
+
+
 def _json_answer(document: LookUp) -> answers.Answer:
     body = json.dumps(document).encode()
     headers = (
--- a/gooseberryweir/version/documents.py
+++ b/gooseberryweir/version/documents.py
@@ -65,3 +65,10 @@
     """The drains, by `region/NAME` or `upstream/NAME`."""
 
     drains: dict[_DrainName, _Flag]
+
+
+class BlocksDocument(TypedDict):
+    """One shard of the client blocks; see `steering_table`."""
+
+    sites: list[tuple[_Text, _Text]]
+    rows: str
--- a/gooseberryweir/version/tables.py
+++ b/gooseberryweir/version/tables.py
@@ -19,6 +19,7 @@
 from gooseberryweir.version import declarations as declaring
 from gooseberryweir.version import documents
 from gooseberryweir.version import objects
+from gooseberryweir.version import steering_table
 from gooseberryweir.version import validation
 
 _logger = logging.getLogger(__name__)
@@ -27,6 +28,7 @@
 _UPSTREAMS = pydantic.TypeAdapter(documents.UpstreamsDocument)
 _KEYS = pydantic.TypeAdapter(documents.KeysDocument)
 _DRAINS = pydantic.TypeAdapter(documents.DrainsDocument)
+_BLOCKS = pydantic.TypeAdapter(documents.BlocksDocument)
 
 
 class HostEntry(NamedTuple):
@@ -123,6 +125,7 @@
         upstreams: Upstreams by service.
         keys: Keys by their SHA-256 digest in hexadecimal.
         drains: Drained regions and upstreams, `region/NAME`, `upstream/NAME`.
+        blocks: Client blocks, in shards by the first octet of the address.
         malformed: Version of each object whose newest version is malformed.
     """
 
@@ -134,6 +137,7 @@
         self.upstreams: dict[str, tuple[UpstreamEntry, ...]] = {}
         self.keys: dict[str, KeyEntry] = {}
         self.drains: frozenset[str] = frozenset()
+        self.blocks: dict[int, steering_table.SteeringTable] = {}
         self.malformed: dict[str, int] = {}
         self._account_keys: dict[str, dict[str, KeyEntry]] = {}
         for name in store.versions():
@@ -180,6 +184,9 @@
         if name.startswith(objects.SERVICE_PREFIX):
             service = name.removeprefix(objects.SERVICE_PREFIX)
             return lambda content: self._build_upstreams(service, content)
+        if name.startswith(objects.BLOCKS_PREFIX):
+            shard = name.removeprefix(objects.BLOCKS_PREFIX)
+            return lambda content: self._build_blocks(shard, content)
         return None
 
     def _build_config(self, content: Any | None) -> None:
@@ -210,6 +217,16 @@
         entries = [UpstreamEntry(service=service, **item) for item in listed]
         self.upstreams[service] = tuple(_unique(entries).values())
 
+    def _build_blocks(self, shard: str, content: Any | None) -> None:
+        octet = steering_table.read_octet(shard)
+        if content is None:
+            self.blocks.pop(octet, None)
+            return
+        found = _BLOCKS.validate_python(content)
+        self.blocks[octet] = steering_table.unpack(
+            octet, found["sites"], found["rows"]
+        )
+
     def _build_keys(self, account: str, content: Any | None) -> None:
         digests: dict[str, Literal["issued", "withdrawn"]] = {}
         if content is not None:
