Sites named once: 130,000 client blocks in 5 MB

python -m bench.steering, 130,000 blocks: resident growth 37.5 MB -> 5.0 MB, largest shard object 24,504 -> 8,652 bytes, so a change of one block carries a third. Ruled out: interning the names of each shard, which saves memory but not the bytes on the wire.

--- a/gooseberryweir/request/lookup.py
+++ b/gooseberryweir/request/lookup.py
@@ -117,7 +117,8 @@
 
 def _nearest_region(context: contexts.Context, address: str) -> str:
     """Returns the region of a caller's address, this host's if unknown."""
-    site = steering_table.site_of(context.tables.blocks, address)
+    tables = context.tables
+    site = steering_table.site_of(tables.blocks, tables.sites, address)
     return context.settings.region if site is None else site.region
 
 
--- a/gooseberryweir/version/documents.py
+++ b/gooseberryweir/version/documents.py
@@ -9,6 +9,7 @@
 import pydantic
 from typing_extensions import TypedDict
 
+from gooseberryweir.version import steering_table
 from gooseberryweir.version import validation
 
 DIGEST_PATTERN = r"^[0-9a-f]{64}$"
@@ -17,6 +18,8 @@
 _Flag = Annotated[bool, pydantic.Field(strict=True)]
 _Digest = Annotated[str, pydantic.Field(pattern=DIGEST_PATTERN)]
 _DrainName = Annotated[str, pydantic.Field(pattern=r"^(region|upstream)/.+$")]
+_Name = Annotated[str, pydantic.AfterValidator(validation.check_name)]
+_SiteNumber = Annotated[int, pydantic.Field(ge=0, le=steering_table.MAX_SITE)]
 
 
 class HostDocument(TypedDict):
@@ -70,5 +73,10 @@
 class BlocksDocument(TypedDict):
     """One shard of the client blocks; see `steering_table`."""
 
-    sites: list[tuple[_Text, _Text]]
     rows: str
+
+
+class SitesDocument(TypedDict):
+    """Name and region of each site, by its number."""
+
+    sites: dict[_SiteNumber, tuple[_Name, _Name]]
--- a/gooseberryweir/version/objects.py
+++ b/gooseberryweir/version/objects.py
@@ -9,6 +9,7 @@
 CONFIG = "steeringobjects/config"
 DRAINS = "steeringobjects/drains"
 KEYS_PREFIX = "steeringobjects/keys."
+SITES = "steeringobjects/sites"
 BLOCKS_PREFIX = "steeringobjects/blocks."
 HOSTS = "endpointslices/hosts"
 SERVICE_PREFIX = "endpointslices/service."
--- a/gooseberryweir/version/steering_table.py
+++ b/gooseberryweir/version/steering_table.py
@@ -5,7 +5,7 @@
 is the first octet of all addresses in the shard. So shards never overlap, a
 change travels as one small object, and the order of arrival doesn't matter. A
 shard holds rows of 10 bytes in base64: first and last IPv4 address and the
-site's number, big-endian.
+number of its site, big-endian. `steeringobjects/sites` names the sites once.
 """
 
 from array import array
@@ -13,18 +13,15 @@
 import bisect
 from collections.abc import Iterable
 from collections.abc import Mapping
-from collections.abc import Sequence
 import ipaddress
 import struct
 from typing import NamedTuple
 
-from gooseberryweir.version import validation
-
 ROW = struct.Struct(">IIH")
-MAX_SITES = 1 << 16
+MAX_SITE = (1 << 16) - 1
 SHARD_SHIFT = 24
 MAX_OCTET = 255
-# Rows that fit an object of one megabyte, with room for the site names.
+# Rows whose base64 fits an object of one megabyte.
 MAX_SHARD_ROWS = 50_000
 
 
@@ -34,7 +31,7 @@
     Attributes:
         first: Its first IPv4 address as a number.
         last: Its last address.
-        site: Index of the site among the names.
+        site: Number of the site.
     """
 
     first: int
@@ -58,26 +55,20 @@
     """Blocks that do not overlap, in order of address.
 
     Attributes:
-        sites: The sites that the blocks refer to.
         firsts: First address of each block.
         lasts: Last address of each block.
-        numbers: Index of the site of each block.
+        sites: Number of the site of each block.
     """
 
-    def __init__(
-        self, blocks: Iterable[Block] = (), sites: Sequence[Site] = ()
-    ) -> None:
+    def __init__(self, blocks: Iterable[Block] = ()) -> None:
         """Packs blocks that come in order of address.
 
         Raises:
-            ValueError: Blocks overlap, are out of order, or name no site.
+            ValueError: Blocks overlap or are out of order.
         """
-        self.sites = tuple(sites)
-        if len(self.sites) > MAX_SITES:
-            raise ValueError(f"more than {MAX_SITES} sites")
         self.firsts = array("I")
         self.lasts = array("I")
-        self.numbers = array("H")
+        self.sites = array("H")
         for block in blocks:
             self._append(block)
 
@@ -86,25 +77,23 @@
         before = self.lasts[-1] if self.lasts else -1
         if not before < block.first <= block.last:
             raise ValueError("blocks overlap or are out of order")
-        if not 0 <= block.site < len(self.sites):
-            raise ValueError(f"a block names site {block.site}: unknown")
         self.firsts.append(block.first)
         self.lasts.append(block.last)
-        self.numbers.append(block.site)
+        self.sites.append(block.site)
 
     def __len__(self) -> int:
         return len(self.firsts)
 
-    def find(self, number: int) -> Site | None:
-        """Returns the site of an IPv4 address, given as a number, if any."""
-        position = bisect.bisect_right(self.firsts, number) - 1
-        if position < 0 or number > self.lasts[position]:
+    def find(self, address: int) -> int | None:
+        """Returns the number of the site of an IPv4 address, if any."""
+        position = bisect.bisect_right(self.firsts, address) - 1
+        if position < 0 or address > self.lasts[position]:
             return None
-        return self.sites[self.numbers[position]]
+        return self.sites[position]
 
     def blocks(self) -> Iterable[Block]:
         """Returns all blocks, in order of address."""
-        return map(Block, self.firsts, self.lasts, self.numbers)
+        return map(Block, self.firsts, self.lasts, self.sites)
 
 
 def from_prefix(prefix: str, site: int) -> Block:
@@ -114,11 +103,16 @@
     return Block(int(network.network_address), last, site)
 
 
-def site_of(shards: Mapping[int, SteeringTable], address: str) -> Site | None:
+def site_of(
+    shards: Mapping[int, SteeringTable],
+    sites: Mapping[int, Site],
+    address: str,
+) -> Site | None:
     """Returns the site of a client's IPv4 address; None if none is known.
 
     Args:
         shards: The shards by the first octet of their addresses.
+        sites: The sites by number; one that is missing counts as unknown.
         address: Dotted quad; anything else has no site.
     """
     try:
@@ -126,38 +120,32 @@
     except ValueError:
         return None
     shard = shards.get(number >> SHARD_SHIFT)
-    return None if shard is None else shard.find(number)
+    site = None if shard is None else shard.find(number)
+    return None if site is None else sites.get(site)
 
 
-def pack(shard: SteeringTable) -> dict[str, object]:
+def pack(shard: SteeringTable) -> dict[str, str]:
     """Returns the content of the platform object that holds a shard."""
     rows = b"".join(ROW.pack(*block) for block in shard.blocks())
-    return {
-        "sites": [list(site) for site in shard.sites],
-        "rows": base64.b64encode(rows).decode(),
-    }
+    return {"rows": base64.b64encode(rows).decode()}
 
 
-def unpack(
-    octet: int, sites: Iterable[Sequence[str]], rows: str
-) -> SteeringTable:
-    """Reads a shard from the fields of its platform object.
+def unpack(octet: int, rows: str) -> SteeringTable:
+    """Reads a shard from the rows of its platform object.
 
     Args:
         octet: First octet of all addresses of the shard.
-        sites: Name and region of each site.
         rows: The packed blocks in base64.
 
     Raises:
-        ValueError: The rows or sites are malformed.
+        ValueError: The rows are malformed.
     """
     data = base64.b64decode(rows, validate=True)
     if len(data) % ROW.size:
         raise ValueError("rows end in the middle of one")
     if len(data) > MAX_SHARD_ROWS * ROW.size:
         raise ValueError(f"more than {MAX_SHARD_ROWS} rows")
-    named = [Site(*map(validation.check_name, pair)) for pair in sites]
-    table = SteeringTable(map(Block._make, ROW.iter_unpack(data)), named)
+    table = SteeringTable(map(Block._make, ROW.iter_unpack(data)))
     ends = {*table.firsts[:1], *table.lasts[-1:]}
     if any(number >> SHARD_SHIFT != octet for number in ends):
         raise ValueError(f"a block lies outside of {octet}.0.0.0/8")
--- a/gooseberryweir/version/tables.py
+++ b/gooseberryweir/version/tables.py
@@ -28,6 +28,7 @@
 _UPSTREAMS = pydantic.TypeAdapter(documents.UpstreamsDocument)
 _KEYS = pydantic.TypeAdapter(documents.KeysDocument)
 _DRAINS = pydantic.TypeAdapter(documents.DrainsDocument)
+_SITES = pydantic.TypeAdapter(documents.SitesDocument)
 _BLOCKS = pydantic.TypeAdapter(documents.BlocksDocument)
 
 
@@ -126,6 +127,7 @@
         keys: Keys by their SHA-256 digest in hexadecimal.
         drains: Drained regions and upstreams, `region/NAME`, `upstream/NAME`.
         blocks: Client blocks, in shards by the first octet of the address.
+        sites: Sites that the blocks refer to, by number.
         malformed: Version of each object whose newest version is malformed.
     """
 
@@ -138,6 +140,7 @@
         self.keys: dict[str, KeyEntry] = {}
         self.drains: frozenset[str] = frozenset()
         self.blocks: dict[int, steering_table.SteeringTable] = {}
+        self.sites: dict[int, steering_table.Site] = {}
         self.malformed: dict[str, int] = {}
         self._account_keys: dict[str, dict[str, KeyEntry]] = {}
         for name in store.versions():
@@ -175,6 +178,7 @@
             objects.CONFIG: self._build_config,
             objects.DRAINS: self._build_drains,
             objects.HOSTS: self._build_hosts,
+            objects.SITES: self._build_sites,
         }
         if name in fixed:
             return fixed[name]
@@ -222,10 +226,17 @@
         if content is None:
             self.blocks.pop(octet, None)
             return
-        found = _BLOCKS.validate_python(content)
-        self.blocks[octet] = steering_table.unpack(
-            octet, found["sites"], found["rows"]
-        )
+        rows = _BLOCKS.validate_python(content)["rows"]
+        self.blocks[octet] = steering_table.unpack(octet, rows)
+
+    def _build_sites(self, content: Any | None) -> None:
+        sites: Mapping[int, tuple[str, str]] = {}
+        if content is not None:
+            sites = _SITES.validate_python(content)["sites"]
+        self.sites = {
+            number: steering_table.Site(*named)
+            for number, named in sites.items()
+        }
 
     def _build_keys(self, account: str, content: Any | None) -> None:
         digests: dict[str, Literal["issued", "withdrawn"]] = {}
