Look-ups read a ranking that is kept until the hosts change

Each look-up scored, sorted and rendered all hosts, and the answer named all of them: linear in the fleet. Rankings are now kept by account and region, dropped when live hosts, silence, view or declarations change; an answer names the 12 best hosts and the best of up to 4 further regions (all of a fleet of 9, as before). Ruled out: a time-to-live, which would name a host that left.

--- a/gooseberryweir/process/context.py
+++ b/gooseberryweir/process/context.py
@@ -12,6 +12,7 @@
 from gooseberryweir.process import shares as shares_module
 from gooseberryweir.process import suspects as suspects_module
 from gooseberryweir.request import body
+from gooseberryweir.request import ranking
 from gooseberryweir.request import tickets
 from gooseberryweir.version import tables as tables_module
 
@@ -32,6 +33,7 @@
         ledger: Tickets that this process issued.
         upstreams: Connections to upstreams.
         budget: Bytes of bodies held in memory.
+        rankings: Hosts for callers, in order.
     """
 
     settings: settings_module.Settings
@@ -46,3 +48,4 @@
     ledger: tickets.TicketLedger
     upstreams: upstream_http.UpstreamConnections
     budget: body.BodyBudget
+    rankings: ranking.Rankings
--- a/gooseberryweir/process/serve.py
+++ b/gooseberryweir/process/serve.py
@@ -41,6 +41,7 @@
 from gooseberryweir.request import application
 from gooseberryweir.request import body
 from gooseberryweir.request import once
+from gooseberryweir.request import ranking
 from gooseberryweir.request import routing
 from gooseberryweir.request import tickets
 from gooseberryweir.version import objects
@@ -143,6 +144,7 @@
             ledger=tickets.TicketLedger(settings.host, clock),
             upstreams=stack.enter_context(upstream_http.UpstreamConnections()),
             budget=body.BodyBudget(BODY_BUDGET_BYTES),
+            rankings=ranking.Rankings(tables, membership),
         )
         peering.handlers[messages.Forward] = lambda message: (
             once.handle_forward(context, message)
--- a/gooseberryweir/request/routing.py
+++ b/gooseberryweir/request/routing.py
@@ -18,8 +18,6 @@
 from gooseberryweir.version import declarations
 
 LOGGER = logging.getLogger(__name__)
-# One-way latency assumed between regions that no link joins, milliseconds.
-UNLINKED_LATENCY_MS = 100.0
 
 
 class Candidate(NamedTuple):
@@ -57,7 +55,7 @@
     for link in declared.links:
         if set(link.between) == {origin, target}:
             return link.latency_ms
-    return UNLINKED_LATENCY_MS
+    return declarations.UNLINKED_LATENCY_MS
 
 
 def regions_of(context: contexts.Context, service: str) -> dict[str, float]:
--- a/gooseberryweir/version/declarations.py
+++ b/gooseberryweir/version/declarations.py
@@ -24,6 +24,8 @@
 MAX_CRASH_LIMIT = 100
 MAX_HEADROOM = 0.9
 LOWEST_IMPORTANCE = 9
+# One-way latency assumed between regions that no link joins, milliseconds.
+UNLINKED_LATENCY_MS = 100.0
 _SEGMENT = r"[A-Za-z0-9._~!$&'()*+,;=:@-]"
 _PATH = re.compile(f"/(?:{_SEGMENT}+/)*{_SEGMENT}*")
 
--- /dev/null
+++ b/test/test_ranking.py
@@ -0,0 +1,116 @@
+"""The hosts that a look-up names: their order, its bounds, its changes."""
+
+import json
+import logging
+import unittest
+
+from gooseberryweir import clock as clocks
+from gooseberryweir import rendezvous
+from gooseberryweir.process import facts as facts_module
+from gooseberryweir.process import membership as memberships
+from gooseberryweir.process import neighbours
+from gooseberryweir.request import ranking
+from gooseberryweir.version import objects
+from gooseberryweir.version import tables as versions
+from test import _fleet
+
+LINK_MS = 20.0
+
+
+class RankingTest(unittest.TestCase):
+    """Rankings over real tables, facts and membership."""
+
+    def setUp(self):
+        log = logging.getLogger("gooseberryweir")
+        log.setLevel(logging.CRITICAL)
+        self.addCleanup(log.setLevel, logging.NOTSET)
+
+    def build(self, regions, each):
+        self.regions = {f"r{number}": ("a",) for number in range(regions)}
+        self.store = objects.ObjectStore()
+        self.tables = versions.Tables(self.store)
+        self.facts = facts_module.Facts()
+        self.clock = clocks.ManualClock()
+        specs = _fleet.place(self.regions, regions * each)
+        self.declare(1, LINK_MS)
+        ports = dict.fromkeys(("caller", "peer", "operator"), "10.0.0.1:1")
+        listed = [
+            {**spec._asdict(), **ports, "leaving": False} for spec in specs
+        ]
+        self.store.apply(objects.HOSTS, 1, {"endpoints": listed})
+        self.membership = memberships.Membership(
+            specs[-1].name,
+            1,
+            self.clock.interface(),
+            self.tables,
+            self.facts,
+            self.store,
+        )
+        for spec in specs:
+            self.facts.add(facts_module.incarnation_key(spec.name), 1)
+        self.rankings = ranking.Rankings(self.tables, self.membership)
+
+    def declare(self, version, link_ms):
+        document = _fleet.declare(self.regions, ("s",), {"ada": (1, 1)})
+        for link in document["links"]:
+            link["latency_ms"] = link_ms if "r1" in link["between"] else LINK_MS
+        content = {"declarations": document}
+        self.store.apply(objects.CONFIG, version, content)
+
+    def names(self, account, region):
+        text = self.rankings.rendered(account, region)
+        return [each["name"] for each in json.loads(text)]
+
+    def expected(self, account, region):
+        """Returns all hosts, nearest first, then home, then weight."""
+        home = self.membership.holder(f"account/{account}")
+        return sorted(
+            self.tables.hosts,
+            key=lambda name: (
+                self.tables.hosts[name].region != region,
+                name != home,
+                -rendezvous.score(account, name),
+            ),
+        )
+
+    def test_a_small_fleet_is_named_whole_and_in_order(self):
+        self.build(3, 3)
+        for account in ("", "ada", "ben"):
+            for region in self.regions:
+                wanted = self.expected(account, region)
+                self.assertEqual(self.names(account, region), wanted)
+
+    def test_a_large_fleet_is_bounded_and_names_further_regions(self):
+        self.build(6, 20)
+        self.declare(2, LINK_MS / 2)
+        names = self.names("ada", "r2")
+        wanted = self.expected("ada", "r2")
+        self.assertEqual(names[:12], wanted[:12])
+        named = {self.tables.hosts[name].region for name in names[12:]}
+        self.assertEqual(len(names), 16)
+        self.assertEqual(len(named), 4)
+        self.assertIn("r1", named)
+        self.assertNotIn("r2", named)
+        voters = neighbours.voters(self.tables.hosts)
+        gone = next(name for name in names if name not in voters)
+        self.facts.add(facts_module.leaving_key(gone), 1)
+        self.assertNotIn(gone, self.names("ada", "r2"))
+
+    def test_a_ranking_follows_each_change(self):
+        self.build(3, 3)
+        gone = self.names("", "r0")[0]
+        self.facts.add(facts_module.leaving_key(gone), 1)
+        self.assertNotIn(gone, self.names("", "r0"))
+        gone = self.names("", "r0")[0]
+        self.membership.transitions.note_silent([gone])
+        self.membership.reachable = lambda: self.membership.live() - {gone}
+        self.assertNotIn(gone, self.names("", "r0"))
+        last = self.names("", "r0")[-1]
+        self.declare(2, 500.0)
+        self.assertTrue(self.names("", "r0")[-1].startswith("r1-"), last)
+        self.store.apply(objects.HOSTS, 2, {"endpoints": []})
+        self.assertEqual(self.names("", "r0"), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
