--- a/gooseberryweir/process/neighbours.py
+++ b/gooseberryweir/process/neighbours.py
@@ -94,22 +94,22 @@
     if len(hosts) <= FULL_MESH_HOSTS:
         others = tuple(sorted(name for name in hosts if name != host))
         return Neighbours(others, (), ())
-    orders = regional_orders(hosts, {*live, host})
-    order = orders[hosts[host].region]
+    region = hosts[host].region
+    near = [name for name in live if hosts[name].region == region]
+    order = regional_orders(hosts, {*near, host})[region]
     position = order.index(host)
     parents = tuple(order[index] for index in parent_positions(position))
     children = tuple(
         order[index] for index in child_positions(position, len(order))
     )
-    return Neighbours(_relays(host, orders, position), parents, children)
+    relays: tuple[str, ...] = ()
+    if position < RELAYS_PER_REGION:
+        relays = _relays(host, regional_orders(hosts, {*live, host}))
+    return Neighbours(relays, parents, children)
 
 
-def _relays(
-    host: str, orders: Mapping[str, list[str]], position: int
-) -> tuple[str, ...]:
-    """Returns the other relays, if the host is one by its position."""
-    if position >= RELAYS_PER_REGION:
-        return ()
+def _relays(host: str, orders: Mapping[str, list[str]]) -> tuple[str, ...]:
+    """Returns the relays of all regions but the host itself."""
     return tuple(
         sorted(
             name
--- a/gooseberryweir/request/ranking.py
+++ b/gooseberryweir/request/ranking.py
@@ -39,7 +39,6 @@
         membership: Which hosts are in service, and the homes of accounts.
         kept: Rendered ranking for each account and region.
         regions: Hosts in service by region.
-        latencies: One-way latency in milliseconds between linked regions.
     """
 
     def __init__(
@@ -49,7 +48,6 @@
         self.membership = membership
         self.kept: dict[tuple[str, str], str] = {}
         self.regions: dict[str, list[versions.HostEntry]] = {}
-        self.latencies: dict[tuple[str, str], float] = {}
         self._live: frozenset[str] | None = None
         self._silent: frozenset[str] = frozenset()
         self._digest = 0
@@ -106,11 +104,7 @@
         home = self.membership.holder(f"account/{account}")
 
         def distance(other: str) -> float:
-            if other == region:
-                return 0.0
-            return self.latencies.get(
-                (region, other), declarations.UNLINKED_LATENCY_MS
-            )
+            return self.tables.latency(region, other)
 
         def rank(entry: versions.HostEntry) -> tuple[bool, int, str]:
             weight = rendezvous.score(account, entry.name)
@@ -141,9 +135,3 @@
         for name in self.membership.in_service():
             entry = self.tables.hosts[name]
             self.regions.setdefault(entry.region, []).append(entry)
-        links = declared.links if declared else ()
-        self.latencies = {
-            ends: link.latency_ms
-            for link in links
-            for ends in (link.between, link.between[::-1])
-        }
--- a/gooseberryweir/request/routing.py
+++ b/gooseberryweir/request/routing.py
@@ -15,7 +15,6 @@
 from gooseberryweir.process import context as contexts
 from gooseberryweir.process import slots as slots_module
 from gooseberryweir.request import admission
-from gooseberryweir.version import declarations
 
 LOGGER = logging.getLogger(__name__)
 
@@ -46,37 +45,19 @@
     refusal: codes.Refusal
 
 
-def latency_between(
-    declared: declarations.Declarations, origin: str, target: str
-) -> float:
-    """Returns the one-way latency between two regions in milliseconds."""
-    if origin == target:
-        return 0.0
-    for link in declared.links:
-        if set(link.between) == {origin, target}:
-            return link.latency_ms
-    return declarations.UNLINKED_LATENCY_MS
-
-
 def regions_of(context: contexts.Context, service: str) -> dict[str, float]:
     """Returns the one-way latency to each region that may run a service.
 
     Another region may only if a shift cap towards it is declared.
     """
-    declared = context.tables.declarations
-    if declared is None:
-        return {}
+    tables = context.tables
     origin = context.settings.region
-    reachable = {origin}
-    reachable.update(
-        cap.target for cap in declared.shift_caps if cap.origin == origin
-    )
+    targets = tables.shift_targets.get(origin, set())
     return {
-        upstream.region: latency_between(declared, origin, upstream.region)
-        for upstream in context.tables.upstreams.get(service, ())
-        if not upstream.leaving
-        and upstream.region in reachable
-        and f"region/{upstream.region}" not in context.tables.drains
+        region: tables.latency(origin, region)
+        for region in tables.serving.get(service, ())
+        if (region == origin or region in targets)
+        and f"region/{region}" not in tables.drains
     }
 
 
--- a/gooseberryweir/version/tables.py
+++ b/gooseberryweir/version/tables.py
@@ -122,8 +122,11 @@
         store: The objects.
         config_version: Version of the declarations in force; 0 if none.
         declarations: The declarations in force, or None.
+        latencies: One-way latency in milliseconds between linked regions.
+        shift_targets: Regions to which work of a region may shift, by region.
         hosts: Hosts by name.
         upstreams: Upstreams by service.
+        serving: Regions with an upstream that stays, by service.
         keys: Keys by their SHA-256 digest in hexadecimal.
         drains: Drained regions and upstreams, `region/NAME`, `upstream/NAME`.
         blocks: Client blocks, in shards by the first octet of the address.
@@ -135,8 +138,11 @@
         self.store = store
         self.config_version = 0
         self.declarations: declaring.Declarations | None = None
+        self.latencies: dict[tuple[str, str], float] = {}
+        self.shift_targets: dict[str, set[str]] = {}
         self.hosts: dict[str, HostEntry] = {}
         self.upstreams: dict[str, tuple[UpstreamEntry, ...]] = {}
+        self.serving: dict[str, tuple[str, ...]] = {}
         self.keys: dict[str, KeyEntry] = {}
         self.drains: frozenset[str] = frozenset()
         self.blocks: dict[int, steering_table.SteeringTable] = {}
@@ -147,6 +153,14 @@
             self.rebuild(name)
         store.listeners.append(self.rebuild)
 
+    def latency(self, origin: str, target: str) -> float:
+        """Returns the one-way latency between two regions in milliseconds."""
+        if origin == target:
+            return 0.0
+        return self.latencies.get(
+            (origin, target), declaring.UNLINKED_LATENCY_MS
+        )
+
     def rebuild(self, name: str) -> None:
         """Rebuilds what one object touches; names of other kinds are ignored.
 
@@ -196,7 +210,16 @@
     def _build_config(self, content: Any | None) -> None:
         if content is None:
             raise MalformedError("deleted; the earlier declaration stays")
-        self.declarations = _read_config(content)
+        declared = _read_config(content)
+        self.declarations = declared
+        self.latencies = {
+            ends: link.latency_ms
+            for link in declared.links
+            for ends in (link.between, link.between[::-1])
+        }
+        self.shift_targets = {}
+        for cap in declared.shift_caps:
+            self.shift_targets.setdefault(cap.origin, set()).add(cap.target)
         self.config_version = self.store.version(objects.CONFIG)
 
     def _build_drains(self, content: Any | None) -> None:
@@ -216,10 +239,14 @@
     def _build_upstreams(self, service: str, content: Any | None) -> None:
         if content is None:
             self.upstreams.pop(service, None)
+            self.serving.pop(service, None)
             return
         listed = _UPSTREAMS.validate_python(content)["endpoints"]
         entries = [UpstreamEntry(service=service, **item) for item in listed]
-        self.upstreams[service] = tuple(_unique(entries).values())
+        kept = tuple(_unique(entries).values())
+        self.upstreams[service] = kept
+        staying = {each.region for each in kept if not each.leaving}
+        self.serving[service] = tuple(sorted(staying))
 
     def _build_blocks(self, shard: str, content: Any | None) -> None:
         octet = steering_table.read_octet(shard)
