--- a/gooseberryweir/process/membership.py
+++ b/gooseberryweir/process/membership.py
@@ -270,7 +270,26 @@
             self._on_host_fact(key, new[key])
         if keys:
             self.own.settle()
+            live = self._live_after(keys)
             self._adopt_view()
+            self._live = live
+
+    def _live_after(self, keys: list[str]) -> frozenset[str] | None:
+        """Returns the live hosts after new facts; None if not known before.
+
+        Only the hosts of the facts are looked at, since the list is long.
+        """
+        if self._live is None:
+            return None
+        names = {key.partition("/")[2] for key in keys}
+        entries = {
+            name: self.tables.hosts[name]
+            for name in names
+            if name in self.tables.hosts
+        }
+        return (self._live - names) | view_module.live_hosts(
+            self.facts, entries
+        )
 
     def _on_host_fact(self, key: str, incarnation: int) -> None:
         """Notes and logs one new fact about a host."""
