--- a/bench/scale.py
+++ b/bench/scale.py
@@ -28,6 +28,7 @@
 
 TARGET_HOSTS = 6_200
 SIZES = ((62, 6, 24), (620, 24, 240), (6_200, 48, 2_400))
+FACTS = (1_860, 18_600, 186_000)
 ACCOUNTS = 80
 KEYS_IN_ACCOUNT = 20
 INCARNATION = 1_700_000_000_000
@@ -158,14 +159,50 @@
     )
 
 
+def measure_facts(count: int) -> None:
+    """Prints what a number of facts about hosts costs to hold and exchange."""
+    gc.collect()
+    before = usage.resident_mb(os.getpid())
+    facts = facts_module.Facts()
+    facts.merge(
+        {
+            facts_module.incarnation_key(f"region-{n % 48}-{n}"): INCARNATION
+            for n in range(count)
+        }
+    )
+    gc.collect()
+    grown = usage.resident_mb(os.getpid()) - before
+
+    def exchange() -> None:
+        sent = messages.encode(messages.Facts(facts.snapshot()))
+        unpacker = messages.unpacker()
+        unpacker.feed(sent)
+        facts.merge(messages.decode(next(unpacker))[1].facts)
+
+    cost = spent_ms(exchange, 3)
+    size = len(messages.encode(messages.Facts(facts.snapshot())))
+    print(
+        f"facts={count} resident_mb={grown:.1f} bytes={size}"
+        f" exchange_ms={cost:.1f}",
+        flush=True,
+    )
+
+
+def run_apart(function: Callable[..., None], *arguments: int) -> None:
+    """Calls a function in a process of its own."""
+    child = os.fork()
+    if not child:
+        function(*arguments)
+        os._exit(0)
+    os.waitpid(child, 0)
+
+
 def main() -> None:
     """Measures each size in a process of its own."""
     for size in SIZES:
-        child = os.fork()
-        if not child:
-            measure(*size)
-            os._exit(0)
-        os.waitpid(child, 0)
+        run_apart(measure, *size)
+    for count in FACTS:
+        run_apart(measure_facts, count)
 
 
 if __name__ == "__main__":
