--- /dev/null
+++ b/bench/homes.py
@@ -0,0 +1,123 @@
+"""Cost of a home of tokens or slots against the hosts that draw from it.
+
+Usage: python -m bench.homes. In one process, without peers: mean processor
+time and bytes of one draw with its grant, and what holding the duties of many
+pools costs a host five times a second.
+"""
+
+import time
+
+from bench import usage
+from gooseberryweir import clock as clocks
+from gooseberryweir import rendezvous
+from gooseberryweir.connection import messages
+from gooseberryweir.process import bucket_home
+from gooseberryweir.process import slot_capacity
+from gooseberryweir.process import slot_home
+from gooseberryweir.process import slot_limits
+from gooseberryweir.version import tables as versions
+
+DRAWERS = (9, 90, 900)
+MEMBERS = (9, 36, 144)
+ROUNDS = 3
+UPSTREAMS = 50
+SLOTS = 9
+
+
+def capacities(clock: clocks.Clock) -> slot_capacity.Capacities:
+    """Returns knowledge of upstreams that carry no other load."""
+    entries = [
+        versions.UpstreamEntry(
+            f"upstream-{number}", "maps", "north", "a", "", SLOTS, 330, False
+        )
+        for number in range(UPSTREAMS)
+    ]
+    sources = slot_capacity.Sources(
+        lambda _: entries,
+        frozenset,
+        lambda _: True,
+        lambda _: None,
+    )
+    found = slot_capacity.Capacities(clock, sources)
+    found.refresh("maps")
+    return found
+
+
+def token_draws(drawers: int) -> tuple[float, int]:
+    """Returns milliseconds and bytes of a draw of tokens."""
+    home = bucket_home.BucketHome(bucket_home.Limits(1e5, 100_000), 0.0)
+    size = 0
+    now = 1.0
+    began = time.process_time()
+    for turn in range(1, ROUNDS + 1):
+        for number in range(drawers):
+            now += 0.001
+            draw = messages.Draw(
+                "account/valle", f"north-{number}", 1, 7, 3, {}, turn
+            )
+            grant = home.draw(draw, now)
+            size = len(messages.encode(draw, 9)) + len(
+                messages.encode(grant, 9)
+            )
+    spent = time.process_time() - began
+    return 1000 * spent / ROUNDS / drawers, size
+
+
+def slot_draws(drawers: int) -> tuple[float, int]:
+    """Returns milliseconds and bytes of a draw of slots."""
+    classes = {"live": slot_limits.WorkClass(1, 0.1)}
+    clock = clocks.ManualClock()
+    pool = slot_home.Pool(
+        "maps",
+        "north",
+        capacities(clock.interface()),
+        lambda: classes,
+        lambda: tuple((f"north-{number}", 1) for number in range(drawers)),
+    )
+    home = slot_home.SlotHome(pool, clock.now)
+    size = 0
+    held: dict[str, dict[str, int]] = {}
+    began = time.process_time()
+    for turn in range(1, ROUNDS + 1):
+        for number in range(drawers):
+            clock.advance(0.0005)
+            name = f"north-{number}"
+            mine = held.get(name, {})
+            draw = messages.DrawSlots(
+                "slots/maps/north", name, 1, 7, {"live": 1}, mine, {}, (), turn
+            )
+            grant = home.draw(draw, clock.now)
+            held[name] = grant.slots
+            size = len(messages.encode(draw, 9)) + len(
+                messages.encode(grant, 9)
+            )
+    spent = time.process_time() - began
+    return 1000 * spent / ROUNDS / drawers, size
+
+
+def find_ms(members: int) -> float:
+    """Returns the milliseconds of finding the home of one pool."""
+    names = [f"north-{number}" for number in range(members)]
+    began = time.process_time()
+    for number in range(200):
+        rendezvous.first(f"slots/maps/region-{number}", names)
+    return 1000 * (time.process_time() - began) / 200
+
+
+def main() -> None:
+    """Prints all rows, with the fits."""
+    for name, cost in (("tokens", token_draws), ("slots", slot_draws)):
+        rows = [cost(drawers) for drawers in DRAWERS]
+        for drawers, (each, size) in zip(DRAWERS, rows, strict=True):
+            print(f"draw={name} drawers={drawers} ms={each:.3f} bytes={size}")
+        slope, base = usage.fit(
+            [float(size) for size in DRAWERS], [row[0] for row in rows]
+        )
+        print(f"fit {name} ms = {base:.4f} + {slope:.5f} * drawers")
+    finds = [find_ms(members) for members in MEMBERS]
+    for members, each in zip(MEMBERS, finds, strict=True):
+        print(f"find_home members={members} ms={each:.4f}")
+
+
+if __name__ == "__main__":
+    main()
