A change reaches a child from its first parent only

Both parents pushed each object, so it travelled twice on every edge. The second parent's next ping repairs what the first one lost. Fails with the push going to all children: test_every_host_hangs_below_its_relays.

--- a/gooseberryweir/process/neighbours.py
+++ b/gooseberryweir/process/neighbours.py
@@ -26,11 +26,13 @@
         relays: The other relays, if this host is one.
         parents: Parents in the tree of its region, the first one first.
         children: Hosts that have this host as their first or second parent.
+        first_children: Those that have it as their first one.
     """
 
     relays: tuple[str, ...]
     parents: tuple[str, ...]
     children: tuple[str, ...]
+    first_children: tuple[str, ...] = ()
 
     def everyone(self) -> tuple[str, ...]:
         """Returns all neighbours, each once."""
@@ -105,7 +107,12 @@
     relays: tuple[str, ...] = ()
     if position < RELAYS_PER_REGION:
         relays = _relays(host, regional_orders(hosts, {*live, host}))
-    return Neighbours(relays, parents, children)
+    first_children = tuple(
+        name
+        for index, name in enumerate(order)
+        if parent_positions(index)[:1] == (position,)
+    )
+    return Neighbours(relays, parents, children, first_children)
 
 
 def _relays(host: str, orders: Mapping[str, list[str]]) -> tuple[str, ...]:
--- a/gooseberryweir/process/peering.py
+++ b/gooseberryweir/process/peering.py
@@ -264,8 +264,12 @@
         return handler(message)
 
     def _push_object(self, name: str) -> None:
-        """Forwards a changed object down the tree of the region."""
-        children = self.membership.neighbours().children
+        """Forwards a changed object down the tree of the region.
+
+        A child gets it from its first parent; if that fails, the next ping
+        to the second one finds the difference.
+        """
+        children = self.membership.neighbours().first_children
         if not children:
             return
         versions = self.store.versions()
