--- a/bench/herd.py
+++ b/bench/herd.py
@@ -16,8 +16,10 @@
 SIZES = (9, 27)
 START_SECONDS = 36.0
 SPAN_SECONDS = 5.0
-# One span before, three in the outage, three after it.
-SPANS = ("before", "out-1", "out-2", "out-3", "back-1", "back-2", "back-3")
+# One span before, eight in the outage (longer than a host keeps the duty of
+# a relay), three after it.
+OUT_SPANS = tuple(f"out-{number}" for number in range(1, 9))
+SPANS = ("before", *OUT_SPANS, "back-1", "back-2", "back-3")
 
 
 def callers(running: _common.Deployment) -> dict[str, int]:
--- /dev/null
+++ b/bench/measurer.py
@@ -0,0 +1,56 @@
+"""Cost of the home of a pool against its upstreams, at rest.
+
+Usage: python -m bench.measurer. Three hosts in one region and one pool; its
+home asks each upstream for its load twice a second. The row gives what the
+home uses over the mean of the other two hosts.
+"""
+
+import statistics
+import time
+
+from bench import tree
+from bench import usage
+from test import _common
+from test import _fleet
+
+UPSTREAMS = (3, 12, 48)
+SETTLE_SECONDS = 8.0
+REST_SECONDS = 8.0
+
+
+def measure(upstreams: int) -> float:
+    """Runs one size and returns the home's extra processor time, percent."""
+    document = _fleet.declare(
+        tree.REGIONS, ("contracts",), {"ada": (100.0, 100)}
+    )
+    specs = _fleet.spread(tree.REGIONS, "contracts", upstreams)
+    with _common.Deployment(tree.REGIONS, document, specs) as running:
+        _common.wait_until(lambda: tree.converged(running), 60.0, "converged")
+        time.sleep(SETTLE_SECONDS)
+        phase = tree.run_phase(running, lambda: time.sleep(REST_SECONDS))
+    used = sorted(phase.used, key=lambda each: each.cpu_seconds)
+    others = statistics.mean(each.cpu_seconds for each in used[:-1])
+    percent = 100 * (used[-1].cpu_seconds - others) / phase.seconds
+    sent = used[-1].sent - statistics.mean(each.sent for each in used[:-1])
+    received = used[-1].received - statistics.mean(
+        each.received for each in used[:-1]
+    )
+    print(
+        f"upstreams={upstreams} home_extra_cpu_percent={percent:.2f}"
+        f" out_bytes_s={sent / phase.seconds:.0f}"
+        f" in_bytes_s={received / phase.seconds:.0f}",
+        flush=True,
+    )
+    return percent
+
+
+def main() -> None:
+    """Measures all sizes and fits a line."""
+    percents = [measure(upstreams) for upstreams in UPSTREAMS]
+    sizes = [float(upstreams) for upstreams in UPSTREAMS]
+    slope, base = usage.fit(sizes, percents)
+    print(f"fit cpu_percent = {base:.3f} + {slope:.4f} * upstreams")
+
+
+if __name__ == "__main__":
+    main()
--- a/gooseberryweir/process/measurer.py
+++ b/gooseberryweir/process/measurer.py
@@ -25,6 +25,8 @@
 PROBE_SECONDS = 0.5
 ANSWER_SECONDS = 1.0
 MAX_PROBES = 64
+# Upstreams to which a connection is kept between probes.
+MAX_KEPT_UPSTREAMS = 1000
 MAX_REPORT_BYTES = 4096
 # Unanswered probes in a row after which an upstream takes no new work.
 FAILED_PROBES = 2
@@ -90,7 +92,9 @@
         self.loads: dict[str, Load] = {}
         self.failures: dict[str, int] = {}
         self.entries: dict[str, tables_module.UpstreamEntry] = {}
-        self.http = urllib3.PoolManager(retries=False, maxsize=2)
+        self.http = urllib3.PoolManager(
+            MAX_KEPT_UPSTREAMS, retries=False, maxsize=2
+        )
         self.probes = eventlet.GreenPool(MAX_PROBES)
         self.task: Any = None
 
