--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements with real processes, run by hand."""
+"""Measurements with real processes, run by hand; each prints one table."""
--- a/gooseberryweir/process/reporting.py
+++ b/gooseberryweir/process/reporting.py
@@ -99,9 +99,8 @@
     shares: shares_module.Shares, now: float
 ) -> Iterator[tuple[str, float]]:
     """Yields `SERVICE.REGION` and the share of slots free, of homes here."""
-    if not shares.tenure.refresh():
-        return
-    for name, home in list(shares.slots.homes.states.items()):
+    shares.tenure.refresh()
+    for name, home in shares.slots.homes.states():
         usable = home.usable(now)
         total = sum(usable.values())
         if total <= 0:
--- a/gooseberryweir/process/tenure.py
+++ b/gooseberryweir/process/tenure.py
@@ -92,6 +92,10 @@
         self.held: dict[str, Held[State]] = {}
         tenure.renewals.append(self.renew_all)
 
+    def states(self) -> list[tuple[str, State]]:
+        """Returns the resources held and their states."""
+        return [(name, held.state) for name, held in self.held.items()]
+
     def renew_all(self) -> None:
         """Renews the right to each state held, or drops the state."""
         for name in list(self.held):
--- a/gooseberryweir/version/tables.py
+++ b/gooseberryweir/version/tables.py
@@ -19,6 +19,7 @@
 from gooseberryweir.version import declarations as declaring
 from gooseberryweir.version import documents
 from gooseberryweir.version import objects
+from gooseberryweir.version import steering_table
 from gooseberryweir.version import validation
 
 _logger = logging.getLogger(__name__)
@@ -27,6 +28,8 @@
 _UPSTREAMS = pydantic.TypeAdapter(documents.UpstreamsDocument)
 _KEYS = pydantic.TypeAdapter(documents.KeysDocument)
 _DRAINS = pydantic.TypeAdapter(documents.DrainsDocument)
+_SITES = pydantic.TypeAdapter(documents.SitesDocument)
+_BLOCKS = pydantic.TypeAdapter(documents.BlocksDocument)
 
 
 class HostEntry(NamedTuple):
@@ -119,10 +122,15 @@
         store: The objects.
         config_version: Version of the declarations in force; 0 if none.
         declarations: The declarations in force, or None.
+        latencies: One-way latency in milliseconds between linked regions.
+        shift_targets: Regions to which work of a region may shift, by region.
         hosts: Hosts by name.
         upstreams: Upstreams by service.
+        serving: Regions with an upstream that stays, by service.
         keys: Keys by their SHA-256 digest in hexadecimal.
         drains: Drained regions and upstreams, `region/NAME`, `upstream/NAME`.
+        blocks: Client blocks, in shards by the first octet of the address.
+        sites: Sites that the blocks refer to, by number.
         malformed: Version of each object whose newest version is malformed.
     """
 
@@ -130,16 +138,29 @@
         self.store = store
         self.config_version = 0
         self.declarations: declaring.Declarations | None = None
+        self.latencies: dict[tuple[str, str], float] = {}
+        self.shift_targets: dict[str, set[str]] = {}
         self.hosts: dict[str, HostEntry] = {}
         self.upstreams: dict[str, tuple[UpstreamEntry, ...]] = {}
+        self.serving: dict[str, tuple[str, ...]] = {}
         self.keys: dict[str, KeyEntry] = {}
         self.drains: frozenset[str] = frozenset()
+        self.blocks: dict[int, steering_table.SteeringTable] = {}
+        self.sites: dict[int, steering_table.Site] = {}
         self.malformed: dict[str, int] = {}
         self._account_keys: dict[str, dict[str, KeyEntry]] = {}
         for name in store.versions():
             self.rebuild(name)
         store.listeners.append(self.rebuild)
 
+    def latency(self, origin: str, target: str) -> float:
+        """Returns the one-way latency between two regions in milliseconds."""
+        if origin == target:
+            return 0.0
+        return self.latencies.get(
+            (origin, target), declaring.UNLINKED_LATENCY_MS
+        )
+
     def rebuild(self, name: str) -> None:
         """Rebuilds what one object touches; names of other kinds are ignored.
 
@@ -171,6 +192,7 @@
             objects.CONFIG: self._build_config,
             objects.DRAINS: self._build_drains,
             objects.HOSTS: self._build_hosts,
+            objects.SITES: self._build_sites,
         }
         if name in fixed:
             return fixed[name]
@@ -180,12 +202,24 @@
         if name.startswith(objects.SERVICE_PREFIX):
             service = name.removeprefix(objects.SERVICE_PREFIX)
             return lambda content: self._build_upstreams(service, content)
+        if name.startswith(objects.BLOCKS_PREFIX):
+            shard = name.removeprefix(objects.BLOCKS_PREFIX)
+            return lambda content: self._build_blocks(shard, content)
         return None
 
     def _build_config(self, content: Any | None) -> None:
         if content is None:
             raise MalformedError("deleted; the earlier declaration stays")
-        self.declarations = _read_config(content)
+        declared = _read_config(content)
+        self.declarations = declared
+        self.latencies = {
+            ends: link.latency_ms
+            for link in declared.links
+            for ends in (link.between, link.between[::-1])
+        }
+        self.shift_targets = {}
+        for cap in declared.shift_caps:
+            self.shift_targets.setdefault(cap.origin, set()).add(cap.target)
         self.config_version = self.store.version(objects.CONFIG)
 
     def _build_drains(self, content: Any | None) -> None:
@@ -205,10 +239,31 @@
     def _build_upstreams(self, service: str, content: Any | None) -> None:
         if content is None:
             self.upstreams.pop(service, None)
+            self.serving.pop(service, None)
             return
         listed = _UPSTREAMS.validate_python(content)["endpoints"]
         entries = [UpstreamEntry(service=service, **item) for item in listed]
-        self.upstreams[service] = tuple(_unique(entries).values())
+        kept = tuple(_unique(entries).values())
+        self.upstreams[service] = kept
+        staying = {each.region for each in kept if not each.leaving}
+        self.serving[service] = tuple(sorted(staying))
+
+    def _build_blocks(self, shard: str, content: Any | None) -> None:
+        octet = steering_table.read_octet(shard)
+        if content is None:
+            self.blocks.pop(octet, None)
+            return
+        rows = _BLOCKS.validate_python(content)["rows"]
+        self.blocks[octet] = steering_table.unpack(octet, rows)
+
+    def _build_sites(self, content: Any | None) -> None:
+        sites: Mapping[int, tuple[str, str]] = {}
+        if content is not None:
+            sites = _SITES.validate_python(content)["sites"]
+        self.sites = {
+            number: steering_table.Site(*named)
+            for number, named in sites.items()
+        }
 
     def _build_keys(self, account: str, content: Any | None) -> None:
         digests: dict[str, Literal["issued", "withdrawn"]] = {}
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -6,6 +6,7 @@
 
 from gooseberryweir import clock as clocks
 from gooseberryweir.process import neighbours
+from gooseberryweir.process import relay
 from gooseberryweir.process import timing
 from gooseberryweir.process import view
 from test import simulated_hosts
@@ -325,10 +326,15 @@
             self.assertLessEqual(len(mine.children), 8)
             for parent in mine.parents:
                 self.assertIn(name, found[parent].children)
+            self.assertLessEqual(set(mine.first_children), set(mine.children))
+        pushed = [
+            each for mine in found.values() for each in mine.first_children
+        ]
+        self.assertEqual(sorted(pushed), sorted(set(entries) - relays))
         reached = set(relays)
         for _ in range(6):
             for name in tuple(reached):
-                reached.update(found[name].children)
+                reached.update(found[name].first_children)
         self.assertEqual(reached, set(entries))
 
     def test_a_leaf_takes_an_outage_from_a_relay_but_a_relay_does_not(self):
@@ -338,11 +344,19 @@
         voters = neighbours.voters(entries)
         leaf = next(hosts[n] for n in sorted(entries) if n not in voters)
         relays = [hosts[name] for name in sorted(voters)]
-        for relay in relays:
-            relay.membership.platform_answered(clock.now)
+        for each in relays:
+            each.membership.platform_answered(clock.now)
         for _ in range(2):
             simulated_hosts.heartbeat(relays)
         clock.advance(timing.FRESH_SECONDS + 0.1)
+        duty = relay.relay_duty(
+            leaf.membership.host,
+            "centro",
+            leaf.tables,
+            leaf.membership,
+            clock.interface(),
+        )
+        self.assertTrue(duty())
         for _ in range(2):
             simulated_hosts.heartbeat(relays)
             simulated_hosts.exchange(leaf, relays[0])
@@ -350,6 +364,7 @@
         self.assertEqual(leaf.membership.freshness().source, "outage")
         self.assertEqual(leaf.membership.view(), relays[0].membership.view())
         self.assertFalse(leaf.membership.stands())
+        self.assertFalse(duty())
         clock.advance(timing.FRESH_SECONDS + 0.1)
         simulated_hosts.exchange(relays[1], relays[0])
         simulated_hosts.exchange(relays[0], leaf)
