--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements behind docs/CAPACITY.md; each script prints one table."""
+"""Measurements with real processes, run by hand; see docs/CAPACITY.md."""
--- a/gooseberryweir/connection/messages.py
+++ b/gooseberryweir/connection/messages.py
@@ -40,6 +40,22 @@
     incarnation: int
 
 
+class HeldView(NamedTuple):
+    """A view that a host held; arrives as a bare tuple.
+
+    Attributes:
+        digest: Digest of the view.
+        age: Seconds since it was adopted.
+        lost: Name and incarnation of each host that the view before held
+            eligible and this one does not, with the seconds since that host
+            was last heard before the change.
+    """
+
+    digest: int
+    age: float
+    lost: tuple[tuple[str, int, float], ...]
+
+
 class Pong(NamedTuple):
     """What a peer knows at the time of its answer.
 
@@ -50,13 +66,13 @@
             its state was the platform's current state; a large number if none.
         state_digest: Digest of its platform objects and their versions.
         facts_digest: Digest of its facts.
-        view: Digest of the hosts that it holds eligible for duties.
+        views: The views that it held lately, newest first and without a gap.
         suspects: Names of hosts that it has not heard for the silence time.
         load: Its own load: requests in flight.
-        view_age: Seconds for which it has held that view without a break.
         quorum_age: Seconds since the oldest of the answers by which a
             majority agreed that the platform is out; a large number if none.
             It is no proof of the platform's state.
+        recovered: Whether it was fresh once since its process started.
     """
 
     host: str
@@ -64,11 +80,11 @@
     platform_age: float
     state_digest: int
     facts_digest: int
-    view: int
+    views: tuple[HeldView, ...]
     suspects: tuple[str, ...]
     load: int
-    view_age: float
     quorum_age: float
+    recovered: bool
 
 
 class FetchState(NamedTuple):
@@ -245,6 +261,30 @@
     detail: str
 
 
+class AskPermit(NamedTuple):
+    """Asks the home of a request's fingerprint whether it may run now.
+
+    Attributes:
+        name: The fingerprint.
+        host: Name of the asking host.
+        release: True gives the permit back instead.
+    """
+
+    name: str
+    host: str
+    release: bool
+
+
+class Permitted(NamedTuple):
+    """The answer to `AskPermit`.
+
+    Attributes:
+        permitted: Whether the request may run now.
+    """
+
+    permitted: bool
+
+
 _TYPES: tuple[type, ...] = (
     Hello,
     Ping,
@@ -259,6 +299,8 @@
     SlotGrant,
     Forward,
     Answer,
+    AskPermit,
+    Permitted,
 )
 _NUMBERS = {kind: number for number, kind in enumerate(_TYPES)}
 
--- a/gooseberryweir/process/membership.py
+++ b/gooseberryweir/process/membership.py
@@ -103,9 +103,17 @@
         """Returns whether a majority shares this host's view now."""
         return not self.own.superseded and self.standing.stands()
 
-    def may_exercise(self) -> bool:
-        """Returns whether this host may act as holder of its duties now."""
-        return not self.own.superseded and self.standing.may_exercise()
+    def may_exercise(self, resource: str | None = None) -> bool:
+        """Returns whether this host may act as a holder now.
+
+        Args:
+            resource: The duty; None for all that its view gives it.
+        """
+        if self.own.superseded:
+            return False
+        if resource is None:
+            return self.standing.may_exercise()
+        return self.standing.may_hold(resource)
 
     def freshness(self) -> freshness_module.Freshness:
         """Returns whether this host may do keyed work now."""
@@ -166,6 +174,7 @@
         Args:
             asked_at: Monotonic instant before the question was sent.
         """
+        self.evidence.check()
         self.evidence.platform_at = max(self.evidence.platform_at, asked_at)
 
     def on_heard(self, host: str, incarnation: int = 0) -> None:
@@ -210,9 +219,8 @@
             facts=pong.facts_digest == self.facts.digest,
         )
         self.standing.votes[pong.host] = standing_module.Vote(
-            pong.view,
+            self.standing.received(pong.views),
             sent_at,
-            self.clock.monotonic() - pong.view_age,
             frozenset(pong.suspects),
         )
 
@@ -235,11 +243,11 @@
             self.evidence.platform_age(),
             self.store.digest,
             self.facts.digest,
-            self._view.digest,
+            self.standing.ages(),
             self.suspects(),
             self.load(),
-            self.clock.monotonic() - self.standing.held_since,
             self.evidence.outage_age(),
+            self.evidence.recovered,
         )
 
     def leave(self) -> None:
@@ -315,7 +323,7 @@
         self._view = view_module.build(
             self.facts, self.tables.hosts, self._voters
         )
-        if self.standing.adopt(self._view.digest, self._voters):
+        if self.standing.adopt(self._view, self._voters, self.hearing.heard):
             logs.event(
                 _log,
                 "view-changed",
--- a/gooseberryweir/process/serve.py
+++ b/gooseberryweir/process/serve.py
@@ -31,8 +31,10 @@
 from gooseberryweir.process import membership as membership_module
 from gooseberryweir.process import operator_http
 from gooseberryweir.process import peering as peering_module
+from gooseberryweir.process import permits as permits_module
 from gooseberryweir.process import platform as platform_module
 from gooseberryweir.process import relay
+from gooseberryweir.process import reporting
 from gooseberryweir.process import settings as settings_module
 from gooseberryweir.process import shares as shares_module
 from gooseberryweir.process import suspects as suspects_module
@@ -106,6 +108,7 @@
         settings.host, incarnation, clock, tables, facts, store
     )
     metrics = metrics_module.open_metrics(settings.statsd)
+    outcomes = reporting.Outcomes()
     with contextlib.ExitStack() as stack:
         peering = stack.enter_context(
             peering_module.Peering(
@@ -135,12 +138,19 @@
             settings=settings,
             clock=clock,
             metrics=metrics,
+            outcomes=outcomes,
             tables=tables,
             facts=facts,
             membership=membership,
             peering=peering,
             shares=shares,
-            suspects=suspects_module.Suspects(facts, clock),
+            suspects=suspects_module.Suspects(
+                facts,
+                clock,
+                permits_module.Permits(
+                    settings.region, clock, tables, membership, peering
+                ),
+            ),
             ledger=tickets.TicketLedger(settings.host, clock),
             upstreams=stack.enter_context(upstream_http.UpstreamConnections()),
             budget=body.BodyBudget(BODY_BUDGET_BYTES),
@@ -150,6 +160,7 @@
             once.handle_forward(context, message)
         )
         _open_platform(stack, context, store)
+        stack.enter_context(reporting.reports(shares, outcomes, metrics, clock))
         yield context
 
 
@@ -204,6 +215,7 @@
             pool,
             settings.max_header_bytes,
             lambda: stop.requested,
+            lambda refusal: application.note_refusal(context, "", refusal),
         )
         operator_task = eventlet.spawn(
             caller_http.serve,
--- a/gooseberryweir/process/shares.py
+++ b/gooseberryweir/process/shares.py
@@ -10,8 +10,8 @@
 
 from gooseberryweir import clock as clocks
 from gooseberryweir.connection import peer_link
-from gooseberryweir.process import bucket_holder
 from gooseberryweir.process import bucket_home
+from gooseberryweir.process import bucket_waiters
 from gooseberryweir.process import buckets
 from gooseberryweir.process import facts as facts_module
 from gooseberryweir.process import measurer as measurer_module
@@ -89,7 +89,9 @@
         if self.task is not None:
             self.task.kill()
 
-    def take(self, bucket: str, deadline: float) -> float | None:
+    def take(
+        self, bucket: str, deadline: float
+    ) -> bucket_waiters.Refused | None:
         """Takes one token of a bucket, waiting a short time for it.
 
         Args:
@@ -97,12 +99,10 @@
             deadline: Monotonic instant until which to wait at most.
 
         Returns:
-            None if it was taken, else seconds after which to come back.
+            None if it was taken, else when to come back and why.
         """
         result = self.buckets.take(bucket, deadline=deadline)
-        if isinstance(result, bucket_holder.Refused):
-            return result.retry_after
-        return None
+        return result if isinstance(result, bucket_waiters.Refused) else None
 
     def acquire(
         self,
--- a/gooseberryweir/request/dispatch.py
+++ b/gooseberryweir/request/dispatch.py
@@ -27,6 +27,8 @@
 MAX_ATTEMPTS = 3
 # Seconds for finding out whether an upstream still accepts connections.
 DEATH_CHECK_SECONDS = 0.3
+DEATH_CHECK_PAUSE_SECONDS = 0.02
+DEATH_CHECKS = 4
 ACCOUNT_HEADER = "Gooseberryweir-Account"
 
 
@@ -86,14 +88,19 @@
     """Takes one token of the client account's rate.
 
     Raises:
-        RefusedError: The account is over its rate.
+        RefusedError: The account is over its rate, or no home answered.
     """
     if not admitted.account:
         return
     refused = context.shares.take(f"account/{admitted.account}", deadline)
     if refused is not None:
-        context.metrics.increment(f"rate_refused.{admitted.account}")
-        refusal = codes.refuse(codes.Code.RATE_EXCEEDED, retry_after=refused)
+        if refused.over_rate:
+            code = codes.Code.RATE_EXCEEDED
+            context.metrics.increment(f"rate_refused.{admitted.account}")
+        else:
+            code = codes.Code.NO_HOME
+            context.metrics.increment(f"rate_unknown.{admitted.account}")
+        refusal = codes.refuse(code, retry_after=refused.retry_after)
         raise RefusedError(refusal, again=False)
 
 
@@ -116,8 +123,8 @@
     return tuple(headers)
 
 
-def is_down(address: str) -> bool:
-    """Returns whether an upstream refuses connections."""
+def refuses_connections(address: str) -> bool:
+    """Returns whether nothing listens at an upstream's address."""
     host, _, port = address.rpartition(":")
     try:
         with eventlet.Timeout(DEATH_CHECK_SECONDS):
@@ -129,6 +136,19 @@
     return False
 
 
+def is_down(context: contexts.Context, address: str) -> bool:
+    """Returns whether an upstream has ended.
+
+    A process that ends closes its sockets one by one, so its listener may
+    outlive the connection by a moment: a few looks are needed.
+    """
+    for _ in range(DEATH_CHECKS):
+        if refuses_connections(address):
+            return True
+        context.clock.sleep(DEATH_CHECK_PAUSE_SECONDS)
+    return False
+
+
 def _check(context: contexts.Context, work: Work) -> None:
     """Raises if the request may not be dispatched at this moment."""
     refusal = admission.still_admitted(context, work.admitted)
@@ -159,7 +179,7 @@
 ) -> RefusedError:
     """Notes an upstream's death and says whether to try another one."""
     name = lease.upstream.name
-    down = is_down(lease.upstream.address)
+    down = is_down(context, lease.upstream.address)
     if down:
         context.suspects.crashed(work.suspect, name)
         context.shares.upstream_died(lease.upstream)
@@ -211,13 +231,6 @@
     )
 
 
-def _is_shed(answer: upstream_http.UpstreamAnswer) -> bool:
-    return answer.status == 503 and any(
-        name.lower() == upstream_http.SHED_HEADER.lower()
-        for name, _ in answer.headers
-    )
-
-
 @contextlib.contextmanager
 def _attempt(
     context: contexts.Context,
@@ -241,7 +254,7 @@
             upstream.address, upstream.connections, request, timeout
         ) as answer,
     ):
-        if _is_shed(answer):
+        if answer.shed:
             refusal = codes.refuse(codes.Code.UPSTREAM_SHED)
             raise RefusedError(refusal, again=work.repeatable)
         context.suspects.succeeded(work.suspect)
@@ -255,6 +268,7 @@
     context: contexts.Context, work: Work, exclude: set[str]
 ) -> Iterator[DispatchedAnswer]:
     """Leases a slot and sends the request to its upstream."""
+    _check_suspect(context, work)
     with contextlib.ExitStack() as turn:
         left = work.deadline - context.clock.monotonic()
         if not turn.enter_context(context.suspects.turn(work.suspect, left)):
@@ -310,19 +324,22 @@
             )
 
 
-def timed(context: contexts.Context, work: Work) -> Callable[[int], None]:
+def timed(
+    context: contexts.Context, admitted: admission.Admitted
+) -> Callable[[int], None]:
     """Returns a function to call with the status once the answer is out."""
     began = context.clock.monotonic()
 
     def finish(status: int) -> None:
         milliseconds = (context.clock.monotonic() - began) * 1000
-        work_class = work.admitted.work_class
+        work_class = admitted.work_class
         context.metrics.timing(f"latency.{work_class}", milliseconds)
+        context.outcomes.answered(admitted.account, milliseconds)
         logs.event(
             LOGGER,
             "request-answered",
             logging.DEBUG,
-            account=work.admitted.account,
+            account=admitted.account,
             work_class=work_class,
             status=status,
             milliseconds=milliseconds,
--- a/gooseberryweir/request/lookup.py
+++ b/gooseberryweir/request/lookup.py
@@ -12,9 +12,11 @@
 from gooseberryweir.request import admission
 from gooseberryweir.request import answer as answers
 from gooseberryweir.request import incoming
+from gooseberryweir.request import ranking
 from gooseberryweir.version import steering_table
 
 PATH = "/v1/hosts"
+METHODS = ("GET", "HEAD")
 
 
 class LookUpTickets(TypedDict):
@@ -27,7 +29,7 @@
 
 def look_up(
     context: contexts.Context, request: incoming.Incoming, query: str
-) -> answers.Answer:
+) -> answers.Answer | codes.Refusal:
     """Answers a look-up.
 
     Args:
@@ -37,17 +39,22 @@
             it the region is that of the caller's address block, or else that
             of this host.
     """
+    if request.method not in METHODS:
+        return codes.refuse(codes.Code.BAD_METHOD)
     stale = admission.freshness_fault(context)
     if stale is not None:
-        return answers.from_refusal(stale)
+        return stale
     account = ""
     if request.key_digest:
         found = admission.account_of(context, request.key_digest)
         if isinstance(found, codes.Refusal):
-            return answers.from_refusal(found)
+            return found
         account = found
     region = _region_of(query) or _nearest_region(context, request.address)
     hosts = context.rankings.rendered(account, region)
+    if hosts == ranking.NO_HOSTS:
+        # The configuration may be known before the list of hosts.
+        return codes.refuse(codes.Code.HOST_STARTING)
     seconds = context.settings.look_up_seconds
     parts = [f'"hosts": {hosts}', f'"ttl": {json.dumps(seconds)}']
     if account:
--- a/gooseberryweir/request/routing.py
+++ b/gooseberryweir/request/routing.py
@@ -17,6 +17,8 @@
 from gooseberryweir.request import admission
 
 LOGGER = logging.getLogger(__name__)
+# Time that the home of a pool or cap takes to answer beside the round trip.
+ASK_SECONDS = 0.05
 
 
 class Candidate(NamedTuple):
@@ -67,27 +69,26 @@
     """Returns the regions to try, in order.
 
     A request waits in a nearer region for as long as the round trip to the
-    next one takes, since a slot that comes free by then is no later. If no
-    region has a slot at once, it waits in the nearest one.
+    next one takes, since a slot that comes free by then is no later, and
+    anywhere at least for as long as it takes to ask. If no region has a slot
+    soon, it queues in the nearest one that expects one in time.
 
     Args:
         context: The process.
         service: Name of the service.
-        patience: Seconds that the request may wait in all.
+        patience: Seconds that the request may wait in a queue.
     """
     latencies = regions_of(context, service)
     ranked = sorted(latencies, key=lambda region: (latencies[region], region))
-    steps = []
+    soon = []
     for position, region in enumerate(ranked):
         latency = latencies[region]
         following = ranked[position + 1 : position + 2]
         extra = latencies[following[0]] - latency if following else 0.0
-        wait = min(patience, 2 * extra / 1000)
-        steps.append(Candidate(region, latency, wait))
-    if ranked and patience > 0:
-        nearest = ranked[0]
-        steps.append(Candidate(nearest, latencies[nearest], patience))
-    return tuple(steps)
+        wait = ASK_SECONDS + 2 * (latency + extra) / 1000
+        soon.append(Candidate(region, latency, wait))
+    queued = [candidate._replace(wait=patience) for candidate in soon]
+    return (*soon, *queued) if patience > 0 else tuple(soon)
 
 
 def _lease(
@@ -114,13 +115,17 @@
     origin = context.settings.region
     if candidate.region == origin:
         return lease
-    token = context.shares.take(
-        f"shift/{origin}/{candidate.region}", context.clock.monotonic()
+    asked_at = context.clock.monotonic()
+    refused = context.shares.take(
+        f"shift/{origin}/{candidate.region}",
+        min(deadline, asked_at + candidate.wait),
     )
-    if token is None:
+    if refused is None:
         return lease
     lease.release()
-    return codes.refuse(codes.Code.SHIFT_CAPPED, retry_after=token)
+    return codes.refuse(
+        codes.Code.SHIFT_CAPPED, retry_after=refused.retry_after
+    )
 
 
 def _log_choice(
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -6,8 +6,9 @@
 
 from gooseberryweir import clock as clocks
 from gooseberryweir.process import neighbours
-from gooseberryweir.process import relay
+from gooseberryweir.process import relay as relay_module
 from gooseberryweir.process import timing
+from gooseberryweir.process import view
 from test import simulated_hosts
 
 SEEDS = range(12)
@@ -38,10 +39,18 @@
             simulated_hosts.heartbeat(self.hosts if hosts is None else hosts)
             self.clock.advance(timing.HEARTBEAT_SECONDS)
 
+    def join(self):
+        """Has every host be fresh once and hear the others."""
+        for host in self.hosts:
+            host.membership.platform_answered(self.clock.now)
+        self.beats(2)
+
     def source(self, host=None):
         return (host or self.first).freshness().source
 
     def test_platform_evidence_counts_from_before_the_question(self):
+        self.join()
+        self.clock.advance(1.5)
         self.first.platform_answered(self.clock.now - 2.0)
         self.assertEqual(self.source(), "platform")
         self.clock.advance(1.5)
@@ -49,6 +58,8 @@
 
     def test_a_peer_with_the_same_state_passes_the_age_on(self):
         second, third = self.hosts[1].membership, self.hosts[2]
+        self.join()
+        self.clock.advance(timing.FRESH_SECONDS)
         self.first.platform_answered(self.clock.now - 1.0)
         third.store.version = 7
         self.beats(2)
@@ -80,6 +91,7 @@
         self.assertEqual(self.source(), "none")
 
     def test_no_outage_while_a_peer_hears_a_platform_with_other_state(self):
+        self.join()
         self.beats(8)
         self.assertEqual(self.source(), "outage")
         self.hosts[2].store.version = 7
@@ -87,6 +99,37 @@
         self.beats(1)
         self.assertEqual(self.source(), "none")
 
+    def test_a_new_process_needs_its_peers_beside_the_platform(self):
+        self.first.platform_answered(self.clock.now)
+        self.assertEqual(self.source(), "none")
+        simulated_hosts.exchange(self.hosts[0], self.hosts[1])
+        self.assertEqual(self.source(), "none")
+        simulated_hosts.exchange(self.hosts[0], self.hosts[2])
+        self.assertEqual(self.source(), "platform")
+
+    def test_a_host_that_hears_no_peer_joins_by_the_platform_in_time(self):
+        for _ in range(int(timing.JOIN_SECONDS)):
+            self.first.platform_answered(self.clock.now)
+            self.assertEqual(self.source(), "none")
+            self.clock.advance(1.0)
+        self.first.platform_answered(self.clock.now)
+        self.assertEqual(self.source(), "platform")
+        self.clock.advance(timing.FRESH_SECONDS + 0.1)
+        self.first.platform_answered(self.clock.now)
+        self.assertEqual(self.source(), "none")
+
+    def test_a_new_process_is_no_part_of_a_majority_in_an_outage(self):
+        self.join()
+        self.beats(8)
+        entries = self.hosts[0].tables.hosts
+        again = simulated_hosts.Host("c2", self.clock, entries)
+        self.beats(8, [self.hosts[0], again])
+        self.assertEqual(self.source(), "none")
+        self.assertEqual(self.source(again.membership), "none")
+        self.beats(2, [*self.hosts[:2], again])
+        self.assertEqual(self.source(), "outage")
+        self.assertEqual(self.source(again.membership), "outage")
+
     def test_a_host_without_state_is_never_fresh(self):
         for host in self.hosts:
             host.store.version = 0
@@ -99,9 +142,22 @@
         old_at, old = self.clock.now, self.hosts[1].membership.pong()
         self.beats(3, self.hosts[:2])
         digest = self.first.view().digest
-        self.first.on_pong(old_at - 1.0, old._replace(view=1))
+        self.first.on_pong(old_at - 1.0, old._replace(views=((1, 9.0, ()),)))
         self.assertEqual(self.first.standing.votes["c1"].digest, digest)
 
+    def test_a_resource_lost_for_a_moment_waits_for_its_grants_to_end(self):
+        self.beats(12)
+        names = (f"account/a{number}" for number in range(100))
+        mine = next(n for n in names if self.first.holder(n) == "c0")
+        self.assertTrue(self.first.may_exercise(mine))
+        standing, mine_again = self.first.standing, self.first.view()
+        without = view.View(7, mine_again.members[1:])
+        for each in (without, mine_again):
+            standing.adopt(each, standing.voters, {})
+        self.assertFalse(self.first.may_exercise(mine))
+        self.beats(5)
+        self.assertTrue(self.first.may_exercise(mine))
+
     def test_a_silent_host_is_dead_and_comes_back_as_another(self):
         self.beats(3)
         self.beats(6, self.hosts[:2])
@@ -231,7 +287,7 @@
         voters = neighbours.voters(entries)
         leaf = next(hosts[n] for n in sorted(entries) if n not in voters)
         relays = [hosts[name] for name in sorted(voters)]
-        duty = relay.relay_duty(
+        duty = relay_module.relay_duty(
             leaf.membership.host,
             "centro",
             leaf.tables,
@@ -239,6 +295,11 @@
             clock.interface(),
         )
         self.assertTrue(duty())
+        for relay in relays:
+            relay.membership.platform_answered(clock.now)
+        for _ in range(2):
+            simulated_hosts.heartbeat(relays)
+        clock.advance(timing.FRESH_SECONDS + 0.1)
         for _ in range(2):
             simulated_hosts.heartbeat(relays)
             simulated_hosts.exchange(leaf, relays[0])
