--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements with real processes, run by hand; see docs/CAPACITY.md."""
+"""Measurements with real processes, run by hand; each prints one table."""
--- a/gooseberryweir/request/ranking.py
+++ b/gooseberryweir/request/ranking.py
@@ -20,6 +20,7 @@
 # Hosts of other regions that are named besides, for the loss of a region.
 FURTHER_HOSTS = 4
 MAX_KEPT = 4096
+# What `rendered` returns when no host is in service.
 NO_HOSTS = "[]"
 
 
