A request runs only on a token of its rate that is new

Cause: the token was spent before the wait for a slot, up to 2.1 s when the home of the slots or of the permit had died, so requests admitted one after another started together: 4 to 21 starts over the bound after kills, freezes and cuts. Ruled out: the shorter wait of a new home: the tree with it reverted failed alike (14 and 21 over). A trace showed 144 delayed starts, the longest 2.1 s. A token older than 0.1 s is now spent in vain and another one taken. Retries after the death of an upstream take a token as well.

--- a/gooseberryweir/request/application.py
+++ b/gooseberryweir/request/application.py
@@ -257,7 +257,6 @@
         with contextlib.ExitStack() as owned:
             watch = owned.enter_context(disconnect.CallerWatch(request.caller))
             work = _work(context, request, admitted, deadline, watch)
-            dispatch.take_rate(context, admitted, work.deadline)
             sent = True
             return _streaming(context, work, owned)
     except dispatch.RefusedError as error:
--- a/gooseberryweir/request/dispatch.py
+++ b/gooseberryweir/request/dispatch.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterator
 import contextlib
 import logging
+import math
 from typing import NamedTuple
 
 import eventlet
@@ -29,6 +30,8 @@
 DEATH_CHECK_SECONDS = 0.3
 DEATH_CHECK_PAUSE_SECONDS = 0.02
 DEATH_CHECKS = 4
+# Longest time between spending a token of the rate and running on it.
+TOKEN_SECONDS = 0.1
 ACCOUNT_HEADER = "Gooseberryweir-Account"
 
 
@@ -104,6 +107,35 @@
         raise RefusedError(refusal, again=False)
 
 
+class RateToken:
+    """The token of a client account's rate that a request runs on.
+
+    A request may wait for a slot after its token was spent. Were it to run
+    on that token however late, waiting requests could start together and
+    pass the rate; so a token that is no longer new is spent in vain and the
+    request needs another one.
+    """
+
+    def __init__(
+        self, context: contexts.Context, admitted: admission.Admitted
+    ) -> None:
+        self.context = context
+        self.admitted = admitted
+        self.taken_at = -math.inf
+
+    def ensure_new(self, deadline: float) -> None:
+        """Takes a token unless the one held is new.
+
+        Raises:
+            RefusedError: The account is over its rate, or no home answered.
+        """
+        now = self.context.clock.monotonic()
+        if now - self.taken_at <= TOKEN_SECONDS:
+            return
+        take_rate(self.context, self.admitted, deadline)
+        self.taken_at = self.context.clock.monotonic()
+
+
 def upstream_headers(
     context: contexts.Context, work: Work, address: str
 ) -> tuple[tuple[str, str], ...]:
@@ -263,9 +295,23 @@
         )
 
 
+@contextlib.contextmanager
+def _paid_attempt(
+    context: contexts.Context,
+    work: Work,
+    token: RateToken,
+    lease: slots_module.Lease,
+) -> Iterator[DispatchedAnswer]:
+    """Sends the request on a token that is new; a slot waits but briefly."""
+    now = context.clock.monotonic()
+    token.ensure_new(min(work.deadline, now + TOKEN_SECONDS))
+    with _attempt(context, work, lease) as answer:
+        yield answer
+
+
 @contextlib.contextmanager
 def _placed_attempt(
-    context: contexts.Context, work: Work, exclude: set[str]
+    context: contexts.Context, work: Work, token: RateToken, exclude: set[str]
 ) -> Iterator[DispatchedAnswer]:
     """Leases a slot and sends the request to its upstream."""
     _check_suspect(context, work)
@@ -281,7 +327,7 @@
         if isinstance(lease, codes.Refusal):
             raise RefusedError(lease, again=False)
         exclude.add(lease.upstream.name)
-        with lease, _attempt(context, work, lease) as answer:
+        with lease, _paid_attempt(context, work, token, lease) as answer:
             turn.close()
             yield answer
 
@@ -300,12 +346,14 @@
     Raises:
         RefusedError: No upstream answered; it says whether the request ran.
     """
+    token = RateToken(context, work.admitted)
+    token.ensure_new(work.deadline)
     exclude: set[str] = set()
     sent = False
     for attempt in range(1, MAX_ATTEMPTS + 1):
         answered = False
         try:
-            with _placed_attempt(context, work, exclude) as answer:
+            with _placed_attempt(context, work, token, exclude) as answer:
                 answered = True
                 yield answer
                 return
--- a/gooseberryweir/request/once.py
+++ b/gooseberryweir/request/once.py
@@ -74,7 +74,6 @@
     request: messages.Forward,
 ) -> tickets.KeptAnswer:
     deadline = context.clock.monotonic() + request.timeout
-    dispatch.take_rate(context, admitted, deadline)
     work = dispatch.Work(
         admitted,
         request.method,
