Show the overload by a host paused past the wait for reports

Cause: a new home waits REPORT_WAIT_SECONDS for the hosts of its view and then grants all slots; requests in flight at a host paused longer are not counted. Not mended: after a death by the facts the real system has the same gap, and what such a host has in flight is known to nobody but the upstreams.

--- a/test/test_slots.py
+++ b/test/test_slots.py
@@ -205,11 +205,12 @@
             name = chance.choice(names)
             self.platform.dead ^= {name}
 
-    def run_fleet(self, seed, seconds=25.0):
+    def run_fleet(self, seed, order=None, seconds=25.0):
         self.excess = 0
         chance = random.Random(seed)
         platform = Platform(*(entry(f"u{n}", 5) for n in range(4)))
-        with virtual_time.virtual_time(seed) as clock:
+        order = seed if order is None else order
+        with virtual_time.virtual_time(order) as clock:
             self.start(clock, chance, platform)
             for number, host in enumerate(share_world.HOSTS):
                 eventlet.spawn_n(self.load, host, chance, 20 / (1 + number))
@@ -224,6 +225,25 @@
                 self.assertLessEqual(self.run_fleet(seed), 0)
                 self.assertGreater(self.results["live", "Lease"], 50)
 
+    def test_a_host_paused_past_the_wait_for_reports_overloads_nothing(self):
+        self.excess = 0
+        chance = random.Random(2)
+        platform = Platform(*(entry(f"u{n}", 5) for n in range(4)))
+        with virtual_time.virtual_time() as clock:
+            self.start(clock, chance, platform)
+            eventlet.sleep(5.0)
+            for _ in range(10):
+                eventlet.spawn_n(self.request, "h1", "live", 20.0)
+            eventlet.sleep(1.0)
+            self.assertGreater(sum(self.busy.values()), 5)
+            for host in share_world.HOSTS[1:]:
+                eventlet.spawn_n(self.load, host, chance, 10.0)
+            self.world.move_home("h9")
+            eventlet.sleep(timing.GRANT_SECONDS - 0.1)
+            self.world.pause("h1", slot_home.REPORT_WAIT_SECONDS + 0.8)
+            eventlet.sleep(8.0)
+        self.assertLessEqual(self.excess, 0)
+
     def test_a_home_that_does_not_wait_for_reports_is_noticed(self):
         with mock.patch.object(slot_home, "REPORT_WAIT_SECONDS", 0.0):
             self.assertGreater(max(self.run_fleet(seed) for seed in (1, 4)), 0)
