The wait for another token spans some round trips

Cause: a token that is no longer new was taken again with a wait of 0.1 s, less than one round trip to a peer 100 ms away, so a host with nothing on hand refused for good. Ruled out: freshness of the restarted host (it was fresh and answered 301).

--- a/gooseberryweir/request/dispatch.py
+++ b/gooseberryweir/request/dispatch.py
@@ -32,6 +32,8 @@
 DEATH_CHECKS = 4
 # Longest time between spending a token of the rate and running on it.
 TOKEN_SECONDS = 0.1
+# Longest wait for another token while a slot is held; some round trips.
+RENEW_SECONDS = 0.5
 ACCOUNT_HEADER = "Gooseberryweir-Account"
 
 
@@ -304,7 +306,7 @@
 ) -> Iterator[DispatchedAnswer]:
     """Sends the request on a token that is new; a slot waits but briefly."""
     now = context.clock.monotonic()
-    token.ensure_new(min(work.deadline, now + TOKEN_SECONDS))
+    token.ensure_new(min(work.deadline, now + RENEW_SECONDS))
     with _attempt(context, work, lease) as answer:
         yield answer
 
