Read as a newcomer: one name for loggers, one way to send a draw, plain names

No behaviour changes. The four spellings of the module logger are one; the two copies of 'call, or None' of buckets and slots are one function; tokens held by a host are named so instead of hands.

--- a/gooseberryweir/connection/peer_server.py
+++ b/gooseberryweir/connection/peer_server.py
@@ -24,7 +24,7 @@
 
 Handler = Callable[[messages.Hello, Any], Any]
 
-_log = logging.getLogger(__name__)
+LOGGER = logging.getLogger(__name__)
 
 
 class PeerServer:
@@ -75,7 +75,7 @@
             try:
                 connection, _ = self._listener.accept()
             except OSError as error:
-                logs.event(_log, "accept-failed", logging.ERROR, error=error)
+                logs.event(LOGGER, "accept-failed", logging.ERROR, error=error)
                 eventlet.sleep(ACCEPT_RETRY_SECONDS)
                 continue
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -90,11 +90,11 @@
             for correlation, message in channel.incoming:
                 self._dispatch(channel, peer, correlation, message)
         except eventlet.Timeout:
-            logs.event(_log, "peer-timeout", logging.WARNING)
+            logs.event(LOGGER, "peer-timeout", logging.WARNING)
         except OSError:
             pass
         except messages.BROKEN_STREAM as error:
-            logs.event(_log, "peer-protocol", logging.WARNING, error=error)
+            logs.event(LOGGER, "peer-protocol", logging.WARNING, error=error)
         finally:
             connection.close()
 
@@ -132,7 +132,7 @@
         try:
             reply = self.handle(peer, message)
         except Exception:
-            _log.exception("event=peer-handler-failed")
+            LOGGER.exception("event=peer-handler-failed")
             return
         if reply is None or not correlation:
             return
--- a/gooseberryweir/process/bucket_holder.py
+++ b/gooseberryweir/process/bucket_holder.py
@@ -1,6 +1,6 @@
 """The holder of tokens drawn from the home of a bucket.
 
-Takers spend tokens on hand; those who find none wait for the one draw in
+Takers spend tokens held here; those who find none wait for the one draw in
 flight, in the order of their arrival and for a short time.
 """
 
@@ -81,7 +81,7 @@
         self.incarnation = incarnation
         self.clock = clock
         self.home = home
-        self.hands: dict[int, bucket_waiters.Hand] = {}
+        self.held_grants: dict[int, bucket_waiters.HeldGrant] = {}
         self.waiters: collections.deque[bucket_waiters.Waiter] = (
             collections.deque()
         )
@@ -119,7 +119,7 @@
         return self.wait(waiter)
 
     def take_now(self, tokens: int) -> bool:
-        """Spends tokens without a wait, on hand or at the home if here."""
+        """Spends tokens without a wait, held here or at the home."""
         if self.spend(tokens) is not None:
             self.start()
             return True
@@ -150,45 +150,51 @@
         return bucket_waiters.Taken()
 
     def spend(self, tokens: int) -> float | None:
-        """Spends tokens on hand; returns the instant of their end."""
+        """Spends tokens held here; returns the instant of their end."""
         now = self.clock.monotonic()
         self.discard(now)
         usable = [
-            hand
-            for hand in self.hands.values()
-            if now < hand.ends_at and hand.spent < hand.granted
+            held_grant
+            for held_grant in self.held_grants.values()
+            if now < held_grant.ends_at
+            and held_grant.spent < held_grant.granted
         ]
-        if sum(hand.granted - hand.spent for hand in usable) < tokens:
+        if (
+            sum(held_grant.granted - held_grant.spent for held_grant in usable)
+            < tokens
+        ):
             return None
         ends_at = math.inf
-        for hand in sorted(usable, key=lambda hand: hand.ends_at):
-            part = min(tokens, hand.granted - hand.spent)
+        for held_grant in sorted(
+            usable, key=lambda held_grant: held_grant.ends_at
+        ):
+            part = min(tokens, held_grant.granted - held_grant.spent)
             if part:
-                hand.spent += part
+                held_grant.spent += part
                 tokens -= part
-                ends_at = min(ends_at, hand.ends_at)
+                ends_at = min(ends_at, held_grant.ends_at)
         return ends_at
 
     def discard(self, now: float) -> None:
         """Forgets grants that the home has let run out as well."""
         ended = [
             sequence
-            for sequence, hand in self.hands.items()
-            if hand.ends_at + timing.GRANT_SECONDS < now
+            for sequence, held_grant in self.held_grants.items()
+            if held_grant.ends_at + timing.GRANT_SECONDS < now
         ]
         for sequence in ended:
-            del self.hands[sequence]
+            del self.held_grants[sequence]
 
-    def on_hand(self, now: float) -> int:
+    def available(self, now: float) -> int:
         """Returns the tokens that may be spent now."""
         return sum(
-            hand.granted - hand.spent
-            for hand in self.hands.values()
-            if now < hand.ends_at
+            held_grant.granted - held_grant.spent
+            for held_grant in self.held_grants.values()
+            if now < held_grant.ends_at
         )
 
     def reserve(self, now: float) -> int:
-        """Returns the tokens to keep on hand for the demand expected."""
+        """Returns the tokens to keep here for the demand expected."""
         limits = self.home.limits()
         if limits is None:
             return 0
@@ -202,7 +208,7 @@
         those who never wait find a token the next time.
         """
         needed = self.missed + sum(waiter.tokens for waiter in self.waiters)
-        return max(0, needed + self.reserve(now) - self.on_hand(now))
+        return max(0, needed + self.reserve(now) - self.available(now))
 
     def start(self) -> None:
         """Makes the drawing task run, or run sooner."""
@@ -222,7 +228,10 @@
     def unreported(self) -> bool:
         """Whether the home does not know of all tokens spent."""
         self.discard(self.clock.monotonic())
-        return any(hand.spent > hand.reported for hand in self.hands.values())
+        return any(
+            held_grant.spent > held_grant.reported
+            for held_grant in self.held_grants.values()
+        )
 
     def run(self) -> None:
         """Draws while somebody waits or there is something to report."""
@@ -292,7 +301,7 @@
             self.acknowledge(pending.draw)
         if grant.granted > 0:
             ends_at = pending.sent_at + grant.lifetime
-            self.hands[pending.draw.sequence] = bucket_waiters.Hand(
+            self.held_grants[pending.draw.sequence] = bucket_waiters.HeldGrant(
                 grant.granted, ends_at
             )
         return grant
@@ -300,11 +309,11 @@
     def acknowledge(self, draw: messages.Draw) -> None:
         """Notes what the home has learnt from an answered draw."""
         for sequence, spent in draw.spent.items():
-            hand = self.hands.get(sequence)
-            if hand is not None:
-                hand.reported = max(hand.reported, spent)
-                if hand.reported >= hand.granted:
-                    del self.hands[sequence]
+            held_grant = self.held_grants.get(sequence)
+            if held_grant is not None:
+                held_grant.reported = max(held_grant.reported, spent)
+                if held_grant.reported >= held_grant.granted:
+                    del self.held_grants[sequence]
 
     def next_draw(self, now: float) -> messages.Draw:
         """Builds a new draw."""
@@ -319,15 +328,15 @@
             self.home.view(),
             want,
             {
-                sequence: hand.spent
-                for sequence, hand in self.hands.items()
-                if hand.spent
+                sequence: held_grant.spent
+                for sequence, held_grant in self.held_grants.items()
+                if held_grant.spent
             },
             self.sequence,
         )
 
     def settle(self, retry_after: float) -> float:
-        """Gives the tokens on hand to the waiters in their order."""
+        """Gives the tokens held here to the waiters in their order."""
         self.note_delay(retry_after)
         while self.waiters:
             ends_at = self.spend(self.waiters[0].tokens)
--- a/gooseberryweir/process/bucket_waiters.py
+++ b/gooseberryweir/process/bucket_waiters.py
@@ -22,7 +22,7 @@
     over_rate: bool
 
 
-class Hand:
+class HeldGrant:
     """Tokens of one grant on hand."""
 
     def __init__(self, granted: int, ends_at: float) -> None:
--- a/gooseberryweir/process/buckets.py
+++ b/gooseberryweir/process/buckets.py
@@ -2,26 +2,16 @@
 
 from collections.abc import Callable
 import math
-from typing import Any
-from typing import Protocol
 
 from gooseberryweir import clock as clocks
 from gooseberryweir.connection import messages
 from gooseberryweir.process import bucket_holder
 from gooseberryweir.process import bucket_home
 from gooseberryweir.process import bucket_waiters
+from gooseberryweir.process import draws
 from gooseberryweir.process import tenure as tenures
 
 
-class Peering(Protocol):
-    """What is used of `peering.Peering`."""
-
-    handlers: dict[type, Callable[[Any], Any]]
-
-    def call(self, host: str, message: Any, timeout: float) -> Any:
-        """Sends a message and returns the reply."""
-
-
 class Buckets:
     """The token buckets as seen from this host: homes and holders.
 
@@ -41,7 +31,7 @@
         incarnation: Callable[[], int],
         clock: clocks.Clock,
         tenure: tenures.Tenure,
-        peering: Peering,
+        peering: draws.Peering,
         errors: tuple[type[Exception], ...],
         limits: Callable[[str], bucket_home.Limits | None],
     ) -> None:
@@ -89,11 +79,9 @@
         self, host: str, draw: messages.Draw, timeout: float
     ) -> messages.Grant | None:
         """Sends a draw; None if there is no answer."""
-        try:
-            reply = self.peering.call(host, draw, timeout)
-        except self.errors:
-            return None
-        return reply if isinstance(reply, messages.Grant) else None
+        return draws.send(
+            self.peering, self.errors, host, draw, timeout, messages.Grant
+        )
 
     def handle(self, draw: messages.Draw) -> messages.Grant:
         """Answers a draw of another host."""
--- a/gooseberryweir/process/incarnation.py
+++ b/gooseberryweir/process/incarnation.py
@@ -6,7 +6,7 @@
 from gooseberryweir import logs
 from gooseberryweir.process import facts as facts_module
 
-_log = logging.getLogger(__name__)
+LOGGER = logging.getLogger(__name__)
 
 
 class Incarnation:
@@ -74,7 +74,7 @@
             self.facts.get(facts_module.dead_key(self.host)),
         )
         self.value = max(int(self.clock.wall() * 1000), newest + 1)
-        logs.event(_log, "incarnation-renewed", incarnation=self.value)
+        logs.event(LOGGER, "incarnation-renewed", incarnation=self.value)
         self._publish()
         if self.leaving:
             self.leave()
@@ -88,7 +88,7 @@
         if not self.superseded:
             self.superseded = True
             logs.event(
-                _log,
+                LOGGER,
                 "host-superseded",
                 logging.ERROR,
                 incarnation=self.value,
--- a/gooseberryweir/process/links.py
+++ b/gooseberryweir/process/links.py
@@ -11,7 +11,7 @@
 
 IDLE_LINK_SECONDS = 30.0
 
-_log = logging.getLogger(__name__)
+LOGGER = logging.getLogger(__name__)
 
 
 class Links:
@@ -94,7 +94,7 @@
     def _log_misnamed(self, listed: str, address: str, answered: str) -> None:
         """Logs that a host answered by another name than the one listed."""
         logs.event(
-            _log,
+            LOGGER,
             "host-misnamed",
             logging.WARNING,
             address=address,
--- a/gooseberryweir/process/membership.py
+++ b/gooseberryweir/process/membership.py
@@ -26,7 +26,7 @@
 MAX_HOLDERS_KEPT = 10_000
 _HOST_FACTS = ("incarnation/", "leaving/", "dead/")
 
-_log = logging.getLogger(__name__)
+LOGGER = logging.getLogger(__name__)
 
 
 class Membership:
@@ -315,7 +315,7 @@
             name = "peer-joined"
         else:
             name = f"peer-{kind}"
-        logs.event(_log, name, subject=host, incarnation=incarnation)
+        logs.event(LOGGER, name, subject=host, incarnation=incarnation)
 
     def _adopt_view(self) -> None:
         """Builds the view again and starts its age when it changed."""
@@ -326,7 +326,7 @@
         )
         if self.standing.adopt(self._view, self._voters, self.hearing.heard):
             logs.event(
-                _log,
+                LOGGER,
                 "view-changed",
                 digest=f"{self._view.digest:016x}",
                 members=",".join(name for name, _ in self._view.members),
--- a/gooseberryweir/process/operator_http.py
+++ b/gooseberryweir/process/operator_http.py
@@ -35,7 +35,7 @@
 PAUSE_SECONDS = 0.2
 MAX_BODY_BYTES = 4096
 _DIGEST = re.compile(r"[0-9a-f]{64}")
-_LOGGER = logging.getLogger(__name__)
+LOGGER = logging.getLogger(__name__)
 
 Environ = dict[str, Any]
 StartResponse = Callable[..., Any]
@@ -82,7 +82,7 @@
             document = _fault(error.code, error.message)
         except Exception as error:  # The operator gets a numbered code.
             logs.event(
-                _LOGGER, "operator-failed", logging.ERROR, reason=repr(error)
+                LOGGER, "operator-failed", logging.ERROR, reason=repr(error)
             )
             status = codes.TABLE[codes.Code.INTERNAL].status
             document = _fault(codes.Code.INTERNAL, "internal error; see logs")
@@ -152,7 +152,7 @@
     confirmed = sorted([own, *(name for name in others if answers[name])])
     missing = [name for name in others if not answers[name]]
     logs.event(
-        _LOGGER,
+        LOGGER,
         "key-withdrawn",
         digest=digest[:12],
         confirmed=len(confirmed),
@@ -192,7 +192,7 @@
     same = hmac.compare_digest(digest.hexdigest(), expected.lower())
     if not (expected and same and scheme.lower() == "bearer"):
         logs.event(
-            _LOGGER,
+            LOGGER,
             "operator-refused",
             logging.WARNING,
             caller=environ.get("REMOTE_ADDR", ""),
--- a/gooseberryweir/process/peering.py
+++ b/gooseberryweir/process/peering.py
@@ -34,7 +34,7 @@
 MISSED_PINGS_LIMIT = 2
 MAX_TELLS = 1000
 
-_log = logging.getLogger(__name__)
+LOGGER = logging.getLogger(__name__)
 
 
 class Peering:
@@ -139,7 +139,7 @@
                 if neighbours:
                     self.links.close_idle(neighbours)
             except Exception:
-                _log.exception("event=peering-failed")
+                LOGGER.exception("event=peering-failed")
             self.clock.sleep(timing.HEARTBEAT_SECONDS)
 
     def _follow_neighbours(self) -> None:
@@ -168,10 +168,10 @@
                 self._keep_link(link)
             except peer_link.PeerError as error:
                 logs.event(
-                    _log, "link-lost", peer=name, address=address, error=error
+                    LOGGER, "link-lost", peer=name, address=address, error=error
                 )
             except Exception:
-                _log.exception("event=link-failed")
+                LOGGER.exception("event=link-failed")
             self.clock.sleep(self._retry_delay(failures))
             failures += 1
 
@@ -257,7 +257,7 @@
         handler = self.handlers.get(type(message))
         if handler is None:
             logs.event(
-                _log,
+                LOGGER,
                 "message-unexpected",
                 logging.WARNING,
                 peer=peer.host,
@@ -298,5 +298,5 @@
         link.tell(message, TELL_SECONDS)
     except peer_link.PeerError as error:
         logs.event(
-            _log, "tell-failed", logging.DEBUG, peer=link.address, error=error
+            LOGGER, "tell-failed", logging.DEBUG, peer=link.address, error=error
         )
--- a/gooseberryweir/process/shares.py
+++ b/gooseberryweir/process/shares.py
@@ -13,6 +13,7 @@
 from gooseberryweir.process import bucket_home
 from gooseberryweir.process import bucket_waiters
 from gooseberryweir.process import buckets
+from gooseberryweir.process import draws
 from gooseberryweir.process import facts as facts_module
 from gooseberryweir.process import measurer as measurer_module
 from gooseberryweir.process import membership as membership_module
@@ -42,7 +43,7 @@
         tables: versions.Tables,
         facts: facts_module.Facts,
         membership: membership_module.Membership,
-        peering: buckets.Peering,
+        peering: draws.Peering,
         measurer: measurer_module.Measurer,
     ) -> None:
         self.clock = clock
--- a/gooseberryweir/process/slot_holder.py
+++ b/gooseberryweir/process/slot_holder.py
@@ -36,7 +36,7 @@
 DEMAND_SECONDS = 1.0
 HOLD_WEIGHT = 0.1
 
-_logger = logging.getLogger(__name__)
+LOGGER = logging.getLogger(__name__)
 
 
 class Home(NamedTuple):
@@ -339,7 +339,7 @@
         if self.spare() < self.reserve():
             self.reserve_at = sent_at + RENEW_SECONDS
         logs.event(
-            _logger,
+            LOGGER,
             "slots-drawn",
             logging.DEBUG,
             pool=self.pool,
--- a/gooseberryweir/process/slots.py
+++ b/gooseberryweir/process/slots.py
@@ -7,7 +7,7 @@
 
 from gooseberryweir import clock as clocks
 from gooseberryweir.connection import messages
-from gooseberryweir.process import buckets
+from gooseberryweir.process import draws
 from gooseberryweir.process import slot_capacity
 from gooseberryweir.process import slot_holder
 from gooseberryweir.process import slot_home
@@ -55,7 +55,7 @@
         incarnation: Callable[[], int],
         clock: clocks.Clock,
         tenure: tenures.Tenure,
-        peering: buckets.Peering,
+        peering: draws.Peering,
         errors: tuple[type[Exception], ...],
         sources: Sources,
     ) -> None:
@@ -134,11 +134,9 @@
         """Sends a draw, or answers it here; None if there is no answer."""
         if host == self.host:
             return self.handle(draw)
-        try:
-            reply = self.peering.call(host, draw, timeout)
-        except self.errors:
-            return None
-        return reply if isinstance(reply, messages.SlotGrant) else None
+        return draws.send(
+            self.peering, self.errors, host, draw, timeout, messages.SlotGrant
+        )
 
     def handle(self, draw: messages.DrawSlots) -> messages.SlotGrant:
         """Answers a draw of a host."""
--- a/gooseberryweir/process/transitions.py
+++ b/gooseberryweir/process/transitions.py
@@ -7,7 +7,7 @@
 from gooseberryweir.process import freshness as freshness_module
 from gooseberryweir.process import view as view_module
 
-_log = logging.getLogger(__name__)
+LOGGER = logging.getLogger(__name__)
 
 
 class Transitions:
@@ -28,7 +28,7 @@
         """Logs the hosts that fell silent since the last check."""
         silent = frozenset(names)
         for name in sorted(silent - self.silent):
-            logs.event(_log, "host-silent", logging.WARNING, subject=name)
+            logs.event(LOGGER, "host-silent", logging.WARNING, subject=name)
         self.silent = silent
 
     def note_standing(self, stands: bool, view: view_module.View) -> None:
@@ -36,14 +36,14 @@
         if stands != self.stood:
             self.stood = stands
             name = "standing-gained" if stands else "standing-lost"
-            logs.event(_log, name, digest=f"{view.digest:016x}")
+            logs.event(LOGGER, name, digest=f"{view.digest:016x}")
 
     def note_freshness(self, found: freshness_module.Freshness) -> None:
         """Logs that freshness was gained or lost."""
         if found.fresh != self.fresh:
             self.fresh = found.fresh
             logs.event(
-                _log,
+                LOGGER,
                 "freshness-changed",
                 fresh=found.fresh,
                 source=found.source,
--- a/gooseberryweir/process/watcher.py
+++ b/gooseberryweir/process/watcher.py
@@ -30,7 +30,7 @@
 MAX_POLLS = 4
 MAX_SINGLE_FETCHES = 8
 KINDS = (platform.ENDPOINT_SLICES, platform.STEERING_OBJECTS)
-_LOGGER = logging.getLogger(__name__)
+LOGGER = logging.getLogger(__name__)
 
 
 class Watcher:
@@ -94,7 +94,7 @@
                 if getattr(error, "status", 0) == 410:
                     version = None
                 logs.event(
-                    _LOGGER, "watch-failed", kind=kind, reason=repr(error)
+                    LOGGER, "watch-failed", kind=kind, reason=repr(error)
                 )
             lasted = self.clock.monotonic() - began
             pause = MIN_PAUSE_SECONDS if lasted > HEALTHY_SECONDS else pause * 2
@@ -198,7 +198,7 @@
         """Drops what is gone and reports proof, if the list gives any."""
         if listing.version < floor:
             logs.event(
-                _LOGGER,
+                LOGGER,
                 "stale-list",
                 kind=kind,
                 listed=listing.version,
@@ -228,7 +228,7 @@
     def _store(self, name: str, version: int, content: Any) -> None:
         if self.store.apply(name, version, content):
             logs.event(
-                _LOGGER,
+                LOGGER,
                 "object-changed",
                 object=name,
                 version=version,
@@ -248,4 +248,4 @@
         if reachable != self.reachable:
             self.reachable = reachable
             name = "platform-answers" if reachable else "platform-silent"
-            logs.event(_LOGGER, name, logging.WARNING, reason=reason)
+            logs.event(LOGGER, name, logging.WARNING, reason=reason)
--- a/gooseberryweir/process/withdrawals.py
+++ b/gooseberryweir/process/withdrawals.py
@@ -20,7 +20,7 @@
 RESOURCE = "withdrawals"
 FACT_PREFIX = "withdrawn/"
 WRITE_SECONDS = 1.0
-_LOGGER = logging.getLogger(__name__)
+LOGGER = logging.getLogger(__name__)
 
 
 def pending(
@@ -58,7 +58,7 @@
         else:
             outcome = "written"
         logs.event(
-            _LOGGER,
+            LOGGER,
             "withdrawals-written",
             account=account,
             count=len(digests),
@@ -79,7 +79,7 @@
             write_pending(api, facts, tables, membership, clock)
         except Exception as error:  # A task outlives any one failure.
             logs.event(
-                _LOGGER,
+                LOGGER,
                 "withdrawals-failed",
                 logging.ERROR,
                 reason=repr(error),
--- a/gooseberryweir/request/tickets.py
+++ b/gooseberryweir/request/tickets.py
@@ -1,6 +1,6 @@
 """Tickets: a non-idempotent request runs at most once.
 
-A look-up hands out a batch of tickets. Only the process that issued a ticket
+A look-up issues a batch of tickets. Only the process that issued a ticket
 runs its request, and it keeps the answer for a repeat; every other host
 forwards there. When that process is gone the outcome is unknown, and the
 request is never run a second time. No write to the platform is needed.
--- a/gooseberryweir/version/tables.py
+++ b/gooseberryweir/version/tables.py
@@ -22,7 +22,7 @@
 from gooseberryweir.version import steering_table
 from gooseberryweir.version import validation
 
-_logger = logging.getLogger(__name__)
+LOGGER = logging.getLogger(__name__)
 
 _HOSTS = pydantic.TypeAdapter(documents.HostsDocument)
 _UPSTREAMS = pydantic.TypeAdapter(documents.UpstreamsDocument)
@@ -176,7 +176,7 @@
         except (ValueError, ArithmeticError, RecursionError) as error:
             self.malformed[name] = version
             logs.event(
-                _logger,
+                LOGGER,
                 "object-malformed",
                 logging.ERROR,
                 object=name,
@@ -185,7 +185,7 @@
             )
             return
         self.malformed.pop(name, None)
-        logs.event(_logger, "object-in-force", object=name, version=version)
+        logs.event(LOGGER, "object-in-force", object=name, version=version)
 
     def _builder(self, name: str) -> Callable[[Any], None] | None:
         fixed: Mapping[str, Callable[[Any], None]] = {
--- a/test/test_buckets.py
+++ b/test/test_buckets.py
@@ -118,7 +118,7 @@
     def test_a_paused_process_does_not_spend_late(self):
         def test(holder, clock):
             self.assertEqual(holder.take(), bucket_waiters.Taken())
-            self.assertEqual(holder.on_hand(clock.monotonic()), 4)
+            self.assertEqual(holder.available(clock.monotonic()), 4)
             late = virtual_time.VirtualHub.manual
             late.advance(timing.GRANT_SECONDS - 0.05)
             return holder.spend(1)
@@ -133,7 +133,7 @@
             begin = clock.monotonic()
             self.assertEqual(holder.take(), bucket_waiters.Taken())
             self.assertEqual({draw.sequence for draw in self.draws}, {1})
-            (hand,) = holder.hands.values()
+            (hand,) = holder.held_grants.values()
             return hand.ends_at - begin
 
         ends = self.run_holder(lambda draw: replies.pop(0), test)
