--- a/gooseberryweir/process/slot_home.py
+++ b/gooseberryweir/process/slot_home.py
@@ -5,9 +5,11 @@
 """
 
 from collections.abc import Callable
+import logging
 import math
 from typing import NamedTuple
 
+from gooseberryweir import logs
 from gooseberryweir import rendezvous
 from gooseberryweir.connection import messages
 from gooseberryweir.process import decay
@@ -15,6 +17,7 @@
 from gooseberryweir.process import slot_limits
 from gooseberryweir.process import timing
 
+LOGGER = logging.getLogger(__name__)
 MARGIN_SECONDS = 0.05
 MAX_REQUEST_SECONDS = 600.0
 # A host that is silent for longer is dead by the facts by then.
@@ -102,6 +105,8 @@
         usable = self.usable(now)
         keep = self.trim(holding, message, usable, now)
         granted, retry_after = self.grant(holding, message, usable, now)
+        if message.want:
+            self.log_placement(holding, message, usable, granted)
         slots = {
             upstream: keep.get(upstream, 0) + granted.get(upstream, 0)
             for upstream in keep.keys() | granted.keys()
@@ -119,6 +124,27 @@
             bool(self.unmet_elsewhere(holding, slot_limits.ALL_CLASSES, now)),
         )
 
+    def log_placement(
+        self,
+        holding: Holding,
+        message: messages.DrawSlots,
+        usable: dict[str, int],
+        granted: dict[str, int],
+    ) -> None:
+        """Logs which upstreams were chosen for a host, and what was weighed."""
+        logs.event(
+            LOGGER,
+            "slots-placed",
+            pool=message.pool,
+            drawer=message.host,
+            want=message.want,
+            granted=granted,
+            held=self.counted(),
+            usable=usable,
+            limits=self.limits(usable),
+            reason="no-slot" if holding.unmet else "least-share-held",
+        )
+
     def usable(self, now: float) -> dict[str, int]:
         """Returns the slots of each usable upstream, less foreign load."""
         pool = self.pool
