Important work asks for a slot although less important work was put off

Ruled out: the load of the machine (the refusals took 0.0 s) and the home's limits. The new unit test fails on the code before (Refused, 4.9 s) and passes now.

--- a/gooseberryweir/process/slot_holder.py
+++ b/gooseberryweir/process/slot_holder.py
@@ -90,6 +90,8 @@
         self.drawn_at = -math.inf
         self.retry_at = -math.inf
         self.expected_at = -math.inf
+        # Highest importance of the work that the expectation was told for.
+        self.expected_for = slot_limits.ALL_CLASSES
         self.reserve_at = -math.inf
         self.window_at = -math.inf
         self.unused = 0
@@ -128,7 +130,7 @@
         position = bisect.bisect(
             [other.rank for other in self.waiters], waiter.rank
         )
-        delay = self.expected_delay(position)
+        delay = self.expected_delay(position, importance)
         if now + delay > give_up_at or position >= MAX_WAITERS:
             return slot_lease.Refused(max(delay, SHORTEST_DRAW_SECONDS))
         self.waiters.insert(position, waiter)
@@ -239,8 +241,13 @@
                 self.waiters.remove(waiter)
                 waiter.settle(self.use(upstream))
 
-    def expected_delay(self, position: int) -> float:
-        """Returns seconds until a waiter at a position expects a slot."""
+    def expected_delay(self, position: int, importance: int) -> float:
+        """Returns seconds until a waiter at a position expects a slot.
+
+        What the home told for less important work says nothing about this.
+        """
+        if importance < self.expected_for:
+            return 0.0
         home_delay = max(0.0, self.expected_at - self.clock.monotonic())
         in_use = sum(self.in_use.values())
         if not in_use or not self.hold_seconds:
@@ -315,6 +322,7 @@
         if grant is None or not grant.home:
             self.retry_at = now + FAILURE_SLEEP_SECONDS
             self.expected_at = now + UNREACHABLE_RETRY_SECONDS
+            self.expected_for = 0
         else:
             self.retry_at = now + min(
                 POLL_SECONDS, max(SHORTEST_DRAW_SECONDS, grant.retry_after)
@@ -327,9 +335,14 @@
         """Sends a draw and takes its answer over."""
         sent_at = self.drawn_at = self.clock.monotonic()
         draw = self.next_draw(sent_at)
+        asked_for = min(
+            (waiter.importance for waiter in self.waiters),
+            default=slot_limits.ALL_CLASSES,
+        )
         grant = self.home.call(home, draw, CALL_SECONDS)
         if grant is None or not grant.home:
             return grant
+        self.expected_for = asked_for
         self.reported_to = (home, draw.view)
         self.allowed = dict(grant.slots)
         self.ends_at = sent_at + grant.lifetime
@@ -408,7 +421,7 @@
         """Refuses the waiters that give up before a slot is expected."""
         now = self.clock.monotonic()
         for position, waiter in enumerate(list(self.waiters)):
-            delay = self.expected_delay(position)
+            delay = self.expected_delay(position, waiter.importance)
             if now + delay > waiter.give_up_at:
                 self.waiters.remove(waiter)
                 waiter.settle(slot_lease.Refused(delay))
--- a/test/test_slots.py
+++ b/test/test_slots.py
@@ -10,6 +10,7 @@
 from gooseberryweir import clock as clocks
 from gooseberryweir.connection import messages
 from gooseberryweir.process import slot_capacity
+from gooseberryweir.process import slot_holder
 from gooseberryweir.process import slot_home
 from gooseberryweir.process import slot_lease
 from gooseberryweir.process import slot_limits
@@ -134,6 +135,35 @@
         self.assertEqual(sum(kept.values()), 12)
 
 
+class ExpectationTest(unittest.TestCase):
+    """What a holder concludes from what its home told it."""
+
+    def test_important_work_asks_although_other_work_was_put_off(self):
+        def call(host, draw, timeout):
+            if "live" in draw.want:
+                return messages.SlotGrant({"u1": 1}, 2.0, 0.0, True, 1, False)
+            return messages.SlotGrant({}, 2.0, 5.0, True, 1, True)
+
+        home = slot_holder.Home(
+            find=lambda: "h2",
+            call=call,
+            entries=lambda: {"u1": entry("u1", 5)},
+            dead=frozenset,
+            importance={"live": 1, "archive": 3}.__getitem__,
+            view=lambda: 1,
+        )
+        with virtual_time.virtual_time() as clock:
+            holder = slot_holder.SlotHolder(
+                "slots/maps/norte", "h1", lambda: 1, clock, home
+            )
+            none = frozenset()
+            deadline = clock.monotonic() + 10.0
+            eventlet.spawn_n(holder.acquire, "archive", none, deadline)
+            eventlet.sleep(0.1)
+            found = holder.acquire("live", none, clock.monotonic() + 0.5)
+        self.assertIsInstance(found, slot_lease.Lease)
+
+
 class FleetTest(unittest.TestCase):
     """Nine hosts with losses, repeats, pauses, deaths and moving homes."""
 
