--- a/gooseberryweir/cli.py
+++ b/gooseberryweir/cli.py
@@ -11,6 +11,7 @@
 
 from gooseberryweir import clock as clocks
 from gooseberryweir import codes
+from gooseberryweir import front as front_module
 from gooseberryweir.commands import apply as apply_command
 from gooseberryweir.commands import check as check_command
 from gooseberryweir.commands import drain as drain_command
@@ -92,6 +93,12 @@
     serve_module.run(loaded)
 
 
+@APP.command()
+def front() -> None:
+    """Runs one host on the users' platform, by its settings file."""
+    front_module.main()
+
+
 @APP.command()
 def check(files: list[str]) -> None:
     """Validates declaration files without applying them."""
--- a/gooseberryweir/clock.py
+++ b/gooseberryweir/clock.py
@@ -28,6 +28,13 @@
     return Clock(time.monotonic, time.time, time.sleep)
 
 
+def suspend_clock() -> Clock:
+    """Returns a clock that also counts the time of a suspended machine."""
+    return Clock(
+        lambda: time.clock_gettime(time.CLOCK_BOOTTIME), time.time, time.sleep
+    )
+
+
 class ManualClock:
     """A clock that moves only when told to, for tests."""
 
--- a/gooseberryweir/logs.py
+++ b/gooseberryweir/logs.py
@@ -6,6 +6,7 @@
 
 import json
 import logging
+import os
 import sys
 from typing import Any
 
@@ -86,3 +87,46 @@
     root.handlers[:] = [handler]
     root.setLevel(level.upper())
     root.propagate = False
+
+
+class NonBlockingHandler(logging.Handler):
+    """Writes lines to a descriptor; leaves out those it has no room for.
+
+    Attributes:
+        descriptor: The descriptor, made non-blocking.
+        omitted: Lines left out since the last one that was written.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        super().__init__()
+        os.set_blocking(descriptor, False)
+        self.descriptor = descriptor
+        self.omitted = 0
+        self.rest = b""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Writes one line, or counts it as left out."""
+        text = self.format(record)
+        if self.omitted:
+            text += f" lines_omitted={self.omitted}"
+        line = self.rest + (text + "\n").encode()
+        try:
+            written = os.write(self.descriptor, line)
+        except OSError:
+            # The reader is slow or gone; waiting would hold up requests.
+            self.omitted += 1
+            return
+        self.omitted = 0
+        # A line that was cut goes on before the next one.
+        self.rest = line[written:]
+
+
+def configure_stdout(level: str, host: str, clock: clocks.Clock) -> None:
+    """Sends all lines to standard output without ever waiting for it."""
+    configure(level, host, clock)
+    root = logging.getLogger("gooseberryweir")
+    handler = NonBlockingHandler(sys.stdout.fileno())
+    for old in root.handlers:
+        handler.setFormatter(old.formatter)
+    handler.addFilter(RepeatLimit(clock))
+    root.handlers[:] = [handler]
--- /dev/null
+++ b/gooseberryweir/platform/records.py
@@ -0,0 +1,275 @@
+"""Objects of the platform's store, decoded into the project's types.
+
+An object that can't be decoded is skipped with a log line: it may come from a
+foreign writer, and the others hold.
+"""
+
+from collections.abc import Iterable
+import logging
+from typing import Annotated
+from typing import Any
+from typing import Literal
+from typing import TypeVar
+
+import msgspec
+
+from gooseberryweir import logs
+from gooseberryweir.platform import units
+from gooseberryweir.version import traffic
+
+LOGGER = logging.getLogger(__name__)
+
+# Kinds of objects. `HOSTS` is a kind of this project.
+CONFIGURATION = "config"
+UPSTREAMS = "servers"
+EVACUATIONS = "evacuations"
+HOSTS = "gooseberryweir-hosts"
+# Name of the one object of kind `CONFIGURATION`.
+CONFIGURATION_NAME = "main"
+
+_Strict = Annotated[int, msgspec.Meta(ge=0)]
+_T = TypeVar("_T")
+
+
+class _Metadata(msgspec.Struct, rename="camel"):
+    name: str
+    # Revision of the store at the object's last change.
+    revision: int
+    deletion_pending: bool = False
+
+
+class _Object(msgspec.Struct):
+    metadata: _Metadata
+    spec: msgspec.Raw
+
+
+class _Upstream(msgspec.Struct, rename="camel"):
+    service: str
+    address: Annotated[str, msgspec.Meta(pattern=r"^\d+(\.\d+){3}:\d{1,5}$")]
+    zone: str
+    slots: Annotated[int, msgspec.Meta(ge=1)]
+    state: Literal["ready", "draining"]
+    cold_remaining: str
+    # Unix milliseconds of the upstream's start.
+    born: int = 0
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct, rename="camel"):
+    host: str
+    path_prefix: str
+    kind: Literal["idempotent", "non_idempotent"]
+    timeout: str
+    # Latency objective, from the caller's first attempt.
+    target_latency: str = "1s"
+    priority: int = 0
+    service: str = ""
+    traffic_split: list[_Split] = []
+    max_attempts: int = 1
+    # True if requests need no key.
+    public: bool = False
+    # True if an upstream that handled the same object lately is faster.
+    session_affinity: bool = False
+    allowed_regions: list[str] = []
+
+
+class _Service(msgspec.Struct, rename="camel"):
+    max_connections: int = 0
+    # How long an upstream is cold after its start.
+    cold: str = "0s"
+    # Requests per second that a cold upstream tolerates; 0 for no limit.
+    cold_per_s: float = 0.0
+
+
+class _Tenant(msgspec.Struct, rename="camel"):
+    api_keys: list[str] = []
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+    allowed_regions: list[str] = []
+
+
+class _Limits(msgspec.Struct, rename="camel"):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 1 << 20
+    header_timeout: str = "3s"
+    idle_timeout: str = "15s"
+
+
+class _Configuration(msgspec.Struct, rename="camel"):
+    version: str
+    routes: dict[str, _Route]
+    services: dict[str, _Service]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    # Absent if requests need no keys at all.
+    tenants: dict[str, _Tenant] | None = None
+
+
+def _convert(raw: bytes | msgspec.Raw, kind: type[_T]) -> _T:
+    return msgspec.json.decode(raw, type=kind)
+
+
+def _objects(items: Iterable[msgspec.Raw], kind: str) -> list[_Object]:
+    decoded = []
+    for item in items:
+        try:
+            decoded.append(_convert(item, _Object))
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            _skipped(kind, "unknown", error)
+    return decoded
+
+
+def _skipped(kind: str, name: str, error: Exception) -> None:
+    logs.event(
+        LOGGER,
+        "object-skipped",
+        logging.WARNING,
+        kind=kind,
+        object=name,
+        reason=error,
+    )
+
+
+def configuration_object(
+    items: Iterable[msgspec.Raw],
+) -> tuple[int, bytes] | None:
+    """Returns revision and encoded content of the configuration, if any."""
+    for each in _objects(items, CONFIGURATION):
+        if each.metadata.name == CONFIGURATION_NAME:
+            return each.metadata.revision, bytes(each.spec)
+    return None
+
+
+def decode_configuration(content: bytes) -> traffic.Configuration:
+    """Returns the configuration of an encoded content.
+
+    Raises:
+        ValueError: It is not valid.
+    """
+    try:
+        wire = _convert(content, _Configuration)
+    except msgspec.MsgspecError as error:
+        raise ValueError(str(error)) from error
+    routes: dict[str, list[traffic.Route]] = {}
+    for name, each in wire.routes.items():
+        routes.setdefault(each.host, []).append(_route(name, each))
+    tenants = wire.tenants or {}
+    return traffic.Configuration(
+        version=units.parse_version(wire.version),
+        routes={
+            host: tuple(sorted(found, key=lambda r: -len(r.path_prefix)))
+            for host, found in routes.items()
+        },
+        services={
+            name: traffic.Service(
+                name,
+                each.cold_per_s,
+                units.parse_duration(each.cold),
+                each.max_connections,
+            )
+            for name, each in wire.services.items()
+        },
+        accounts={
+            name: traffic.Account(
+                name,
+                each.priority,
+                each.rate_per_s,
+                each.burst,
+                frozenset(each.allowed_regions),
+            )
+            for name, each in tenants.items()
+        },
+        account_by_key={
+            key: name for name, each in tenants.items() for key in each.api_keys
+        },
+        keyed=wire.tenants is not None,
+        limits=traffic.CallerLimits(
+            wire.limits.max_header_bytes,
+            wire.limits.max_body_bytes,
+            units.parse_duration(wire.limits.header_timeout),
+            units.parse_duration(wire.limits.idle_timeout),
+        ),
+    )
+
+
+def _route(name: str, wire: _Route) -> traffic.Route:
+    targets = tuple(
+        traffic.RouteTarget(each.service, each.weight)
+        for each in wire.traffic_split
+    )
+    return traffic.Route(
+        name=name,
+        host=wire.host,
+        path_prefix=wire.path_prefix,
+        targets=targets or (traffic.RouteTarget(wire.service, 1.0),),
+        idempotent=wire.kind == "idempotent",
+        timeout=units.parse_duration(wire.timeout),
+        objective=units.parse_duration(wire.target_latency),
+        max_attempts=max(1, wire.max_attempts),
+        importance=wire.priority,
+        public=wire.public,
+        affinity=wire.session_affinity,
+        regions=frozenset(wire.allowed_regions),
+    )
+
+
+def decode_upstreams(
+    items: Iterable[msgspec.Raw],
+) -> tuple[traffic.Upstream, ...]:
+    """Returns the upstreams of a list, by name."""
+    found = []
+    for each in _objects(items, UPSTREAMS):
+        try:
+            wire = _convert(each.spec, _Upstream)
+            cold = units.parse_duration(wire.cold_remaining)
+        except (msgspec.MsgspecError, ValueError) as error:
+            _skipped(UPSTREAMS, each.metadata.name, error)
+            continue
+        found.append(
+            traffic.Upstream(
+                name=each.metadata.name,
+                service=wire.service,
+                address=wire.address,
+                zone=wire.zone,
+                slots=wire.slots,
+                leaving=(
+                    wire.state == "draining" or each.metadata.deletion_pending
+                ),
+                cold_seconds=cold,
+                born=wire.born,
+                revision=each.metadata.revision,
+            )
+        )
+    return tuple(sorted(found))
+
+
+def decode_evacuations(items: Iterable[msgspec.Raw]) -> tuple[str, ...]:
+    """Returns the availability zones that are to be left, by name."""
+    objects = _objects(items, EVACUATIONS)
+    return tuple(sorted(each.metadata.name for each in objects))
+
+
+def decode_hosts(
+    items: Iterable[msgspec.Raw],
+) -> tuple[traffic.HostEntry, ...]:
+    """Returns the registered hosts, by name."""
+    found = []
+    for each in _objects(items, HOSTS):
+        try:
+            found.append(_convert(each.spec, traffic.HostEntry))
+        except msgspec.MsgspecError as error:
+            _skipped(HOSTS, each.metadata.name, error)
+    return tuple(sorted(found))
+
+
+def encode_host(entry: traffic.HostEntry) -> dict[str, Any]:
+    """Returns the object that registers a host."""
+    return {
+        "metadata": {"name": entry.name, "finalizers": []},
+        "spec": list(entry),
+        "status": None,
+    }
--- /dev/null
+++ b/gooseberryweir/platform/settings.py
@@ -0,0 +1,144 @@
+"""The settings file of a process on the platform."""
+
+from collections.abc import Mapping
+import tomllib
+from typing import Annotated
+from typing import Any
+from typing import NamedTuple
+import uuid
+
+import msgspec
+
+from gooseberryweir import codes
+from gooseberryweir.platform import units
+from gooseberryweir.process.fleet import host_settings
+
+# Variable that holds the path of the file.
+PATH_VARIABLE = "GOOSEBERRYWEIR_BOOT"
+
+_Address = Annotated[str, msgspec.Meta(pattern=r"^\d+(\.\d+){3}:\d{1,5}$")]
+_Name = Annotated[str, msgspec.Meta(min_length=1)]
+_Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
+
+
+class _Listen(msgspec.Struct):
+    front: _Address
+    ready: _Address
+    directory: _Address
+
+
+class _Store(msgspec.Struct, rename="camel"):
+    address: _Address
+    writes_per_s: float = 0.0
+    reads_per_s: float = 0.0
+
+
+class _Limits(msgspec.Struct, rename="camel"):
+    max_fds: Annotated[int, msgspec.Meta(ge=256)] = 1024
+    memory_mb: Annotated[float, msgspec.Meta(gt=0)] = 128.0
+
+
+class _File(msgspec.Struct, rename="camel"):
+    node_name: _Name
+    ip: str
+    zone: _Name
+    region: _Name
+    internal_port_range: tuple[_Port, _Port]
+    listen: _Listen
+    platform: _Store
+    bounds: list[str]
+    zones: dict[str, str]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _Bounds(NamedTuple):
+    """The bounds that are used; times arrive as texts with a unit."""
+
+    # Longest time from the taking away of a key to its last use.
+    revoke: str = "5s"
+    # Time that a process gets from SIGTERM to SIGKILL.
+    grace: str = "6s"
+    # Longest time to live of the answer to a look-up.
+    ttl_max: str = "5s"
+    # Span in which the repeats of a service are counted.
+    budgetWindow: str = "10s"  # noqa: N815, name of the platform
+    # Part of the requests of a service that may be sent again.
+    retryBudgetRatio: str = "0.2"  # noqa: N815
+    # Repeats that are allowed beside that part.
+    budgetMargin: str = "58"  # noqa: N815
+    # Factor and margin on the rate that a cold upstream tolerates.
+    coldOverage: str = "1.5"  # noqa: N815
+    coldMargin: str = "5"  # noqa: N815
+
+
+def load_settings(environ: Mapping[str, str]) -> host_settings.HostSettings:
+    """Reads the settings file that the environment names.
+
+    Raises:
+        codes.UserError: `BAD_SETTINGS`, with the field and what it takes.
+    """
+    path = environ.get(PATH_VARIABLE, "")
+    if not path:
+        raise _fault(f"{PATH_VARIABLE} is not set; it names the settings file")
+    try:
+        with open(path, "rb") as file:
+            document = tomllib.load(file)
+    except (OSError, tomllib.TOMLDecodeError) as error:
+        raise _fault(f"{path}: {error}") from error
+    try:
+        return decode(document)
+    except (msgspec.ValidationError, ValueError) as error:
+        raise _fault(f"{path}: {error}") from error
+
+
+def decode(document: dict[str, Any]) -> host_settings.HostSettings:
+    """Returns the settings of a decoded file.
+
+    Raises:
+        msgspec.ValidationError: A field is missing or of another type.
+        ValueError: A bound is not valid.
+    """
+    file = msgspec.convert(document, _File)
+    if file.zones.get(file.zone) != file.region:
+        raise ValueError(
+            f"zone: {file.zone!r} should be a zone of {file.region!r} in zones"
+        )
+    first_port, _ = file.internal_port_range
+    return host_settings.HostSettings(
+        host=file.node_name,
+        incarnation=uuid.uuid4().hex[:12],
+        zone=file.zone,
+        region=file.region,
+        region_by_zone=file.zones,
+        front_address=file.listen.front,
+        ready_address=file.listen.ready,
+        directory_address=file.listen.directory,
+        peer_address=f"{file.ip}:{first_port}",
+        metrics_address=f"{file.ip}:{host_settings.METRICS_PORT}",
+        store_address=file.platform.address,
+        max_descriptors=file.limits.max_fds,
+        bounds=_decode_bounds(file.bounds),
+    )
+
+
+def _decode_bounds(texts: list[str]) -> host_settings.Bounds:
+    given = dict(text.partition("=")[::2] for text in texts)
+    known = {name: given[name] for name in _Bounds._fields if given.get(name)}
+    bounds = _Bounds(**known)
+    try:
+        return host_settings.Bounds(
+            key_revocation=units.parse_duration(bounds.revoke),
+            grace=units.parse_duration(bounds.grace),
+            max_look_up_ttl=units.parse_duration(bounds.ttl_max),
+            retry_window=units.parse_duration(bounds.budgetWindow),
+            retry_ratio=float(bounds.retryBudgetRatio),
+            retry_margin=float(bounds.budgetMargin),
+            cold_factor=float(bounds.coldOverage),
+            cold_margin=float(bounds.coldMargin),
+        )
+    except ValueError as error:
+        raise ValueError(f"bounds: {error}") from error
+
+
+def _fault(message: str) -> codes.UserError:
+    return codes.UserError(codes.Code.BAD_SETTINGS, message)
--- /dev/null
+++ b/gooseberryweir/process/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""How the hosts of a fleet share what they know, without a leader."""
--- /dev/null
+++ b/gooseberryweir/process/fleet/mesh.py
@@ -0,0 +1,351 @@
+"""Beats between hosts: who lives, what is known, how fresh it is.
+
+Each host sends a beat to each other host over a connection of its own. A beat
+carries the parts that the other one lacks. It also echoes the sending time of
+the last beat from the other one, so that the age of what it says can be
+counted on the receiver's own clock, however long the beat was on its way.
+"""
+
+from collections.abc import Callable
+import contextlib
+import logging
+import socket
+import struct
+from typing import Any
+from typing import NamedTuple
+
+import eventlet
+from eventlet import event
+import msgspec
+
+from gooseberryweir import clock as clocks
+from gooseberryweir import logs
+from gooseberryweir.process.fleet import host_settings
+from gooseberryweir.process.fleet import knowledge as knowledge_module
+from gooseberryweir.version import traffic
+
+LOGGER = logging.getLogger(__name__)
+
+# Time between beats; four of them fit into `ALIVE_SECONDS`.
+BEAT_SECONDS = 0.5
+# Silence after which a host counts as down.
+ALIVE_SECONDS = 2.0
+# A part is sent again by hosts that don't read the store after this time.
+REPAIR_SECONDS = 1.0
+# Longest wait for a connection to another host, or for room to send.
+SEND_SECONDS = 1.0
+# Time after which the system gives up on bytes that were not acknowledged.
+UNACKNOWLEDGED_MILLISECONDS = 2000
+MAX_BEAT_BYTES = 16 * 1024 * 1024
+_LENGTH = struct.Struct("!I")
+
+
+class Beat(NamedTuple):
+    """What one host tells another.
+
+    Attributes:
+        entry: The sender's addresses.
+        sent: Reading of the sender's clock.
+        echo: `sent` of the last beat from the receiver, 0 for none.
+        ready: Whether the sender serves callers.
+        leaving: Whether the sender is shutting down.
+        reading: Whether the sender polls the store.
+        store_seconds: How long the store takes to answer the sender.
+        confirmed_age: Seconds since the sender's configuration was confirmed.
+        revisions: Revisions of the sender's parts.
+        demand: Requests per second of each client account at the sender.
+        parts: Parts that the receiver lacks.
+    """
+
+    entry: traffic.HostEntry
+    sent: float
+    echo: float
+    ready: bool
+    leaving: bool
+    reading: bool
+    store_seconds: float
+    confirmed_age: float
+    revisions: dict[str, int]
+    demand: dict[str, float]
+    parts: dict[str, knowledge_module.Part]
+
+
+class Peer:
+    """What is known of another host.
+
+    Attributes:
+        entry: Its addresses.
+        beat: Its last beat, or None.
+        heard_at: Reading of the clock when that beat came.
+    """
+
+    def __init__(self, entry: traffic.HostEntry) -> None:
+        self.entry = entry
+        self.beat: Beat | None = None
+        self.heard_at = float("-inf")
+        self.behind_since: float | None = None
+
+
+class OwnState(NamedTuple):
+    """What this host says of itself in its beats.
+
+    Attributes:
+        ready: Returns whether it serves callers.
+        leaving: Returns whether it is shutting down.
+        reading: Returns whether it polls the store.
+        store_seconds: Returns how long the store takes to answer.
+        demand: Returns requests per second of each client account.
+    """
+
+    ready: Callable[[], bool]
+    leaving: Callable[[], bool]
+    reading: Callable[[], bool]
+    store_seconds: Callable[[], float]
+    demand: Callable[[], dict[str, float]]
+
+
+class Mesh:
+    """Beats to and from all other hosts; a context manager."""
+
+    def __init__(
+        self,
+        settings: host_settings.HostSettings,
+        knowledge: knowledge_module.Knowledge,
+        state: OwnState,
+        clock: clocks.Clock,
+    ) -> None:
+        self.settings = settings
+        self.knowledge = knowledge
+        self.state = state
+        self.clock = clock
+        self.started_at = clock.monotonic()
+        self.entry = traffic.HostEntry(
+            name=settings.host,
+            incarnation=settings.incarnation,
+            front=settings.front_address,
+            peer=settings.peer_address,
+            zone=settings.zone,
+            region=settings.region,
+        )
+        self.peers: dict[str, Peer] = {}
+        self.senders: dict[str, Any] = {}
+        self.kicks: dict[str, event.Event] = {}
+        self.tasks: list[Any] = []
+        self.on_beat: list[Callable[[Peer, Beat], None]] = []
+
+    def __enter__(self) -> "Mesh":
+        host, _, port = self.settings.peer_address.rpartition(":")
+        listener = eventlet.listen((host, int(port)), backlog=256)
+        self.tasks.append(eventlet.spawn(self._accept, listener))
+        self.knowledge.listeners.append(self._known_changed)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for task in [*self.tasks, *self.senders.values()]:
+            task.kill()
+
+    def alive(self) -> list[Peer]:
+        """Returns the hosts that were heard lately, by name."""
+        oldest = self.clock.monotonic() - ALIVE_SECONDS
+        return [
+            peer
+            for _, peer in sorted(self.peers.items())
+            if peer.heard_at >= oldest
+        ]
+
+    def ready_hosts(self) -> list[traffic.HostEntry]:
+        """Returns the other hosts that serve callers, by name."""
+        return [
+            peer.entry
+            for peer in self.alive()
+            if peer.beat is not None
+            and peer.beat.ready
+            and not peer.beat.leaving
+        ]
+
+    def fleet_size(self) -> int:
+        """Returns how many hosts may be serving, with this one."""
+        names = set(self.peers) | set(self.knowledge.hosts)
+        return len(names | {self.settings.host})
+
+    def kick(self) -> None:
+        """Sends the next beat to all hosts at once."""
+        for name in list(self.kicks):
+            kicked = self.kicks[name]
+            if not kicked.ready():
+                kicked.send()
+
+    def _known_changed(self, kind: str) -> None:
+        if kind == knowledge_module.HOSTS:
+            for entry in self.knowledge.hosts.values():
+                self.meet(entry)
+
+    def meet(self, entry: traffic.HostEntry) -> Peer | None:
+        """Begins to send beats to a host, unless it is this one."""
+        if entry.name == self.settings.host:
+            return None
+        peer = self.peers.get(entry.name)
+        if peer is None:
+            peer = self.peers[entry.name] = Peer(entry)
+            self.senders[entry.name] = eventlet.spawn(self._send_all, peer)
+        return peer
+
+    # Sending.
+
+    def _send_all(self, peer: Peer) -> None:
+        while True:
+            try:
+                with contextlib.closing(self._connect(peer)) as connection:
+                    self._send_beats(peer, connection)
+            except (OSError, eventlet.Timeout) as error:
+                logs.event(
+                    LOGGER,
+                    "peer-link-lost",
+                    peer=peer.entry.name,
+                    reason=type(error).__name__,
+                )
+            self.clock.sleep(BEAT_SECONDS)
+
+    def _connect(self, peer: Peer) -> Any:
+        host, _, port = peer.entry.peer.rpartition(":")
+        with eventlet.Timeout(SEND_SECONDS):
+            connection = eventlet.connect((host, int(port)))
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection.setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            UNACKNOWLEDGED_MILLISECONDS,
+        )
+        return connection
+
+    def _send_beats(self, peer: Peer, connection: Any) -> None:
+        connected_at = self.clock.monotonic()
+        address = peer.entry.peer
+        while peer.entry.peer == address:
+            self.kicks[peer.entry.name] = kicked = event.Event()
+            beat = msgspec.msgpack.encode(self._beat(peer))
+            with eventlet.Timeout(SEND_SECONDS):
+                connection.sendall(_LENGTH.pack(len(beat)) + beat)
+            with eventlet.Timeout(BEAT_SECONDS, False):
+                kicked.wait()
+            if self._unheard(peer, connected_at):
+                raise ConnectionError("the other host gets nothing")
+
+    def _unheard(self, peer: Peer, connected_at: float) -> bool:
+        """Whether the other host lives and did not get the last beats."""
+        now = self.clock.monotonic()
+        if peer.beat is None or now - peer.heard_at > ALIVE_SECONDS:
+            return False
+        return now - max(peer.beat.echo, connected_at) > 2 * ALIVE_SECONDS
+
+    def _beat(self, peer: Peer) -> Beat:
+        heard = peer.beat
+        now = self.clock.monotonic()
+        age = now - self.knowledge.confirmed_at
+        return Beat(
+            entry=self.entry,
+            sent=now,
+            echo=0.0 if heard is None else heard.sent,
+            ready=self.state.ready(),
+            leaving=self.state.leaving(),
+            reading=self.state.reading(),
+            store_seconds=self.state.store_seconds(),
+            confirmed_age=min(age, 1e9),
+            revisions={
+                kind: part.revision
+                for kind, part in self.knowledge.parts.items()
+            },
+            demand=self.state.demand(),
+            parts=self._lacking(peer),
+        )
+
+    def _lacking(self, peer: Peer) -> dict[str, knowledge_module.Part]:
+        """Returns the parts that a host lacks and this one shall send.
+
+        The host that reads the store sends at once; the others only if a host
+        stays behind.
+        """
+        if peer.beat is None:
+            return {}
+        known = peer.beat.revisions
+        lacking = {
+            kind: part
+            for kind, part in self.knowledge.parts.items()
+            if part.revision > known.get(kind, 0)
+        }
+        now = self.clock.monotonic()
+        if not lacking:
+            peer.behind_since = None
+            return {}
+        if peer.behind_since is None:
+            peer.behind_since = now
+        waited = now - peer.behind_since >= REPAIR_SECONDS
+        if not (self.state.reading() or waited):
+            return {}
+        # Not sent twice before the other host can have said what it has.
+        heard = peer.beat._replace(
+            revisions={
+                **known,
+                **{kind: part.revision for kind, part in lacking.items()},
+            }
+        )
+        peer.beat = heard
+        return lacking
+
+    # Receiving.
+
+    def _accept(self, listener: Any) -> None:
+        while True:
+            try:
+                connection, _ = listener.accept()
+            except OSError as error:
+                logs.event(
+                    LOGGER, "peer-accept-failed", logging.WARNING, reason=error
+                )
+                self.clock.sleep(BEAT_SECONDS)
+                continue
+            eventlet.spawn(self._receive, connection)
+
+    def _receive(self, connection: Any) -> None:
+        """Reads the beats of one connection until it ends or is silent."""
+        connection.settimeout(2 * ALIVE_SECONDS)
+        with contextlib.closing(connection), connection.makefile("rb") as file:
+            try:
+                while True:
+                    head = file.read(_LENGTH.size)
+                    if len(head) < _LENGTH.size:
+                        return
+                    (size,) = _LENGTH.unpack(head)
+                    if size > MAX_BEAT_BYTES:
+                        raise ValueError(f"a beat of {size} bytes")
+                    beat = msgspec.msgpack.decode(file.read(size), type=Beat)
+                    self._heard(beat)
+            except (OSError, ValueError) as error:
+                logs.event(
+                    LOGGER,
+                    "peer-connection-ended",
+                    reason=type(error).__name__,
+                )
+
+    def _heard(self, beat: Beat) -> None:
+        peer = self.meet(beat.entry)
+        if peer is None:
+            return
+        if peer.beat is None or peer.beat.ready != beat.ready:
+            logs.event(
+                LOGGER, "peer-state", peer=beat.entry.name, ready=beat.ready
+            )
+        peer.entry = beat.entry
+        peer.beat = beat
+        peer.heard_at = self.clock.monotonic()
+        for kind, part in beat.parts.items():
+            self.knowledge.accept(
+                kind, part.revision, part.content, beat.entry.name
+            )
+        if self.started_at <= beat.echo <= peer.heard_at:
+            self.knowledge.confirm(
+                beat.revisions.get(knowledge_module.CONFIGURATION, 0),
+                beat.echo - beat.confirmed_age,
+            )
+        for listener in self.on_beat:
+            listener(peer, beat)
--- /dev/null
+++ b/gooseberryweir/request/steering/__init__.py
@@ -0,0 +1,1 @@
+"""Where a request goes: admission, placement, limits and retries."""
--- /dev/null
+++ b/gooseberryweir/request/steering/limits.py
@@ -0,0 +1,206 @@
+"""Limits that hold for all hosts together, kept without asking anybody.
+
+Each host takes a part of a limit that it works out from what all hosts tell
+each other in their beats. The parts of one moment add up to the limit; what a
+change of the parts lets through besides stays within the margin that the
+users' bounds leave.
+"""
+
+import collections
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
+import math
+
+from gooseberryweir import rendezvous
+
+# Weight of a second's worth of requests in the average that is told to others.
+DEMAND_SECONDS = 1.0
+# Demand, in requests a second, that each host counts as having at least, so
+# that a new caller is admitted before the others know of it.
+LEAST_DEMAND = 0.5
+# Part of a service's requests that may be sent again; below the bound, since
+# requests at hosts that die are counted by nobody.
+RETRY_CAUTION = 0.75
+# Span, in seconds, in which the requests at a cold upstream are counted.
+COLD_WINDOW_SECONDS = 1.0
+
+
+class RateMeter:
+    """Requests per second of each client account, as an average that decays."""
+
+    def __init__(self, now: Callable[[], float]) -> None:
+        self.now = now
+        self.rates: dict[str, tuple[float, float]] = {}
+
+    def add(self, account: str) -> None:
+        """Counts one request."""
+        self.rates[account] = (
+            self.rate(account) + 1 / DEMAND_SECONDS,
+            self.now(),
+        )
+
+    def rate(self, account: str) -> float:
+        """Returns the requests per second of a client account."""
+        rate, at = self.rates.get(account, (0.0, 0.0))
+        return rate * math.exp(-(self.now() - at) / DEMAND_SECONDS)
+
+    def all(self) -> dict[str, float]:
+        """Returns the rates of all client accounts that have some."""
+        rates = {name: round(self.rate(name), 1) for name in self.rates}
+        return {name: rate for name, rate in rates.items() if rate > 0}
+
+
+class AccountLimits:
+    """This host's part of the rate of each client account: token buckets.
+
+    The part goes by this host's demand over that of all hosts. A bucket is
+    empty at the start, since nobody knows what was spent before.
+    """
+
+    def __init__(
+        self,
+        meter: RateMeter,
+        others: Callable[[str], Iterable[float]],
+        now: Callable[[], float],
+    ) -> None:
+        self.meter = meter
+        self.others = others
+        self.now = now
+        self.buckets: dict[str, tuple[float, float]] = {}
+
+    def part(self, account: str) -> float:
+        """Returns this host's part of the limit of a client account."""
+        own = self.meter.rate(account) + LEAST_DEMAND
+        others = sum(each + LEAST_DEMAND for each in self.others(account))
+        return own / (own + others)
+
+    def take(self, account: str, rate: float, burst: float) -> float:
+        """Takes a token; returns 0, or the seconds until there is one.
+
+        Args:
+            account: Name of the client account.
+            rate: Requests per second over all hosts; 0 for no limit.
+            burst: Requests beyond the rate.
+        """
+        self.meter.add(account)
+        if rate <= 0:
+            return 0.0
+        part = self.part(account)
+        now = self.now()
+        tokens, at = self.buckets.get(account, (1.0, now))
+        most = max(1.0, burst * part)
+        tokens = min(most, tokens + (now - at) * rate * part)
+        if tokens < 1.0:
+            self.buckets[account] = (tokens, now)
+            return (1.0 - tokens) / (rate * part)
+        self.buckets[account] = (tokens - 1.0, now)
+        return 0.0
+
+
+class RetryBudget:
+    """This host's part of the repeats of each service.
+
+    Attributes:
+        window: Span in which repeats are counted, in seconds.
+        ratio: Repeats allowed for each request of this host.
+        margin: Repeats allowed besides in a window, for all hosts.
+    """
+
+    def __init__(
+        self,
+        window: float,
+        ratio: float,
+        margin: float,
+        fleet_size: Callable[[], int],
+        now: Callable[[], float],
+    ) -> None:
+        self.window = window
+        self.ratio = ratio
+        self.margin = margin
+        self.fleet_size = fleet_size
+        self.now = now
+        self.requests: dict[str, collections.deque[float]] = {}
+        self.repeats: dict[str, collections.deque[float]] = {}
+
+    def request(self, service: str) -> None:
+        """Counts a caller's request."""
+        self._add(self.requests, service)
+
+    def _add(
+        self, counted: dict[str, collections.deque[float]], service: str
+    ) -> None:
+        counted.setdefault(service, collections.deque()).append(self.now())
+
+    def _count(
+        self, counted: dict[str, collections.deque[float]], service: str
+    ) -> int:
+        times = counted.get(service)
+        if times is None:
+            return 0
+        oldest = self.now() - self.window
+        while times and times[0] < oldest:
+            times.popleft()
+        return len(times)
+
+    def take(self, service: str) -> bool:
+        """Counts a repeat if the budget allows it; returns whether it does."""
+        allowed = RETRY_CAUTION * (
+            self.ratio * self._count(self.requests, service)
+            + self.margin / self.fleet_size()
+        )
+        if self._count(self.repeats, service) + 1 > allowed:
+            return False
+        self._add(self.repeats, service)
+        return True
+
+
+class ColdLimit:
+    """This host's part of the requests to each cold upstream.
+
+    Some hosts, by rendezvous hashing, may each send a whole number of requests
+    in any second; the others send none.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        hosts: Callable[[], Iterable[str]],
+        factor: float,
+        margin: float,
+        now: Callable[[], float],
+    ) -> None:
+        self.host = host
+        self.hosts = hosts
+        self.factor = factor
+        self.margin = margin
+        self.now = now
+        self.sent: dict[str, collections.deque[float]] = {}
+
+    def part(self, upstream: str, cold_rate: float) -> int:
+        """Returns the requests that this host may send in a second."""
+        allowed = int(cold_rate * self.factor + self.margin)
+        names = set(self.hosts()) | {self.host}
+        owners = rendezvous.order(upstream, names)[:allowed]
+        if self.host not in owners:
+            return 0
+        return allowed // len(owners)
+
+    def free(self, upstream: str, cold_rate: float) -> bool:
+        """Whether this host may send one more request now."""
+        times = self.sent.get(upstream)
+        if times:
+            oldest = self.now() - COLD_WINDOW_SECONDS
+            while times and times[0] <= oldest:
+                times.popleft()
+        used = len(times) if times else 0
+        return used < self.part(upstream, cold_rate)
+
+    def take(self, upstream: str) -> None:
+        """Counts a request to a cold upstream."""
+        self.sent.setdefault(upstream, collections.deque()).append(self.now())
+
+    def forget(self, gone: Mapping[str, object] | set[str]) -> None:
+        """Drops the counts of upstreams that are gone."""
+        for name in gone:
+            self.sent.pop(name, None)
--- /dev/null
+++ b/gooseberryweir/request/steering/serving.py
@@ -0,0 +1,454 @@
+"""Serves one request: admission, placement, sending, retries, the answer."""
+
+from collections.abc import Callable
+import logging
+import random
+from typing import NamedTuple
+
+from gooseberryweir import clock as clocks
+from gooseberryweir import codes
+from gooseberryweir import logs
+from gooseberryweir.connection import http_messages
+from gooseberryweir.connection import pipelined_server
+from gooseberryweir.connection import upstream_pool
+from gooseberryweir.platform import headers as wire
+from gooseberryweir.process.fleet import host_settings
+from gooseberryweir.process.fleet import knowledge as knowledge_module
+from gooseberryweir.request.steering import admission
+from gooseberryweir.request.steering import limits
+from gooseberryweir.request.steering import placement
+from gooseberryweir.request.steering import telemetry as telemetry_module
+from gooseberryweir.request.steering import upstream_state
+from gooseberryweir.version import traffic
+
+LOGGER = logging.getLogger(__name__)
+
+# Wait of a caller that names none.
+DEFAULT_PATIENCE_SECONDS = 30.0
+# Least time that an attempt is worth starting with.
+LEAST_ATTEMPT_SECONDS = 0.02
+# A non-idempotent request uses a connection that was idle for at most this
+# long: the upstream may be closing an older one at the same moment.
+FRESH_SECONDS = 1.0
+# Round trips between zones, until there are measurements.
+ZONE_SECONDS = 0.002
+REGION_SECONDS = 0.05
+# Weight of the newest sample in the expected work of a route.
+WORK_WEIGHT = 0.05
+# Expected work as part of the objective, until there are measurements.
+FIRST_WORK_PART = 0.7
+# When to come back after all upstreams were full: about one unit of work.
+FULL_RETRY_SECONDS = 0.3
+UNAVAILABLE_RETRY_SECONDS = 0.5
+
+
+class Parts(NamedTuple):
+    """What serving needs of the process.
+
+    Attributes:
+        settings: Settings of the host.
+        clock: Source of time.
+        knowledge: What the platform says.
+        admission: Which requests may run.
+        states: What was seen of the upstreams.
+        retries: Budget of repeats.
+        cold: Limits of cold upstreams.
+        pool: Connections to upstreams.
+        telemetry: Counters and histograms.
+        refusing: Returns whether new requests are turned away.
+    """
+
+    settings: host_settings.HostSettings
+    clock: clocks.Clock
+    knowledge: knowledge_module.Knowledge
+    admission: admission.Admission
+    states: upstream_state.UpstreamStates
+    retries: limits.RetryBudget
+    cold: limits.ColdLimit
+    pool: upstream_pool.UpstreamPool
+    telemetry: telemetry_module.Telemetry
+    refusing: Callable[[], bool]
+
+
+class _Work(NamedTuple):
+    """One admitted request on its way.
+
+    Attributes:
+        message: The request as it came.
+        said: What its headers say.
+        admitted: Its route and client account.
+        service: The service that runs it.
+        deadline: Reading of the clock at which its answer is due.
+        objective_at: Reading of the clock until which it earns the most.
+    """
+
+    message: http_messages.Message
+    said: wire.CallerHeaders
+    admitted: admission.Admitted
+    service: str
+    deadline: float
+
+
+class _Failure(NamedTuple):
+    """Why an attempt has no answer to pass on.
+
+    Attributes:
+        code: The result code if no other attempt follows.
+        ran: Whether the request may have run.
+        reason: For the log.
+        answer: An upstream's answer that tells the failure, or None.
+    """
+
+    code: codes.Code
+    ran: codes.Ran
+    reason: str
+    answer: pipelined_server.Answer | None = None
+
+
+class Serving:
+    """Serves the requests of one host."""
+
+    def __init__(self, parts: Parts, chance: random.Random) -> None:
+        self.parts = parts
+        self.chance = chance
+        self.turns = placement.WeightedTurns()
+        self.work: dict[tuple[str, str], float] = {}
+
+    def serve(self, message: http_messages.Message) -> pipelined_server.Answer:
+        """Answers one request of a caller."""
+        parts = self.parts
+        began = parts.clock.monotonic()
+        said = wire.decode_request(message.headers)
+        if parts.refusing():
+            refusal = codes.refuse(codes.Code.HOST_LEAVING, retry_after=0.0)
+            return self._refuse(said, "", refusal, began)
+        path = message.target.partition("?")[0]
+        admitted = parts.admission.admit(said.host, path, said.key)
+        if isinstance(admitted, codes.Refusal):
+            return self._refuse(said, "", admitted, began)
+        patience = said.patience or DEFAULT_PATIENCE_SECONDS
+        deadline = began + min(patience, admitted.route.timeout)
+        service = self.turns.next(admitted.route)
+        parts.retries.request(service)
+        work = _Work(message, said, admitted, service, deadline)
+        return self._attempts(work, began)
+
+    def _attempts(self, work: _Work, began: float) -> pipelined_server.Answer:
+        """Sends a request to one upstream after the other until one answers."""
+        tried: set[str] = set()
+        ran = codes.Ran.NO
+        failure: _Failure | None = None
+        route = work.admitted.route
+        for attempt in range(1, route.max_attempts + 1):
+            now = self.parts.clock.monotonic()
+            if work.deadline - now < LEAST_ATTEMPT_SECONDS:
+                break
+            choice = self._choose(work, tried)
+            if choice is None:
+                break
+            if attempt > 1 and not self.parts.retries.take(work.service):
+                self.parts.telemetry.count("retry_budget_spent")
+                break
+            tried.add(choice.upstream.name)
+            found = self._attempt(work, choice, attempt, began)
+            if isinstance(found, pipelined_server.Answer):
+                return found
+            failure = found
+            if found.ran is not codes.Ran.NO:
+                ran = found.ran
+                if not route.idempotent:
+                    break
+        return self._give_up(work, failure, ran, began)
+
+    def _give_up(
+        self,
+        work: _Work,
+        failure: _Failure | None,
+        ran: codes.Ran,
+        began: float,
+    ) -> pipelined_server.Answer:
+        if failure is not None and failure.answer is not None:
+            return failure.answer
+        if failure is None:
+            refusal = codes.refuse(
+                codes.Code.NO_HEADROOM,
+                detail="no upstream may take the request now",
+                retry_after=UNAVAILABLE_RETRY_SECONDS,
+            )
+        elif ran is codes.Ran.NO:
+            refusal = codes.refuse(
+                codes.Code.UPSTREAM_SHED,
+                detail=failure.reason,
+                retry_after=FULL_RETRY_SECONDS * (0.5 + self.chance.random()),
+            )
+        else:
+            code = failure.code
+            if codes.TABLE[code].ran is codes.Ran.NO:
+                code = codes.Code.OUTCOME_UNKNOWN
+            refusal = codes.refuse(code, detail=failure.reason, ran=ran)
+        return self._refuse(work.said, work.admitted.route.name, refusal, began)
+
+    def _choose(self, work: _Work, tried: set[str]) -> placement.Choice | None:
+        candidates = self._candidates(work, tried)
+        if not candidates:
+            return None
+        expected = self._expected_work(work)
+        if work.admitted.route.affinity and work.said.affinity_key:
+            name = f"{work.service}\0{work.said.affinity_key}"
+            return placement.choose_affine(name, candidates, expected)
+        return placement.choose_least(
+            candidates, expected, self.chance.randrange
+        )
+
+    def _candidates(
+        self, work: _Work, tried: set[str]
+    ) -> list[placement.Candidate]:
+        parts = self.parts
+        now = parts.clock.monotonic()
+        known = parts.knowledge
+        service = (
+            known.configuration.services.get(work.service)
+            if known.configuration
+            else None
+        )
+        found = []
+        for upstream in known.upstreams.values():
+            if (
+                upstream.service != work.service
+                or upstream.leaving
+                or upstream.name in tried
+                or upstream.zone in known.evacuated
+                or not self._allowed(work, upstream)
+            ):
+                continue
+            state = parts.states.get(upstream.name, upstream.slots)
+            if not state.usable(now):
+                continue
+            if (
+                service is not None
+                and self._cold(upstream, now)
+                and not parts.cold.free(upstream.name, service.cold_rate)
+            ):
+                continue
+            found.append(
+                placement.Candidate(
+                    upstream,
+                    state.estimate(now),
+                    self._round_trip(upstream.zone),
+                    float(upstream.slots),
+                )
+            )
+        return found
+
+    def _cold(self, upstream: traffic.Upstream, now: float) -> bool:
+        return self.parts.knowledge.cold_until.get(upstream.name, 0.0) > now
+
+    def _allowed(self, work: _Work, upstream: traffic.Upstream) -> bool:
+        regions = work.admitted.regions
+        if not regions:
+            return True
+        region = self.parts.settings.region_by_zone.get(upstream.zone, "")
+        return region in regions
+
+    def _round_trip(self, zone: str) -> float:
+        settings = self.parts.settings
+        if zone == settings.zone:
+            return 0.0
+        region = settings.region_by_zone.get(zone, "")
+        return ZONE_SECONDS if region == settings.region else REGION_SECONDS
+
+    def _expected_work(self, work: _Work) -> float:
+        route = work.admitted.route
+        key = (route.name, work.service)
+        return self.work.get(key, route.objective * FIRST_WORK_PART)
+
+    def _attempt(
+        self,
+        work: _Work,
+        choice: placement.Choice,
+        attempt: int,
+        began: float,
+    ) -> pipelined_server.Answer | _Failure:
+        """Sends a request to one upstream."""
+        parts = self.parts
+        upstream = choice.upstream
+        state = parts.states.get(upstream.name, upstream.slots)
+        now = parts.clock.monotonic()
+        cold = self._cold(upstream, now)
+        if cold:
+            parts.cold.take(upstream.name)
+        self._log_placement(work, choice, attempt, cold)
+        state.sent()
+        try:
+            reply = self._exchange(work, upstream, now)
+        except upstream_pool.ConnectError as error:
+            state.failed(parts.clock.monotonic(), f"connect {error}", True)
+            return _Failure(
+                codes.Code.UPSTREAM_SHED, codes.Ran.NO, f"connect {error}"
+            )
+        except upstream_pool.BrokenAnswerError as error:
+            state.failed(parts.clock.monotonic(), f"broken {error}", True)
+            return _Failure(
+                codes.Code.UPSTREAM_DIED, codes.Ran.UNKNOWN, f"broken {error}"
+            )
+        except upstream_pool.DeadlineError:
+            state.failed(parts.clock.monotonic(), "timeout", False)
+            return _Failure(
+                codes.Code.UPSTREAM_TIMEOUT, codes.Ran.UNKNOWN, "timeout"
+            )
+        finally:
+            state.ended()
+        return self._take_reply(work, choice, state, reply, attempt, began)
+
+    def _exchange(
+        self, work: _Work, upstream: traffic.Upstream, now: float
+    ) -> upstream_pool.Reply:
+        left = work.deadline - now
+        account = work.admitted.account
+        sent = wire.encode_request(
+            work.said.passed_on,
+            upstream.name,
+            account.name if account else "",
+            left,
+        )
+        message = work.message
+        wanted = work.said.request_id
+        reply = self.parts.pool.exchange(
+            upstream.name,
+            upstream.address,
+            http_messages.encode_request(
+                message.method, message.target, sent, message.body
+            ),
+            left,
+            lambda found: wire.decode_answer(200, found).request_id == wanted,
+            lambda found: wire.decode_answer(200, found).idle_seconds,
+            upstream_pool.DEFAULT_IDLE_SECONDS
+            if work.admitted.route.idempotent
+            else FRESH_SECONDS,
+        )
+        if reply.opened:
+            self.parts.telemetry.count("upstream_connections")
+        return reply
+
+    def _take_reply(
+        self,
+        work: _Work,
+        choice: placement.Choice,
+        state: upstream_state.UpstreamState,
+        reply: upstream_pool.Reply,
+        attempt: int,
+        began: float,
+    ) -> pipelined_server.Answer | _Failure:
+        now = self.parts.clock.monotonic()
+        status = reply.message.status
+        told = wire.decode_answer(status, reply.message.headers)
+        if told.load is not None:
+            state.load_reported(
+                told.load.running + told.load.waiting, told.load.slots, now
+            )
+        if told.not_run:
+            # 421 says that another upstream has the address now.
+            state.failed(now, f"not run {status}", status == 421)
+            return _Failure(
+                codes.Code.UPSTREAM_SHED, codes.Ran.NO, f"not run {status}"
+            )
+        answer = pipelined_server.Answer(
+            status, told.passed_on, reply.message.body
+        )
+        if status >= 500:
+            state.failed(now, f"status {status}", False)
+            return _Failure(
+                codes.Code.OUTCOME_UNKNOWN,
+                codes.Ran.YES,
+                f"status {status}",
+                answer,
+            )
+        self._learn(work, choice, state, reply)
+        self.parts.telemetry.served(
+            work.admitted.route.name, now - began, attempt
+        )
+        logs.event(
+            LOGGER,
+            "request-served",
+            request=work.said.request_id,
+            route=work.admitted.route.name,
+            upstream=choice.upstream.name,
+            status=status,
+            attempt=attempt,
+            seconds=now - began,
+        )
+        return answer
+
+    def _learn(
+        self,
+        work: _Work,
+        choice: placement.Choice,
+        state: upstream_state.UpstreamState,
+        reply: upstream_pool.Reply,
+    ) -> None:
+        """Learns from a good answer how long work takes here and there."""
+        spent = reply.seconds - self._round_trip(choice.upstream.zone)
+        spent = max(placement.MIN_WORK_SECONDS, spent)
+        expected = self._expected_work(work)
+        state.succeeded(spent / expected)
+        key = (work.admitted.route.name, work.service)
+        self.work[key] = expected + WORK_WEIGHT * (spent - expected)
+
+    def _log_placement(
+        self,
+        work: _Work,
+        choice: placement.Choice,
+        attempt: int,
+        cold: bool,
+    ) -> None:
+        known = self.parts.knowledge
+        logs.event(
+            LOGGER,
+            "request-placed",
+            request=work.said.request_id,
+            route=work.admitted.route.name,
+            account=work.admitted.account.name if work.admitted.account else "",
+            attempt=attempt,
+            object=work.said.affinity_key,
+            upstream=choice.upstream.name,
+            zone=choice.upstream.zone,
+            place=choice.place,
+            candidates=choice.candidates,
+            cost=choice.cost,
+            best_cost=choice.best_cost,
+            cold=cold,
+            configuration=known.revision(knowledge_module.CONFIGURATION),
+            upstreams=known.revision(knowledge_module.UPSTREAMS),
+            confirmed_age=known.age(),
+        )
+
+    def _refuse(
+        self,
+        said: wire.CallerHeaders,
+        route: str,
+        refusal: codes.Refusal,
+        began: float,
+    ) -> pipelined_server.Answer:
+        """Returns the answer that tells a refusal."""
+        known = self.parts.knowledge
+        logs.event(
+            LOGGER,
+            "request-refused",
+            request=said.request_id,
+            route=route,
+            code=int(refusal.code),
+            ran=refusal.ran.value,
+            detail=refusal.detail,
+            retry_after=refusal.retry_after or 0.0,
+            seconds=self.parts.clock.monotonic() - began,
+            configuration=known.revision(knowledge_module.CONFIGURATION),
+            confirmed_age=known.age(),
+        )
+        self.parts.telemetry.refused(route, int(refusal.code))
+        headers = [("Gooseberryweir-Code", str(int(refusal.code)))]
+        if refusal.retry_after is not None and refusal.ran is codes.Ran.NO:
+            headers.append(wire.retry_after(refusal.retry_after))
+        status = codes.TABLE[refusal.code].status
+        if refusal.ran is not codes.Ran.NO and status in (429, 503):
+            status = 502
+        return pipelined_server.Answer(status, tuple(headers), b"")
--- /dev/null
+++ b/gooseberryweir/request/steering/telemetry.py
@@ -0,0 +1,56 @@
+"""Counters and latency histograms of a host, as text for collectors."""
+
+import prometheus_client
+
+# Upper bounds of the latency histogram in seconds, around the objectives.
+LATENCY_BOUNDS = (0.1, 0.25, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0)
+
+
+class Telemetry:
+    """The figures of one host."""
+
+    def __init__(self) -> None:
+        self.registry = prometheus_client.CollectorRegistry()
+        self.events = prometheus_client.Counter(
+            "gooseberryweir_events",
+            "Events by name.",
+            ["name"],
+            registry=self.registry,
+        )
+        self.refusals = prometheus_client.Counter(
+            "gooseberryweir_refusals",
+            "Refused or failed requests by result code.",
+            ["route", "code"],
+            registry=self.registry,
+        )
+        self.latency = prometheus_client.Histogram(
+            "gooseberryweir_request_seconds",
+            "Time from a request to its upstream's answer.",
+            ["route"],
+            buckets=LATENCY_BOUNDS,
+            registry=self.registry,
+        )
+
+    def count(self, name: str) -> None:
+        """Counts an event."""
+        self.events.labels(name).inc()
+
+    def refused(self, route: str, code: int) -> None:
+        """Counts a refusal."""
+        self.refusals.labels(route, str(code)).inc()
+
+    def served(self, route: str, seconds: float, attempts: int) -> None:
+        """Counts a served request.
+
+        Args:
+            route: Name of its route.
+            seconds: Time to the upstream's answer.
+            attempts: Upstreams that it was sent to.
+        """
+        self.latency.labels(route).observe(seconds)
+        if attempts > 1:
+            self.count("request_repeated")
+
+    def render(self) -> bytes:
+        """Returns all figures as text."""
+        return prometheus_client.generate_latest(self.registry)
--- /dev/null
+++ b/gooseberryweir/request/steering/upstream_state.py
@@ -0,0 +1,151 @@
+"""What this host has seen of each upstream: load, speed, failures.
+
+Load is what the upstream said last, corrected by what this host has sent and
+got back since. Speed is the ratio of the time an answer took to what answers
+of its class take on the whole. Failures eject an upstream for a while; it then
+gets one request at a time until one succeeds (outlier ejection).
+"""
+
+from collections.abc import Callable
+import logging
+from typing import NamedTuple
+
+from gooseberryweir import logs
+
+LOGGER = logging.getLogger(__name__)
+
+# Ejection after failures; doubles up to the maximum. The least is the time in
+# which a short stall ends, the most is below the time in which a backend of
+# the users is back after a crash.
+EJECT_SECONDS = 0.5
+MAX_EJECT_SECONDS = 4.0
+# Failures in a row after which an upstream is ejected.
+EJECT_FAILURES = 2
+# Weight of the newest sample in an upstream's speed and failure averages.
+SAMPLE_WEIGHT = 0.15
+# What an upstream said of its load counts less as it gets older.
+LOAD_SECONDS = 1.0
+MIN_SLOWNESS = 0.5
+MAX_SLOWNESS = 20.0
+
+
+class Estimate(NamedTuple):
+    """What an upstream is expected to do with one more request.
+
+    Attributes:
+        busy: Requests that it has, running and waiting.
+        slots: Requests that it runs at once.
+        slowness: Time its answers take over what others take.
+        failing: Part of the requests that fail.
+    """
+
+    busy: float
+    slots: int
+    slowness: float
+    failing: float
+
+
+class UpstreamState:
+    """What this host has seen of one upstream."""
+
+    def __init__(self, name: str, slots: int, now: float) -> None:
+        self.name = name
+        self.slots = slots
+        self.in_flight = 0
+        self.reported = 0.0
+        self.reported_at = now
+        self.in_flight_then = 0
+        self.slowness = 1.0
+        self.failing = 0.0
+        self.failures = 0
+        self.ejected_until = 0.0
+        self.ejections = 0
+
+    def estimate(self, now: float) -> Estimate:
+        """Returns what to expect of one more request."""
+        since = now - self.reported_at
+        others = max(0.0, self.reported - self.in_flight_then)
+        others *= max(0.0, 1.0 - since / (4 * LOAD_SECONDS))
+        busy = others + self.in_flight
+        return Estimate(busy, self.slots, self.slowness, self.failing)
+
+    def usable(self, now: float) -> bool:
+        """Whether it may get a request now."""
+        if self.ejected_until == 0.0:
+            return True
+        return now >= self.ejected_until and self.in_flight == 0
+
+    def sent(self) -> None:
+        """Notes that a request is on its way."""
+        self.in_flight += 1
+
+    def ended(self) -> None:
+        """Notes that a request has its answer or was given up."""
+        self.in_flight -= 1
+
+    def load_reported(self, busy: int, slots: int, now: float) -> None:
+        """Notes what the upstream says of its load, without this answer."""
+        self.reported = float(busy)
+        self.reported_at = now
+        self.in_flight_then = self.in_flight
+        self.slots = max(1, slots)
+
+    def succeeded(self, ratio: float | None) -> None:
+        """Notes a good answer.
+
+        Args:
+            ratio: Time that it took over what it takes on the whole.
+        """
+        if self.ejected_until:
+            logs.event(LOGGER, "upstream-readmitted", upstream=self.name)
+        self.failures = 0
+        self.ejections = 0
+        self.ejected_until = 0.0
+        self.failing *= 1 - SAMPLE_WEIGHT
+        if ratio is not None:
+            bounded = min(MAX_SLOWNESS, max(MIN_SLOWNESS, ratio))
+            self.slowness += SAMPLE_WEIGHT * (bounded - self.slowness)
+
+    def failed(self, now: float, reason: str, hard: bool) -> None:
+        """Notes a failure.
+
+        Args:
+            now: Reading of the clock.
+            reason: What failed, for the log.
+            hard: Whether it shows that the upstream is down.
+        """
+        self.failing += SAMPLE_WEIGHT * (1 - self.failing)
+        self.failures += 1
+        if hard and (self.failures >= EJECT_FAILURES or self.ejections):
+            length = min(MAX_EJECT_SECONDS, EJECT_SECONDS * 2**self.ejections)
+            self.ejected_until = now + length
+            self.ejections += 1
+            logs.event(
+                LOGGER,
+                "upstream-ejected",
+                upstream=self.name,
+                reason=reason,
+                seconds=length,
+                failures=self.failures,
+            )
+
+
+class UpstreamStates:
+    """The states of all upstreams, by name of their start."""
+
+    def __init__(self, now: Callable[[], float]) -> None:
+        self.now = now
+        self.states: dict[str, UpstreamState] = {}
+
+    def get(self, name: str, slots: int) -> UpstreamState:
+        """Returns the state of an upstream, made on first use."""
+        state = self.states.get(name)
+        if state is None:
+            state = UpstreamState(name, slots, self.now())
+            self.states[name] = state
+        return state
+
+    def forget(self, names: set[str]) -> None:
+        """Drops the states of upstreams that are gone."""
+        for name in names:
+            self.states.pop(name, None)
--- a/packaging/measure.py
+++ b/packaging/measure.py
@@ -14,7 +14,8 @@
 import time
 
 STOP_SECONDS = 30
-MEMORY_DIRECTORY = "/dev/shm"
+# Variable that names a memory file system to unpack into.
+DIRECTORY_VARIABLE = "GOOSEBERRYWEIR_MEASURE_DIR"
 
 
 def resident_mb(process: int) -> float:
@@ -60,7 +61,9 @@
     """Measures some starts; the first one unpacks."""
     file = os.path.abspath(sys.argv[1])
     starts = int(sys.argv[2]) if len(sys.argv) > 2 else 3
-    directory = pathlib.Path(tempfile.mkdtemp(dir=MEMORY_DIRECTORY))
+    directory = pathlib.Path(
+        tempfile.mkdtemp(dir=os.environ.get(DIRECTORY_VARIABLE))
+    )
     try:
         print(f"file_mb={os.path.getsize(file) / 1e6:.1f}")
         for _ in range(starts):
