--- a/gooseberryweir/request/steering/serving.py
+++ b/gooseberryweir/request/steering/serving.py
@@ -186,7 +186,13 @@
             times.mean,
             work.admitted.importance,
         )
-        return choice.wait > longest
+        expected = (
+            self._round_trip(choice.upstream.zone)
+            + (times.warm if choice.warm else times.cold)
+            + choice.wait
+        )
+        left = work.deadline - self.parts.clock.monotonic()
+        return choice.wait > longest or (choice.wait > 0 and expected > left)
 
     def _shed(
         self, work: _Work, choice: placement.Choice, began: float
@@ -362,7 +368,7 @@
                 codes.Code.UPSTREAM_DIED, codes.Ran.UNKNOWN, f"broken {error}"
             )
         except upstream_pool.DeadlineError:
-            state.failed(parts.clock.monotonic(), "timeout", False)
+            state.timed_out(parts.clock.monotonic())
             return _Failure(
                 codes.Code.UPSTREAM_TIMEOUT, codes.Ran.UNKNOWN, "timeout"
             )
--- a/gooseberryweir/request/steering/upstream_state.py
+++ b/gooseberryweir/request/steering/upstream_state.py
@@ -22,6 +22,9 @@
 MAX_EJECT_SECONDS = 4.0
 # Failures in a row after which an upstream is ejected.
 EJECT_FAILURES = 2
+# Silence after which an upstream that lets requests time out counts as down;
+# one that answers others is only slow or full.
+SILENT_SECONDS = 1.0
 # Weight of the newest sample in an upstream's speed and failure averages.
 SAMPLE_WEIGHT = 0.15
 # Time constants with which what an upstream said of its load fades: requests
@@ -65,6 +68,7 @@
         self.reported_at = now
         self.in_flight_then = 0
         self.sampled_at = now
+        self.answered_at = now
         self.objects: dict[str, float] = {}
         self.slowness = 1.0
         self.failing = 0.0
@@ -137,6 +141,7 @@
             ratio: Time that it took over what it takes on the whole; None
                 if it waited, so that its time says nothing of the speed.
         """
+        self.answered_at = now
         if self.ejected_until:
             logs.event(LOGGER, "upstream-readmitted", upstream=self.name)
         self.failures = 0
@@ -148,6 +153,11 @@
             bounded = min(MAX_SLOWNESS, max(MIN_SLOWNESS, ratio))
             self.slowness += SAMPLE_WEIGHT * (bounded - self.slowness)
 
+    def timed_out(self, now: float) -> None:
+        """Notes a request that had no answer in its time."""
+        if now - self.answered_at > SILENT_SECONDS:
+            self.failed(now, "timeout", True)
+
     def failed(self, now: float, reason: str, hard: bool) -> None:
         """Notes a failure.
 
--- a/test/test_placement.py
+++ b/test/test_placement.py
@@ -199,6 +199,17 @@
         state.sent()
         self.assertTrue(state.usable(2.0))
 
+    def test_timeouts_count_only_if_nothing_else_is_answered(self):
+        state = self.state()
+        state.succeeded(5.0, None)
+        for _ in range(5):
+            state.timed_out(5.5)
+        self.assertTrue(state.usable(5.5))
+        self.assertEqual(state.estimate(5.5).failing, 0.0)
+        for _ in range(2):
+            state.timed_out(7.0)
+        self.assertFalse(state.usable(7.0))
+
     def test_a_soft_failure_does_not_eject(self):
         state = self.state()
         for _ in range(9):
