--- a/gooseberryweir/platform/headers.py
+++ b/gooseberryweir/platform/headers.py
@@ -10,6 +10,8 @@
 
 READINESS_PATH = "/-/readiness"
 LOOK_UP_PATH = "/-/resolve"
+# Status of an upstream that is not the one that a request names.
+MISDIRECTED = 421
 
 _HOP_BY_HOP = frozenset(
     {
@@ -172,8 +174,7 @@
     cold = _number(first.get("cold-ms"))
     return AnswerHeaders(
         request_id=first.get("request-id", ""),
-        # An upstream whose name is not the expected one answers 421.
-        not_run="not-executed" in first or status == 421,
+        not_run="not-executed" in first or status == MISDIRECTED,
         load=_load(first.get("server-load", "")),
         cold_seconds=None if cold is None else cold / 1000,
         leaving="close" in connection.lower(),
--- a/gooseberryweir/request/steering/serving.py
+++ b/gooseberryweir/request/steering/serving.py
@@ -423,8 +423,10 @@
                 told.load.running + told.load.waiting, told.load.slots, now
             )
         if told.not_run:
-            # 421 says that another upstream has the address now.
-            state.failed(now, f"not run {status}", status == 421)
+            if status == wire.MISDIRECTED:
+                state.failed(now, "another upstream has the address", True)
+            else:
+                state.shed(now)
             return _Failure(
                 codes.Code.UPSTREAM_SHED, codes.Ran.NO, f"not run {status}"
             )
--- a/gooseberryweir/request/steering/upstream_state.py
+++ b/gooseberryweir/request/steering/upstream_state.py
@@ -37,6 +37,9 @@
 WARM_SECONDS = 20.0
 # Time constant with which an old opinion of an upstream fades.
 OPINION_SECONDS = 4.0
+# A request that was shed can run elsewhere at once; it counts as a third of one
+# that was lost.
+SHED_PART = 1 / 3
 MIN_SLOWNESS = 0.5
 MAX_SLOWNESS = 20.0
 
@@ -158,6 +161,12 @@
         if now - self.answered_at > SILENT_SECONDS:
             self.failed(now, "timeout", True)
 
+    def shed(self, now: float) -> None:
+        """Notes a request that the upstream did not run."""
+        self.answered_at = now
+        self._fade(now)
+        self.failing += SAMPLE_WEIGHT * (SHED_PART - self.failing)
+
     def failed(self, now: float, reason: str, hard: bool) -> None:
         """Notes a failure.
 
--- a/test/test_placement.py
+++ b/test/test_placement.py
@@ -213,10 +213,20 @@
     def test_a_soft_failure_does_not_eject(self):
         state = self.state()
         for _ in range(9):
-            state.failed(1.0, "shed", False)
+            state.failed(1.0, "status 500", False)
         self.assertTrue(state.usable(1.0))
         self.assertGreater(state.estimate(1.0).failing, 0.5)
 
+    def test_shedding_alone_does_not_drive_objects_to_cold_upstreams(self):
+        state = self.state()
+        for _ in range(50):
+            state.shed(1.0)
+        home = homes(NAMES)["o1"]
+        shedding = candidate(home, failing=state.estimate(1.0).failing)
+        rest = [candidate(name) for name in NAMES if name != home]
+        found = placement.choose_affine("o1", [shedding, *rest], TIMES)
+        self.assertEqual(found.upstream.name, home)
+
 
 if __name__ == "__main__":
     unittest.main()
