Homes by slots and zones alone; serving split into selection and sending

Cause: the part of a region's work that stays followed measured demand, and the demand of services was never counted (found while splitting serving.py), so all work stayed; once counted, homes moved after each restart, when demand is not known, to upstreams that were cold for them.

Change: a region's demand is taken to go with its availability zones, its room with the slots that stand there. The exchange of demand by service is removed.

--- a/gooseberryweir/front.py
+++ b/gooseberryweir/front.py
@@ -34,6 +34,8 @@
 from gooseberryweir.process.fleet import reader as reader_module
 from gooseberryweir.request.steering import admission as admission_module
 from gooseberryweir.request.steering import limits
+from gooseberryweir.request.steering import selection as selection_module
+from gooseberryweir.request.steering import sending as sending_module
 from gooseberryweir.request.steering import serving as serving_module
 from gooseberryweir.request.steering import telemetry as telemetry_module
 from gooseberryweir.request.steering import upstream_state
@@ -161,23 +163,6 @@
     return others
 
 
-def _region_demand(
-    mesh: mesh_module.Mesh, meter: limits.RateMeter
-) -> Callable[[str], dict[str, float]]:
-    """Returns the function that tells a service's demand by region."""
-
-    def demand(service: str) -> dict[str, float]:
-        found = {mesh.entry.region: meter.announced.get(service, 0.0)}
-        for beat in mesh.heard_within(mesh_module.ALIVE_SECONDS):
-            region = beat.entry.region
-            found[region] = found.get(region, 0.0) + beat.service_demand.get(
-                service, 0.0
-            )
-        return found
-
-    return demand
-
-
 @contextlib.contextmanager
 def open_host(
     settings: host_settings.HostSettings, clock: clocks.Clock, phase: Phase
@@ -186,12 +171,6 @@
     chance = random.Random()
     knowledge = knowledge_module.Knowledge(records.decode_configuration, clock)
     meter = limits.RateMeter(clock.monotonic)
-    service_meter = limits.RateMeter(clock.monotonic)
-
-    def announce() -> None:
-        meter.announce()
-        service_meter.announce()
-
     telemetry = telemetry_module.Telemetry()
     with contextlib.ExitStack() as stack:
         store = stack.enter_context(
@@ -203,8 +182,7 @@
             reading=lambda: reader.reading,
             store_seconds=lambda: reader.store_seconds,
             demand=lambda: meter.announced,
-            service_demand=lambda: service_meter.announced,
-            announce=announce,
+            announce=meter.announce,
         )
         mesh = mesh_module.Mesh(settings, knowledge, state, clock)
         reader = reader_module.Reader(
@@ -223,9 +201,23 @@
             clock.monotonic,
         )
         knowledge.listeners.append(_forgetter(knowledge, states, pool, cold))
+        selection = selection_module.Selection(
+            selection_module.SelectionParts(
+                settings=settings,
+                clock=clock,
+                knowledge=knowledge,
+                states=states,
+                cold=cold,
+                chance=chance,
+            )
+        )
+        sending = sending_module.Sending(
+            sending_module.SendingParts(
+                clock, knowledge, states, selection, pool, telemetry
+            )
+        )
         serving = serving_module.Serving(
             serving_module.Parts(
-                settings=settings,
                 clock=clock,
                 knowledge=knowledge,
                 admission=admission_module.Admission(
@@ -243,7 +235,8 @@
                     ),
                     bounds.key_revocation,
                 ),
-                states=states,
+                selection=selection,
+                sending=sending,
                 retries=limits.RetryBudget(
                     bounds.retry_window,
                     bounds.retry_ratio,
@@ -251,14 +244,10 @@
                     mesh.fleet_size,
                     clock.monotonic,
                 ),
-                cold=cold,
-                pool=pool,
                 telemetry=telemetry,
-                demand=_region_demand(mesh, service_meter),
-                service_meter=service_meter,
                 refusing=phase.refusing,
-            ),
-            chance,
+                chance=chance,
+            )
         )
         front = stack.enter_context(
             pipelined_server.Server(
--- a/gooseberryweir/process/fleet/mesh.py
+++ b/gooseberryweir/process/fleet/mesh.py
@@ -57,7 +57,6 @@
         confirmed_age: Seconds since the sender's configuration was confirmed.
         revisions: Revisions of the sender's parts.
         demand: Requests per second of each client account at the sender.
-        service_demand: Requests per second for each service at the sender.
         parts: Parts that the receiver lacks.
     """
 
@@ -71,7 +70,6 @@
     confirmed_age: float
     revisions: dict[str, int]
     demand: dict[str, float]
-    service_demand: dict[str, float]
     parts: dict[str, knowledge_module.Part]
 
 
@@ -100,7 +98,6 @@
         reading: Returns whether it polls the store.
         store_seconds: Returns how long the store takes to answer.
         demand: Returns requests per second of each client account.
-        service_demand: Returns requests per second for each service.
         announce: Renews what the others are told; called each beat.
     """
 
@@ -109,7 +106,6 @@
     reading: Callable[[], bool]
     store_seconds: Callable[[], float]
     demand: Callable[[], dict[str, float]]
-    service_demand: Callable[[], dict[str, float]]
     announce: Callable[[], None]
 
 
@@ -281,7 +277,6 @@
                 for kind, part in self.knowledge.parts.items()
             },
             demand=self.state.demand(),
-            service_demand=self.state.service_demand(),
             parts=self._lacking(peer),
         )
 
