Failures that come together eject an upstream once; no connection ejects at once

Ruled out: health checks (none are made), the store (no entry had changed yet).

Change: failures during an ejection no longer lengthen it; a connection that does not open is evidence enough. Tests failed first. front.py is split: servers beside the callers' one, reading of parts, the phase of the process.

--- a/gooseberryweir/front.py
+++ b/gooseberryweir/front.py
@@ -9,28 +9,30 @@
 from collections.abc import Mapping
 import contextlib
 import logging
+import os
 import random
 import signal
 import sys
 from typing import NamedTuple
 
 import eventlet
-from eventlet import event
 from eventlet import hubs
 
 from gooseberryweir import clock as clocks
+from gooseberryweir import codes
 from gooseberryweir import logs
-from gooseberryweir.connection import http_messages
+from gooseberryweir import side_servers
+from gooseberryweir import store_parts
+from gooseberryweir.commands import exit_codes
 from gooseberryweir.connection import pipelined_server
 from gooseberryweir.connection import upstream_pool
-from gooseberryweir.platform import headers as wire
 from gooseberryweir.platform import records
 from gooseberryweir.platform import settings as platform_settings
 from gooseberryweir.platform import store as store_module
-from gooseberryweir.process.fleet import directory
 from gooseberryweir.process.fleet import host_settings
 from gooseberryweir.process.fleet import knowledge as knowledge_module
 from gooseberryweir.process.fleet import mesh as mesh_module
+from gooseberryweir.process.fleet import phase as phase_module
 from gooseberryweir.process.fleet import reader as reader_module
 from gooseberryweir.request.steering import admission as admission_module
 from gooseberryweir.request.steering import limits
@@ -43,47 +45,11 @@
 
 LOGGER = logging.getLogger(__name__)
 
-# After SIGTERM a host serves until cached look-ups have mostly run out, then
-# turns new requests away and ends once its open requests have ended.
-LEAVE_SERVING_SECONDS = 2.8
 # Time before the end of the grace period at which the process ends anyway.
 LEAVE_MARGIN_SECONDS = 0.3
 LEAVE_STEP_SECONDS = 0.05
 # Limits of callers' connections before the first configuration.
 FIRST_LIMITS = traffic.CallerLimits(16384, 1 << 20, 3.0, 15.0)
-SMALL_LIMITS = traffic.CallerLimits(8192, 8192, 3.0, 15.0)
-
-
-class Phase:
-    """Where the process is in its life.
-
-    Attributes:
-        leaving_since: Reading of the clock at SIGTERM, or None.
-    """
-
-    def __init__(self, clock: clocks.Clock) -> None:
-        self.clock = clock
-        self.leaving_since: float | None = None
-        self.told = event.Event()
-        self.reloads = 0
-
-    def leave(self, *_: object) -> None:
-        """Takes SIGTERM; a repeat changes nothing."""
-        if self.leaving_since is None:
-            self.leaving_since = self.clock.monotonic()
-            hubs.get_hub().schedule_call_global(0, self.told.send)
-
-    def leaving(self) -> bool:
-        """Whether the process was told to leave."""
-        return self.leaving_since is not None
-
-    def refusing(self) -> bool:
-        """Whether new requests are turned away."""
-        return (
-            self.leaving_since is not None
-            and self.clock.monotonic() - self.leaving_since
-            > LEAVE_SERVING_SECONDS
-        )
 
 
 class Host(NamedTuple):
@@ -91,64 +57,12 @@
 
     settings: host_settings.HostSettings
     clock: clocks.Clock
-    phase: Phase
+    phase: phase_module.Phase
     knowledge: knowledge_module.Knowledge
     mesh: mesh_module.Mesh
     front: pipelined_server.Server
 
 
-def _read_part(
-    store: store_module.Store,
-) -> Callable[[str], reader_module.Reading]:
-    """Returns the function that reads one part from the store."""
-    decoders = {
-        knowledge_module.UPSTREAMS: (
-            records.UPSTREAMS,
-            records.decode_upstreams,
-        ),
-        knowledge_module.EVACUATIONS: (
-            records.EVACUATIONS,
-            records.decode_evacuations,
-        ),
-        knowledge_module.HOSTS: (records.HOSTS, records.decode_hosts),
-    }
-
-    def read(kind: str) -> reader_module.Reading:
-        try:
-            if kind == knowledge_module.CONFIGURATION:
-                listing = store.list(records.CONFIGURATION)
-                found = records.configuration_object(listing.items)
-                revision, content = found or (0, b"")
-            else:
-                name, decode = decoders[kind]
-                listing = store.list(name)
-                revision = listing.revision
-                content = knowledge_module.encode(decode(listing.items))
-        except store_module.StoreError as error:
-            raise reader_module.ReadError(f"{kind}: {error}") from error
-        return reader_module.Reading(
-            knowledge_module.Part(revision, content),
-            listing.revision,
-            listing.asked_at,
-        )
-
-    return read
-
-
-def _register(
-    store: store_module.Store, entry: traffic.HostEntry
-) -> Callable[[], None]:
-    """Returns the function that registers this host."""
-
-    def register() -> None:
-        try:
-            store.put(records.HOSTS, entry.name, records.encode_host(entry))
-        except store_module.StoreError as error:
-            raise reader_module.ReadError(f"register: {error}") from error
-
-    return register
-
-
 def _others_demand(
     mesh: mesh_module.Mesh,
 ) -> Callable[[str], list[float]]:
@@ -165,7 +79,9 @@
 
 @contextlib.contextmanager
 def open_host(
-    settings: host_settings.HostSettings, clock: clocks.Clock, phase: Phase
+    settings: host_settings.HostSettings,
+    clock: clocks.Clock,
+    phase: phase_module.Phase,
 ) -> Iterator[Host]:
     """Opens every part of a host and closes them in reverse order."""
     chance = random.Random()
@@ -177,7 +93,7 @@
             store_module.Store(settings.store_address, clock)
         )
         state = mesh_module.OwnState(
-            ready=lambda: ready(knowledge, phase, settings),
+            ready=lambda: side_servers.ready(knowledge, phase, settings),
             leaving=phase.leaving,
             reading=lambda: reader.reading,
             store_seconds=lambda: reader.store_seconds,
@@ -186,7 +102,10 @@
         )
         mesh = mesh_module.Mesh(settings, knowledge, state, clock)
         reader = reader_module.Reader(
-            _read_part(store), _register(store, mesh.entry), knowledge, clock
+            store_parts.read_part(store),
+            store_parts.register_host(store, mesh.entry),
+            knowledge,
+            clock,
         )
         reader.mesh = mesh
         stack.enter_context(mesh)
@@ -263,7 +182,9 @@
                 ),
             )
         )
-        _open_small_servers(stack, settings, knowledge, mesh, phase, telemetry)
+        side_servers.open_side_servers(
+            stack, settings, knowledge, mesh, phase, telemetry
+        )
         stack.enter_context(reader)
         yield Host(settings, clock, phase, knowledge, mesh, front)
 
@@ -291,85 +212,12 @@
     return changed
 
 
-def ready(
-    knowledge: knowledge_module.Knowledge,
-    phase: Phase,
-    settings: host_settings.HostSettings,
-) -> bool:
-    """Whether the host serves callers."""
-    return (
-        knowledge.configuration is not None
-        and bool(knowledge.upstreams)
-        and not phase.leaving()
-        and knowledge.age() < settings.bounds.key_revocation
-    )
-
-
-def _open_small_servers(
-    stack: contextlib.ExitStack,
-    settings: host_settings.HostSettings,
-    knowledge: knowledge_module.Knowledge,
-    mesh: mesh_module.Mesh,
-    phase: Phase,
-    telemetry: telemetry_module.Telemetry,
-) -> None:
-    """Opens the servers of look-ups, readiness checks and metrics."""
-
-    def answer_ready(
-        message: http_messages.Message,
-    ) -> pipelined_server.Answer:
-        good = ready(knowledge, phase, settings)
-        return pipelined_server.Answer(200 if good else 503, (), b"")
-
-    def answer_look_up(
-        message: http_messages.Message,
-    ) -> pipelined_server.Answer:
-        path, _, query = message.target.partition("?")
-        if path != wire.LOOK_UP_PATH:
-            return pipelined_server.Answer(404, (), b"")
-        asked = wire.decode_look_up(query)
-        own = ready(knowledge, phase, settings)
-        hosts = mesh.ready_hosts() + ([mesh.entry] if own else [])
-        found = directory.name_hosts(asked.region, asked.zone, hosts)
-        if not found:
-            return pipelined_server.Answer(503, (), b"")
-        body = wire.encode_look_up(
-            found, directory.ttl(settings.bounds.max_look_up_ttl)
-        )
-        return pipelined_server.Answer(
-            200, (("Content-Type", "application/json"),), body
-        )
-
-    def answer_metrics(
-        message: http_messages.Message,
-    ) -> pipelined_server.Answer:
-        return pipelined_server.Answer(
-            200, (("Content-Type", "text/plain"),), telemetry.render()
-        )
-
-    def small(address: str, handle: Callable[..., object]) -> None:
-        stack.enter_context(
-            pipelined_server.Server(
-                address,
-                pipelined_server.Service(
-                    handle,  # type: ignore[arg-type]
-                    lambda: SMALL_LIMITS,
-                    lambda: False,
-                ),
-            )
-        )
-
-    small(settings.ready_address, answer_ready)
-    small(settings.directory_address, answer_look_up)
-    small(settings.metrics_address, answer_metrics)
-
-
 def run(environ: Mapping[str, str]) -> None:
     """Runs one host until it is told to leave."""
     clock = clocks.suspend_clock()
     settings = platform_settings.load_settings(environ)
     logs.configure_stdout("info", settings.host, clock)
-    phase = Phase(clock)
+    phase = phase_module.Phase(clock)
     signal.signal(signal.SIGTERM, phase.leave)
     signal.signal(signal.SIGINT, phase.leave)
     with open_host(settings, clock, phase) as host:
@@ -434,11 +282,6 @@
 
 def main() -> None:
     """Runs a host from the environment; bad settings exit with code 2."""
-    import os
-
-    from gooseberryweir import codes
-    from gooseberryweir.commands import exit_codes
-
     try:
         run(os.environ)
     except codes.UserError as error:
--- a/gooseberryweir/request/steering/sending.py
+++ b/gooseberryweir/request/steering/sending.py
@@ -20,6 +20,8 @@
 
 LOGGER = logging.getLogger(__name__)
 
+# What a failure shows when no connection opens or another upstream answers.
+DOWN = upstream_state.EJECT_EVIDENCE
 # A non-idempotent request uses a connection that was idle for at most this
 # long: the upstream may be closing an older one at the same moment.
 FRESH_SECONDS = 1.0
@@ -69,12 +71,12 @@
         try:
             reply = self._exchange(work, upstream, now)
         except upstream_pool.ConnectError as error:
-            state.failed(parts.clock.monotonic(), f"connect {error}", True)
+            state.failed(parts.clock.monotonic(), f"connect {error}", DOWN)
             return work_module.Failure(
                 codes.Code.UPSTREAM_SHED, codes.Ran.NO, f"connect {error}"
             )
         except upstream_pool.BrokenAnswerError as error:
-            state.failed(parts.clock.monotonic(), f"broken {error}", True)
+            state.failed(parts.clock.monotonic(), f"broken {error}", 1)
             return work_module.Failure(
                 codes.Code.UPSTREAM_DIED, codes.Ran.UNKNOWN, f"broken {error}"
             )
@@ -134,7 +136,7 @@
             )
         if told.not_run:
             if status == wire.MISDIRECTED:
-                state.failed(now, "another upstream has the address", True)
+                state.failed(now, "another upstream has the address", DOWN)
             else:
                 state.shed(now)
             return work_module.Failure(
@@ -144,7 +146,7 @@
             status, told.passed_on, reply.message.body
         )
         if status >= 500:
-            state.failed(now, f"status {status}", False)
+            state.failed(now, f"status {status}", 0)
             return work_module.Failure(
                 codes.Code.OUTCOME_UNKNOWN,
                 codes.Ran.YES,
--- a/gooseberryweir/request/steering/upstream_state.py
+++ b/gooseberryweir/request/steering/upstream_state.py
@@ -20,8 +20,8 @@
 # the users is back after a crash.
 EJECT_SECONDS = 0.5
 MAX_EJECT_SECONDS = 4.0
-# Failures in a row after which an upstream is ejected.
-EJECT_FAILURES = 2
+# Evidence from failures in a row after which an upstream is ejected.
+EJECT_EVIDENCE = 2
 # Silence after which an upstream that lets requests time out counts as down;
 # one that answers others is only slow or full.
 SILENT_SECONDS = 1.0
@@ -75,7 +75,7 @@
         self.objects: dict[str, float] = {}
         self.slowness = 1.0
         self.failing = 0.0
-        self.failures = 0
+        self.evidence = 0
         self.ejected_until = 0.0
         self.ejections = 0
 
@@ -147,7 +147,7 @@
         self.answered_at = now
         if self.ejected_until:
             logs.event(LOGGER, "upstream-readmitted", upstream=self.name)
-        self.failures = 0
+        self.evidence = 0
         self.ejections = 0
         self.ejected_until = 0.0
         self._fade(now)
@@ -159,7 +159,7 @@
     def timed_out(self, now: float) -> None:
         """Notes a request that had no answer in its time."""
         if now - self.answered_at > SILENT_SECONDS:
-            self.failed(now, "timeout", True)
+            self.failed(now, "timeout", 1)
 
     def shed(self, now: float) -> None:
         """Notes a request that the upstream did not run."""
@@ -167,18 +167,23 @@
         self._fade(now)
         self.failing += SAMPLE_WEIGHT * (SHED_PART - self.failing)
 
-    def failed(self, now: float, reason: str, hard: bool) -> None:
+    def failed(self, now: float, reason: str, evidence: int) -> None:
         """Notes a failure.
 
         Args:
             now: Reading of the clock.
             reason: What failed, for the log.
-            hard: Whether it shows that the upstream is down.
+            evidence: How much it shows that the upstream is down: 0 not at
+                all, 1 somewhat, `EJECT_EVIDENCE` for certain.
         """
         self._fade(now)
         self.failing += SAMPLE_WEIGHT * (1 - self.failing)
-        self.failures += 1
-        if hard and (self.failures >= EJECT_FAILURES or self.ejections):
+        self.evidence += evidence
+        if now < self.ejected_until:
+            # Requests that were on their way together say nothing more.
+            return
+        certain = self.evidence >= EJECT_EVIDENCE or self.ejections > 0
+        if evidence and certain:
             length = min(MAX_EJECT_SECONDS, EJECT_SECONDS * 2**self.ejections)
             self.ejected_until = now + length
             self.ejections += 1
@@ -188,7 +193,7 @@
                 upstream=self.name,
                 reason=reason,
                 seconds=length,
-                failures=self.failures,
+                evidence=self.evidence,
             )
 
 
--- /dev/null
+++ b/gooseberryweir/store_parts.py
@@ -0,0 +1,64 @@
+"""Reads parts of the fleet's knowledge from the store, and registers a host.
+
+Joins the adapter, which knows the store, and the reader, which does not.
+"""
+
+from collections.abc import Callable
+
+from gooseberryweir.platform import records
+from gooseberryweir.platform import store as store_module
+from gooseberryweir.process.fleet import knowledge as knowledge_module
+from gooseberryweir.process.fleet import reader as reader_module
+from gooseberryweir.version import traffic
+
+
+def read_part(
+    store: store_module.Store,
+) -> Callable[[str], reader_module.Reading]:
+    """Returns the function that reads one part from the store."""
+    decoders = {
+        knowledge_module.UPSTREAMS: (
+            records.UPSTREAMS,
+            records.decode_upstreams,
+        ),
+        knowledge_module.EVACUATIONS: (
+            records.EVACUATIONS,
+            records.decode_evacuations,
+        ),
+        knowledge_module.HOSTS: (records.HOSTS, records.decode_hosts),
+    }
+
+    def read(kind: str) -> reader_module.Reading:
+        try:
+            if kind == knowledge_module.CONFIGURATION:
+                listing = store.list(records.CONFIGURATION)
+                found = records.configuration_object(listing.items)
+                revision, content = found or (0, b"")
+            else:
+                name, decode = decoders[kind]
+                listing = store.list(name)
+                revision = listing.revision
+                content = knowledge_module.encode(decode(listing.items))
+        except store_module.StoreError as error:
+            raise reader_module.ReadError(f"{kind}: {error}") from error
+        return reader_module.Reading(
+            knowledge_module.Part(revision, content),
+            listing.revision,
+            listing.asked_at,
+        )
+
+    return read
+
+
+def register_host(
+    store: store_module.Store, entry: traffic.HostEntry
+) -> Callable[[], None]:
+    """Returns the function that registers this host."""
+
+    def register() -> None:
+        try:
+            store.put(records.HOSTS, entry.name, records.encode_host(entry))
+        except store_module.StoreError as error:
+            raise reader_module.ReadError(f"register: {error}") from error
+
+    return register
--- a/test/test_placement.py
+++ b/test/test_placement.py
@@ -187,9 +187,9 @@
 
     def test_an_ejected_one_gets_one_request_until_it_answers(self):
         state = self.state()
-        state.failed(1.0, "broken", True)
+        state.failed(1.0, "broken", 1)
         self.assertTrue(state.usable(1.0))
-        state.failed(1.0, "broken", True)
+        state.failed(1.0, "broken", 1)
         self.assertFalse(state.usable(1.1))
         self.assertTrue(state.usable(2.0))
         state.sent()
@@ -210,10 +210,25 @@
             state.timed_out(7.0)
         self.assertFalse(state.usable(7.0))
 
+    def test_requests_that_fail_together_eject_once(self):
+        state = self.state()
+        for _ in range(10):
+            state.failed(1.0, "connect", 2)
+        self.assertTrue(state.usable(1.0 + upstream_state.EJECT_SECONDS + 0.01))
+
+    def test_failures_after_each_ejection_make_the_next_one_longer(self):
+        state = self.state()
+        now, lengths = 1.0, []
+        for _ in range(5):
+            state.failed(now, "connect", 2)
+            lengths.append(state.ejected_until - now)
+            now = state.ejected_until
+        self.assertEqual(lengths, [0.5, 1.0, 2.0, 4.0, 4.0])
+
     def test_a_soft_failure_does_not_eject(self):
         state = self.state()
         for _ in range(9):
-            state.failed(1.0, "status 500", False)
+            state.failed(1.0, "status 500", 0)
         self.assertTrue(state.usable(1.0))
         self.assertGreater(state.estimate(1.0).failing, 0.5)
 
--- a/test/test_selection.py
+++ b/test/test_selection.py
@@ -123,7 +123,7 @@
         upstreams["n0"] = upstreams["n0"]._replace(leaving=True)
         state = host.states.get("n1", 8)
         for _ in range(2):
-            state.failed(host.clock.now, "broken", True)
+            state.failed(host.clock.now, "broken", 1)
         host.knowledge.evacuated = frozenset({"s-a"})
         for index in range(50):
             found = host.choose(f"o{index}", tried={"n2"})
