--- /dev/null
+++ b/bench/placement.py
@@ -0,0 +1,362 @@
+"""Compares ways to place work, on the same arrivals and emulated upstreams.
+
+    python -m bench.placement [SEED] [REQUESTS_PER_SECOND]
+
+Three regions as the users have them: upstreams with slots, a bounded queue, and
+a memory of the objects that they handled lately, which makes work faster. One
+host a region decides with what it has seen itself; nothing else is shared.
+Emulated in virtual time: the figures are the same on each run of a seed.
+"""
+
+import collections
+from collections.abc import Callable
+import heapq
+import random
+import sys
+from typing import NamedTuple
+
+from gooseberryweir.request.steering import overload
+from gooseberryweir.request.steering import placement
+from gooseberryweir.request.steering import regions
+from gooseberryweir.request.steering import upstream_state
+from gooseberryweir.request.steering import work_times
+from gooseberryweir.version import traffic
+
+# The studio service of the users' first site.
+UPSTREAMS = {"centro": 6, "norte": 2, "golfo": 4}
+ZONES = {"centro": 2, "norte": 2, "golfo": 2}
+SLOTS = 8
+QUEUE = 24
+OBJECTS_PER_REGION = 79
+OBJECTS_KEPT = 82
+COLD_SECONDS = 0.36
+WARM_PART = 0.3
+SPREAD = 0.15
+REGION_SECONDS = 0.04
+ZONE_SECONDS = 0.001
+OBJECTIVE_SECONDS = 0.25
+TIMEOUT_SECONDS = 0.8
+LENGTH_SECONDS = 30.0
+
+ROUTE = traffic.Route(
+    "r",
+    "h",
+    "/",
+    (traffic.RouteTarget("s", 1.0),),
+    True,
+    TIMEOUT_SECONDS,
+    OBJECTIVE_SECONDS,
+    2,
+    2,
+    True,
+    True,
+    frozenset(),
+)
+
+
+class Upstream:
+    """One emulated upstream."""
+
+    def __init__(self, name: str, region: str) -> None:
+        self.entry = traffic.Upstream(
+            name, "s", "10.0.0.1:80", region, SLOTS, False, 0.0, 0, 1
+        )
+        self.running = 0
+        self.waiting: collections.deque[Request] = collections.deque()
+        self.objects: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+
+    def work(self, name: str, chance: random.Random) -> float:
+        """Returns the seconds that a request for an object takes."""
+        warm = name in self.objects
+        self.objects[name] = None
+        self.objects.move_to_end(name)
+        if len(self.objects) > OBJECTS_KEPT:
+            self.objects.popitem(last=False)
+        mean = COLD_SECONDS * (WARM_PART if warm else 1.0)
+        return mean * chance.uniform(1 - SPREAD, 1 + SPREAD)
+
+
+class Host:
+    """What one host has seen."""
+
+    def __init__(self, region: str, now: Callable[[], float]) -> None:
+        self.region = region
+        self.states = upstream_state.UpstreamStates(now)
+        self.times = work_times.LearntTimes()
+
+
+class Request(NamedTuple):
+    """One request on its way."""
+
+    host: Host
+    name: str
+    at: float
+    choice: placement.Choice
+
+
+class World:
+    """The emulated upstreams, hosts and time."""
+
+    def __init__(self, seed: int) -> None:
+        self.now = 0.0
+        self.chance = random.Random(seed)
+        self.upstreams = {
+            f"{region}-{index}": Upstream(f"{region}-{index}", region)
+            for region, count in UPSTREAMS.items()
+            for index in range(count)
+        }
+        self.hosts = {
+            region: Host(region, lambda: self.now) for region in UPSTREAMS
+        }
+        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        self.sequence = 0
+        self.outcomes: collections.Counter[str] = collections.Counter()
+
+    def after(self, seconds: float, action: Callable[[], None]) -> None:
+        """Calls a function later."""
+        self.sequence += 1
+        heapq.heappush(self.events, (self.now + seconds, self.sequence, action))
+
+    def round_trip(self, host: Host, upstream: Upstream) -> float:
+        """Returns the seconds to an upstream and back."""
+        near = upstream.entry.zone == host.region
+        return 2 * ZONE_SECONDS if near else REGION_SECONDS
+
+    def candidates(
+        self, host: Host, name: str, weights: dict[str, float]
+    ) -> list[placement.Candidate]:
+        """Returns all upstreams as a host sees them."""
+        found = []
+        for upstream in self.upstreams.values():
+            state = host.states.get(upstream.entry.name, SLOTS)
+            found.append(
+                placement.Candidate(
+                    upstream.entry,
+                    state.estimate(self.now),
+                    self.round_trip(host, upstream),
+                    SLOTS * weights.get(upstream.entry.zone, 1.0),
+                    state.warm(name, self.now),
+                )
+            )
+        return found
+
+    def send(self, request: Request) -> None:
+        """Sends a request to its upstream."""
+        upstream = self.upstreams[request.choice.upstream.name]
+        state = request.host.states.get(upstream.entry.name, SLOTS)
+        state.sent()
+        half = self.round_trip(request.host, upstream) / 2
+        self.after(half, lambda: self.arrive(request, upstream))
+
+    def arrive(self, request: Request, upstream: Upstream) -> None:
+        """Runs, queues or sheds a request at its upstream."""
+        if upstream.running < SLOTS:
+            self.run(request, upstream)
+        elif len(upstream.waiting) < QUEUE:
+            upstream.waiting.append(request)
+        else:
+            self.outcomes["shed"] += 1
+            self.answer(request, upstream, False)
+
+    def run(self, request: Request, upstream: Upstream) -> None:
+        """Runs a request unless its time is over."""
+        upstream.running += 1
+        if self.now - request.at > TIMEOUT_SECONDS:
+            self.outcomes["timeout"] += 1
+            self.finish(request, upstream, False)
+            return
+        seconds = upstream.work(request.name, self.chance)
+        self.after(seconds, lambda: self.finish(request, upstream, True))
+
+    def finish(self, request: Request, upstream: Upstream, good: bool) -> None:
+        """Ends a run and begins the next one."""
+        upstream.running -= 1
+        if upstream.waiting:
+            self.run(upstream.waiting.popleft(), upstream)
+        self.answer(request, upstream, good)
+
+    def answer(self, request: Request, upstream: Upstream, good: bool) -> None:
+        """Takes an answer back to its host."""
+        load = upstream.running + len(upstream.waiting)
+        half = self.round_trip(request.host, upstream) / 2
+        self.after(half, lambda: self.learn(request, upstream, load, good))
+
+    def learn(
+        self, request: Request, upstream: Upstream, load: int, good: bool
+    ) -> None:
+        """Lets the host learn from an answer, and counts it."""
+        host = request.host
+        state = host.states.get(upstream.entry.name, SLOTS)
+        state.load_reported(load, SLOTS, self.now)
+        state.ended()
+        if not good:
+            state.shed(self.now)
+            return
+        seconds = self.now - request.at
+        state.ran(request.name, self.now)
+        spent = seconds - self.round_trip(host, upstream)
+        waited = load > SLOTS
+        host.times.learn_mean(
+            "s", spent - (request.choice.wait if waited else 0.0)
+        )
+        if not waited:
+            warm = request.choice.warm
+            host.times.learn(ROUTE, "s", warm, spent)
+        state.succeeded(self.now, None)
+        good_time = seconds <= OBJECTIVE_SECONDS
+        self.outcomes["in objective" if good_time else "late"] += 1
+
+
+Policy = Callable[[World, Host, str], placement.Choice | None]
+
+
+def place_random(world: World, host: Host, name: str) -> placement.Choice:
+    """Any upstream of the region."""
+    near = [
+        each
+        for each in world.candidates(host, name, {})
+        if each.upstream.zone == host.region
+    ]
+    return _chosen(world.chance.choice(near))
+
+
+def place_least(world: World, host: Host, name: str) -> placement.Choice:
+    """The upstream with the least expected time, wherever it is."""
+    return placement.choose_least(
+        world.candidates(host, name, {}),
+        host.times.times(ROUTE, "s"),
+        world.chance.randrange,
+    )
+
+
+def place_two_choices(world: World, host: Host, name: str) -> placement.Choice:
+    """The less busy of two upstreams of the region (power of two choices)."""
+    near = [
+        each
+        for each in world.candidates(host, name, {})
+        if each.upstream.zone == host.region
+    ]
+    pair = [world.chance.choice(near) for _ in range(2)]
+    return _chosen(min(pair, key=lambda each: each.estimate.busy))
+
+
+def place_threshold(world: World, host: Host, name: str) -> placement.Choice:
+    """The least busy near one; a far one only if the wait outweighs the way.
+
+    The rule of the paper on individually optimal routing: a job takes a slower
+    route only from some position in the queue on.
+    """
+    times = host.times.times(ROUTE, "s")
+
+    def threshold(each: placement.Candidate) -> float:
+        return each.round_trip + placement.expected_wait(each, times.mean)
+
+    found = world.candidates(host, name, {})
+    return _chosen(
+        min(found, key=lambda each: (threshold(each), each.estimate.busy))
+    )
+
+
+def place_everywhere(world: World, host: Host, name: str) -> placement.Choice:
+    """Homes of objects over all regions alike."""
+    return placement.choose_affine(
+        name, world.candidates(host, name, {}), host.times.times(ROUTE, "s")
+    )
+
+
+def place_by_region(world: World, host: Host, name: str) -> placement.Choice:
+    """Homes of objects by region, water filling."""
+    slots = {name: float(SLOTS * count) for name, count in UPSTREAMS.items()}
+    weights = regions.region_weights(
+        host.region, regions.region_loads(slots, ZONES)
+    )
+    return placement.choose_affine(
+        name,
+        world.candidates(host, name, weights),
+        host.times.times(ROUTE, "s"),
+    )
+
+
+def place_and_refuse(
+    world: World, host: Host, name: str
+) -> placement.Choice | None:
+    """The same, and what would wait too long is refused at once."""
+    choice = place_by_region(world, host, name)
+    times = host.times.times(ROUTE, "s")
+    near = choice.upstream.zone == host.region
+    longest = overload.longest_wait(
+        OBJECTIVE_SECONDS,
+        2 * ZONE_SECONDS if near else REGION_SECONDS,
+        times.warm,
+        times.mean,
+        ROUTE.importance,
+    )
+    return None if choice.wait > longest else choice
+
+
+def _chosen(candidate: placement.Candidate) -> placement.Choice:
+    return placement.Choice(candidate.upstream, 0.0, 0.0, 0.0, False, 0, 1)
+
+
+POLICIES: dict[str, Policy] = {
+    "random in the region": place_random,
+    "two choices in the region": place_two_choices,
+    "threshold for far regions": place_threshold,
+    "least expected time": place_least,
+    "homes over all regions": place_everywhere,
+    "homes by region": place_by_region,
+    "homes by region, early refusal": place_and_refuse,
+}
+
+
+def play(
+    policy: Policy, seed: int, rate: float, length: float = LENGTH_SECONDS
+) -> collections.Counter[str]:
+    """Plays one policy and returns what became of the requests.
+
+    Args:
+        policy: Places requests.
+        seed: Seed of arrivals and work.
+        rate: Requests per second of all regions together.
+        length: Seconds of arrivals.
+    """
+    world = World(seed)
+    arrivals = random.Random(seed)
+
+    def arrive() -> None:
+        region = arrivals.choice(list(UPSTREAMS))
+        name = f"{region}-{arrivals.randrange(OBJECTS_PER_REGION)}"
+        host = world.hosts[region]
+        choice = policy(world, host, name)
+        if choice is None:
+            world.outcomes["refused"] += 1
+        else:
+            world.send(Request(host, name, world.now, choice))
+        world.outcomes["asked"] += 1
+        if world.now < length:
+            world.after(arrivals.expovariate(rate), arrive)
+
+    world.after(0.0, arrive)
+    while world.events:
+        world.now, _, action = heapq.heappop(world.events)
+        action()
+    return world.outcomes
+
+
+def main() -> None:
+    """Prints a row for each policy."""
+    seed = int(sys.argv[1]) if len(sys.argv) > 1 else 1
+    rate = float(sys.argv[2]) if len(sys.argv) > 2 else 310.0
+    columns = ["in objective", "late", "refused", "shed", "timeout"]
+    print(f"seed {seed}, {rate:g} requests a second, part of those asked")
+    print("| policy |", " | ".join(columns), "|")
+    for name, policy in POLICIES.items():
+        found = play(policy, seed, rate)
+        parts = [f"{found[each] / found['asked']:.3f}" for each in columns]
+        print(f"| {name} |", " | ".join(parts), "|")
+
+
+if __name__ == "__main__":
+    main()
