process/ has a folder for each mechanism; tests of metrics and of a full log pipe

Cause: 41 modules stood in one flat room, and a newcomer could not tell from a name which mechanism a module belongs to.

Change: process/membership, process/shares, process/upkeep, process/operators, beside process/fleet; moves only. Tests: metrics are served; a pipe that nobody reads loses lines, which are counted.

--- a/bench/homes.py
+++ b/bench/homes.py
@@ -11,10 +11,10 @@
 from bench import usage
 from gooseberryweir import clock as clocks
 from gooseberryweir.connection import messages
-from gooseberryweir.process import bucket_home
-from gooseberryweir.process import slot_capacity
-from gooseberryweir.process import slot_home
-from gooseberryweir.process import slot_limits
+from gooseberryweir.process.shares import bucket_home
+from gooseberryweir.process.shares import slot_capacity
+from gooseberryweir.process.shares import slot_home
+from gooseberryweir.process.shares import slot_limits
 from gooseberryweir.version import tables as versions
 
 DRAWERS = (9, 90, 900)
--- a/bench/scale.py
+++ b/bench/scale.py
@@ -17,9 +17,9 @@
 from bench import usage
 from gooseberryweir import clock as clocks
 from gooseberryweir.connection import messages
-from gooseberryweir.process import facts as facts_module
-from gooseberryweir.process import membership as memberships
-from gooseberryweir.process import neighbours
+from gooseberryweir.process.membership import facts as facts_module
+from gooseberryweir.process.membership import membership as memberships
+from gooseberryweir.process.membership import neighbours
 from gooseberryweir.request import ranking
 from gooseberryweir.request import routing
 from gooseberryweir.version import objects
--- a/bench/tree.py
+++ b/bench/tree.py
@@ -13,7 +13,7 @@
 from typing import NamedTuple
 
 from bench import usage
-from gooseberryweir.process import neighbours
+from gooseberryweir.process.membership import neighbours
 from test import _common
 from test import _fleet
 
--- a/gooseberryweir/cli.py
+++ b/gooseberryweir/cli.py
@@ -20,9 +20,9 @@
 from gooseberryweir.commands import fleet
 from gooseberryweir.commands import key as key_command
 from gooseberryweir.commands import status as status_command
-from gooseberryweir.process import platform
 from gooseberryweir.process import serve as serve_module
 from gooseberryweir.process import settings as settings_module
+from gooseberryweir.process.upkeep import platform
 
 APP = typer.Typer(
     add_completion=False,
--- a/gooseberryweir/commands/apply.py
+++ b/gooseberryweir/commands/apply.py
@@ -8,8 +8,8 @@
 
 from gooseberryweir import codes
 from gooseberryweir.commands import fleet
-from gooseberryweir.process import platform
-from gooseberryweir.process import settled
+from gooseberryweir.process.upkeep import platform
+from gooseberryweir.process.upkeep import settled
 from gooseberryweir.version import declarations as declaring
 
 _NAME = "config"
--- a/gooseberryweir/commands/drain.py
+++ b/gooseberryweir/commands/drain.py
@@ -4,8 +4,8 @@
 
 from gooseberryweir import codes
 from gooseberryweir.commands import fleet
-from gooseberryweir.process import platform
-from gooseberryweir.process import settled
+from gooseberryweir.process.upkeep import platform
+from gooseberryweir.process.upkeep import settled
 
 _NAME = "drains"
 _SERVICE_PREFIX = "service."
--- a/gooseberryweir/commands/fleet.py
+++ b/gooseberryweir/commands/fleet.py
@@ -12,8 +12,8 @@
 
 from gooseberryweir import clock as clocks
 from gooseberryweir import codes
-from gooseberryweir.process import platform
-from gooseberryweir.process import settled
+from gooseberryweir.process.upkeep import platform
+from gooseberryweir.process.upkeep import settled
 
 CONNECT_SECONDS = 1.0
 ANSWER_SECONDS = 5.0
--- a/gooseberryweir/commands/key.py
+++ b/gooseberryweir/commands/key.py
@@ -12,9 +12,9 @@
 
 from gooseberryweir import codes
 from gooseberryweir.commands import fleet
-from gooseberryweir.process import key_objects
-from gooseberryweir.process import platform
-from gooseberryweir.process import settled
+from gooseberryweir.process.upkeep import key_objects
+from gooseberryweir.process.upkeep import platform
+from gooseberryweir.process.upkeep import settled
 
 KEY_BYTES = 32
 _PREFIX = "keys."
--- a/gooseberryweir/process/context.py
+++ b/gooseberryweir/process/context.py
@@ -5,13 +5,13 @@
 from gooseberryweir import clock as clocks
 from gooseberryweir import metrics as metrics_module
 from gooseberryweir.connection import upstream_http
-from gooseberryweir.process import facts as facts_module
-from gooseberryweir.process import membership as membership_module
-from gooseberryweir.process import peering as peering_module
 from gooseberryweir.process import reporting
 from gooseberryweir.process import settings as settings_module
-from gooseberryweir.process import shares as shares_module
-from gooseberryweir.process import suspects as suspects_module
+from gooseberryweir.process.membership import facts as facts_module
+from gooseberryweir.process.membership import membership as membership_module
+from gooseberryweir.process.membership import peering as peering_module
+from gooseberryweir.process.shares import shares as shares_module
+from gooseberryweir.process.shares import suspects as suspects_module
 from gooseberryweir.request import body
 from gooseberryweir.request import ranking
 from gooseberryweir.request import tickets
--- a/gooseberryweir/process/measurer.py
+++ b/gooseberryweir/process/measurer.py
@@ -17,8 +17,8 @@
 
 from gooseberryweir import clock as clocks
 from gooseberryweir import logs
-from gooseberryweir.process import facts as facts_module
-from gooseberryweir.process import slot_capacity
+from gooseberryweir.process.membership import facts as facts_module
+from gooseberryweir.process.shares import slot_capacity
 from gooseberryweir.version import tables as tables_module
 
 LOGGER = logging.getLogger(__name__)
--- a/gooseberryweir/process/anti_entropy.py
+++ b/gooseberryweir/process/membership/anti_entropy.py
@@ -2,8 +2,8 @@
 
 from gooseberryweir.connection import messages
 from gooseberryweir.connection import peer_link
-from gooseberryweir.process import facts as facts_module
-from gooseberryweir.process import membership as membership_module
+from gooseberryweir.process.membership import facts as facts_module
+from gooseberryweir.process.membership import membership as membership_module
 from gooseberryweir.version import objects
 
 FETCH_TIMEOUT_SECONDS = 1.5
--- a/gooseberryweir/process/forgetting.py
+++ b/gooseberryweir/process/membership/forgetting.py
@@ -9,8 +9,8 @@
 from collections.abc import Callable
 
 from gooseberryweir import clock as clocks
-from gooseberryweir.process import suspects
-from gooseberryweir.process import withdrawals
+from gooseberryweir.process.shares import suspects
+from gooseberryweir.process.upkeep import withdrawals
 from gooseberryweir.version import tables as tables_module
 
 HOUR_MS = 3_600_000
--- a/gooseberryweir/process/freshness.py
+++ b/gooseberryweir/process/membership/freshness.py
@@ -8,7 +8,7 @@
 
 from gooseberryweir import clock as clocks
 from gooseberryweir.connection import messages
-from gooseberryweir.process import timing
+from gooseberryweir.process.shares import timing
 
 NEVER = float("-inf")
 
--- a/gooseberryweir/process/hearing.py
+++ b/gooseberryweir/process/membership/hearing.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 from gooseberryweir import clock as clocks
-from gooseberryweir.process import timing
+from gooseberryweir.process.shares import timing
 
 
 class Hearing:
--- a/gooseberryweir/process/incarnation.py
+++ b/gooseberryweir/process/membership/incarnation.py
@@ -4,7 +4,7 @@
 
 from gooseberryweir import clock as clocks
 from gooseberryweir import logs
-from gooseberryweir.process import facts as facts_module
+from gooseberryweir.process.membership import facts as facts_module
 
 LOGGER = logging.getLogger(__name__)
 
--- a/gooseberryweir/process/membership.py
+++ b/gooseberryweir/process/membership/membership.py
@@ -11,15 +11,15 @@
 from gooseberryweir import clock as clocks
 from gooseberryweir import logs
 from gooseberryweir.connection import messages
-from gooseberryweir.process import facts as facts_module
-from gooseberryweir.process import freshness as freshness_module
-from gooseberryweir.process import hearing as hearing_module
-from gooseberryweir.process import incarnation as incarnation_module
-from gooseberryweir.process import neighbours as neighbours_module
-from gooseberryweir.process import standing as standing_module
-from gooseberryweir.process import timing
-from gooseberryweir.process import transitions as transitions_module
-from gooseberryweir.process import view as view_module
+from gooseberryweir.process.membership import facts as facts_module
+from gooseberryweir.process.membership import freshness as freshness_module
+from gooseberryweir.process.membership import hearing as hearing_module
+from gooseberryweir.process.membership import incarnation as incarnation_module
+from gooseberryweir.process.membership import neighbours as neighbours_module
+from gooseberryweir.process.membership import standing as standing_module
+from gooseberryweir.process.membership import transitions as transitions_module
+from gooseberryweir.process.membership import view as view_module
+from gooseberryweir.process.shares import timing
 from gooseberryweir.version import objects
 from gooseberryweir.version import tables as tables_module
 
--- a/gooseberryweir/process/peering.py
+++ b/gooseberryweir/process/membership/peering.py
@@ -20,11 +20,11 @@
 from gooseberryweir.connection import messages
 from gooseberryweir.connection import peer_link
 from gooseberryweir.connection import peer_server
-from gooseberryweir.process import anti_entropy
-from gooseberryweir.process import facts as facts_module
-from gooseberryweir.process import links as links_module
-from gooseberryweir.process import membership as membership_module
-from gooseberryweir.process import timing
+from gooseberryweir.process.membership import anti_entropy
+from gooseberryweir.process.membership import facts as facts_module
+from gooseberryweir.process.membership import links as links_module
+from gooseberryweir.process.membership import membership as membership_module
+from gooseberryweir.process.shares import timing
 from gooseberryweir.version import objects
 
 DIAL_SECONDS = 1.0
--- a/gooseberryweir/process/standing.py
+++ b/gooseberryweir/process/membership/standing.py
@@ -42,8 +42,8 @@
 
 from gooseberryweir import clock as clocks
 from gooseberryweir.connection import messages
-from gooseberryweir.process import timing
-from gooseberryweir.process import view as view_module
+from gooseberryweir.process.membership import view as view_module
+from gooseberryweir.process.shares import timing
 
 MAX_SPANS = 16
 MAX_RIGHTS = 20_000
--- a/gooseberryweir/process/tenure.py
+++ b/gooseberryweir/process/membership/tenure.py
@@ -11,7 +11,7 @@
 from typing import TypeVar
 
 from gooseberryweir import clock as clocks
-from gooseberryweir.process import timing
+from gooseberryweir.process.shares import timing
 
 State = TypeVar("State")
 
--- a/gooseberryweir/process/transitions.py
+++ b/gooseberryweir/process/membership/transitions.py
@@ -4,8 +4,8 @@
 import logging
 
 from gooseberryweir import logs
-from gooseberryweir.process import freshness as freshness_module
-from gooseberryweir.process import view as view_module
+from gooseberryweir.process.membership import freshness as freshness_module
+from gooseberryweir.process.membership import view as view_module
 
 LOGGER = logging.getLogger(__name__)
 
--- a/gooseberryweir/process/view.py
+++ b/gooseberryweir/process/membership/view.py
@@ -6,7 +6,7 @@
 import xxhash
 
 from gooseberryweir import rendezvous
-from gooseberryweir.process import facts as facts_module
+from gooseberryweir.process.membership import facts as facts_module
 from gooseberryweir.version import tables
 
 
--- /dev/null
+++ b/gooseberryweir/process/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' port of a host."""
--- a/gooseberryweir/process/operator_http.py
+++ b/gooseberryweir/process/operators/operator_http.py
@@ -23,11 +23,11 @@
 from gooseberryweir import logs
 from gooseberryweir.connection import messages
 from gooseberryweir.connection import peer_link
-from gooseberryweir.process import facts as fact_sets
-from gooseberryweir.process import membership as memberships
-from gooseberryweir.process import peering as peerings
 from gooseberryweir.process import settings as settings_module
-from gooseberryweir.process import withdrawals
+from gooseberryweir.process.membership import facts as fact_sets
+from gooseberryweir.process.membership import membership as memberships
+from gooseberryweir.process.membership import peering as peerings
+from gooseberryweir.process.upkeep import withdrawals
 from gooseberryweir.version import tables as versions
 
 CONFIRM_SECONDS = 3.0
--- a/gooseberryweir/process/reporting.py
+++ b/gooseberryweir/process/reporting.py
@@ -11,7 +11,7 @@
 from gooseberryweir import codes
 from gooseberryweir import logs
 from gooseberryweir import metrics as metrics_module
-from gooseberryweir.process import shares as shares_module
+from gooseberryweir.process.shares import shares as shares_module
 
 LOGGER = logging.getLogger(__name__)
 REPORT_SECONDS = 5.0
--- a/gooseberryweir/process/serve.py
+++ b/gooseberryweir/process/serve.py
@@ -26,21 +26,21 @@
 from gooseberryweir.connection import messages
 from gooseberryweir.connection import upstream_http
 from gooseberryweir.process import context as contexts
-from gooseberryweir.process import facts as facts_module
-from gooseberryweir.process import forgetting
 from gooseberryweir.process import measurer as measurer_module
-from gooseberryweir.process import membership as membership_module
-from gooseberryweir.process import operator_http
-from gooseberryweir.process import peering as peering_module
-from gooseberryweir.process import permits as permits_module
-from gooseberryweir.process import platform as platform_module
-from gooseberryweir.process import relay
 from gooseberryweir.process import reporting
 from gooseberryweir.process import settings as settings_module
-from gooseberryweir.process import shares as shares_module
-from gooseberryweir.process import suspects as suspects_module
-from gooseberryweir.process import watcher as watcher_module
-from gooseberryweir.process import withdrawals
+from gooseberryweir.process.membership import facts as facts_module
+from gooseberryweir.process.membership import forgetting
+from gooseberryweir.process.membership import membership as membership_module
+from gooseberryweir.process.membership import peering as peering_module
+from gooseberryweir.process.operators import operator_http
+from gooseberryweir.process.shares import permits as permits_module
+from gooseberryweir.process.shares import shares as shares_module
+from gooseberryweir.process.shares import suspects as suspects_module
+from gooseberryweir.process.upkeep import platform as platform_module
+from gooseberryweir.process.upkeep import relay
+from gooseberryweir.process.upkeep import watcher as watcher_module
+from gooseberryweir.process.upkeep import withdrawals
 from gooseberryweir.request import application
 from gooseberryweir.request import body
 from gooseberryweir.request import once
--- /dev/null
+++ b/gooseberryweir/process/shares/__init__.py
@@ -0,0 +1,1 @@
+"""What is divided among the hosts: rates, slots, permits."""
--- a/gooseberryweir/process/bucket_holder.py
+++ b/gooseberryweir/process/shares/bucket_holder.py
@@ -14,10 +14,10 @@
 
 from gooseberryweir import clock as clocks
 from gooseberryweir.connection import messages
-from gooseberryweir.process import bucket_home
-from gooseberryweir.process import bucket_waiters
-from gooseberryweir.process import decay
-from gooseberryweir.process import timing
+from gooseberryweir.process.shares import bucket_home
+from gooseberryweir.process.shares import bucket_waiters
+from gooseberryweir.process.shares import decay
+from gooseberryweir.process.shares import timing
 
 WAIT_SECONDS = 0.3
 CALL_SECONDS = 0.25
--- a/gooseberryweir/process/bucket_home.py
+++ b/gooseberryweir/process/shares/bucket_home.py
@@ -8,8 +8,8 @@
 from typing import NamedTuple
 
 from gooseberryweir.connection import messages
-from gooseberryweir.process import decay
-from gooseberryweir.process import timing
+from gooseberryweir.process.shares import decay
+from gooseberryweir.process.shares import timing
 
 MARGIN_SECONDS = 0.05
 REPORT_SECONDS = 0.05
--- a/gooseberryweir/process/buckets.py
+++ b/gooseberryweir/process/shares/buckets.py
@@ -5,11 +5,11 @@
 
 from gooseberryweir import clock as clocks
 from gooseberryweir.connection import messages
-from gooseberryweir.process import bucket_holder
-from gooseberryweir.process import bucket_home
-from gooseberryweir.process import bucket_waiters
-from gooseberryweir.process import draws
-from gooseberryweir.process import tenure as tenures
+from gooseberryweir.process.membership import tenure as tenures
+from gooseberryweir.process.shares import bucket_holder
+from gooseberryweir.process.shares import bucket_home
+from gooseberryweir.process.shares import bucket_waiters
+from gooseberryweir.process.shares import draws
 
 
 class Buckets:
--- a/gooseberryweir/process/permits.py
+++ b/gooseberryweir/process/shares/permits.py
@@ -14,8 +14,8 @@
 from gooseberryweir import rendezvous
 from gooseberryweir.connection import messages
 from gooseberryweir.connection import peer_link
-from gooseberryweir.process import membership as membership_module
-from gooseberryweir.process import peering as peering_module
+from gooseberryweir.process.membership import membership as membership_module
+from gooseberryweir.process.membership import peering as peering_module
 from gooseberryweir.version import tables as tables_module
 
 # A permit that is not given back runs out after this time.
--- a/gooseberryweir/process/shares.py
+++ b/gooseberryweir/process/shares/shares.py
@@ -10,17 +10,17 @@
 
 from gooseberryweir import clock as clocks
 from gooseberryweir.connection import peer_link
-from gooseberryweir.process import bucket_home
-from gooseberryweir.process import bucket_waiters
-from gooseberryweir.process import buckets
-from gooseberryweir.process import draws
-from gooseberryweir.process import facts as facts_module
 from gooseberryweir.process import measurer as measurer_module
-from gooseberryweir.process import membership as membership_module
-from gooseberryweir.process import slot_capacity
-from gooseberryweir.process import slot_limits
-from gooseberryweir.process import slots
-from gooseberryweir.process import tenure as tenures
+from gooseberryweir.process.membership import facts as facts_module
+from gooseberryweir.process.membership import membership as membership_module
+from gooseberryweir.process.membership import tenure as tenures
+from gooseberryweir.process.shares import bucket_home
+from gooseberryweir.process.shares import bucket_waiters
+from gooseberryweir.process.shares import buckets
+from gooseberryweir.process.shares import draws
+from gooseberryweir.process.shares import slot_capacity
+from gooseberryweir.process.shares import slot_limits
+from gooseberryweir.process.shares import slots
 from gooseberryweir.version import tables as versions
 
 REFRESH_SECONDS = 0.2
--- a/gooseberryweir/process/slot_holder.py
+++ b/gooseberryweir/process/shares/slot_holder.py
@@ -17,9 +17,9 @@
 from gooseberryweir import logs
 from gooseberryweir import rendezvous
 from gooseberryweir.connection import messages
-from gooseberryweir.process import decay
-from gooseberryweir.process import slot_lease
-from gooseberryweir.process import slot_limits
+from gooseberryweir.process.shares import decay
+from gooseberryweir.process.shares import slot_lease
+from gooseberryweir.process.shares import slot_limits
 from gooseberryweir.version import tables
 
 WAIT_SECONDS = 2.0
--- a/gooseberryweir/process/slot_home.py
+++ b/gooseberryweir/process/shares/slot_home.py
@@ -12,10 +12,10 @@
 from gooseberryweir import logs
 from gooseberryweir import rendezvous
 from gooseberryweir.connection import messages
-from gooseberryweir.process import decay
-from gooseberryweir.process import slot_capacity
-from gooseberryweir.process import slot_limits
-from gooseberryweir.process import timing
+from gooseberryweir.process.shares import decay
+from gooseberryweir.process.shares import slot_capacity
+from gooseberryweir.process.shares import slot_limits
+from gooseberryweir.process.shares import timing
 
 LOGGER = logging.getLogger(__name__)
 MARGIN_SECONDS = 0.05
--- a/gooseberryweir/process/slots.py
+++ b/gooseberryweir/process/shares/slots.py
@@ -7,13 +7,13 @@
 
 from gooseberryweir import clock as clocks
 from gooseberryweir.connection import messages
-from gooseberryweir.process import draws
-from gooseberryweir.process import slot_capacity
-from gooseberryweir.process import slot_holder
-from gooseberryweir.process import slot_home
-from gooseberryweir.process import slot_lease
-from gooseberryweir.process import slot_limits
-from gooseberryweir.process import tenure as tenures
+from gooseberryweir.process.membership import tenure as tenures
+from gooseberryweir.process.shares import draws
+from gooseberryweir.process.shares import slot_capacity
+from gooseberryweir.process.shares import slot_holder
+from gooseberryweir.process.shares import slot_home
+from gooseberryweir.process.shares import slot_lease
+from gooseberryweir.process.shares import slot_limits
 
 Lease = slot_lease.Lease
 Refused = slot_lease.Refused
--- a/gooseberryweir/process/suspects.py
+++ b/gooseberryweir/process/shares/suspects.py
@@ -17,8 +17,8 @@
 from eventlet import semaphore
 
 from gooseberryweir import clock as clocks
-from gooseberryweir.process import facts as facts_module
-from gooseberryweir.process import permits as permits_module
+from gooseberryweir.process.membership import facts as facts_module
+from gooseberryweir.process.shares import permits as permits_module
 
 # Crashes of one upstream closer together than this are one crash, seen by
 # several hosts.
--- a/gooseberryweir/process/key_objects.py
+++ b/gooseberryweir/process/upkeep/key_objects.py
@@ -3,8 +3,8 @@
 from typing import Any
 
 from gooseberryweir import clock as clocks
-from gooseberryweir.process import platform
-from gooseberryweir.process import settled
+from gooseberryweir.process.upkeep import platform
+from gooseberryweir.process.upkeep import settled
 
 
 def withdraw_digests(
--- a/gooseberryweir/process/relay.py
+++ b/gooseberryweir/process/upkeep/relay.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable
 
 from gooseberryweir import clock as clocks
-from gooseberryweir.process import membership as memberships
-from gooseberryweir.process import neighbours
-from gooseberryweir.process import view as views
+from gooseberryweir.process.membership import membership as memberships
+from gooseberryweir.process.membership import neighbours
+from gooseberryweir.process.membership import view as views
 from gooseberryweir.version import tables as versions
 
 RELAY_AGE_SECONDS = 2.2
--- a/gooseberryweir/process/settled.py
+++ b/gooseberryweir/process/upkeep/settled.py
@@ -13,7 +13,7 @@
 
 from gooseberryweir import clock as clocks
 from gooseberryweir import codes
-from gooseberryweir.process import platform
+from gooseberryweir.process.upkeep import platform
 
 SETTLE_SECONDS = 12.0
 PAUSE_SECONDS = 0.25
--- a/gooseberryweir/process/watcher.py
+++ b/gooseberryweir/process/upkeep/watcher.py
@@ -18,7 +18,7 @@
 
 from gooseberryweir import clock as clocks
 from gooseberryweir import logs
-from gooseberryweir.process import platform
+from gooseberryweir.process.upkeep import platform
 from gooseberryweir.version import objects
 
 POLL_SECONDS = 1.0
--- a/gooseberryweir/process/withdrawals.py
+++ b/gooseberryweir/process/upkeep/withdrawals.py
@@ -11,10 +11,10 @@
 from gooseberryweir import clock as clocks
 from gooseberryweir import codes
 from gooseberryweir import logs
-from gooseberryweir.process import facts as fact_sets
-from gooseberryweir.process import key_objects
-from gooseberryweir.process import membership as memberships
-from gooseberryweir.process import platform
+from gooseberryweir.process.membership import facts as fact_sets
+from gooseberryweir.process.membership import membership as memberships
+from gooseberryweir.process.upkeep import key_objects
+from gooseberryweir.process.upkeep import platform
 from gooseberryweir.version import tables as versions
 
 RESOURCE = "withdrawals"
--- a/gooseberryweir/request/application.py
+++ b/gooseberryweir/request/application.py
@@ -14,7 +14,7 @@
 from gooseberryweir.connection import messages
 from gooseberryweir.process import context as contexts
 from gooseberryweir.process import reporting
-from gooseberryweir.process import suspects
+from gooseberryweir.process.shares import suspects
 from gooseberryweir.request import admission
 from gooseberryweir.request import answer as answers
 from gooseberryweir.request import body as bodies
--- a/gooseberryweir/request/dispatch.py
+++ b/gooseberryweir/request/dispatch.py
@@ -19,7 +19,7 @@
 from gooseberryweir import logs
 from gooseberryweir.connection import upstream_http
 from gooseberryweir.process import context as contexts
-from gooseberryweir.process import slots as slots_module
+from gooseberryweir.process.shares import slots as slots_module
 from gooseberryweir.request import admission
 from gooseberryweir.request import incoming
 from gooseberryweir.request import routing
--- a/gooseberryweir/request/once.py
+++ b/gooseberryweir/request/once.py
@@ -10,7 +10,7 @@
 from gooseberryweir.connection import messages
 from gooseberryweir.connection import peer_link
 from gooseberryweir.process import context as contexts
-from gooseberryweir.process import suspects
+from gooseberryweir.process.shares import suspects
 from gooseberryweir.request import admission
 from gooseberryweir.request import dispatch
 from gooseberryweir.request import incoming
--- a/gooseberryweir/request/ranking.py
+++ b/gooseberryweir/request/ranking.py
@@ -12,7 +12,7 @@
 from typing import TypedDict
 
 from gooseberryweir import rendezvous
-from gooseberryweir.process import membership as memberships
+from gooseberryweir.process.membership import membership as memberships
 from gooseberryweir.version import declarations
 from gooseberryweir.version import tables as versions
 
--- a/gooseberryweir/request/routing.py
+++ b/gooseberryweir/request/routing.py
@@ -13,7 +13,7 @@
 from gooseberryweir import codes
 from gooseberryweir import logs
 from gooseberryweir.process import context as contexts
-from gooseberryweir.process import slots as slots_module
+from gooseberryweir.process.shares import slots as slots_module
 from gooseberryweir.request import admission
 
 LOGGER = logging.getLogger(__name__)
--- a/test/share_world.py
+++ b/test/share_world.py
@@ -8,8 +8,8 @@
 
 import eventlet
 
-from gooseberryweir.process import tenure
-from gooseberryweir.process import timing
+from gooseberryweir.process.membership import tenure
+from gooseberryweir.process.shares import timing
 
 HOSTS = tuple(f"h{number}" for number in range(1, 10))
 SAMPLE_SECONDS = 0.05
--- a/test/simulated_hosts.py
+++ b/test/simulated_hosts.py
@@ -10,9 +10,9 @@
 from typing import NamedTuple
 
 from gooseberryweir import clock as clocks
-from gooseberryweir.process import facts as facts_module
-from gooseberryweir.process import membership as membership_module
-from gooseberryweir.process import timing
+from gooseberryweir.process.membership import facts as facts_module
+from gooseberryweir.process.membership import membership as membership_module
+from gooseberryweir.process.shares import timing
 from gooseberryweir.version import objects
 
 PROBE_SECONDS = 0.1
--- a/test/test_buckets.py
+++ b/test/test_buckets.py
@@ -7,11 +7,11 @@
 import eventlet
 
 from gooseberryweir.connection import messages
-from gooseberryweir.process import bucket_holder
-from gooseberryweir.process import bucket_home
-from gooseberryweir.process import bucket_waiters
-from gooseberryweir.process import buckets
-from gooseberryweir.process import timing
+from gooseberryweir.process.shares import bucket_holder
+from gooseberryweir.process.shares import bucket_home
+from gooseberryweir.process.shares import bucket_waiters
+from gooseberryweir.process.shares import buckets
+from gooseberryweir.process.shares import timing
 from test import share_world
 from test import virtual_time
 
--- a/test/test_commands.py
+++ b/test/test_commands.py
@@ -18,7 +18,7 @@
 from gooseberryweir.commands import fleet
 from gooseberryweir.commands import key as keys
 from gooseberryweir.commands import status
-from gooseberryweir.process import platform
+from gooseberryweir.process.upkeep import platform
 from test import test_platform_client
 
 KIND = platform.STEERING_OBJECTS
--- a/test/test_crashing.py
+++ b/test/test_crashing.py
@@ -7,8 +7,8 @@
 
 from gooseberryweir import clock as clocks
 from gooseberryweir import codes
-from gooseberryweir.process import facts as facts_module
-from gooseberryweir.process import suspects
+from gooseberryweir.process.membership import facts as facts_module
+from gooseberryweir.process.shares import suspects
 from test import _declared
 from test import _load
 
--- a/test/test_facts.py
+++ b/test/test_facts.py
@@ -5,9 +5,9 @@
 import unittest
 
 from gooseberryweir import clock as clocks
-from gooseberryweir.process import facts as facts_module
-from gooseberryweir.process import forgetting
-from gooseberryweir.process import suspects
+from gooseberryweir.process.membership import facts as facts_module
+from gooseberryweir.process.membership import forgetting
+from gooseberryweir.process.shares import suspects
 from gooseberryweir.version import objects
 from gooseberryweir.version import tables as tables_module
 
--- a/test/test_front.py
+++ b/test/test_front.py
@@ -254,6 +254,17 @@
         # One host polls twice a second; a second one may for a moment.
         self.assertLessEqual(calls, 4 * 2 * 2)
 
+    def test_counters_and_histograms_are_served(self):
+        _front.call(self.hosts[0].front, "/read/1")
+        _front.call(self.hosts[0].front, "/read/1", key="k9")
+        answer = _front.call(f"{self.hosts[0].ip}:9464", "/metrics")
+        text = answer.body.decode()
+        for line in (
+            'gooseberryweir_request_seconds_count{route="read"} 1.0',
+            'gooseberryweir_refusals_total{code="203",route=""} 1.0',
+        ):
+            self.assertIn(line, text)
+
     def test_from_the_id_of_a_request_to_its_cause(self):
         """The way that docs/OPERATIONS.md describes, for three failures."""
         front = self.hosts[0].front
--- a/test/test_host_death.py
+++ b/test/test_host_death.py
@@ -5,9 +5,9 @@
 
 from gooseberryweir import clock as clocks
 from gooseberryweir.connection import messages
-from gooseberryweir.process import bucket_home
-from gooseberryweir.process import tenure
-from gooseberryweir.process import timing
+from gooseberryweir.process.membership import tenure
+from gooseberryweir.process.shares import bucket_home
+from gooseberryweir.process.shares import timing
 from test import simulated_hosts
 
 BUCKETS = tuple(f"account/a{number}" for number in range(40))
--- /dev/null
+++ b/test/test_log_pipe.py
@@ -0,0 +1,47 @@
+"""Log lines to a pipe that nobody reads: left out, counted, never waited for."""
+
+import logging
+import os
+import unittest
+
+from gooseberryweir import logs
+
+
+class NonBlockingHandlerTest(unittest.TestCase):
+    """One handler on a pipe."""
+
+    def setUp(self):
+        self.reader, writer = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, writer)
+        self.handler = logs.NonBlockingHandler(writer)
+
+    def emit(self, text):
+        self.handler.emit(
+            logging.LogRecord("x", logging.INFO, "x", 1, text, None, None)
+        )
+
+    def read(self):
+        return os.read(self.reader, 1 << 20).decode()
+
+    def test_lines_come_whole_and_in_order(self):
+        for index in range(3):
+            self.emit(f"line {index}")
+        self.assertEqual(self.read(), "line 0\nline 1\nline 2\n")
+
+    def test_a_full_pipe_loses_lines_and_the_next_one_says_how_many(self):
+        for _ in range(100):
+            self.emit("x" * 1000)
+        lost = self.handler.omitted
+        self.assertGreater(lost, 0)
+        first = self.read()
+        self.emit("after")
+        text = first + self.read()
+        self.assertIn(f"after lines_omitted={lost}\n", text)
+        whole = [line for line in text.splitlines() if line == "x" * 1000]
+        self.assertEqual(len(whole) + lost, 100)
+        self.assertEqual(self.handler.omitted, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -5,10 +5,10 @@
 from unittest import mock
 
 from gooseberryweir import clock as clocks
-from gooseberryweir.process import neighbours
-from gooseberryweir.process import relay
-from gooseberryweir.process import timing
-from gooseberryweir.process import view
+from gooseberryweir.process.membership import neighbours
+from gooseberryweir.process.membership import view
+from gooseberryweir.process.shares import timing
+from gooseberryweir.process.upkeep import relay
 from test import simulated_hosts
 
 SEEDS = range(12)
--- a/test/test_operator_http.py
+++ b/test/test_operator_http.py
@@ -10,12 +10,12 @@
 from gooseberryweir import clock as clocks
 from gooseberryweir.connection import messages
 from gooseberryweir.connection import peer_link
-from gooseberryweir.process import facts as fact_sets
-from gooseberryweir.process import freshness
-from gooseberryweir.process import operator_http
-from gooseberryweir.process import platform
-from gooseberryweir.process import relay
-from gooseberryweir.process import withdrawals
+from gooseberryweir.process.membership import facts as fact_sets
+from gooseberryweir.process.membership import freshness
+from gooseberryweir.process.operators import operator_http
+from gooseberryweir.process.upkeep import platform
+from gooseberryweir.process.upkeep import relay
+from gooseberryweir.process.upkeep import withdrawals
 from gooseberryweir.version import tables as versions
 from test import test_platform_client
 
--- a/test/test_peering.py
+++ b/test/test_peering.py
@@ -13,9 +13,9 @@
 from gooseberryweir.connection import messages
 from gooseberryweir.connection import peer_link
 from gooseberryweir.connection import peer_server
-from gooseberryweir.process import facts as facts_module
-from gooseberryweir.process import membership as membership_module
-from gooseberryweir.process import peering as peering_module
+from gooseberryweir.process.membership import facts as facts_module
+from gooseberryweir.process.membership import membership as membership_module
+from gooseberryweir.process.membership import peering as peering_module
 from gooseberryweir.version import objects
 from gooseberryweir.version import tables as tables_module
 
--- a/test/test_platform_client.py
+++ b/test/test_platform_client.py
@@ -7,8 +7,8 @@
 
 from gooseberryweir import clock as clocks
 from gooseberryweir import codes
-from gooseberryweir.process import platform
-from gooseberryweir.process import settled
+from gooseberryweir.process.upkeep import platform
+from gooseberryweir.process.upkeep import settled
 from test import _common
 
 KIND = platform.STEERING_OBJECTS
--- a/test/test_ranking.py
+++ b/test/test_ranking.py
@@ -6,9 +6,9 @@
 
 from gooseberryweir import clock as clocks
 from gooseberryweir import rendezvous
-from gooseberryweir.process import facts as facts_module
-from gooseberryweir.process import membership as memberships
-from gooseberryweir.process import neighbours
+from gooseberryweir.process.membership import facts as facts_module
+from gooseberryweir.process.membership import membership as memberships
+from gooseberryweir.process.membership import neighbours
 from gooseberryweir.request import ranking
 from gooseberryweir.version import objects
 from gooseberryweir.version import tables as versions
--- a/test/test_slots.py
+++ b/test/test_slots.py
@@ -9,13 +9,13 @@
 
 from gooseberryweir import clock as clocks
 from gooseberryweir.connection import messages
-from gooseberryweir.process import slot_capacity
-from gooseberryweir.process import slot_holder
-from gooseberryweir.process import slot_home
-from gooseberryweir.process import slot_lease
-from gooseberryweir.process import slot_limits
-from gooseberryweir.process import slots
-from gooseberryweir.process import timing
+from gooseberryweir.process.shares import slot_capacity
+from gooseberryweir.process.shares import slot_holder
+from gooseberryweir.process.shares import slot_home
+from gooseberryweir.process.shares import slot_lease
+from gooseberryweir.process.shares import slot_limits
+from gooseberryweir.process.shares import slots
+from gooseberryweir.process.shares import timing
 from gooseberryweir.version import tables
 from test import share_world
 from test import virtual_time
--- a/test/test_take_rate.py
+++ b/test/test_take_rate.py
@@ -5,7 +5,7 @@
 from unittest import mock
 
 from gooseberryweir import codes
-from gooseberryweir.process import bucket_waiters
+from gooseberryweir.process.shares import bucket_waiters
 from gooseberryweir.request import dispatch
 
 
--- a/test/test_watcher.py
+++ b/test/test_watcher.py
@@ -2,8 +2,8 @@
 
 import unittest.mock
 
-from gooseberryweir.process import platform
-from gooseberryweir.process import watcher as watchers
+from gooseberryweir.process.upkeep import platform
+from gooseberryweir.process.upkeep import watcher as watchers
 from gooseberryweir.version import objects
 from test import _common
 from test import test_platform_client
