Property tests of versions, freshness, limits and placement

Cause: limits were tested for chosen loads only.

Change: hypothesis draws sequences, the same in each run, for versions that never go back, confirmations, cold and repeat limits in every window, and the cost of a choice.

--- a/test/test_log_pipe.py
+++ b/test/test_log_pipe.py
@@ -1,4 +1,4 @@
-"""Log lines to a pipe that nobody reads: left out, counted, never waited for."""
+"""Log lines to a pipe that nobody reads are left out and counted."""
 
 import logging
 import os
--- /dev/null
+++ b/test/test_steering_properties.py
@@ -0,0 +1,162 @@
+"""Properties of the decisions, for drawn sequences of events."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+
+from gooseberryweir import clock as clocks
+from gooseberryweir.process.fleet import knowledge
+from gooseberryweir.request.steering import limits
+from gooseberryweir.request.steering import placement
+from gooseberryweir.request.steering import upstream_state
+from test import test_fleet_knowledge
+from test import test_placement
+
+# The same draws in each run, so that a verdict repeats.
+REPEATABLE = settings(derandomize=True, deadline=None, max_examples=100)
+STEP_SECONDS = strategies.floats(0.0, 1.5)
+
+
+class KnowledgeProperties(unittest.TestCase):
+    """Whatever comes in whatever order."""
+
+    @REPEATABLE
+    @given(strategies.lists(strategies.integers(1, 30), max_size=40))
+    def test_versions_never_go_back_and_the_newest_is_kept(self, revisions):
+        clock = clocks.ManualClock().interface()
+        known = knowledge.Knowledge(test_fleet_knowledge.decode, clock)
+        newest = 0
+        for revision in revisions:
+            known.accept(
+                knowledge.CONFIGURATION, revision, b"%d" % revision, "test"
+            )
+            newest = max(newest, revision)
+            self.assertEqual(known.configuration.version, newest)
+
+    @REPEATABLE
+    @given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.integers(1, 5), strategies.floats(0, 100)
+            ),
+            max_size=40,
+        )
+    )
+    def test_a_confirmation_is_never_of_a_newer_configuration(self, events):
+        clock = clocks.ManualClock().interface()
+        known = knowledge.Knowledge(test_fleet_knowledge.decode, clock)
+        known.accept(knowledge.CONFIGURATION, 3, b"3", "test")
+        best = float("-inf")
+        for revision, instant in events:
+            known.confirm(revision, instant)
+            if revision <= 3:
+                best = max(best, instant)
+            self.assertEqual(known.confirmed_at, best)
+
+
+class LimitProperties(unittest.TestCase):
+    """Limits of all hosts over every sliding window."""
+
+    @REPEATABLE
+    @given(
+        strategies.integers(1, 70),
+        strategies.floats(1.0, 60.0),
+        strategies.lists(
+            strategies.tuples(STEP_SECONDS, strategies.integers(0, 69)),
+            max_size=120,
+        ),
+    )
+    def test_cold_upstreams(self, size, rate, events):
+        clock = clocks.ManualClock()
+        now = clock.interface().monotonic
+        names = [f"h{i}" for i in range(size)]
+        fleet = [
+            limits.ColdLimit(name, lambda: names, 1.5, 5.0, now)
+            for name in names
+        ]
+        sent = []
+        for step, index in events:
+            clock.advance(step)
+            host = fleet[index % size]
+            for _ in range(30):
+                if host.free("u", rate):
+                    host.take("u")
+                    sent.append(clock.now)
+        for start in sent:
+            inside = sum(start <= at < start + 1.0 for at in sent)
+            self.assertLessEqual(inside, rate * 1.5 + 5.0)
+
+    @REPEATABLE
+    @given(
+        strategies.lists(
+            strategies.tuples(
+                STEP_SECONDS, strategies.integers(0, 8), strategies.booleans()
+            ),
+            max_size=300,
+        )
+    )
+    def test_repeats(self, events):
+        clock = clocks.ManualClock()
+        now = clock.interface().monotonic
+        fleet = [
+            limits.RetryBudget(10.0, 0.2, 58.0, lambda: 9, now)
+            for _ in range(9)
+        ]
+        requests, repeats = [], []
+        for step, index, repeat in events:
+            clock.advance(step / 10)
+            if repeat and fleet[index].take("s"):
+                repeats.append(clock.now)
+            elif not repeat:
+                fleet[index].request("s")
+                requests.append(clock.now)
+        for end in repeats:
+            inside = sum(end - 10 < at <= end for at in repeats)
+            asked = sum(end - 10 <= at <= end for at in requests)
+            self.assertLessEqual(inside, 0.2 * asked + 58)
+
+
+class PlacementProperties(unittest.TestCase):
+    """Choices for any state of the upstreams."""
+
+    @REPEATABLE
+    @given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.floats(0, 40),
+                strategies.floats(0.5, 20),
+                strategies.floats(0, 1),
+                strategies.booleans(),
+            ),
+            min_size=1,
+            max_size=30,
+        ),
+        strategies.text(max_size=5),
+    )
+    def test_no_choice_costs_more_than_its_places_allow(self, found, name):
+        candidates = [
+            placement.Candidate(
+                test_placement.upstream(f"u{index}"),
+                upstream_state.Estimate(busy, 8, slowness, failing),
+                0.0,
+                8.0,
+                warm,
+            )
+            for index, (busy, slowness, failing, warm) in enumerate(found)
+        ]
+        times = test_placement.TIMES
+        choice = placement.choose_affine(name, candidates, times)
+        coldest = min(
+            placement.expected_cost(
+                each, times.cold, placement.expected_wait(each, times.mean)
+            )
+            for each in candidates
+        )
+        places = 1 + placement.PLACE_COST * len(candidates)
+        self.assertLessEqual(choice.cost, coldest * places + 1e-9)
+
+
+if __name__ == "__main__":
+    unittest.main()
