Nothing served before all parts are known; a timeout tells of the load

Change: admission and readiness wait for all four parts; registered hosts not heard yet count as much as this one; a timeout sets the load by Little's law. Tests failed first.

--- a/gooseberryweir/front.py
+++ b/gooseberryweir/front.py
@@ -63,16 +63,22 @@
     front: pipelined_server.Server
 
 
-def _others_demand(
-    mesh: mesh_module.Mesh,
+def others_demand(
+    mesh: mesh_module.Mesh, meter: limits.RateMeter
 ) -> Callable[[str], list[float]]:
-    """Returns the function that lists the other hosts' demand."""
+    """Returns the function that lists the other hosts' demand.
+
+    After a start, registered hosts that were not heard yet count as much as
+    this one, until they would have been heard if they lived.
+    """
 
     def others(account: str) -> list[float]:
-        return [
+        found = [
             beat.demand.get(account, 0.0)
             for beat in mesh.heard_within(mesh_module.DEAD_SECONDS)
         ]
+        own = meter.announced.get(account, 0.0)
+        return found + [own] * len(mesh.awaited())
 
     return others
 
@@ -143,7 +149,7 @@
                     knowledge,
                     limits.AccountLimits(
                         meter,
-                        _others_demand(mesh),
+                        others_demand(mesh, meter),
                         clock.monotonic,
                         limits.RateSlack(
                             bounds.rate_overage,
--- a/gooseberryweir/process/fleet/knowledge.py
+++ b/gooseberryweir/process/fleet/knowledge.py
@@ -22,6 +22,7 @@
 UPSTREAMS = "upstreams"
 EVACUATIONS = "evacuations"
 HOSTS = "hosts"
+KINDS = (CONFIGURATION, UPSTREAMS, EVACUATIONS, HOSTS)
 
 
 class Part(NamedTuple):
@@ -79,6 +80,10 @@
         part = self.parts.get(kind)
         return 0 if part is None else part.revision
 
+    def complete(self) -> bool:
+        """Whether all parts are known, so that this host may serve."""
+        return len(self.parts) == len(KINDS)
+
     def age(self) -> float:
         """Returns the seconds since the configuration was confirmed."""
         return self.clock.monotonic() - self.confirmed_at
--- a/gooseberryweir/process/fleet/mesh.py
+++ b/gooseberryweir/process/fleet/mesh.py
@@ -168,6 +168,15 @@
             if peer.beat is not None and peer.heard_at >= oldest
         ]
 
+    def awaited(self) -> set[str]:
+        """Returns registered hosts that may live and were not heard yet."""
+        if self.clock.monotonic() - self.started_at > DEAD_SECONDS:
+            return set()
+        heard = {
+            name for name, peer in self.peers.items() if peer.beat is not None
+        }
+        return set(self.knowledge.hosts) - heard - {self.settings.host}
+
     def ready_hosts(self) -> list[traffic.HostEntry]:
         """Returns the other hosts that serve callers, by name."""
         return [
--- a/gooseberryweir/request/steering/admission.py
+++ b/gooseberryweir/request/steering/admission.py
@@ -54,7 +54,7 @@
             key: The key, or empty.
         """
         configuration = self.knowledge.configuration
-        if configuration is None:
+        if configuration is None or not self.knowledge.complete():
             return codes.refuse(codes.Code.HOST_STARTING)
         route = configuration.find_route(host, path)
         if route is None:
--- a/gooseberryweir/request/steering/sending.py
+++ b/gooseberryweir/request/steering/sending.py
@@ -81,7 +81,11 @@
                 codes.Code.UPSTREAM_DIED, codes.Ran.UNKNOWN, f"broken {error}"
             )
         except upstream_pool.DeadlineError:
-            state.timed_out(parts.clock.monotonic())
+            times = parts.selection.times.times(
+                work.admitted.route, work.service
+            )
+            ended = parts.clock.monotonic()
+            state.timed_out(ended, ended - now, times.mean)
             return work_module.Failure(
                 codes.Code.UPSTREAM_TIMEOUT, codes.Ran.UNKNOWN, "timeout"
             )
--- a/gooseberryweir/request/steering/upstream_state.py
+++ b/gooseberryweir/request/steering/upstream_state.py
@@ -156,10 +156,22 @@
             bounded = min(MAX_SLOWNESS, max(MIN_SLOWNESS, ratio))
             self.slowness += SAMPLE_WEIGHT * (bounded - self.slowness)
 
-    def timed_out(self, now: float) -> None:
-        """Notes a request that had no answer in its time."""
+    def timed_out(self, now: float, seconds: float, mean_work: float) -> None:
+        """Notes a request that had no answer in its time.
+
+        It tells of the load although no answer does: what has not run after
+        some time has that much work before it (Little's law).
+
+        Args:
+            now: Reading of the clock.
+            seconds: Time since it was sent.
+            mean_work: Seconds that requests of the service take.
+        """
         if now - self.answered_at > SILENT_SECONDS:
             self.failed(now, "timeout", 1)
+        told = self.slots * seconds / mean_work
+        if told > self.estimate(now).busy:
+            self.load_reported(int(told), self.slots, now)
 
     def shed(self, now: float) -> None:
         """Notes a request that the upstream did not run."""
--- a/gooseberryweir/side_servers.py
+++ b/gooseberryweir/side_servers.py
@@ -24,7 +24,7 @@
 ) -> bool:
     """Whether the host serves callers."""
     return (
-        knowledge.configuration is not None
+        knowledge.complete()
         and bool(knowledge.upstreams)
         and not phase.leaving()
         and knowledge.age() < settings.bounds.key_revocation
--- a/test/test_fleet_knowledge.py
+++ b/test/test_fleet_knowledge.py
@@ -3,10 +3,14 @@
 import unittest
 
 from gooseberryweir import clock as clocks
+from gooseberryweir import codes
+from gooseberryweir import front
 from gooseberryweir.process.fleet import host_settings
 from gooseberryweir.process.fleet import knowledge
 from gooseberryweir.process.fleet import mesh
 from gooseberryweir.process.fleet import reader
+from gooseberryweir.request.steering import admission
+from gooseberryweir.request.steering import limits
 from gooseberryweir.version import traffic
 
 
@@ -233,6 +237,44 @@
         self.assertTrue(host.reader._is_turn())
 
 
+class StartTest(unittest.TestCase):
+    """What a host that has just started may do."""
+
+    def test_it_serves_nothing_before_it_knows_all_parts(self):
+        host = Host()
+        admitting = admission.Admission(host.knowledge, None, 5.0)
+
+        def code():
+            found = admitting.admit("h", "/", "")
+            return found.code
+
+        starting = codes.Code.HOST_STARTING
+        self.assertEqual(code(), starting)
+        host.configure(10)
+        for kind in (
+            knowledge.UPSTREAMS,
+            knowledge.EVACUATIONS,
+            knowledge.HOSTS,
+        ):
+            self.assertEqual(code(), starting, kind)
+            host.knowledge.accept(kind, 1, knowledge.encode(()), "test")
+        self.assertEqual(code(), codes.Code.UNKNOWN_ROUTE)
+
+    def test_hosts_not_heard_yet_count_as_much_as_this_one(self):
+        host = Host()
+        entries = tuple(entry(name) for name in ("h1", "h2", "h3"))
+        host.knowledge.hosts = {each.name: each for each in entries}
+        meter = limits.RateMeter(host.mesh.clock.monotonic)
+        meter.announced = {"a": 40.0}
+        others = front.others_demand(host.mesh, meter)
+        self.assertEqual(others("a"), [40.0, 40.0])
+        host.hear("h2", demand={"a": 5.0})
+        self.assertEqual(sorted(others("a")), [5.0, 40.0])
+        # A host that is still registered but long gone has no part.
+        host.clock.advance(mesh.DEAD_SECONDS + 0.1)
+        self.assertEqual(others("a"), [])
+
+
 class DemandTest(unittest.TestCase):
     """Whose demand counts."""
 
--- a/test/test_placement.py
+++ b/test/test_placement.py
@@ -203,13 +203,27 @@
         state = self.state()
         state.succeeded(5.0, None)
         for _ in range(5):
-            state.timed_out(5.5)
+            state.timed_out(5.5, 0.8, 0.1)
         self.assertTrue(state.usable(5.5))
         self.assertEqual(state.estimate(5.5).failing, 0.0)
         for _ in range(2):
-            state.timed_out(7.0)
+            state.timed_out(7.0, 0.8, 0.1)
         self.assertFalse(state.usable(7.0))
 
+    def test_an_upstream_that_answers_nothing_in_time_counts_as_full(self):
+        state = self.state()
+        state.succeeded(1.0, None)
+        state.sent()
+        state.timed_out(1.5, 0.8, 0.1)
+        state.ended()
+        busy = state.estimate(1.5).busy
+        self.assertGreater(busy, 5 * SLOTS)
+        home = homes(NAMES)["o1"]
+        full = candidate(home, busy=busy)
+        rest = [candidate(name) for name in NAMES if name != home]
+        found = placement.choose_affine("o1", [full, *rest], TIMES)
+        self.assertNotEqual(found.upstream.name, home)
+
     def test_requests_that_fail_together_eject_once(self):
         state = self.state()
         for _ in range(10):
--- a/test/test_selection.py
+++ b/test/test_selection.py
@@ -171,6 +171,8 @@
         host = Choosing()
         clock = host.clock.interface()
         host.knowledge.upstreams.clear()
+        for kind in knowledge_module.KINDS:
+            host.knowledge.parts[kind] = knowledge_module.Part(1, b"")
         server = serving.Serving(
             serving.Parts(
                 clock,
