A test looks for the skipped entries at whichever host polls the store

Ruled out: a fault of the hosts: the line stands in the log of the host that reads the list; the others get the decoded list.

Change: the line may stand at any host; in return all three hosts are asked, not one. As strict: 60 requests in place of 20.

--- a/test/test_front.py
+++ b/test/test_front.py
@@ -213,11 +213,16 @@
         self.world.store.put("servers", "x1", entry(slots="8"))
         self.world.store.put("servers", "x2", entry(state="asleep"))
         self.world.store.put("servers", "x3", [1])
-        _common.wait_until(lambda: self.hosts[0].log_lines("object=x3"))
-        for _ in range(20):
-            self.assertEqual(
-                _front.call(self.hosts[0].front, "/read/1").status, 200
-            )
+        # The host that polls the store skips them; which one that is depends
+        # on how soon the store answered each.
+        _common.wait_until(
+            lambda: any(host.log_lines("object=x3") for host in self.hosts)
+        )
+        for host in self.hosts:
+            for _ in range(20):
+                self.assertEqual(
+                    _front.call(host.front, "/read/1").status, 200
+                )
 
     def test_a_lost_answer_to_the_registration_is_settled(self):
         self.world.doors[0].fault = "lost"
