--- a/test/test_front.py
+++ b/test/test_front.py
@@ -220,9 +220,7 @@
         )
         for host in self.hosts:
             for _ in range(20):
-                self.assertEqual(
-                    _front.call(host.front, "/read/1").status, 200
-                )
+                self.assertEqual(_front.call(host.front, "/read/1").status, 200)
 
     def test_a_lost_answer_to_the_registration_is_settled(self):
         self.world.doors[0].fault = "lost"
