The usual load of other hosts comes back after an upstream's report

Ruled out: a longer fade alone, which keeps a burst that is over.

Change: a report fades to the average of the earlier ones, which itself fades in 4 s.

--- a/gooseberryweir/request/steering/upstream_state.py
+++ b/gooseberryweir/request/steering/upstream_state.py
@@ -75,6 +75,7 @@
         self.reported = 0.0
         self.reported_at = now
         self.in_flight_then = 0
+        self.usual = 0.0
         self.sampled_at = now
         self.answered_at = now
         self.objects: dict[str, float] = {}
@@ -91,10 +92,11 @@
         since = now - self.reported_at
         others = max(0.0, self.reported - self.in_flight_then)
         running = min(others, float(self.slots))
-        busy = (
+        usual = self.usual * math.exp(-since / OPINION_SECONDS)
+        busy = self.in_flight + max(
+            usual * (1 - math.exp(-since / WAITING_SECONDS)),
             running * math.exp(-since / RUNNING_SECONDS)
-            + (others - running) * math.exp(-since / WAITING_SECONDS)
-            + self.in_flight
+            + (others - running) * math.exp(-since / WAITING_SECONDS),
         )
         faded = math.exp(-(now - self.sampled_at) / OPINION_SECONDS)
         return Estimate(
@@ -163,6 +165,8 @@
         self.reported_at = now
         self.in_flight_then = self.in_flight
         self.slots = max(1, slots)
+        others = max(0.0, self.reported - self.in_flight)
+        self.usual += SAMPLE_WEIGHT * (others - self.usual)
 
     def succeeded(self, now: float, ratio: float | None) -> None:
         """Notes a good answer.
