One client for the platform's store, one stand-in of it

Ruled out: an interface with two implementations (more code, and two protocols to keep true); removing serve (its interface, commands and tests stay by the users' word); a list of names and versions (the store has no such call).

Change: gooseberryweir/platform/store.py has all calls, process/upkeep/platform.py is gone. Watches are long polls. Relays list the steering objects each second and the rest when the store's revision is past their last list; single reads of what a list of names lacks are gone.

--- a/demo/listing.py
+++ b/demo/listing.py
@@ -11,7 +11,7 @@
 
 import urllib3
 
-PREFIX = "/apis/gooseberryweir.example/v1/endpointslices"
+PREFIX = "/-/objects/endpointslices"
 SLOTS = 8
 CONNECTIONS = 330
 
--- a/gooseberryweir/cli.py
+++ b/gooseberryweir/cli.py
@@ -20,9 +20,9 @@
 from gooseberryweir.commands import fleet
 from gooseberryweir.commands import key as key_command
 from gooseberryweir.commands import status as status_command
+from gooseberryweir.platform import store as platform_store
 from gooseberryweir.process import serve as serve_module
 from gooseberryweir.process import settings as settings_module
-from gooseberryweir.process.upkeep import platform
 
 APP = typer.Typer(
     add_completion=False,
@@ -61,12 +61,13 @@
 def _operator(
     platform_url: str, hosts: list[str] | None, token: str
 ) -> fleet.Operator:
+    clock = clocks.system_clock()
     return fleet.Operator(
-        platform.Platform(platform_url, "operator"),
+        platform_store.Store(platform_url, clock, "operator"),
         tuple(hosts or ()),
         token,
         typer.echo,
-        clocks.system_clock(),
+        clock,
     )
 
 
--- a/gooseberryweir/commands/apply.py
+++ b/gooseberryweir/commands/apply.py
@@ -8,9 +8,10 @@
 
 from gooseberryweir import codes
 from gooseberryweir.commands import fleet
-from gooseberryweir.process.upkeep import platform
+from gooseberryweir.platform import store as platform_store
 from gooseberryweir.process.upkeep import settled
 from gooseberryweir.version import declarations as declaring
+from gooseberryweir.version import objects
 
 _NAME = "config"
 _MAX_VALUE_CHARACTERS = 60
@@ -35,7 +36,7 @@
             or NOT_IN_FORCE.
     """
     document = declaring.to_document(declaring.load_file(path))
-    current = settled.read(operator.api, platform.STEERING_OBJECTS, _NAME)
+    current = settled.read(operator.api, objects.STEERING_OBJECTS, _NAME)
     version = current.version if current else 0
     if expect_version is not None and expect_version != version:
         raise codes.UserError(
@@ -76,11 +77,11 @@
 
 def _write(
     operator: fleet.Operator,
-    current: platform.PlatformObject | None,
+    current: platform_store.StoredObject | None,
     document: dict[str, Any],
 ) -> int:
     spec = {"declarations": document}
-    api, clock, kind = operator.api, operator.clock, platform.STEERING_OBJECTS
+    api, clock, kind = operator.api, operator.clock, objects.STEERING_OBJECTS
     if current is None:
         return settled.create_settled(api, kind, _NAME, spec, clock).version
     return settled.replace_settled(api, kind, current, spec, clock).version
--- a/gooseberryweir/commands/drain.py
+++ b/gooseberryweir/commands/drain.py
@@ -4,8 +4,9 @@
 
 from gooseberryweir import codes
 from gooseberryweir.commands import fleet
-from gooseberryweir.process.upkeep import platform
+from gooseberryweir.platform import store as platform_store
 from gooseberryweir.process.upkeep import settled
+from gooseberryweir.version import objects
 
 _NAME = "drains"
 _SERVICE_PREFIX = "service."
@@ -41,12 +42,12 @@
         return {**spec, "drains": drains}
 
     written = settled.merge_settled(
-        operator.api, platform.STEERING_OBJECTS, _NAME, change, operator.clock
+        operator.api, objects.STEERING_OBJECTS, _NAME, change, operator.clock
     )
     state = "drained" if drained else "not drained"
     operator.out(f"{target} is {state}")
     if written is not None:
-        name = f"{platform.STEERING_OBJECTS}/{_NAME}"
+        name = f"{objects.STEERING_OBJECTS}/{_NAME}"
         fleet.wait_in_force(operator, name, written.version)
 
 
@@ -61,14 +62,14 @@
 
 def _known_targets(operator: fleet.Operator) -> set[str]:
     """Returns the declared regions and the listed upstreams."""
-    config = settled.read(operator.api, platform.STEERING_OBJECTS, "config")
+    config = settled.read(operator.api, objects.STEERING_OBJECTS, "config")
     declared = settled.content(config).get("declarations", {})
     known = {f"region/{name}" for name in declared.get("regions", ())}
     try:
-        listing = operator.api.list(platform.ENDPOINT_SLICES)
-    except platform.PlatformError as error:
+        listed = operator.api.list(objects.ENDPOINT_SLICES).objects()
+    except platform_store.StoreError as error:
         raise settled.user_error(error) from error
-    for each in listing.objects:
+    for each in listed:
         if each.name.startswith(_SERVICE_PREFIX):
             endpoints = settled.content(each).get("endpoints", ())
             known.update(f"upstream/{entry['name']}" for entry in endpoints)
--- a/gooseberryweir/commands/fleet.py
+++ b/gooseberryweir/commands/fleet.py
@@ -12,14 +12,15 @@
 
 from gooseberryweir import clock as clocks
 from gooseberryweir import codes
-from gooseberryweir.process.upkeep import platform
+from gooseberryweir.platform import store as platform_store
 from gooseberryweir.process.upkeep import settled
+from gooseberryweir.version import objects
 
 CONNECT_SECONDS = 1.0
 ANSWER_SECONDS = 5.0
 IN_FORCE_SECONDS = 9.0
 PAUSE_SECONDS = 0.25
-CONFIG = f"{platform.STEERING_OBJECTS}/config"
+CONFIG = f"{objects.STEERING_OBJECTS}/config"
 _MAX_CALLS = 64
 
 Out = Callable[[str], None]
@@ -50,7 +51,7 @@
         clock: Source of time.
     """
 
-    api: platform.Platform
+    api: platform_store.Store
     addresses: Sequence[str]
     token: str
     out: Out
@@ -101,7 +102,7 @@
     Raises:
         codes.UserError: The platform does not answer.
     """
-    found = settled.read(operator.api, platform.ENDPOINT_SLICES, "hosts")
+    found = settled.read(operator.api, objects.ENDPOINT_SLICES, "hosts")
     endpoints = settled.content(found).get("endpoints", ())
     return [
         ListedHost(each["name"], each["operator"], bool(each.get("leaving")))
--- a/gooseberryweir/commands/key.py
+++ b/gooseberryweir/commands/key.py
@@ -12,9 +12,10 @@
 
 from gooseberryweir import codes
 from gooseberryweir.commands import fleet
+from gooseberryweir.platform import store as platform_store
 from gooseberryweir.process.upkeep import key_objects
-from gooseberryweir.process.upkeep import platform
 from gooseberryweir.process.upkeep import settled
+from gooseberryweir.version import objects
 
 KEY_BYTES = 32
 _PREFIX = "keys."
@@ -41,7 +42,7 @@
     try:
         written = settled.merge_settled(
             operator.api,
-            platform.STEERING_OBJECTS,
+            objects.STEERING_OBJECTS,
             name,
             change,
             operator.clock,
@@ -52,7 +53,7 @@
     operator.out(f"key: {key}")
     operator.out(f"digest: {digest}")
     if written is not None:
-        full_name = f"{platform.STEERING_OBJECTS}/{name}"
+        full_name = f"{objects.STEERING_OBJECTS}/{name}"
         fleet.wait_in_force(operator, full_name, written.version)
     return key
 
@@ -174,12 +175,12 @@
 def _keep(operator: fleet.Operator, digest: str) -> _Kept:
     """Writes the withdrawal to the platform, if it answers."""
     try:
-        listing = operator.api.list(platform.STEERING_OBJECTS)
-    except platform.PlatformError as error:
+        listed = operator.api.list(objects.STEERING_OBJECTS).objects()
+    except platform_store.StoreError as error:
         return _Kept((), False, str(error))
     accounts = tuple(
         each.name.removeprefix(_PREFIX)
-        for each in listing.objects
+        for each in listed
         if each.name.startswith(_PREFIX)
         and digest in settled.content(each).get("digests", {})
     )
@@ -188,7 +189,7 @@
             key_objects.withdraw_digests(
                 operator.api, account, {digest}, operator.clock
             )
-    except (codes.UserError, platform.PlatformError) as error:
+    except (codes.UserError, platform_store.StoreError) as error:
         return _Kept((), False, str(error))
     return _Kept(accounts, True, "" if accounts else "it holds no such key")
 
@@ -214,7 +215,7 @@
 
 
 def _check_account(operator: fleet.Operator, account: str) -> None:
-    config = settled.read(operator.api, platform.STEERING_OBJECTS, "config")
+    config = settled.read(operator.api, objects.STEERING_OBJECTS, "config")
     declared = settled.content(config).get("declarations", {})
     if account not in declared.get("accounts", ()):
         raise codes.UserError(
--- a/gooseberryweir/platform/records.py
+++ b/gooseberryweir/platform/records.py
@@ -7,7 +7,6 @@
 from collections.abc import Iterable
 import logging
 from typing import Annotated
-from typing import Any
 from typing import Literal
 from typing import TypeVar
 
@@ -263,10 +262,6 @@
     return tuple(sorted(found))
 
 
-def encode_host(entry: traffic.HostEntry) -> dict[str, Any]:
-    """Returns the object that registers a host."""
-    return {
-        "metadata": {"name": entry.name, "finalizers": []},
-        "spec": list(entry),
-        "status": None,
-    }
+def encode_host(entry: traffic.HostEntry) -> list[str]:
+    """Returns the content of the object that registers a host."""
+    return list(entry)
--- a/gooseberryweir/platform/store.py
+++ b/gooseberryweir/platform/store.py
@@ -1,6 +1,8 @@
 """Calls to the platform's store; the only client of it.
 
-Nothing is retried here. A call that gets no answer may still be carried out.
+Nothing is retried here. A caller sees every failure as a `StoreError` and
+knows from it whether a write may have taken effect; a call that gets no answer
+may still be carried out seconds later.
 """
 
 from typing import Any
@@ -15,12 +17,30 @@
 # Longest wait for one call: four times what the store takes when it is slow.
 CALL_SECONDS = 1.5
 CONNECT_SECONDS = 0.5
+# Added to the wait of a watch, for the way there and back.
+WATCH_GRACE_SECONDS = 5.0
+# Longest wait that the store allows a watch.
+MAX_WATCH_SECONDS = 30.0
 # More pages than any list of the target size has.
 MAX_PAGES = 50
 _PATH = "/-/objects/"
 _JSON = {"Content-Type": "application/json"}
 
 
+class StoredObject(NamedTuple):
+    """One object of the store.
+
+    Attributes:
+        name: Its name within its kind.
+        version: Revision of the store at its last change.
+        spec: Its content.
+    """
+
+    name: str
+    version: int
+    spec: Any
+
+
 class Listing(NamedTuple):
     """All objects of a kind.
 
@@ -34,6 +54,49 @@
     revision: int
     asked_at: float
 
+    def objects(self) -> tuple[StoredObject, ...]:
+        """Returns the objects.
+
+        Raises:
+            StoreError: One of them is malformed.
+        """
+        return tuple(_stored(item) for item in self.items)
+
+
+class Change(NamedTuple):
+    """One change, as a watch delivers it.
+
+    Attributes:
+        deleted: True if the object is gone.
+        changed: The object; for a deletion, as it was.
+    """
+
+    deleted: bool
+    changed: StoredObject
+
+
+class Changes(NamedTuple):
+    """What a watch has delivered.
+
+    Attributes:
+        changes: The changes; they can be late, doubled or out of order.
+        revision: Revision from which to go on watching.
+    """
+
+    changes: tuple[Change, ...]
+    revision: int
+
+
+class _Metadata(msgspec.Struct):
+    name: str
+    # The store's revision at the last change of the object.
+    revision: int
+
+
+class _Object(msgspec.Struct):
+    metadata: _Metadata
+    spec: Any = None
+
 
 class _Page(msgspec.Struct, rename="camel"):
     items: list[msgspec.Raw]
@@ -42,8 +105,14 @@
     has_more: bool = False
 
 
-class _Named(msgspec.Struct):
-    metadata: dict[str, Any]
+class _Event(msgspec.Struct):
+    object: _Object
+    deleted: bool = False
+
+
+class _Events(msgspec.Struct, rename="camel"):
+    events: list[_Event]
+    current_rev: int
 
 
 class StoreError(Exception):
@@ -57,20 +126,41 @@
         super().__init__(message)
         self.status = status
 
+    @property
+    def outcome_unknown(self) -> bool:
+        """Whether a write that ended so may yet have taken effect."""
+        return self.status == 0 or self.status >= 500
+
 
 class Store:
-    """The platform's store; a context manager owning its connections."""
+    """The platform's store; a context manager owning its connections.
 
-    def __init__(self, address: str, clock: clocks.Clock) -> None:
-        host, _, port = address.rpartition(":")
+    Attributes:
+        calls: Calls made so far.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        clock: clocks.Clock,
+        caller: str = "",
+        call_seconds: float = CALL_SECONDS,
+    ) -> None:
+        """Opens no connection yet.
+
+        Args:
+            address: `IP:PORT`, or `http://IP:PORT`.
+            clock: Source of time.
+            caller: Named to the store, for its counts.
+            call_seconds: Longest wait for one call.
+        """
+        host, _, port = address.removeprefix("http://").rpartition(":")
         self.clock = clock
         self.calls = 0
+        self.headers = {"User-Agent": f"gooseberryweir/{caller}"}
+        self.call_seconds = call_seconds
         self.pool = urllib3.HTTPConnectionPool(
-            host,
-            int(port),
-            maxsize=4,
-            retries=False,
-            timeout=urllib3.Timeout(connect=CONNECT_SECONDS, read=CALL_SECONDS),
+            host, int(port.rstrip("/")), maxsize=8, retries=False
         )
 
     def __enter__(self) -> "Store":
@@ -91,37 +181,83 @@
         revision: int | None = None
         for _ in range(MAX_PAGES):
             query = f"?after={parse.quote(after)}" if after else ""
-            page = self._page(kind + query)
+            page = _decoded(self._call("GET", kind + query), _Page)
             items += page.items
             # Later pages may show later changes; only the first counts.
             revision = page.current_rev if revision is None else revision
             if not page.has_more or not page.items:
                 return Listing(items, revision, asked_at)
-            last = msgspec.json.decode(page.items[-1], type=_Named)
-            after = str(last.metadata.get("name", ""))
+            after = _stored(page.items[-1]).name
         raise StoreError(0, f"the list of {kind} has too many pages")
 
-    def put(self, kind: str, name: str, document: dict[str, Any]) -> None:
-        """Creates an object, or replaces it whatever its revision is.
+    def get(self, kind: str, name: str) -> StoredObject | None:
+        """Returns one object, or None if it is not there."""
+        try:
+            return _stored(self._call("GET", _target(kind, name)))
+        except StoreError as error:
+            if error.status == 404:
+                return None
+            raise
+
+    def watch(self, kind: str, revision: int, seconds: float) -> Changes:
+        """Waits for changes after a revision; returns once there are some.
+
+        Args:
+            kind: Kind of the objects.
+            revision: Revision after which changes are wanted.
+            seconds: Longest wait.
+
+        Raises:
+            StoreError: The watch broke; status 410 if the revision is too old
+                and a full list is needed.
+        """
+        wait = min(seconds, MAX_WATCH_SECONDS)
+        query = f"?watch={revision}&waitMs={int(wait * 1000)}"
+        body = self._call(
+            "GET", kind + query, seconds=wait + WATCH_GRACE_SECONDS
+        )
+        found = _decoded(body, _Events)
+        return Changes(
+            tuple(
+                Change(each.deleted, _plain(each.object))
+                for each in found.events
+            ),
+            found.current_rev,
+        )
+
+    def create(self, kind: str, name: str, spec: Any) -> StoredObject:
+        """Creates an object; status 409 if it is there."""
+        document = _document(name, spec)
+        return _stored(self._call("POST", kind, document))
+
+    def replace(
+        self, kind: str, name: str, version: int, spec: Any
+    ) -> StoredObject:
+        """Replaces an object; status 409 if its version is another."""
+        document = _document(name, spec, revision=version)
+        return _stored(self._call("PUT", _target(kind, name), document))
+
+    def put(self, kind: str, name: str, spec: Any) -> None:
+        """Creates an object, or replaces it whatever its version is.
 
         Raises:
             StoreError: A call failed; it may have been carried out.
         """
         try:
-            self._call("POST", kind, document)
+            self.create(kind, name, spec)
         except StoreError as error:
             if error.status != 409:
                 raise
-            self._call("PUT", f"{kind}/{parse.quote(name)}", document)
-
-    def _page(self, target: str) -> _Page:
-        body = self._call("GET", target)
-        try:
-            return msgspec.json.decode(body, type=_Page)
-        except msgspec.MsgspecError as error:
-            raise StoreError(0, f"the answer is no list: {error}") from error
+            self._call("PUT", _target(kind, name), _document(name, spec))
 
-    def _call(self, method: str, target: str, document: Any = None) -> bytes:
+    def _call(
+        self,
+        method: str,
+        target: str,
+        document: Any = None,
+        seconds: float | None = None,
+    ) -> bytes:
+        """Makes one call and returns the body of its answer."""
         self.calls += 1
         try:
             response = self.pool.request(
@@ -130,12 +266,49 @@
                 body=None
                 if document is None
                 else msgspec.json.encode(document),
-                headers=_JSON if document is not None else {},
+                headers=self.headers
+                if document is None
+                else {**self.headers, **_JSON},
+                timeout=urllib3.Timeout(
+                    connect=min(CONNECT_SECONDS, self.call_seconds),
+                    read=seconds or self.call_seconds,
+                ),
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
-            raise StoreError(0, type(error).__name__) from error
+            raise StoreError(
+                0, f"the store does not answer: {type(error).__name__}"
+            ) from error
         if response.status >= 300:
             raise StoreError(
                 response.status, f"the store answered {response.status}"
             )
         return response.data
+
+
+def _document(name: str, spec: Any, **condition: int) -> dict[str, Any]:
+    """Returns what is sent to write an object."""
+    metadata = {"name": name, "finalizers": [], **condition}
+    return {"metadata": metadata, "spec": spec}
+
+
+def _target(kind: str, name: str) -> str:
+    return f"{kind}/{parse.quote(name, safe='')}"
+
+
+def _decoded(body: bytes | msgspec.Raw, kind: type[Any]) -> Any:
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise StoreError(
+            0, f"the store's answer is malformed: {error}"
+        ) from error
+
+
+def _stored(body: bytes | msgspec.Raw) -> StoredObject:
+    return _plain(_decoded(body, _Object))
+
+
+def _plain(found: _Object) -> StoredObject:
+    return StoredObject(
+        found.metadata.name, found.metadata.revision, found.spec
+    )
--- a/gooseberryweir/process/serve.py
+++ b/gooseberryweir/process/serve.py
@@ -25,6 +25,7 @@
 from gooseberryweir.connection import caller_http
 from gooseberryweir.connection import messages
 from gooseberryweir.connection import upstream_http
+from gooseberryweir.platform import store as platform_store
 from gooseberryweir.process import context as contexts
 from gooseberryweir.process import measurer as measurer_module
 from gooseberryweir.process import reporting
@@ -37,7 +38,6 @@
 from gooseberryweir.process.shares import permits as permits_module
 from gooseberryweir.process.shares import shares as shares_module
 from gooseberryweir.process.shares import suspects as suspects_module
-from gooseberryweir.process.upkeep import platform as platform_module
 from gooseberryweir.process.upkeep import relay
 from gooseberryweir.process.upkeep import watcher as watcher_module
 from gooseberryweir.process.upkeep import withdrawals
@@ -173,7 +173,7 @@
 ) -> None:
     """Starts the tasks that talk to the platform."""
     settings = context.settings
-    api = platform_module.Platform(settings.platform, settings.host)
+    api = platform_store.Store(settings.platform, context.clock, settings.host)
     stack.enter_context(
         watcher_module.Watcher(
             api,
--- a/gooseberryweir/process/upkeep/key_objects.py
+++ b/gooseberryweir/process/upkeep/key_objects.py
@@ -3,12 +3,13 @@
 from typing import Any
 
 from gooseberryweir import clock as clocks
-from gooseberryweir.process.upkeep import platform
+from gooseberryweir.platform import store as platform_store
 from gooseberryweir.process.upkeep import settled
+from gooseberryweir.version import objects
 
 
 def withdraw_digests(
-    api: platform.Platform,
+    api: platform_store.Store,
     account: str,
     digests: set[str],
     clock: clocks.Clock,
@@ -27,5 +28,5 @@
         return {**spec, "digests": held}
 
     settled.merge_settled(
-        api, platform.STEERING_OBJECTS, f"keys.{account}", change, clock
+        api, objects.STEERING_OBJECTS, f"keys.{account}", change, clock
     )
--- a/gooseberryweir/process/upkeep/settled.py
+++ b/gooseberryweir/process/upkeep/settled.py
@@ -13,7 +13,7 @@
 
 from gooseberryweir import clock as clocks
 from gooseberryweir import codes
-from gooseberryweir.process.upkeep import platform
+from gooseberryweir.platform import store as platform_store
 
 SETTLE_SECONDS = 12.0
 PAUSE_SECONDS = 0.25
@@ -22,12 +22,12 @@
 
 
 def replace_settled(
-    api: platform.Platform,
+    api: platform_store.Store,
     kind: str,
-    current: platform.PlatformObject,
+    current: platform_store.StoredObject,
     spec: dict[str, Any],
     clock: clocks.Clock,
-) -> platform.PlatformObject:
+) -> platform_store.StoredObject:
     """Replaces an object that was read before, and settles the outcome.
 
     Args:
@@ -52,7 +52,7 @@
         "earlier": [each for each in ids if each][-EARLIER_IDS:],
     }
 
-    def write() -> platform.PlatformObject:
+    def write() -> platform_store.StoredObject:
         return api.replace(kind, current.name, current.version, named)
 
     return _settle(
@@ -61,28 +61,28 @@
 
 
 def create_settled(
-    api: platform.Platform,
+    api: platform_store.Store,
     kind: str,
     name: str,
     spec: dict[str, Any],
     clock: clocks.Clock,
-) -> platform.PlatformObject:
+) -> platform_store.StoredObject:
     """Creates an object that was absent; see `replace_settled`."""
     named = {**spec, "id": str(uuid.uuid4()), "earlier": []}
 
-    def write() -> platform.PlatformObject:
+    def write() -> platform_store.StoredObject:
         return api.create(kind, name, named)
 
     return _settle(api, kind, name, named, 0, write, clock)
 
 
 def merge_settled(
-    api: platform.Platform,
+    api: platform_store.Store,
     kind: str,
     name: str,
     change: Callable[[dict[str, Any]], dict[str, Any] | None],
     clock: clocks.Clock,
-) -> platform.PlatformObject | None:
+) -> platform_store.StoredObject | None:
     """Applies a change that commutes with those of other writers.
 
     Args:
@@ -115,22 +115,22 @@
 
 
 def read(
-    api: platform.Platform, kind: str, name: str
-) -> platform.PlatformObject | None:
+    api: platform_store.Store, kind: str, name: str
+) -> platform_store.StoredObject | None:
     """Reads one object; a failure becomes a `codes.UserError`."""
     try:
         return api.get(kind, name)
-    except platform.PlatformError as error:
+    except platform_store.StoreError as error:
         raise user_error(error) from error
 
 
-def content(found: platform.PlatformObject | None) -> dict[str, Any]:
+def content(found: platform_store.StoredObject | None) -> dict[str, Any]:
     """Returns an object's content; empty if absent or not a mapping."""
     spec = found.spec if found else None
     return spec if isinstance(spec, dict) else {}
 
 
-def user_error(error: platform.PlatformError) -> codes.UserError:
+def user_error(error: platform_store.StoreError) -> codes.UserError:
     """Returns what an operator is told about a failed call."""
     if error.status in (401, 403):
         code = codes.Code.FORBIDDEN
@@ -142,14 +142,14 @@
 
 
 def _settle(
-    api: platform.Platform,
+    api: platform_store.Store,
     kind: str,
     name: str,
     named: dict[str, Any],
     version: int,
-    write: Callable[[], platform.PlatformObject],
+    write: Callable[[], platform_store.StoredObject],
     clock: clocks.Clock,
-) -> platform.PlatformObject:
+) -> platform_store.StoredObject:
     """Writes until the write or another one is seen to have taken effect."""
     deadline = clock.monotonic() + SETTLE_SECONDS
     refused = False
@@ -157,7 +157,7 @@
         if not refused:
             try:
                 return write()
-            except platform.PlatformError as error:
+            except platform_store.StoreError as error:
                 refused = error.status == 409
                 if not (refused or _retriable(error)):
                     raise user_error(error) from error
@@ -171,22 +171,22 @@
         clock.sleep(PAUSE_SECONDS)
 
 
-def took_effect(seen: platform.PlatformObject, write_id: str) -> bool:
+def took_effect(seen: platform_store.StoredObject, write_id: str) -> bool:
     """Tells whether an object shows that a write took effect."""
     spec = content(seen)
     return spec.get("id") == write_id or write_id in spec.get("earlier", ())
 
 
-def _retriable(error: platform.PlatformError) -> bool:
+def _retriable(error: platform_store.StoreError) -> bool:
     return error.outcome_unknown or error.status == 429
 
 
 def _read_quietly(
-    api: platform.Platform, kind: str, name: str
-) -> platform.PlatformObject | None:
+    api: platform_store.Store, kind: str, name: str
+) -> platform_store.StoredObject | None:
     try:
         return api.get(kind, name)
-    except platform.PlatformError:
+    except platform_store.StoreError:
         return None
 
 
--- a/gooseberryweir/process/upkeep/watcher.py
+++ b/gooseberryweir/process/upkeep/watcher.py
@@ -1,14 +1,16 @@
 """Relay duty: brings the platform's objects into this host's store.
 
 A full list at the start and a watch for each kind carry the changes. Watches
-can be late, doubled, shuffled or silent, so beside them a list of names and
-versions is asked for every second. It proves that what is held is current,
-finds what a watch has missed, and finds deletions. Versions only grow: what
-is older than what is held changes nothing and proves nothing.
+can be late, doubled, shuffled or silent, so beside them the steering objects
+are listed every second, and the others if the store has changed since their
+last list. A list proves that what is held is current, finds what a watch has
+missed, and finds deletions. Versions only grow: what is older than what is held
+changes nothing and proves nothing.
 """
 
 from collections.abc import Callable
 from collections.abc import Iterator
+from collections.abc import Sequence
 import contextlib
 import logging
 import random
@@ -18,18 +20,16 @@
 
 from gooseberryweir import clock as clocks
 from gooseberryweir import logs
-from gooseberryweir.process.upkeep import platform
+from gooseberryweir.platform import store as platform_store
 from gooseberryweir.version import objects
 
 POLL_SECONDS = 1.0
 WATCH_SECONDS = 20.0
-GRACE_SECONDS = 0.2
 MIN_PAUSE_SECONDS = 0.1
 MAX_PAUSE_SECONDS = 2.0
 HEALTHY_SECONDS = 1.0
 MAX_POLLS = 4
-MAX_SINGLE_FETCHES = 8
-KINDS = (platform.ENDPOINT_SLICES, platform.STEERING_OBJECTS)
+KINDS = (objects.ENDPOINT_SLICES, objects.STEERING_OBJECTS)
 LOGGER = logging.getLogger(__name__)
 
 
@@ -48,7 +48,7 @@
 
     def __init__(
         self,
-        api: platform.Platform,
+        api: platform_store.Store,
         store: objects.ObjectStore,
         platform_answered: Callable[[float], None],
         is_relay: Callable[[], bool],
@@ -96,9 +96,12 @@
                 logs.event(
                     LOGGER, "watch-failed", kind=kind, reason=repr(error)
                 )
-            lasted = self.clock.monotonic() - began
-            pause = MIN_PAUSE_SECONDS if lasted > HEALTHY_SECONDS else pause * 2
-            pause = min(MAX_PAUSE_SECONDS, pause)
+                lasted = self.clock.monotonic() - began
+                healthy = lasted > HEALTHY_SECONDS
+                pause = MIN_PAUSE_SECONDS if healthy else pause * 2
+                pause = min(MAX_PAUSE_SECONDS, pause)
+            else:
+                pause = MIN_PAUSE_SECONDS
             self.clock.sleep(pause * (0.5 + self.jitter()))
 
     def poll(self) -> None:
@@ -112,11 +115,13 @@
             self.clock.sleep(POLL_SECONDS * (0.9 + 0.2 * self.jitter()))
 
     def poll_all(self) -> None:
-        """Asks once for the versions of each kind; never raises."""
+        """Asks once whether what is held is current; never raises."""
         with self._counted():
             try:
-                for kind in reversed(KINDS):
-                    self.check_versions(kind)
+                revision = self.list_all(objects.STEERING_OBJECTS)
+                for kind in KINDS:
+                    if self.newest[kind] < revision:
+                        self.list_all(kind)
             except Exception as error:  # A task outlives any one failure.
                 self._note_reachable(False, repr(error))
             else:
@@ -124,38 +129,25 @@
 
     def list_all(self, kind: str) -> int:
         """Takes in a full list and returns the version that it shows."""
-        asked_at = self.clock.monotonic()
         floor = self.floor(kind)
         listing = self.api.list(kind)
-        for each in listing.objects:
+        found = listing.objects()
+        for each in found:
             self._apply(kind, each)
-        self._conclude(kind, listing, floor, asked_at)
-        return listing.version
+        self._conclude(kind, listing, found, floor)
+        return listing.revision
 
     def watch_once(self, kind: str, version: int) -> int:
         """Follows one watch to its end; returns the newest version seen."""
         seconds = self.watch_seconds * (0.75 + 0.5 * self.jitter())
-        events = self.api.watch(kind, version, seconds)
-        with contextlib.closing(events):  # type: ignore[type-var]
-            for event in events:
-                changed = event.changed
-                if event.deleted:
-                    name = f"{kind}/{changed.name}"
-                    self._store(name, changed.version, None)
-                else:
-                    self._apply(kind, changed)
-                version = max(version, changed.version)
-        return version
-
-    def check_versions(self, kind: str) -> None:
-        """Compares what is held with the platform's names and versions."""
-        asked_at = self.clock.monotonic()
-        floor = self.floor(kind)
-        listing = self.api.list_versions(kind)
-        if self.missing(kind, listing):
-            self.clock.sleep(GRACE_SECONDS)
-        self._fetch(kind, self.missing(kind, listing))
-        self._conclude(kind, listing, floor, asked_at)
+        found = self.api.watch(kind, version, seconds)
+        for change in found.changes:
+            changed = change.changed
+            if change.deleted:
+                self._store(f"{kind}/{changed.name}", changed.version, None)
+            else:
+                self._apply(kind, changed)
+        return max(version, found.revision)
 
     def floor(self, kind: str) -> int:
         """Returns the version below which a list of the kind is old."""
@@ -166,62 +158,39 @@
         )
         return max([self.newest[kind], *held])
 
-    def missing(
-        self, kind: str, listing: platform.Listing
-    ) -> list[platform.PlatformObject]:
-        """Returns the listed objects of which an older version is held."""
-        held = self.store.versions()
-        return [
-            each
-            for each in listing.objects
-            if held.get(f"{kind}/{each.name}", 0) < each.version
-        ]
-
-    def _fetch(self, kind: str, wanted: list[platform.PlatformObject]) -> None:
-        """Reads the objects that no watch has brought."""
-        if len(wanted) > MAX_SINGLE_FETCHES:
-            for each in self.api.list(kind).objects:
-                self._apply(kind, each)
-            return
-        for each in wanted:
-            found = self.api.get(kind, each.name)
-            if found is not None:
-                self._apply(kind, found)
-
     def _conclude(
         self,
         kind: str,
-        listing: platform.Listing,
+        listing: platform_store.Listing,
+        found: Sequence[platform_store.StoredObject],
         floor: int,
-        asked_at: float,
     ) -> None:
         """Drops what is gone and reports proof, if the list gives any."""
-        if listing.version < floor:
+        if listing.revision < floor:
             logs.event(
                 LOGGER,
                 "stale-list",
                 kind=kind,
-                listed=listing.version,
+                listed=listing.revision,
                 known=floor,
             )
             return
-        self.newest[kind] = max(self.newest[kind], listing.version)
-        self._bury(kind, listing)
-        proven = not self.missing(kind, listing)
-        if proven and kind == platform.STEERING_OBJECTS:
-            self.platform_answered(asked_at)
-
-    def _bury(self, kind: str, listing: platform.Listing) -> None:
-        """Marks the objects that the list lacks as deleted."""
-        listed = {f"{kind}/{each.name}" for each in listing.objects}
+        self.newest[kind] = max(self.newest[kind], listing.revision)
+        self._bury(kind, listing.revision, {each.name for each in found})
+        if kind == objects.STEERING_OBJECTS:
+            self.platform_answered(listing.asked_at)
+
+    def _bury(self, kind: str, revision: int, names: set[str]) -> None:
+        """Marks the objects that a list lacks as deleted."""
+        listed = {f"{kind}/{name}" for name in names}
         for name, version in list(self.store.versions().items()):
             gone = name.startswith(f"{kind}/") and name not in listed
-            if not gone or version >= listing.version:
+            if not gone or version >= revision:
                 continue
             if self.store.get(name) is not None:
-                self._store(name, listing.version, None)
+                self._store(name, revision, None)
 
-    def _apply(self, kind: str, changed: platform.PlatformObject) -> None:
+    def _apply(self, kind: str, changed: platform_store.StoredObject) -> None:
         content = {} if changed.spec is None else changed.spec
         self._store(f"{kind}/{changed.name}", changed.version, content)
 
--- a/gooseberryweir/process/upkeep/withdrawals.py
+++ b/gooseberryweir/process/upkeep/withdrawals.py
@@ -11,10 +11,10 @@
 from gooseberryweir import clock as clocks
 from gooseberryweir import codes
 from gooseberryweir import logs
+from gooseberryweir.platform import store as platform_store
 from gooseberryweir.process.membership import facts as fact_sets
 from gooseberryweir.process.membership import membership as memberships
 from gooseberryweir.process.upkeep import key_objects
-from gooseberryweir.process.upkeep import platform
 from gooseberryweir.version import tables as versions
 
 RESOURCE = "withdrawals"
@@ -40,7 +40,7 @@
 
 
 def write_pending(
-    api: platform.Platform,
+    api: platform_store.Store,
     facts: fact_sets.Facts,
     tables: versions.Tables,
     membership: memberships.Membership,
@@ -53,7 +53,7 @@
     for account, digests in waiting.items():
         try:
             key_objects.withdraw_digests(api, account, digests, clock)
-        except (codes.UserError, platform.PlatformError) as error:
+        except (codes.UserError, platform_store.StoreError) as error:
             outcome = str(error)
         else:
             outcome = "written"
@@ -67,7 +67,7 @@
 
 
 def write_forever(
-    api: platform.Platform,
+    api: platform_store.Store,
     facts: fact_sets.Facts,
     tables: versions.Tables,
     membership: memberships.Membership,
--- a/gooseberryweir/version/objects.py
+++ b/gooseberryweir/version/objects.py
@@ -6,6 +6,9 @@
 
 import xxhash
 
+# What operators declare, and the hosts and upstreams that there are.
+STEERING_OBJECTS = "steeringobjects"
+ENDPOINT_SLICES = "endpointslices"
 CONFIG = "steeringobjects/config"
 DRAINS = "steeringobjects/drains"
 KEYS_PREFIX = "steeringobjects/keys."
