Upstreams whose entries ran out with the store have time to come back

Entries run out while the store is away; at its return the list is empty for up to two seconds, and hosts dropped every upstream that it lacked, with its connections and what was learnt of it.

Ruled out: holding all missing entries always (a crashed upstream would be asked longer); holding until an upstream fails (an address may be used again).

Change: what a list lacks after 2.5 s without a confirmation is held for 2.2 s from the store's return, unless it was leaving; then it is gone, also without a new list.

--- a/gooseberryweir/process/fleet/knowledge.py
+++ b/gooseberryweir/process/fleet/knowledge.py
@@ -23,6 +23,13 @@
 EVACUATIONS = "evacuations"
 HOSTS = "hosts"
 KINDS = (CONFIGURATION, UPSTREAMS, EVACUATIONS, HOSTS)
+# Time without a confirmation from which the store may have been away for so
+# long that entries of upstreams ran out: the shortest life of an entry is three
+# heartbeats, of a second and more.
+AWAY_SECONDS = 2.5
+# Time after its return in which upstreams that live are listed again; the users
+# say about two seconds.
+RETURN_SECONDS = 2.2
 
 
 class Part(NamedTuple):
@@ -53,6 +60,7 @@
         parts: The parts as they arrived, by kind.
         configuration: The newest configuration, or None.
         upstreams: Upstreams by name.
+        held: Those of them that are not listed since the store was away.
         evacuated: Availability zones that get nothing.
         hosts: Registered hosts by name.
         confirmed_at: Reading of the clock at which the configuration was
@@ -69,6 +77,8 @@
         self.parts: dict[str, Part] = {}
         self.configuration: traffic.Configuration | None = None
         self.upstreams: dict[str, traffic.Upstream] = {}
+        self.held: frozenset[str] = frozenset()
+        self.returned_at = float("-inf")
         self.evacuated: frozenset[str] = frozenset()
         self.hosts: dict[str, traffic.HostEntry] = {}
         self.confirmed_at = float("-inf")
@@ -95,8 +105,37 @@
             revision: Revision of the configuration.
             instant: Reading of this host's clock before the question was sent.
         """
-        if revision <= self.revision(CONFIGURATION):
-            self.confirmed_at = max(self.confirmed_at, instant)
+        if revision > self.revision(CONFIGURATION):
+            return
+        now = self.clock.monotonic()
+        if now - instant < AWAY_SECONDS < self.age():
+            self.returned_at = now
+        self.confirmed_at = max(self.confirmed_at, instant)
+        if self.held and not self._returning(now):
+            self._drop_held()
+
+    def _returning(self, now: float) -> bool:
+        """Whether upstreams that live may not be listed again yet."""
+        return (
+            self.age() > AWAY_SECONDS or now - self.returned_at < RETURN_SECONDS
+        )
+
+    def _drop_held(self) -> None:
+        """Takes upstreams that did not come back after the store as gone."""
+        logs.event(
+            LOGGER,
+            "upstreams-gone",
+            upstreams=",".join(sorted(self.held)),
+            seconds=self.clock.monotonic() - self.returned_at,
+        )
+        self.upstreams = {
+            name: each
+            for name, each in self.upstreams.items()
+            if name not in self.held
+        }
+        self.held = frozenset()
+        for listener in self.listeners:
+            listener(UPSTREAMS)
 
     def accept(
         self, kind: str, revision: int, content: bytes, source: str
@@ -171,5 +210,23 @@
             else:
                 # The entry may be old already; counting from now is too long.
                 cold[each.name] = now + each.cold_seconds
+        listed = {each.name: each for each in found}
+        missing = {
+            name: each
+            for name, each in self.upstreams.items()
+            if name not in listed and not each.leaving
+        }
+        if not self._returning(now):
+            missing = {}
+        if set(missing) - self.held:
+            logs.event(
+                LOGGER,
+                "upstreams-held",
+                upstreams=",".join(sorted(missing)),
+                confirmed_age=self.age(),
+            )
+        self.held = frozenset(missing)
+        for name in missing:
+            cold[name] = self.cold_until.get(name, 0.0)
         self.cold_until = cold
-        self.upstreams = {each.name: each for each in found}
+        self.upstreams = {**missing, **listed}
--- a/test/test_fleet_knowledge.py
+++ b/test/test_fleet_knowledge.py
@@ -143,6 +143,57 @@
         self.assertIsNone(accept(4, upstream("u1", revision=3)))
 
 
+class LapsedEntriesTest(unittest.TestCase):
+    """Entries of upstreams that ran out while the store was away."""
+
+    def setUp(self):
+        self.host = Host()
+        self.host.configure(10)
+        self.known = self.host.knowledge
+        self.confirm()
+        for _ in range(4):
+            self.host.clock.advance(1.0)
+            self.confirm()
+        self.accept(1, "u1", "u2")
+
+    def confirm(self):
+        self.known.confirm(10, self.host.clock.now)
+
+    def accept(self, revision, *names):
+        content = knowledge.encode([upstream(name) for name in names])
+        self.known.accept(knowledge.UPSTREAMS, revision, content, "test")
+
+    def test_one_that_goes_while_the_store_is_there_is_gone_at_once(self):
+        self.accept(2, "u2")
+        self.assertEqual(set(self.known.upstreams), {"u2"})
+
+    def test_after_the_store_was_away_they_have_time_to_come_back(self):
+        self.host.clock.advance(6.0)
+        self.accept(2)
+        self.confirm()
+        self.assertEqual(set(self.known.upstreams), {"u1", "u2"})
+        self.host.clock.advance(1.0)
+        self.accept(3, "u1")
+        self.confirm()
+        self.assertEqual(set(self.known.upstreams), {"u1", "u2"})
+        changed = []
+        self.known.listeners.append(changed.append)
+        self.host.clock.advance(knowledge.RETURN_SECONDS)
+        self.confirm()
+        # What is missing after that is gone, without a further list.
+        self.assertEqual(set(self.known.upstreams), {"u1"})
+        self.assertEqual(changed, [knowledge.UPSTREAMS])
+
+    def test_one_that_leaves_is_not_held(self):
+        leaving = [upstream("u1")._replace(leaving=True), upstream("u2")]
+        self.known.accept(
+            knowledge.UPSTREAMS, 2, knowledge.encode(leaving), "test"
+        )
+        self.host.clock.advance(6.0)
+        self.accept(3)
+        self.assertEqual(set(self.known.upstreams), {"u2"})
+
+
 class FreshnessTest(unittest.TestCase):
     """How old a confirmation is, whatever way it took."""
 
