What requests keep a slot for is no longer learnt; smaller mends of duplicates

Change: occupancy is gone, so waits are expected as before. Only objects that this host sent to an upstream lately count as missed there, since at a start none is warm yet. Beside it, without effect on behaviour: what was sent to a peer is kept apart from what it said (mesh), one class of sliding counts for repeats and cold upstreams, one set of hop-by-hop headers; all Connection headers name such headers, not only the first (test_front, failed before). Test of SIGHUP on front.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -297,7 +297,9 @@
 
 
 def _chosen(candidate: placement.Candidate) -> placement.Choice:
-    return placement.Choice(candidate.upstream, 0.0, 0.0, 0.0, False, 0, 1)
+    return placement.Choice(
+        candidate.upstream, 0.0, 0.0, 0.0, False, False, 0, 1
+    )
 
 
 POLICIES: dict[str, Policy] = {
--- a/gooseberryweir/connection/upstream_http.py
+++ b/gooseberryweir/connection/upstream_http.py
@@ -13,6 +13,7 @@
 
 import urllib3
 
+from gooseberryweir.connection import hop_headers
 from gooseberryweir.request import incoming
 
 CONNECT_SECONDS = 1.0
@@ -75,11 +76,8 @@
     Hop-by-hop headers go, and those of this system: an upstream's answer
     must not look like a refusal.
     """
-    named = {
-        name.strip().lower()
-        for name in headers.get("connection", "").split(",")
-    }
-    dropped = incoming.HOP_BY_HOP | named
+    named = hop_headers.named_by(headers.iteritems())
+    dropped = hop_headers.HOP_BY_HOP | named
     if "chunked" in headers.get("transfer-encoding", "").lower():
         dropped |= {"content-length"}
     return tuple(
--- a/gooseberryweir/platform/headers.py
+++ b/gooseberryweir/platform/headers.py
@@ -5,6 +5,8 @@
 from typing import NamedTuple
 from urllib import parse
 
+from gooseberryweir.connection import hop_headers
+from gooseberryweir.connection.http_messages import Headers
 from gooseberryweir.platform import units
 
 READINESS_PATH = "/-/readiness"
@@ -12,29 +14,15 @@
 # Status of an upstream that is not the one that a request names.
 MISDIRECTED = 421
 
-_HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "content-length",
-        "expect",
-    }
-)
+# Headers that are not passed on: those of one connection, and of the body, which
+# is framed anew.
+_DROPPED = hop_headers.HOP_BY_HOP | {"content-length", "expect"}
 # Headers that this system sets or takes away on the way to an upstream.
 _REPLACED = frozenset(
     {"authorization", "tenant-id", "deadline-ms", "expect-instance"}
 )
 _SCHEME = "bearer "
 
-Headers = tuple[tuple[str, str], ...]
-
 
 class CallerHeaders(NamedTuple):
     """What the headers of a request say.
@@ -115,7 +103,7 @@
     key = ""
     if authorization.lower().startswith(_SCHEME):
         key = authorization[len(_SCHEME) :].strip()
-    dropped = _HOP_BY_HOP | _REPLACED | _named(first.get("connection", ""))
+    dropped = _DROPPED | _REPLACED | hop_headers.named_by(headers)
     milliseconds = _number(first.get("deadline-ms"))
     return CallerHeaders(
         host=first.get("host", ""),
@@ -131,11 +119,6 @@
     )
 
 
-def _named(connection: str) -> frozenset[str]:
-    """Returns the headers that a Connection header names."""
-    return frozenset(each.strip().lower() for each in connection.split(","))
-
-
 def encode_request(
     passed_on: Headers, upstream: str, account: str, patience: float
 ) -> list[tuple[str, str]]:
@@ -160,7 +143,7 @@
     first: dict[str, str] = {}
     for name, value in headers:
         first.setdefault(name.lower(), value)
-    dropped = _HOP_BY_HOP | _named(first.get("connection", ""))
+    dropped = _DROPPED | hop_headers.named_by(headers)
     return AnswerHeaders(
         not_run="not-executed" in first or status == MISDIRECTED,
         load=_load(first.get("server-load", "")),
--- a/gooseberryweir/process/fleet/mesh.py
+++ b/gooseberryweir/process/fleet/mesh.py
@@ -85,6 +85,8 @@
         entry: Its addresses.
         beat: Its last beat, or None.
         heard_at: Reading of the clock when that beat came.
+        behind_since: Since when it lacks something, or None.
+        offered: Revisions of the parts sent since that beat.
     """
 
     def __init__(self, entry: traffic.HostEntry) -> None:
@@ -92,6 +94,7 @@
         self.beat: Beat | None = None
         self.heard_at = float("-inf")
         self.behind_since: float | None = None
+        self.offered: dict[str, int] = {}
 
 
 class OwnState(NamedTuple):
@@ -295,25 +298,29 @@
                 for kind, part in self.knowledge.parts.items()
             },
             demand=self.state.demand(),
-            parts=self._lacking(peer),
+            parts=self._offer(peer),
             crashes=self.state.crashes(),
             answered=self.state.answered(),
         )
 
     def _lacking(self, peer: Peer) -> dict[str, knowledge_module.Part]:
-        """Returns the parts that a host lacks and this one shall send.
-
-        The host that reads the store sends at once; the others only if a host
-        stays behind.
-        """
+        """Returns the parts that a host lacks, unless they are on their way."""
         if peer.beat is None:
             return {}
-        known = peer.beat.revisions
-        lacking = {
+        known = {**peer.beat.revisions, **peer.offered}
+        return {
             kind: part
             for kind, part in self.knowledge.parts.items()
             if part.revision > known.get(kind, 0)
         }
+
+    def _offer(self, peer: Peer) -> dict[str, knowledge_module.Part]:
+        """Returns the parts that go to a host with the next beat.
+
+        The host that reads the store sends at once; the others only if a host
+        stays behind.
+        """
+        lacking = self._lacking(peer)
         now = self.clock.monotonic()
         if not lacking:
             peer.behind_since = None
@@ -324,13 +331,9 @@
         if not (self.state.reading() or waited):
             return {}
         # Not sent twice before the other host can have said what it has.
-        heard = peer.beat._replace(
-            revisions={
-                **known,
-                **{kind: part.revision for kind, part in lacking.items()},
-            }
+        peer.offered.update(
+            {kind: part.revision for kind, part in lacking.items()}
         )
-        peer.beat = heard
         return lacking
 
     # Receiving.
@@ -378,6 +381,7 @@
             )
         peer.entry = beat.entry
         peer.beat = beat
+        peer.offered = {}
         peer.heard_at = self.clock.monotonic()
         for kind, part in beat.parts.items():
             self.knowledge.accept(
--- a/gooseberryweir/request/incoming.py
+++ b/gooseberryweir/request/incoming.py
@@ -10,20 +10,8 @@
 import urllib.parse
 
 from gooseberryweir import codes
+from gooseberryweir.connection import hop_headers
 
-HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
 # Headers that are rebuilt for the upstream rather than passed on.
 REPLACED = frozenset(
     {"authorization", "host", "content-length", "expect", "request-timeout"}
@@ -85,13 +73,7 @@
 
     A header whose name or value holds the key is left out.
     """
-    named = {
-        name.strip().lower()
-        for header, value in headers
-        if header.lower() == "connection"
-        for name in value.split(",")
-    }
-    dropped = HOP_BY_HOP | REPLACED | named
+    dropped = hop_headers.HOP_BY_HOP | REPLACED | hop_headers.named_by(headers)
     return tuple(
         (name, value)
         for name, value in headers
--- a/gooseberryweir/request/steering/limits.py
+++ b/gooseberryweir/request/steering/limits.py
@@ -9,7 +9,6 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Iterable
-from collections.abc import Mapping
 import math
 from typing import NamedTuple
 
@@ -138,11 +137,46 @@
         return 0.0
 
 
+class SlidingCounts:
+    """Counts what happened in a window that slides, by name."""
+
+    def __init__(self, window: float, now: Callable[[], float]) -> None:
+        """Starts at zero.
+
+        Args:
+            window: Length of the window in seconds.
+            now: Reads the clock.
+        """
+        self.window = window
+        self.now = now
+        self.times: dict[str, collections.deque[float]] = {}
+
+    def add(self, name: str) -> None:
+        """Counts one event."""
+        self.times.setdefault(name, collections.deque()).append(self.now())
+
+    def count(self, name: str) -> int:
+        """Returns the events in the window that ends now."""
+        times = self.times.get(name)
+        if not times:
+            return 0
+        oldest = self.now() - self.window
+        while times and times[0] <= oldest:
+            times.popleft()
+        return len(times)
+
+    def forget(self, names: Iterable[str]) -> None:
+        """Drops the counts of some names."""
+        for name in names:
+            self.times.pop(name, None)
+
+
 class RetryBudget:
     """This host's part of the repeats of each service.
 
     Attributes:
-        window: Span in which repeats are counted, in seconds.
+        requests: Requests of callers, by service.
+        repeats: Those that were sent again, by service.
         ratio: Repeats allowed for each request of this host.
         margin: Repeats allowed besides in a window, for all hosts.
     """
@@ -155,43 +189,25 @@
         fleet_size: Callable[[], int],
         now: Callable[[], float],
     ) -> None:
-        self.window = window
         self.ratio = ratio
         self.margin = margin
         self.fleet_size = fleet_size
-        self.now = now
-        self.requests: dict[str, collections.deque[float]] = {}
-        self.repeats: dict[str, collections.deque[float]] = {}
+        self.requests = SlidingCounts(window, now)
+        self.repeats = SlidingCounts(window, now)
 
     def request(self, service: str) -> None:
         """Counts a caller's request."""
-        self._add(self.requests, service)
-
-    def _add(
-        self, counted: dict[str, collections.deque[float]], service: str
-    ) -> None:
-        counted.setdefault(service, collections.deque()).append(self.now())
-
-    def _count(
-        self, counted: dict[str, collections.deque[float]], service: str
-    ) -> int:
-        times = counted.get(service)
-        if times is None:
-            return 0
-        oldest = self.now() - self.window
-        while times and times[0] < oldest:
-            times.popleft()
-        return len(times)
+        self.requests.add(service)
 
     def take(self, service: str) -> bool:
         """Counts a repeat if the budget allows it; returns whether it does."""
         allowed = RETRY_CAUTION * (
-            self.ratio * self._count(self.requests, service)
+            self.ratio * self.requests.count(service)
             + self.margin / self.fleet_size()
         )
-        if self._count(self.repeats, service) + 1 > allowed:
+        if self.repeats.count(service) + 1 > allowed:
             return False
-        self._add(self.repeats, service)
+        self.repeats.add(service)
         return True
 
 
@@ -214,8 +230,7 @@
         self.hosts = hosts
         self.factor = factor
         self.margin = margin
-        self.now = now
-        self.sent: dict[str, collections.deque[float]] = {}
+        self.sent = SlidingCounts(COLD_WINDOW_SECONDS, now)
 
     def part(self, upstream: str, cold_rate: float) -> int:
         """Returns the requests that this host may send in a second."""
@@ -228,19 +243,12 @@
 
     def free(self, upstream: str, cold_rate: float) -> bool:
         """Whether this host may send one more request now."""
-        times = self.sent.get(upstream)
-        if times:
-            oldest = self.now() - COLD_WINDOW_SECONDS
-            while times and times[0] <= oldest:
-                times.popleft()
-        used = len(times) if times else 0
-        return used < self.part(upstream, cold_rate)
+        return self.sent.count(upstream) < self.part(upstream, cold_rate)
 
     def take(self, upstream: str) -> None:
         """Counts a request to a cold upstream."""
-        self.sent.setdefault(upstream, collections.deque()).append(self.now())
+        self.sent.add(upstream)
 
-    def forget(self, gone: Mapping[str, object] | set[str]) -> None:
+    def forget(self, gone: Iterable[str]) -> None:
         """Drops the counts of upstreams that are gone."""
-        for name in gone:
-            self.sent.pop(name, None)
+        self.sent.forget(gone)
--- a/gooseberryweir/request/steering/placement.py
+++ b/gooseberryweir/request/steering/placement.py
@@ -73,6 +73,7 @@
         work: Seconds of work expected there.
         wait: Seconds of them that it waits for a slot.
         warm: Whether the object is expected to be warm there.
+        seen: Whether this host sent the object there lately.
         place: Its place in the order of the object.
         candidates: Upstreams that were considered.
     """
@@ -82,6 +83,7 @@
     work: float
     wait: float
     warm: bool
+    seen: bool
     place: int
     candidates: int
 
@@ -90,7 +92,7 @@
     """Returns the expected seconds until one more request gets a slot."""
     estimate = candidate.estimate
     ahead = max(0.0, estimate.busy + 1 - estimate.slots)
-    return mean_work * estimate.occupancy * ahead / estimate.slots
+    return mean_work * estimate.slowness * ahead / estimate.slots
 
 
 def expected_work(candidate: Candidate, warm: bool, times: WorkTimes) -> float:
@@ -155,6 +157,7 @@
                 work,
                 wait,
                 warm,
+                each.warm,
                 place,
                 len(candidates),
             )
@@ -190,6 +193,7 @@
         works[chosen],
         waits[chosen],
         False,
+        False,
         0,
         len(candidates),
     )
--- a/gooseberryweir/request/steering/sending.py
+++ b/gooseberryweir/request/steering/sending.py
@@ -94,7 +94,6 @@
             )
             ended = parts.clock.monotonic()
             state.timed_out(ended, ended - now, times.mean)
-            state.occupied(ended - now - choice.wait, times.mean)
             return work_module.Failure(
                 codes.Code.UPSTREAM_TIMEOUT, codes.Ran.UNKNOWN, "timeout"
             )
@@ -209,16 +208,15 @@
         learnt.learn_mean(work.service, kept)
         if waited:
             state.succeeded(now, None)
-            state.occupied(kept, times.mean)
             return
         warm = choice.warm
         if warm:
             # What took nearer to the time of cold work was not warm.
             middle = math.sqrt(times.warm * times.cold)
             warm = spent / state.slowness < middle
+        if choice.seen:
             state.found(warm)
         state.succeeded(now, spent / (times.warm if warm else times.cold))
-        state.occupied(kept, times.mean)
         learnt.learn(route, work.service, warm, spent / state.slowness)
 
     def _log_placement(
--- a/gooseberryweir/request/steering/upstream_state.py
+++ b/gooseberryweir/request/steering/upstream_state.py
@@ -52,8 +52,6 @@
         slots: Requests that it runs at once.
         slowness: Time its answers take over what others take.
         failing: Part of the requests that fail.
-        occupancy: Seconds for which a request keeps a slot, over what it does
-            at the service's other upstreams.
         missing: Part of the objects expected to be warm that are not.
     """
 
@@ -61,7 +59,6 @@
     slots: int
     slowness: float
     failing: float
-    occupancy: float = 1.0
     missing: float = 0.0
 
 
@@ -81,7 +78,6 @@
         self.objects: dict[str, float] = {}
         self.slowness = 1.0
         self.failing = 0.0
-        self.occupancy = 1.0
         self.missing = 0.0
         self.evidence = 0
         self.ejected_until = 0.0
@@ -104,7 +100,6 @@
             self.slots,
             1 + (self.slowness - 1) * faded,
             self.failing * faded,
-            1 + (self.occupancy - 1) * faded,
             self.missing * faded,
         )
 
@@ -113,23 +108,9 @@
         faded = math.exp(-(now - self.sampled_at) / OPINION_SECONDS)
         self.slowness = 1 + (self.slowness - 1) * faded
         self.failing *= faded
-        self.occupancy = 1 + (self.occupancy - 1) * faded
         self.missing *= faded
         self.sampled_at = now
 
-    def occupied(self, seconds: float, mean_work: float) -> None:
-        """Notes for how long a request kept a slot, its wait taken off.
-
-        Answers that waited count too: if less wait was expected than there
-        was, the rest makes later expectations longer, until they agree.
-
-        Args:
-            seconds: Seconds for which it kept a slot.
-            mean_work: Seconds that requests of the service take.
-        """
-        ratio = min(MAX_SLOWNESS, max(MIN_SLOWNESS, seconds / mean_work))
-        self.occupancy += SAMPLE_WEIGHT * (ratio - self.occupancy)
-
     def found(self, warm: bool) -> None:
         """Notes whether an object expected to be warm was so."""
         self.missing += SAMPLE_WEIGHT * ((not warm) - self.missing)
--- a/test/test_front.py
+++ b/test/test_front.py
@@ -30,7 +30,9 @@
             "/read/1?q=%20x",
             Tenant_Id="another",
             Connection="X-Hop",
+            connection="close, X-Hop2",
             X_Hop="1",
+            X_Hop2="1",
             X_Kept="2",
             Affinity_Key="7",
         )
@@ -42,6 +44,7 @@
         self.assertEqual(run.headers["x-kept"], "2")
         self.assertNotIn("authorization", run.headers)
         self.assertNotIn("x-hop", run.headers)
+        self.assertNotIn("x-hop2", run.headers)
         self.assertLessEqual(int(run.headers["deadline-ms"]), 2000)
 
     def test_what_is_not_allowed_runs_nowhere(self):
@@ -286,6 +289,24 @@
         found = _front.look_up(self.hosts[1], "north", "north-a")
         self.assertNotIn(host.front, json.loads(found.body)["addresses"])
 
+    def test_sighup_says_what_changed_and_cuts_nothing_off(self):
+        host = self.hosts[0]
+        settings = host.settings_path.read_text()
+        with _raw.Connection(host.front) as connection:
+            connection.send(_front.request_bytes("/read/wait"))
+            _common.wait_until(self.world.runs)
+            for text, line in (
+                (settings.replace("grace=6s", "grace=7s"), "changed=bounds"),
+                ("zone = 3", "event=settings-rejected"),
+                (settings, "changed=none"),
+            ):
+                host.settings_path.write_text(text)
+                host.process.send_signal(signal.SIGHUP)
+                _common.wait_until(lambda line=line: host.log_lines(line))
+            for upstream in self.world.upstreams:
+                upstream.release.set()
+            self.assertEqual(connection.answer().status, 200)
+
     def test_the_calls_to_the_store_do_not_grow_with_the_hosts(self):
         before = self.world.store.calls
         time.sleep(4)
