--- a/gooseberryweir/platform/headers.py
+++ b/gooseberryweir/platform/headers.py
@@ -14,8 +14,8 @@
 # Status of an upstream that is not the one that a request names.
 MISDIRECTED = 421
 
-# Headers that are not passed on: those of one connection, and of the body, which
-# is framed anew.
+# Headers that are not passed on: those of one connection, and those of the body
+# that is framed anew.
 _DROPPED = hop_headers.HOP_BY_HOP | {"content-length", "expect"}
 # Headers that this system sets or takes away on the way to an upstream.
 _REPLACED = frozenset(
--- a/test/test_placement.py
+++ b/test/test_placement.py
@@ -185,6 +185,33 @@
         self.assertGreater(state.estimate(1.1).busy, 20.0)
         self.assertLess(state.estimate(3.0).busy, SLOTS)
 
+    def test_the_load_of_other_hosts_comes_back_after_a_report(self):
+        # Another host keeps ten requests there; one report finds none.
+        state = self.state()
+        for step in range(40):
+            state.load_reported(10, SLOTS, step * 0.25)
+        state.load_reported(0, SLOTS, 10.0)
+        self.assertEqual(state.estimate(10.0).busy, 0.0)
+        self.assertGreater(state.estimate(10.8).busy, 6.0)
+        # Without any report it fades in the end.
+        self.assertLess(state.estimate(30.0).busy, 1.0)
+
+    def test_one_that_keeps_too_few_objects_counts_as_partly_cold(self):
+        # Cache of a size: what was warm is evicted by other objects.
+        state = self.state()
+        for step in range(40):
+            state.succeeded(step * 0.1, None)
+            state.found(step % 2 == 0)
+        estimate = state.estimate(4.0)
+        self.assertAlmostEqual(estimate.missing, 0.5, delta=0.15)
+        found = candidate("u")._replace(estimate=estimate)
+        work = placement.expected_work(found, True, TIMES)
+        self.assertGreater(work, 1.8 * TIMES.warm)
+        self.assertLess(work, TIMES.cold)
+        self.assertEqual(
+            placement.expected_work(found, False, TIMES), TIMES.cold
+        )
+
     def test_an_ejected_one_gets_one_request_until_it_answers(self):
         state = self.state()
         state.failed(1.0, "broken", 1)
