--- a/gooseberryweir/commands/apply.py
+++ b/gooseberryweir/commands/apply.py
@@ -53,7 +53,7 @@
     else:
         version = _write(operator, current, document)
         operator.out(f"accepted as version {version}")
-    fleet.wait_in_force(operator, fleet.CONFIG, version)
+    fleet.wait_in_force(operator, objects.CONFIG, version)
     return version
 
 
--- a/gooseberryweir/commands/drain.py
+++ b/gooseberryweir/commands/drain.py
@@ -47,8 +47,7 @@
     state = "drained" if drained else "not drained"
     operator.out(f"{target} is {state}")
     if written is not None:
-        name = f"{objects.STEERING_OBJECTS}/{_NAME}"
-        fleet.wait_in_force(operator, name, written.version)
+        fleet.wait_in_force(operator, objects.DRAINS, written.version)
 
 
 def _check_form(target: str) -> None:
--- a/gooseberryweir/commands/fleet.py
+++ b/gooseberryweir/commands/fleet.py
@@ -20,7 +20,6 @@
 ANSWER_SECONDS = 5.0
 IN_FORCE_SECONDS = 9.0
 PAUSE_SECONDS = 0.25
-CONFIG = f"{objects.STEERING_OBJECTS}/config"
 _MAX_CALLS = 64
 
 Out = Callable[[str], None]
@@ -225,7 +224,7 @@
         gone = answer.code == codes.Code.HOST_UNREACHABLE and host.leaving
         return "" if gone else answer.message
     held = answer.get("versions", {}).get(name, 0)
-    if name == CONFIG:
+    if name == objects.CONFIG:
         held = answer.get("config_version", 0)
     elif name in answer.get("malformed", {}):
         return "holds it as malformed"
--- a/gooseberryweir/connection/upstream_pool.py
+++ b/gooseberryweir/connection/upstream_pool.py
@@ -243,10 +243,12 @@
         try:
             data = _receive(connection)
             answers = reader.feed(data) if data else []
-        except (OSError, http_messages.MessageError) as error:
+        except http_messages.MessageError as error:
+            raise BrokenAnswerError(
+                str(error) or type(error).__name__
+            ) from error
+        except OSError as error:
             kind = BrokenAnswerError if begun else NoAnswerError
-            if isinstance(error, http_messages.MessageError):
-                kind = BrokenAnswerError
             raise kind(str(error) or type(error).__name__) from error
         begun = begun or bool(data)
         if not data:
--- a/gooseberryweir/process/fleet/knowledge.py
+++ b/gooseberryweir/process/fleet/knowledge.py
@@ -211,13 +211,13 @@
                 # The entry may be old already; counting from now is too long.
                 cold[each.name] = now + each.cold_seconds
         listed = {each.name: each for each in found}
-        missing = {
-            name: each
-            for name, each in self.upstreams.items()
-            if name not in listed and not each.leaving
-        }
-        if not self._returning(now):
-            missing = {}
+        missing = {}
+        if self._returning(now):
+            missing = {
+                name: each
+                for name, each in self.upstreams.items()
+                if name not in listed and not each.leaving
+            }
         if set(missing) - self.held:
             logs.event(
                 LOGGER,
--- a/gooseberryweir/version/objects.py
+++ b/gooseberryweir/version/objects.py
@@ -9,13 +9,13 @@
 # What operators declare, and the hosts and upstreams that there are.
 STEERING_OBJECTS = "steeringobjects"
 ENDPOINT_SLICES = "endpointslices"
-CONFIG = "steeringobjects/config"
-DRAINS = "steeringobjects/drains"
-KEYS_PREFIX = "steeringobjects/keys."
-SITES = "steeringobjects/sites"
-BLOCKS_PREFIX = "steeringobjects/blocks."
-HOSTS = "endpointslices/hosts"
-SERVICE_PREFIX = "endpointslices/service."
+CONFIG = f"{STEERING_OBJECTS}/config"
+DRAINS = f"{STEERING_OBJECTS}/drains"
+KEYS_PREFIX = f"{STEERING_OBJECTS}/keys."
+SITES = f"{STEERING_OBJECTS}/sites"
+BLOCKS_PREFIX = f"{STEERING_OBJECTS}/blocks."
+HOSTS = f"{ENDPOINT_SLICES}/hosts"
+SERVICE_PREFIX = f"{ENDPOINT_SLICES}/service."
 
 
 def object_digest(name: str, version: int) -> int:
