Log what hosts send each other and where an answer's time went

Change: `answer-delayed` says how long an answer that was ready waited for earlier answers and for the socket; `fleet-traffic` says each second what a host sent to the others and how many connections to them failed. No decision depends on them.

--- a/gooseberryweir/connection/pipelined_server.py
+++ b/gooseberryweir/connection/pipelined_server.py
@@ -12,6 +12,7 @@
 import contextlib
 import logging
 import socket
+import time
 from typing import Any
 from typing import NamedTuple
 
@@ -59,6 +60,27 @@
     close: bool = False
 
 
+class AnswerTiming(NamedTuple):
+    """Where the time from a request to the end of sending its answer went.
+
+    Attributes:
+        handling: Seconds from receiving the request to its answer.
+        waiting: Seconds for which the answer then waited for the answers to
+            earlier requests of the connection.
+        sending: Seconds that sending took, until the socket had all bytes.
+    """
+
+    handling: float
+    waiting: float
+    sending: float
+
+
+def _ignore_timing(
+    _request: http_messages.Message, _timing: AnswerTiming
+) -> None:
+    """Is called with the timing of each answer if nobody needs it."""
+
+
 class Callbacks(NamedTuple):
     """Functions that a server calls.
 
@@ -67,11 +89,15 @@
         limits: Returns the limits for a new connection.
         shutting_down: Returns True once the host is shutting down; each
             connection is then closed after its last open request.
+        sent: Is called after each answer, with its request and timing.
+        now: Returns the monotonic time in seconds.
     """
 
     handle: Callable[[http_messages.Message], Answer]
     limits: Callable[[], traffic.CallerLimits]
     shutting_down: Callable[[], bool]
+    sent: Callable[[http_messages.Message, AnswerTiming], None] = _ignore_timing
+    now: Callable[[], float] = time.monotonic
 
 
 class _OpenRequest(NamedTuple):
@@ -79,13 +105,16 @@
 
     Attributes:
         request: The request.
-        answer: Event that delivers the answer.
+        answer: Event that delivers the answer and the monotonic time, in
+            seconds, at which it was ready.
         task: Task that handles the request.
+        received_at: Monotonic time, in seconds, at which it was received.
     """
 
     request: http_messages.Message
     answer: event.Event
     task: Any
+    received_at: float
 
 
 class Server:
@@ -287,7 +316,11 @@
         """Starts a task for a request and queues its answer for sending."""
         answer_event = event.Event()
         task = eventlet.spawn(self._handle, request, handle, answer_event)
-        self.open_requests.append(_OpenRequest(request, answer_event, task))
+        self.open_requests.append(
+            _OpenRequest(
+                request, answer_event, task, self.server.callbacks.now()
+            )
+        )
         if self.writer_task is None:
             self.writer_task = eventlet.spawn(self._write_answers)
 
@@ -313,21 +346,23 @@
                 target=request.target,
             )
         finally:
-            answer_event.send(answer)
+            answer_event.send((answer, self.server.callbacks.now()))
 
     def _write_answers(self) -> None:
         """Sends answers in the order of their requests."""
+        callbacks = self.server.callbacks
         try:
             while self.open_requests and not self.closed:
                 oldest = self.open_requests[0]
-                answer = oldest.answer.wait()
+                answer, ready_at = oldest.answer.wait()
                 if self.closed:
                     return
+                send_started_at = callbacks.now()
                 is_last = len(self.open_requests) == 1
                 close = is_last and (
                     answer.close
                     or not oldest.request.keep_alive
-                    or self.server.callbacks.shutting_down()
+                    or callbacks.shutting_down()
                 )
                 with eventlet.Timeout(SEND_TIMEOUT_SECONDS):
                     self.socket.sendall(
@@ -340,6 +375,14 @@
                         )
                     )
                 self.open_requests.popleft()
+                callbacks.sent(
+                    oldest.request,
+                    AnswerTiming(
+                        ready_at - oldest.received_at,
+                        send_started_at - ready_at,
+                        callbacks.now() - send_started_at,
+                    ),
+                )
                 if close:
                     self._close_after_answer()
                     return
--- a/gooseberryweir/front.py
+++ b/gooseberryweir/front.py
@@ -233,6 +233,8 @@
                         else DEFAULT_LIMITS
                     ),
                     shutdown.started,
+                    request_handler.record_sent,
+                    clock.monotonic,
                 ),
             )
         )
--- a/gooseberryweir/process/fleet/mesh.py
+++ b/gooseberryweir/process/fleet/mesh.py
@@ -50,6 +50,8 @@
 # acknowledged for this time.
 TCP_USER_TIMEOUT_MILLISECONDS = 2000
 MAX_HEARTBEAT_BYTES = 16 * 1024 * 1024
+# Interval at which a host logs what it sent to its peers.
+TRAFFIC_LOG_SECONDS = 1.0
 _LENGTH_PREFIX = struct.Struct("!I")
 
 
@@ -141,6 +143,36 @@
     answered: Callable[[], tuple[str, ...]]
 
 
+class FleetTraffic:
+    """Counts what this host sends to its peers, between two log lines.
+
+    Attributes:
+        heartbeats: Heartbeats sent.
+        sent_bytes: Bytes of these heartbeats.
+        snapshots: Snapshots that they carried.
+        snapshot_bytes: Bytes of these snapshots.
+        lost_links: Connections to peers that failed.
+        started_at: Monotonic time, in seconds, at which counting started.
+    """
+
+    def __init__(self, now: float) -> None:
+        self.heartbeats = 0
+        self.sent_bytes = 0
+        self.snapshots = 0
+        self.snapshot_bytes = 0
+        self.lost_links = 0
+        self.started_at = now
+
+    def record(self, heartbeat: Heartbeat, size: int) -> None:
+        """Counts a heartbeat of some bytes."""
+        self.heartbeats += 1
+        self.sent_bytes += size
+        self.snapshots += len(heartbeat.snapshots)
+        self.snapshot_bytes += sum(
+            len(each.content) for each in heartbeat.snapshots.values()
+        )
+
+
 class Mesh:
     """Sends heartbeats to all peers and receives theirs; a context manager.
 
@@ -152,6 +184,7 @@
         wakeups: Event that makes each of these tasks send at once, by name.
         tasks: Tasks that accept connections and time the heartbeats.
         heartbeat_listeners: Functions called with each heartbeat received.
+        traffic: What this host has sent to its peers since the last log line.
     """
 
     def __init__(
@@ -179,6 +212,7 @@
         self.wakeups: dict[str, event.Event] = {}
         self.tasks: list[Any] = []
         self.heartbeat_listeners: list[Callable[[Peer, Heartbeat], None]] = []
+        self.traffic = FleetTraffic(self.started_at)
 
     def __enter__(self) -> "Mesh":
         host, _, port = self.settings.peer_address.rpartition(":")
@@ -279,8 +313,29 @@
         while True:
             self.state.refresh_demand()
             self.send_now()
+            self._log_traffic()
             self.clock.sleep(HEARTBEAT_SECONDS)
 
+    def _log_traffic(self) -> None:
+        """Logs what this host sent to its peers, at the logging interval."""
+        now = self.clock.monotonic()
+        traffic_seconds = now - self.traffic.started_at
+        if traffic_seconds < TRAFFIC_LOG_SECONDS:
+            return
+        logs.event(
+            LOGGER,
+            "fleet-traffic",
+            seconds=traffic_seconds,
+            heartbeats=self.traffic.heartbeats,
+            bytes=self.traffic.sent_bytes,
+            snapshots=self.traffic.snapshots,
+            snapshot_bytes=self.traffic.snapshot_bytes,
+            lost_links=self.traffic.lost_links,
+            links=len(self.senders),
+            live=len(self.live_peers()),
+        )
+        self.traffic = FleetTraffic(now)
+
     def _send_forever(self, peer: Peer) -> None:
         """Sends heartbeats to a peer; opens a new connection after an error."""
         while True:
@@ -288,6 +343,7 @@
                 with contextlib.closing(self._connect(peer)) as connection:
                     self._send_heartbeats(peer, connection)
             except (OSError, eventlet.Timeout) as error:
+                self.traffic.lost_links += 1
                 logs.event(
                     LOGGER,
                     "peer-link-lost",
@@ -321,11 +377,11 @@
         address = peer.entry.peer
         while peer.entry.peer == address:
             self.wakeups[peer.entry.name] = wakeup = event.Event()
-            heartbeat = msgspec.msgpack.encode(self._build_heartbeat(peer))
+            heartbeat = self._build_heartbeat(peer)
+            encoded = msgspec.msgpack.encode(heartbeat)
+            self.traffic.record(heartbeat, len(encoded))
             with eventlet.Timeout(SEND_TIMEOUT_SECONDS):
-                connection.sendall(
-                    _LENGTH_PREFIX.pack(len(heartbeat)) + heartbeat
-                )
+                connection.sendall(_LENGTH_PREFIX.pack(len(encoded)) + encoded)
             with eventlet.Timeout(2 * HEARTBEAT_SECONDS, False):
                 wakeup.wait()
             if self._peer_receives_nothing(peer, connected_at):
--- a/gooseberryweir/request/steering/serving.py
+++ b/gooseberryweir/request/steering/serving.py
@@ -34,6 +34,9 @@
 SHED_RETRY_SECONDS = 0.3
 # Retry-After if no upstream can take the request.
 UNAVAILABLE_RETRY_SECONDS = 0.5
+# An answer that was ready for longer than this before all of it was sent is
+# logged: the platform accepts half a second past a route's timeout.
+MAX_SENDING_DELAY_SECONDS = 0.1
 
 
 class ServingDependencies(NamedTuple):
@@ -117,6 +120,24 @@
         )
         return self._attempt_upstreams(request)
 
+    def record_sent(
+        self,
+        message: http_messages.Message,
+        timing: pipelined_server.AnswerTiming,
+    ) -> None:
+        """Logs an answer that was ready long before all of it was sent."""
+        if timing.waiting + timing.sending <= MAX_SENDING_DELAY_SECONDS:
+            return
+        self.dependencies.telemetry.count("answer_delayed")
+        logs.event(
+            LOGGER,
+            "answer-delayed",
+            request=wire.decode_request(message.headers).request_id,
+            seconds=timing.handling,
+            waited=timing.waiting,
+            sending=timing.sending,
+        )
+
     def _attempt_upstreams(
         self, request: pending_request.PendingRequest
     ) -> pipelined_server.Answer:
