--- a/gooseberryweir/front.py
+++ b/gooseberryweir/front.py
@@ -30,7 +30,9 @@
 from gooseberryweir.platform import records
 from gooseberryweir.platform import settings as platform_settings
 from gooseberryweir.platform import store as store_module
+from gooseberryweir.process.fleet import fleet_view
 from gooseberryweir.process.fleet import host_settings
+from gooseberryweir.process.fleet import local_state
 from gooseberryweir.process.fleet import mesh as mesh_module
 from gooseberryweir.process.fleet import reader as reader_module
 from gooseberryweir.process.fleet import shutdown as shutdown_module
@@ -78,27 +80,15 @@
 
 
 def peer_demand(
-    mesh: mesh_module.Mesh, meter: limits.RateMeter
-) -> Callable[[str], list[float]]:
-    """Returns a function that lists an account's demand at each peer.
-
-    The demand is in requests per second. A registered host that has sent no
-    heartbeat yet is assumed to have the same demand as this host, until this
-    host has run for `SHARE_EXPIRY_SECONDS`: by then it would have sent one if
-    it were up.
-    """
-
-    def demand_of_peers(account: str) -> list[float]:
-        demands = [
-            heartbeat.demand.get(account, 0.0)
-            for heartbeat in mesh.recent_heartbeats(
-                mesh_module.SHARE_EXPIRY_SECONDS
-            )
-        ]
-        own_demand = meter.announced.get(account, 0.0)
-        return demands + [own_demand] * len(mesh.hosts_without_heartbeat())
+    view: fleet_view.FleetView, meter: limits.RateMeter
+) -> Callable[[str], tuple[float, int]]:
+    """Returns a function that returns an account's demand at all other hosts.
 
-    return demand_of_peers
+    The demand is in requests per second, with the number of these hosts.
+    """
+    return lambda account: view.demand(
+        account, meter.announced.get(account, 0.0)
+    )
 
 
 @contextlib.contextmanager
@@ -118,7 +108,7 @@
         store = stack.enter_context(
             store_module.Store(settings.store_address, clock)
         )
-        state = mesh_module.LocalState(
+        state = local_state.LocalState(
             ready=lambda: side_servers.is_ready(
                 store_cache, shutdown, settings
             ),
@@ -133,21 +123,16 @@
         mesh = mesh_module.Mesh(settings, store_cache, state, clock)
         suspects = suspects_module.SuspectTracker(
             settings.host,
-            lambda: [peer.entry.name for peer in mesh.live_peers()],
-            lambda: [
-                heartbeat.crashes
-                for heartbeat in mesh.recent_heartbeats(
-                    suspects_module.SUSPECT_TTL_SECONDS
-                )
-            ],
+            mesh.view.trial_hosts,
+            mesh.view.crash_reports,
             clock.monotonic,
         )
         mesh.heartbeat_listeners.append(
-            lambda _, heartbeat: suspects.clear(heartbeat.answered)
+            lambda heartbeat: suspects.clear(heartbeat.all_answered)
         )
         reader = reader_module.Reader(
             store_snapshots.snapshot_reader(store),
-            store_snapshots.host_registrar(store, mesh.entry),
+            store_snapshots.host_registrar(store, mesh.view.entry),
             store_cache,
             clock,
         )
@@ -158,7 +143,7 @@
         bounds = settings.bounds
         cold_upstream_limit = limits.ColdUpstreamLimit(
             settings.host,
-            lambda: set(mesh.peers) | set(store_cache.hosts),
+            mesh.view.registered_hosts,
             bounds.cold_factor,
             bounds.cold_margin,
             clock.monotonic,
@@ -174,7 +159,7 @@
                 states=states,
                 cold_limit=cold_upstream_limit,
                 rng=rng,
-                fleet_size=mesh.fleet_size,
+                fleet_size=mesh.view.fleet_size,
             )
         )
         upstream_sender = sending_module.UpstreamSender(
@@ -196,12 +181,12 @@
                     store_cache,
                     limits.AccountLimits(
                         meter,
-                        peer_demand(mesh, meter),
+                        peer_demand(mesh.view, meter),
                         clock.monotonic,
                         limits.RateTolerance(
                             bounds.rate_overage,
                             bounds.rate_margin,
-                            mesh.fleet_size,
+                            mesh.view.fleet_size,
                         ),
                         settings.first_start,
                     ),
@@ -213,7 +198,7 @@
                     bounds.retry_window,
                     bounds.retry_ratio,
                     bounds.retry_margin,
-                    mesh.fleet_size,
+                    mesh.view.fleet_size,
                     clock.monotonic,
                 ),
                 telemetry=telemetry,
--- a/gooseberryweir/platform/settings.py
+++ b/gooseberryweir/platform/settings.py
@@ -40,6 +40,13 @@
     reads_per_s: float = 0.0
 
 
+class _Limits(msgspec.Struct, rename="camel"):
+    """Limits of the host's resources; section `limits` of the file."""
+
+    # Rate of the network link, in Mbit/s.
+    link_mbps: float = 0.0
+
+
 class _File(msgspec.Struct, rename="camel"):
     """Content of the settings file; other fields are ignored."""
 
@@ -54,6 +61,7 @@
     zones: dict[str, str]
     # True only during the first start of the whole system.
     bootstrap: bool = False
+    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 class _Bounds(NamedTuple):
@@ -134,6 +142,7 @@
         store_address=file.platform.address,
         first_start=file.bootstrap,
         bounds=_decode_bounds(file.bounds),
+        link_mbps=file.limits.link_mbps,
     )
 
 
--- a/gooseberryweir/process/fleet/host_settings.py
+++ b/gooseberryweir/process/fleet/host_settings.py
@@ -58,6 +58,7 @@
         store_address: Address of the platform's store, `IP:PORT`.
         first_start: True if the whole system starts for the first time.
         bounds: Guarantees that the host has to keep.
+        link_mbps: Rate of the host's network link in Mbit/s, 0 if not known.
     """
 
     host: str
@@ -73,3 +74,4 @@
     store_address: str
     first_start: bool
     bounds: Bounds
+    link_mbps: float = 0.0
--- a/gooseberryweir/process/fleet/mesh.py
+++ b/gooseberryweir/process/fleet/mesh.py
@@ -1,15 +1,18 @@
-"""Exchanges heartbeats between all hosts.
+"""Sends heartbeats to other hosts and receives theirs.
 
 A host that sends heartbeats counts as live. The heartbeats spread the content
 of the platform's store, the time at which the configuration was last confirmed
 to be the newest one, and the requests per second of client accounts at each
 host.
 
-Each host sends heartbeats to each peer over a separate connection. A heartbeat
-carries the snapshots of the store that the peer lacks. It also echoes the
-sending time of the latest heartbeat from that peer, so that the receiver
-computes the age of the sender's data on its own clock, regardless of the
-network delay.
+Each host sends heartbeats to the relays of its region (see `relays`), a relay
+also to those of the other regions, and each host to those that send it theirs.
+Each link is a separate connection. A heartbeat echoes the sending time of the
+latest heartbeat from its receiver, so that the receiver computes the age of the
+sender's data on its own clock, regardless of the network delay.
+
+Snapshots of the store follow the digests: a host sends one at once to the hosts
+that asked it for digests, and at most once over a connection.
 """
 
 from collections.abc import Callable
@@ -18,31 +21,33 @@
 import socket
 import struct
 from typing import Any
-from typing import NamedTuple
 
 import eventlet
 from eventlet import event
-import msgspec
 
 from gooseberryweir import clock as clocks
 from gooseberryweir import logs
+from gooseberryweir.process.fleet import fleet_traffic
+from gooseberryweir.process.fleet import fleet_view
+from gooseberryweir.process.fleet import heartbeat as heartbeat_module
 from gooseberryweir.process.fleet import host_settings
+from gooseberryweir.process.fleet import local_state
 from gooseberryweir.process.fleet import store_cache as store_cache_module
-from gooseberryweir.version import traffic
 
 LOGGER = logging.getLogger(__name__)
 
 # Interval of heartbeats; four intervals fit into `PEER_TIMEOUT_SECONDS`.
 HEARTBEAT_SECONDS = 0.5
-# Time without a heartbeat after which a peer counts as down.
-PEER_TIMEOUT_SECONDS = 2.0
-# Time without a heartbeat after which a peer can no longer serve authenticated
-# requests, so that the other hosts may use its share of a client account's
-# rate: the longest time for which a host relies on a confirmation that its
-# configuration is the newest one, plus one heartbeat interval.
-SHARE_EXPIRY_SECONDS = 5.0
-# A host that does not poll the store sends a snapshot only to a peer that has
-# lacked it for this time.
+# The same for a host that others ask for digests. It sends one with each poll
+# of the store or new confirmation, which come about every half second.
+RELAY_HEARTBEAT_SECONDS = 0.65
+# Shortest interval at which the demand of client accounts is updated; a host
+# that polls or relays sends heartbeats between the intervals too.
+MIN_REFRESH_SECONDS = 0.25
+# A relay that learns of a confirmation newer by this time forwards it at once.
+FORWARD_SECONDS = 0.25
+# Time for which a peer may lack a snapshot before a host sends it that the peer
+# did not ask for digests.
 RESEND_SECONDS = 1.0
 # Timeout of connecting to a peer, and of sending one heartbeat.
 SEND_TIMEOUT_SECONDS = 1.0
@@ -55,135 +60,26 @@
 _LENGTH_PREFIX = struct.Struct("!I")
 
 
-class Heartbeat(NamedTuple):
-    """Periodic message from one host to another.
-
-    Attributes:
-        entry: Name, addresses and location of the sender.
-        sent_at: Sending time on the sender's monotonic clock, in seconds.
-        echo: `sent_at` of the latest heartbeat from the receiver, 0 if none.
-        ready: True if the sender is ready to serve callers.
-        shutting_down: True if the sender is shutting down.
-        polling: True if the sender polls the store.
-        store_seconds: Latency of the sender's last poll of the store, in
-            seconds.
-        confirmed_age: Seconds since the sender's configuration was confirmed to
-            be the newest one.
-        revisions: Revision of each snapshot of the sender, by kind.
-        demand: Requests per second of each client account at the sender.
-        snapshots: Snapshots that the receiver lacks, by kind.
-        crashes: Names of the upstream incarnations that crashed while they ran
-            a request, by the fingerprint of the request.
-        answered: Fingerprints of requests that crashed an upstream and were
-            answered by an upstream later.
-    """
-
-    entry: traffic.HostEntry
-    sent_at: float
-    echo: float
-    ready: bool
-    shutting_down: bool
-    polling: bool
-    store_seconds: float
-    confirmed_age: float
-    revisions: dict[str, int]
-    demand: dict[str, float]
-    snapshots: dict[str, store_cache_module.Snapshot]
-    crashes: dict[str, tuple[str, ...]]
-    answered: tuple[str, ...]
-
-
-class Peer:
-    """State of another host.
-
-    Attributes:
-        entry: Name, addresses and location of the peer.
-        last_heartbeat: Latest heartbeat received from the peer, or None.
-        received_at: Monotonic time, in seconds, at which that heartbeat
-            arrived.
-        behind_since: Monotonic time, in seconds, since which the peer lacks a
-            snapshot, or None.
-        sent_revisions: Revisions of the snapshots sent to the peer since that
-            heartbeat, by kind.
-    """
-
-    def __init__(self, entry: traffic.HostEntry) -> None:
-        self.entry = entry
-        self.last_heartbeat: Heartbeat | None = None
-        self.received_at = float("-inf")
-        self.behind_since: float | None = None
-        self.sent_revisions: dict[str, int] = {}
-
-
-class LocalState(NamedTuple):
-    """Functions that return what this host reports in its heartbeats.
-
-    Attributes:
-        ready: Returns True if the host is ready to serve callers.
-        shutting_down: Returns True if the host is shutting down.
-        polling: Returns True if the host polls the store.
-        store_seconds: Returns the latency of the last poll of the store, in
-            seconds.
-        demand: Returns the requests per second of each client account.
-        refresh_demand: Updates the result of `demand`; called at each heartbeat
-            interval.
-        crashes: Returns the names of the upstream incarnations that crashed, by
-            the fingerprint of the request that they ran.
-        answered: Returns the fingerprints of requests that crashed an upstream
-            and were answered by an upstream later.
-    """
-
-    ready: Callable[[], bool]
-    shutting_down: Callable[[], bool]
-    polling: Callable[[], bool]
-    store_seconds: Callable[[], float]
-    demand: Callable[[], dict[str, float]]
-    refresh_demand: Callable[[], None]
-    crashes: Callable[[], dict[str, tuple[str, ...]]]
-    answered: Callable[[], tuple[str, ...]]
-
-
-class FleetTraffic:
-    """Counts what this host sends to its peers, between two log lines.
-
-    Attributes:
-        heartbeats: Heartbeats sent.
-        sent_bytes: Bytes of these heartbeats.
-        snapshots: Snapshots that they carried.
-        snapshot_bytes: Bytes of these snapshots.
-        lost_links: Connections to peers that failed.
-        started_at: Monotonic time, in seconds, at which counting started.
-    """
-
-    def __init__(self, now: float) -> None:
-        self.heartbeats = 0
-        self.sent_bytes = 0
-        self.snapshots = 0
-        self.snapshot_bytes = 0
-        self.lost_links = 0
-        self.started_at = now
-
-    def record(self, heartbeat: Heartbeat, size: int) -> None:
-        """Counts a heartbeat of some bytes."""
-        self.heartbeats += 1
-        self.sent_bytes += size
-        self.snapshots += len(heartbeat.snapshots)
-        self.snapshot_bytes += sum(
-            len(each.content) for each in heartbeat.snapshots.values()
-        )
-
-
 class Mesh:
-    """Sends heartbeats to all peers and receives theirs; a context manager.
+    """Sends and receives heartbeats; a context manager.
 
     Attributes:
-        started_at: Monotonic time, in seconds, at which this host started.
-        entry: Name, addresses and location of this host.
-        peers: State of each peer, by name.
+        settings: Settings of this host.
+        store_cache: Cached content of the store.
+        state: What this host reports of itself.
+        clock: Source of time.
+        view: What this host knows of the other hosts.
+        contacts: Hosts to which this host has to send heartbeats; True for
+            those that it asks for digests.
+        is_relay: True if this host is a relay of its region.
         senders: Task that sends heartbeats to each peer, by name.
         wakeups: Event that makes each of these tasks send at once, by name.
         tasks: Tasks that accept connections and time the heartbeats.
         heartbeat_listeners: Functions called with each heartbeat received.
+        refreshed_at: Monotonic time, in seconds, of the last update of the
+            demand.
+        triggered_at: Monotonic time, in seconds, at which heartbeats to all
+            peers were last triggered.
         traffic: What this host has sent to its peers since the last log line.
     """
 
@@ -191,28 +87,25 @@
         self,
         settings: host_settings.HostSettings,
         store_cache: store_cache_module.StoreCache,
-        state: LocalState,
+        state: local_state.LocalState,
         clock: clocks.Clock,
     ) -> None:
         self.settings = settings
         self.store_cache = store_cache
         self.state = state
         self.clock = clock
-        self.started_at = clock.monotonic()
-        self.entry = traffic.HostEntry(
-            name=settings.host,
-            incarnation=settings.incarnation,
-            front=settings.front_address,
-            peer=settings.peer_address,
-            zone=settings.zone,
-            region=settings.region,
-        )
-        self.peers: dict[str, Peer] = {}
+        self.view = fleet_view.FleetView(settings, store_cache, state, clock)
+        self.contacts: dict[str, bool] = {}
+        self.is_relay = True
         self.senders: dict[str, Any] = {}
         self.wakeups: dict[str, event.Event] = {}
         self.tasks: list[Any] = []
-        self.heartbeat_listeners: list[Callable[[Peer, Heartbeat], None]] = []
-        self.traffic = FleetTraffic(self.started_at)
+        self.heartbeat_listeners: list[
+            Callable[[heartbeat_module.Heartbeat], None]
+        ] = []
+        self.refreshed_at = float("-inf")
+        self.triggered_at = float("-inf")
+        self.traffic = fleet_traffic.FleetTraffic(clock.monotonic())
 
     def __enter__(self) -> "Mesh":
         host, _, port = self.settings.peer_address.rpartition(":")
@@ -226,95 +119,75 @@
         for task in [*self.tasks, *self.senders.values()]:
             task.kill()
 
-    def live_peers(self) -> list[Peer]:
-        """Returns the peers that sent a heartbeat recently, sorted by name."""
-        earliest = self.clock.monotonic() - PEER_TIMEOUT_SECONDS
-        return [
-            peer
-            for _, peer in sorted(self.peers.items())
-            if peer.received_at >= earliest
-        ]
-
-    def recent_heartbeats(self, seconds: float) -> list[Heartbeat]:
-        """Returns the latest heartbeat of each peer that sent one recently.
-
-        Args:
-            seconds: Greatest age of the heartbeats.
-        """
-        earliest = self.clock.monotonic() - seconds
-        return [
-            peer.last_heartbeat
-            for peer in self.peers.values()
-            if peer.last_heartbeat is not None and peer.received_at >= earliest
-        ]
-
-    def hosts_without_heartbeat(self) -> set[str]:
-        """Returns the names of hosts from which no heartbeat has arrived yet.
-
-        They are registered in the store and may be up. The set is empty once
-        this host has run for `SHARE_EXPIRY_SECONDS`.
-        """
-        if self.clock.monotonic() - self.started_at > SHARE_EXPIRY_SECONDS:
-            return set()
-        with_heartbeat = {
-            name
-            for name, peer in self.peers.items()
-            if peer.last_heartbeat is not None
-        }
-        return (
-            set(self.store_cache.hosts) - with_heartbeat - {self.settings.host}
-        )
-
-    def ready_hosts(self) -> list[traffic.HostEntry]:
-        """Returns the peers that are ready to serve callers, sorted by name."""
-        return [
-            peer.entry
-            for peer in self.live_peers()
-            if peer.last_heartbeat is not None
-            and peer.last_heartbeat.ready
-            and not peer.last_heartbeat.shutting_down
-        ]
-
-    def fleet_size(self) -> int:
-        """Returns how many hosts may be serving, including this one."""
-        names = set(self.peers) | set(self.store_cache.hosts)
-        return len(names | {self.settings.host})
-
     def send_now(self) -> None:
         """Sends the next heartbeat to all peers immediately."""
+        now = self.clock.monotonic()
+        self.triggered_at = now
+        if now - self.refreshed_at >= MIN_REFRESH_SECONDS:
+            self.refreshed_at = now
+            self.state.refresh_demand()
         for name in list(self.wakeups):
-            wakeup = self.wakeups[name]
-            if not wakeup.ready():
-                wakeup.send()
+            self._wake(name)
+
+    def _wake(self, name: str) -> None:
+        """Sends the next heartbeat to a peer immediately."""
+        wakeup = self.wakeups.get(name)
+        if wakeup is not None and not wakeup.ready():
+            wakeup.send()
 
     def _on_cache_change(self, kind: str) -> None:
         if kind == store_cache_module.HOSTS:
             for entry in self.store_cache.hosts.values():
-                self.add_peer(entry)
+                self.view.add_peer(entry)
+            self._update_links()
 
-    def add_peer(self, entry: traffic.HostEntry) -> Peer | None:
-        """Starts to send heartbeats to a host, unless it is this host.
+    # Links.
 
-        Returns:
-            The new or existing peer; None for this host.
-        """
-        if entry.name == self.settings.host:
-            return None
-        peer = self.peers.get(entry.name)
-        if peer is None:
-            peer = self.peers[entry.name] = Peer(entry)
-            self.senders[entry.name] = eventlet.spawn(self._send_forever, peer)
-        return peer
+    def _update_links(self) -> None:
+        """Opens and closes links according to the current contacts."""
+        contacts = self.view.contacts()
+        is_relay = self.view.is_relay()
+        if set(contacts) != set(self.contacts) or is_relay != self.is_relay:
+            logs.event(
+                LOGGER,
+                "relays-changed",
+                contacts=",".join(sorted(contacts)),
+                is_relay=is_relay,
+            )
+        self.contacts = contacts
+        self.is_relay = is_relay
+        links = set(contacts) | {
+            peer.entry.name
+            for peer in self.view.live_peers()
+            if peer.wants_answer
+        }
+        for name in set(self.senders) - links:
+            self.wakeups.pop(name, None)
+            # `kill` lets other tasks run, which may call this method.
+            eventlet.spawn(self.senders.pop(name).kill)
+        for name in sorted(links - set(self.senders)):
+            self.senders[name] = eventlet.spawn(
+                self._send_forever, self.view.peers[name]
+            )
+        self.view.record_contacts(contacts)
 
     # Sending.
 
     def _heartbeat_forever(self) -> None:
         """Triggers a heartbeat to all peers at each heartbeat interval."""
         while True:
-            self.state.refresh_demand()
-            self.send_now()
+            self._update_links()
+            interval = (
+                RELAY_HEARTBEAT_SECONDS
+                if self._serves_digests()
+                else HEARTBEAT_SECONDS
+            )
+            due_in = self.triggered_at + interval - self.clock.monotonic()
+            if due_in <= 0:
+                self.send_now()
+                due_in = interval
             self._log_traffic()
-            self.clock.sleep(HEARTBEAT_SECONDS)
+            self.clock.sleep(due_in)
 
     def _log_traffic(self) -> None:
         """Logs what this host sent to its peers, at the logging interval."""
@@ -332,11 +205,11 @@
             snapshot_bytes=self.traffic.snapshot_bytes,
             lost_links=self.traffic.lost_links,
             links=len(self.senders),
-            live=len(self.live_peers()),
+            live=len(self.view.live_hosts()),
         )
-        self.traffic = FleetTraffic(now)
+        self.traffic = fleet_traffic.FleetTraffic(now)
 
-    def _send_forever(self, peer: Peer) -> None:
+    def _send_forever(self, peer: fleet_view.Peer) -> None:
         """Sends heartbeats to a peer; opens a new connection after an error."""
         while True:
             try:
@@ -352,7 +225,7 @@
                 )
             self.clock.sleep(HEARTBEAT_SECONDS)
 
-    def _connect(self, peer: Peer) -> Any:
+    def _connect(self, peer: fleet_view.Peer) -> Any:
         host, _, port = peer.entry.peer.rpartition(":")
         with eventlet.Timeout(SEND_TIMEOUT_SECONDS):
             connection = eventlet.connect((host, int(port)))
@@ -364,7 +237,7 @@
         )
         return connection
 
-    def _send_heartbeats(self, peer: Peer, connection: Any) -> None:
+    def _send_heartbeats(self, peer: fleet_view.Peer, connection: Any) -> None:
         """Sends heartbeats over a connection until the peer's address changes.
 
         Raises:
@@ -375,10 +248,11 @@
         """
         connected_at = self.clock.monotonic()
         address = peer.entry.peer
+        peer.sent_revisions = {}
         while peer.entry.peer == address:
             self.wakeups[peer.entry.name] = wakeup = event.Event()
             heartbeat = self._build_heartbeat(peer)
-            encoded = msgspec.msgpack.encode(heartbeat)
+            encoded = heartbeat_module.encode(heartbeat)
             self.traffic.record(heartbeat, len(encoded))
             with eventlet.Timeout(SEND_TIMEOUT_SECONDS):
                 connection.sendall(_LENGTH_PREFIX.pack(len(encoded)) + encoded)
@@ -387,7 +261,9 @@
             if self._peer_receives_nothing(peer, connected_at):
                 raise ConnectionError("peer does not receive heartbeats")
 
-    def _peer_receives_nothing(self, peer: Peer, connected_at: float) -> bool:
+    def _peer_receives_nothing(
+        self, peer: fleet_view.Peer, connected_at: float
+    ) -> bool:
         """Returns True if the peer is up but gets no heartbeats from this host.
 
         Args:
@@ -398,20 +274,26 @@
         now = self.clock.monotonic()
         if (
             peer.last_heartbeat is None
-            or now - peer.received_at > PEER_TIMEOUT_SECONDS
+            or now - peer.received_at > fleet_view.PEER_TIMEOUT_SECONDS
         ):
             return False
         return (
             now - max(peer.last_heartbeat.echo, connected_at)
-            > 2 * PEER_TIMEOUT_SECONDS
+            > 2 * fleet_view.PEER_TIMEOUT_SECONDS
         )
 
-    def _build_heartbeat(self, peer: Peer) -> Heartbeat:
+    def _build_heartbeat(
+        self, peer: fleet_view.Peer
+    ) -> heartbeat_module.Heartbeat:
         received = peer.last_heartbeat
         now = self.clock.monotonic()
         age = now - self.store_cache.confirmed_at
-        return Heartbeat(
-            entry=self.entry,
+        revisions = {
+            kind: snapshot.revision
+            for kind, snapshot in self.store_cache.snapshots.items()
+        }
+        return heartbeat_module.Heartbeat(
+            entry=self.view.entry,
             sent_at=now,
             echo=0.0 if received is None else received.sent_at,
             ready=self.state.ready(),
@@ -419,59 +301,97 @@
             polling=self.state.polling(),
             store_seconds=self.state.store_seconds(),
             confirmed_age=min(age, 1e9),
-            revisions={
-                kind: snapshot.revision
-                for kind, snapshot in self.store_cache.snapshots.items()
-            },
-            demand=self.state.demand(),
+            revisions={**revisions, heartbeat_module.DIGEST_SUPPORT_KEY: 1},
+            demand=self._demand_for(peer),
             snapshots=self._snapshots_to_send(peer),
             crashes=self.state.crashes(),
             answered=self.state.answered(),
+            relaying=self._relaying(peer),
+        )
+
+    def _demand_for(self, peer: fleet_view.Peer) -> dict[str, float]:
+        """Returns the demand to send to a peer, empty if it has other sources.
+
+        Only relays of this host's region count its demand by its heartbeats,
+        and hosts of earlier builds. Digests have it for all others.
+        """
+        if not peer.supports_digests or (
+            peer.entry.name in self.contacts
+            and peer.entry.region == self.settings.region
+        ):
+            return self.state.demand()
+        return {}
+
+    def _relaying(
+        self, peer: fleet_view.Peer
+    ) -> heartbeat_module.Relaying | None:
+        """Returns what a heartbeat to a peer says about digests.
+
+        None until the peer is known to understand it.
+        """
+        if not peer.supports_digests:
+            return None
+        return heartbeat_module.Relaying(
+            link_mbps=self.settings.link_mbps,
+            is_relay=self.is_relay,
+            wants_answer=peer.entry.name in self.contacts,
+            wants_digest=self.contacts.get(peer.entry.name, False),
+            digest=self.view.build_digest(peer) if peer.wants_digest else None,
         )
 
     def _missing_snapshots(
-        self, peer: Peer
+        self, peer: fleet_view.Peer
     ) -> dict[str, store_cache_module.Snapshot]:
         """Returns the snapshots that a peer lacks.
 
-        Leaves out those sent to the peer since its latest heartbeat.
+        Leaves out those sent over the current connection, which arrive unless
+        the connection fails.
         """
         if peer.last_heartbeat is None:
             return {}
-        peer_revisions = {
-            **peer.last_heartbeat.revisions,
-            **peer.sent_revisions,
-        }
+        revisions = peer.last_heartbeat.revisions
         return {
             kind: snapshot
             for kind, snapshot in self.store_cache.snapshots.items()
-            if snapshot.revision > peer_revisions.get(kind, 0)
+            if snapshot.revision
+            > max(revisions.get(kind, 0), peer.sent_revisions.get(kind, 0))
         }
 
     def _snapshots_to_send(
-        self, peer: Peer
+        self, peer: fleet_view.Peer
     ) -> dict[str, store_cache_module.Snapshot]:
         """Returns the snapshots that the next heartbeat to a peer carries.
 
-        A host that polls the store sends new snapshots at once; other hosts
-        send them only if the peer has lacked them for `RESEND_SECONDS`.
+        A peer that asked for digests gets new snapshots at once. So do, from
+        the host that polls the store, the hosts that it asks for digests, and
+        those of earlier builds. Other peers get a snapshot that they have
+        lacked for `RESEND_SECONDS`.
         """
         missing = self._missing_snapshots(peer)
         now = self.clock.monotonic()
-        if not missing:
-            peer.behind_since = None
-            return {}
-        if peer.behind_since is None:
-            peer.behind_since = now
-        overdue = now - peer.behind_since >= RESEND_SECONDS
-        if not (self.state.polling() or overdue):
-            return {}
-        # Avoids sending a snapshot again before the peer's next heartbeat,
-        # which lists the revisions that the peer has.
+        missing_since = {}
+        for kind, snapshot in missing.items():
+            revision, since = peer.missing_since.get(kind, (0, now))
+            if revision != snapshot.revision:
+                since = now
+            missing_since[kind] = (snapshot.revision, since)
+        peer.missing_since = missing_since
+        at_once = peer.wants_digest or (
+            self.state.polling()
+            and (
+                self.contacts.get(peer.entry.name, False)
+                or not peer.supports_digests
+            )
+        )
+        to_send = {
+            kind: snapshot
+            for kind, snapshot in missing.items()
+            if at_once or now - missing_since[kind][1] >= RESEND_SECONDS
+        }
         peer.sent_revisions.update(
-            {kind: snapshot.revision for kind, snapshot in missing.items()}
+            {kind: snapshot.revision for kind, snapshot in to_send.items()}
         )
-        return missing
+        return to_send
 
     # Receiving.
 
@@ -492,7 +412,7 @@
 
         Also stops at a malformed heartbeat.
         """
-        connection.settimeout(2 * PEER_TIMEOUT_SECONDS)
+        connection.settimeout(2 * fleet_view.PEER_TIMEOUT_SECONDS)
         with contextlib.closing(connection), connection.makefile("rb") as file:
             try:
                 while True:
@@ -504,10 +424,7 @@
                         raise ValueError(
                             f"heartbeat of {size} bytes is too large"
                         )
-                    heartbeat = msgspec.msgpack.decode(
-                        file.read(size), type=Heartbeat
-                    )
-                    self._on_heartbeat(heartbeat)
+                    self._on_heartbeat(heartbeat_module.decode(file.read(size)))
             except (OSError, ValueError) as error:
                 logs.event(
                     LOGGER,
@@ -515,35 +432,53 @@
                     reason=type(error).__name__,
                 )
 
-    def _on_heartbeat(self, heartbeat: Heartbeat) -> None:
+    def _on_heartbeat(self, heartbeat: heartbeat_module.Heartbeat) -> None:
         """Updates the state of the sender and the cache from a heartbeat."""
-        peer = self.add_peer(heartbeat.entry)
+        peer = self.view.add_peer(heartbeat.entry)
         if peer is None:
             return
-        if (
-            peer.last_heartbeat is None
-            or peer.last_heartbeat.ready != heartbeat.ready
-        ):
+        previous = peer.last_heartbeat
+        if previous is None or previous.ready != heartbeat.ready:
             logs.event(
                 LOGGER,
                 "peer-state",
                 peer=heartbeat.entry.name,
                 ready=heartbeat.ready,
             )
-        peer.entry = heartbeat.entry
-        peer.last_heartbeat = heartbeat
-        peer.sent_revisions = {}
-        peer.received_at = self.clock.monotonic()
-        for kind, snapshot in heartbeat.snapshots.items():
+        self.view.record(peer, heartbeat)
+        if heartbeat.entry.name not in self.senders:
+            self._update_links()
+        accepted = [
             self.store_cache.accept(
                 kind, snapshot.revision, snapshot.content, heartbeat.entry.name
             )
+            for kind, snapshot in heartbeat.snapshots.items()
+        ]
+        previously_confirmed_at = self.store_cache.confirmed_at
         # An echo outside this range was sent by an earlier incarnation of this
         # host, or is 0.
-        if self.started_at <= heartbeat.echo <= peer.received_at:
+        if self.view.started_at <= heartbeat.echo <= peer.received_at:
             self.store_cache.confirm(
                 heartbeat.revisions.get(store_cache_module.CONFIGURATION, 0),
                 heartbeat.echo - heartbeat.confirmed_age,
             )
         for listener in self.heartbeat_listeners:
-            listener(peer, heartbeat)
+            listener(heartbeat)
+        confirmed_by = self.store_cache.confirmed_at - previously_confirmed_at
+        if any(accepted) or confirmed_by >= FORWARD_SECONDS:
+            self._forward()
+        elif heartbeat.supports_digests and (
+            previous is None
+            or (previous.relaying is None) != (heartbeat.relaying is None)
+        ):
+            # The peer gets the first digest without waiting for an interval.
+            self._wake(heartbeat.entry.name)
+
+    def _forward(self) -> None:
+        """Sends heartbeats now if another host relies on this one."""
+        if self._serves_digests():
+            self.send_now()
+
+    def _serves_digests(self) -> bool:
+        """Returns True if another host asks this one for digests."""
+        return any(peer.wants_digest for peer in self.view.live_peers())
--- a/gooseberryweir/process/fleet/reader.py
+++ b/gooseberryweir/process/fleet/reader.py
@@ -1,9 +1,9 @@
 """Polls the store on one host at a time; heartbeats spread the result.
 
-The host with the lowest latency to the store polls. Another host takes over
-when its own cache has not been confirmed to be up to date for some time,
-whatever the reason: the polling host is down, partitioned or refused by the
-store, or the two hosts are partitioned from each other.
+The relay with the lowest latency to the store polls (see `relays`). Another
+host takes over when its own cache has not been confirmed to be up to date for
+some time, whatever the reason: the polling host is down, partitioned or refused
+by the store, or the two hosts are partitioned from each other.
 """
 
 from collections.abc import Callable
@@ -16,7 +16,9 @@
 
 from gooseberryweir import clock as clocks
 from gooseberryweir import logs
+from gooseberryweir.process.fleet import fleet_view
 from gooseberryweir.process.fleet import mesh as mesh_module
+from gooseberryweir.process.fleet import relays
 from gooseberryweir.process.fleet import store_cache as store_cache_module
 
 LOGGER = logging.getLogger(__name__)
@@ -29,8 +31,11 @@
 # which the host with the lowest latency to the store takes over the polling; in
 # normal operation heartbeats keep it below about 1.1 s.
 TAKEOVER_SECONDS = 1.7
-# Added to that time for each peer with a lower latency to the store.
+# Added to that time for each relay with a lower latency to the store.
 TAKEOVER_STEP_SECONDS = 0.25
+# Added to that time at hosts that are not relays: they poll only if the store
+# refuses all relays, or no relay is left.
+NO_RELAY_TAKEOVER_SECONDS = 1.5
 # Shortest and longest wait after a failed call to the store; the wait doubles
 # with each failure.
 MIN_BACKOFF_SECONDS = 0.25
@@ -251,7 +256,7 @@
         return any(
             peer.last_heartbeat is not None
             and peer.last_heartbeat.revisions.get(kind, 0) > revision
-            for peer in self.mesh.live_peers()
+            for peer in self.mesh.view.live_peers()
         )
 
     def _update_polling(self) -> None:
@@ -271,28 +276,51 @@
         if self.mesh is None:
             return True
         candidates = [
-            peer
-            for peer in self.mesh.live_peers()
-            if peer.last_heartbeat is not None
-            and not peer.last_heartbeat.shutting_down
+            heartbeat
+            for heartbeat in self.mesh.view.recent_heartbeats(
+                fleet_view.PEER_TIMEOUT_SECONDS
+            )
+            if not heartbeat.shutting_down
+            # Earlier builds have no relays; each of their hosts may poll.
+            and (heartbeat.relaying is None or heartbeat.relaying.is_relay)
         ]
         own_rank = self._rank(self.store_seconds, self.mesh.settings.host)
-        peer_ranks = sorted(
-            self._rank(peer.last_heartbeat.store_seconds, peer.entry.name)
-            for peer in candidates
-            if peer.last_heartbeat is not None
-        )
-        age = self.store_cache.confirmed_age()
-        peers_ahead = sum(1 for rank in peer_ranks if rank < own_rank)
         if not self.polling:
-            return age > TAKEOVER_SECONDS + peers_ahead * TAKEOVER_STEP_SECONDS
+            peers_ahead = sum(
+                1
+                for each in candidates
+                if self._rank(each.store_seconds, each.entry.name) < own_rank
+            )
+            return (
+                self.store_cache.confirmed_age()
+                > TAKEOVER_SECONDS
+                + peers_ahead * TAKEOVER_STEP_SECONDS
+                + self._no_relay_seconds()
+            )
         return not any(
-            peer.last_heartbeat is not None
-            and peer.last_heartbeat.polling
-            and peer.last_heartbeat.confirmed_age < POLL_SECONDS
-            and self._rank(peer.last_heartbeat.store_seconds, peer.entry.name)
-            < own_rank
-            for peer in candidates
+            each.polling
+            and each.store_seconds < UNKNOWN_LATENCY_SECONDS
+            and each.confirmed_age < POLL_SECONDS
+            and (
+                not self.mesh.is_relay
+                or self._rank(each.store_seconds, each.entry.name) < own_rank
+            )
+            for each in candidates
+        )
+
+    def _no_relay_seconds(self) -> float:
+        """Returns the further time before a host that is no relay polls.
+
+        The hosts of a region take over one after the other.
+        """
+        if self.mesh is None or self.mesh.is_relay:
+            return 0.0
+        view = self.mesh.view
+        region = self.mesh.settings.region
+        ranked = relays.rank(region, view.ranked_hosts(region))
+        return (
+            NO_RELAY_TAKEOVER_SECONDS
+            + ranked.index(self.mesh.settings.host) * TAKEOVER_STEP_SECONDS
         )
 
     def _rank(self, store_seconds: float, name: str) -> tuple[int, str]:
--- a/gooseberryweir/request/steering/limits.py
+++ b/gooseberryweir/request/steering/limits.py
@@ -102,7 +102,7 @@
     def __init__(
         self,
         meter: RateMeter,
-        peer_demands: Callable[[str], Iterable[float]],
+        peer_demand: Callable[[str], tuple[float, int]],
         now: Callable[[], float],
         tolerance: RateTolerance,
         first_start: bool = False,
@@ -111,8 +111,8 @@
 
         Args:
             meter: Demand at this host.
-            peer_demands: Returns the demand at each peer for a client account,
-                in requests per second.
+            peer_demand: Returns the demand for a client account at all other
+                hosts, in requests per second, and the number of these hosts.
             now: Returns the monotonic time in seconds.
             tolerance: Excess that the configured bounds allow.
             first_start: True if the whole system starts for the first time, so
@@ -121,7 +121,7 @@
         self.meter = meter
         self.tolerance = tolerance
         self.first_start = first_start
-        self.peer_demands = peer_demands
+        self.peer_demand = peer_demand
         self.now = now
         self.buckets: dict[str, tuple[float, float]] = {}
 
@@ -129,10 +129,8 @@
         """Returns this host's share of an account's rate, from 0 to 1."""
         min_demand = MIN_DEMAND_RATE_FRACTION * rate
         own_demand = self.meter.announced.get(account, 0.0) + min_demand
-        total_peer_demand = sum(
-            demand + min_demand for demand in self.peer_demands(account)
-        )
-        return own_demand / (own_demand + total_peer_demand)
+        peer_rate, peers = self.peer_demand(account)
+        return own_demand / (own_demand + peer_rate + peers * min_demand)
 
     def take_token(self, account: str, rate: float, burst: float) -> float:
         """Records a request and takes a token for it if one is available.
--- a/gooseberryweir/request/steering/suspects.py
+++ b/gooseberryweir/request/steering/suspects.py
@@ -67,7 +67,7 @@
     def __init__(
         self,
         host: str,
-        hosts: Callable[[], Iterable[str]],
+        trial_hosts: Callable[[str], Iterable[str]],
         peer_crashes: Callable[[], Iterable[CrashesByFingerprint]],
         now: Callable[[], float],
     ) -> None:
@@ -75,13 +75,13 @@
 
         Args:
             host: Name of this host.
-            hosts: Returns the names of the live hosts.
-            peer_crashes: Returns the crashes in the latest heartbeat of each
-                peer.
+            trial_hosts: Returns the names of the hosts of which one sends a
+                suspect as a trial, by its fingerprint.
+            peer_crashes: Returns the crashes that other hosts report.
             now: Returns the monotonic time in seconds.
         """
         self.host = host
-        self.hosts = hosts
+        self.trial_hosts = trial_hosts
         self.peer_crashes = peer_crashes
         self.now = now
         self.own_crashes: collections.OrderedDict[str, dict[str, float]] = (
@@ -169,7 +169,9 @@
                 upstreams=",".join(sorted(incarnations)),
                 next_try=MIN_TRIAL_INTERVAL_SECONDS,
             )
-        trial_host = rendezvous.first(fingerprint, {*self.hosts(), self.host})
+        trial_host = rendezvous.first(
+            fingerprint, self.trial_hosts(fingerprint)
+        )
         if trial_host != self.host or now < trial.due_at:
             return max(MIN_TRIAL_INTERVAL_SECONDS / 2, trial.due_at - now)
         interval_seconds = min(
--- a/gooseberryweir/side_servers.py
+++ b/gooseberryweir/side_servers.py
@@ -74,7 +74,8 @@
             return pipelined_server.Answer(404, (), b"")
         look_up = wire.decode_look_up(query)
         own_ready = is_ready(store_cache, shutdown, settings)
-        hosts = mesh.ready_hosts() + ([mesh.entry] if own_ready else [])
+        own_entries = [mesh.view.entry] if own_ready else []
+        hosts = mesh.view.ready_hosts() + own_entries
         addresses = directory.select_addresses(
             look_up.region, look_up.zone, hosts
         )
--- a/test/simulated_fleet.py
+++ b/test/simulated_fleet.py
@@ -1,17 +1,19 @@
 """Hosts of the `front` command in virtual time, with links of limited rate.
 
-Each host has a real `Mesh` and a real cache of the store. Connections between
-hosts are objects: bytes wait until the sender's and the receiver's link have
-carried all bytes before them, as answers to callers would.
+Each host has a real `Mesh`, `Reader` and cache of the store. Connections
+between hosts are objects: bytes wait until the sender's and the receiver's link
+have carried all bytes before them, as answers to callers would.
 """
 
 import random
 
 import eventlet
-import msgspec
 
+from gooseberryweir.process.fleet import heartbeat
 from gooseberryweir.process.fleet import host_settings
+from gooseberryweir.process.fleet import local_state
 from gooseberryweir.process.fleet import mesh
+from gooseberryweir.process.fleet import reader
 from gooseberryweir.process.fleet import store_cache
 from gooseberryweir.version import traffic
 
@@ -19,12 +21,19 @@
 ACCOUNTS = 20
 SMALL_LINK_MBPS = 10.0
 LARGE_LINK_MBPS = 200.0
+# Encoded size of an upstream.
+UPSTREAM_BYTES = 75
 # Hosts of each region with a large link.
 LARGE_HOSTS = 2
 REGION_DELAY_SECONDS = 0.02
 ZONE_DELAY_SECONDS = 0.0009
 # Bytes that a connection takes before the sender has to wait.
 WINDOW_BYTES = 64 * 1024
+LENGTH_PREFIX_BYTES = 4
+# Age of a confirmation from which on a host is not ready to serve callers.
+KEY_REVOCATION_SECONDS = 5.0
+# Latency of the store, which is in the first region.
+STORE_SECONDS = 0.004
 # Hosts start within this time of each other.
 START_SECONDS = 0.3
 
@@ -71,6 +80,9 @@
         now = clock.monotonic()
         if not self.receiver.running:
             raise ConnectionResetError
+        if self.sender.fleet.are_apart(self.sender, self.receiver):
+            clock.sleep(mesh.SEND_TIMEOUT_SECONDS)
+            raise TimeoutError
         left_at = self.sender.outgoing.carry(len(data), now)
         delay = (
             ZONE_DELAY_SECONDS
@@ -92,8 +104,8 @@
     """One host.
 
     Attributes:
-        running: False once the host has been killed.
-        polling: True if it polls the store for the others.
+        running: True from its start until it is killed.
+        reader: Reads the store, and polls it if no other host does.
         demand: Requests per second of each client account at this host.
         reached_at: Time at which each list of upstreams arrived, by revision.
         lost_links: Connections that failed.
@@ -104,8 +116,7 @@
         self.clock = clock
         self.incoming = Link(mbps)
         self.outgoing = Link(mbps)
-        self.running = True
-        self.polling = False
+        self.running = False
         self.demand = {}
         self.reached_at = {}
         settings = host_settings.HostSettings(
@@ -122,16 +133,18 @@
             store_address="",
             first_start=True,
             bounds=host_settings.Bounds(),
+            link_mbps=mbps,
         )
-        if "link_mbps" in host_settings.HostSettings._fields:
-            settings = settings._replace(link_mbps=mbps)
         self.cache = store_cache.StoreCache(_decode_configuration, clock)
         self.cache.listeners.append(self._on_change)
-        state = mesh.LocalState(
-            ready=lambda: True,
+        state = local_state.LocalState(
+            ready=lambda: (
+                self.cache.complete()
+                and self.cache.confirmed_age() < KEY_REVOCATION_SECONDS
+            ),
             shutting_down=lambda: False,
-            polling=lambda: self.polling,
-            store_seconds=lambda: 0.005,
+            polling=lambda: self.reader.polling,
+            store_seconds=lambda: self.reader.store_seconds,
             demand=lambda: self.demand,
             refresh_demand=lambda: None,
             crashes=dict,
@@ -139,40 +152,46 @@
         )
         self.mesh = mesh.Mesh(settings, self.cache, state, clock)
         self.mesh._connect = self._connect
-        self.entry = self.mesh.entry
+        self.reader = reader.Reader(
+            lambda kind: fleet.store.read(self, kind),
+            lambda: None,
+            self.cache,
+            clock,
+        )
+        self.reader.mesh = self.mesh
+        self.entry = self.mesh.view.entry
         self.tasks = []
 
     def start(self):
         """Starts the tasks of the mesh that send heartbeats."""
-        self.cache.listeners.append(self.mesh._on_cache_change)
         self.tasks.append(
             eventlet.spawn_after(
-                self.fleet.rng.random() * START_SECONDS,
-                self.mesh._heartbeat_forever,
+                self.fleet.rng.random() * START_SECONDS, self._run
             )
         )
 
+    def _run(self):
+        self.running = True
+        self.cache.listeners.append(self.mesh._on_cache_change)
+        self.reader.__enter__()
+        self.mesh._heartbeat_forever()
+
     def kill(self):
         """Ends the host at once."""
         self.running = False
+        self.reader.__exit__()
         for task in [*self.tasks, *self.mesh.senders.values()]:
             task.kill()
 
     def receive(self, data):
         """Takes in one heartbeat with its length prefix."""
-        self.mesh._on_heartbeat(
-            msgspec.msgpack.decode(data[4:], type=mesh.Heartbeat)
-        )
-
-    def accept(self, kind, revision, content):
-        """Takes in a snapshot from the store."""
-        self.cache.accept(kind, revision, content, "store")
+        self.mesh._on_heartbeat(heartbeat.decode(data[LENGTH_PREFIX_BYTES:]))
 
     def _connect(self, peer):
         receiver = self.fleet.hosts[peer.entry.name]
-        if not receiver.running:
+        if not receiver.running or self.fleet.are_apart(self, receiver):
             self.clock.sleep(mesh.SEND_TIMEOUT_SECONDS)
-            raise ConnectionRefusedError
+            raise TimeoutError
         return Connection(self, receiver)
 
     def _on_change(self, kind):
@@ -187,17 +206,84 @@
     )
 
 
+def use_earlier_build(host):
+    """Makes a host behave like one of the build before digests.
+
+    It sends plain heartbeats to all hosts, and can't decode longer ones.
+    """
+    view, build = host.mesh.view, host.mesh._build_heartbeat
+
+    def build_heartbeat(peer):
+        plain = build(peer)
+        revisions = dict(plain.revisions)
+        revisions.pop(heartbeat.DIGEST_SUPPORT_KEY)
+        return plain._replace(
+            relaying=None, revisions=revisions, demand=host.demand
+        )
+
+    def receive(data):
+        decoded = heartbeat.decode(data[LENGTH_PREFIX_BYTES:])
+        if decoded.relaying is not None:
+            raise AssertionError("the heartbeat is not a plain one")
+        host.mesh._on_heartbeat(decoded)
+
+    view.contacts = lambda: dict.fromkeys(view.peers, False)
+    host.mesh._build_heartbeat = build_heartbeat
+    host.receive = receive
+
+
+class Store:
+    """The platform's store.
+
+    Attributes:
+        revision: Revision of the latest change.
+        snapshots: Content of each kind with the revision of its change.
+        refused: Names of hosts whose calls fail.
+        calls: Number of calls.
+    """
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.revision = 0
+        self.snapshots = {}
+        self.refused = set()
+        self.calls = 0
+
+    def write(self, kind, content):
+        """Replaces the content of a kind; returns the new revision."""
+        self.revision += 1
+        self.snapshots[kind] = store_cache.Snapshot(self.revision, content)
+        return self.revision
+
+    def read(self, host, kind):
+        """Returns the content of a kind, as `Reader.read` does."""
+        requested_at = self.clock.monotonic()
+        self.calls += 1
+        near = host.entry.region == REGIONS[0]
+        self.clock.sleep(STORE_SECONDS + 2 * (not near) * REGION_DELAY_SECONDS)
+        if host.entry.name in self.refused:
+            raise reader.ReadError("refused")
+        snapshot = self.snapshots[kind]
+        if kind != store_cache.CONFIGURATION:
+            snapshot = snapshot._replace(revision=self.revision)
+        return reader.ReadResult(snapshot, self.revision, requested_at)
+
+
 class Fleet:
-    """Hosts in three regions; the first one polls the store.
+    """Hosts in three regions.
 
     Attributes:
         hosts: Hosts by name.
-        poller: Host that polls the store.
+        store: The platform's store.
+        groups: Lists of names of hosts that reach only hosts of the same list;
+            empty if all hosts reach each other.
     """
 
     def __init__(self, size, clock, seed=1):
         self.clock = clock
         self.rng = random.Random(seed)
+        self.store = Store(clock)
+        self.groups = []
         self.hosts = {}
         for index in range(size):
             region = REGIONS[index % len(REGIONS)]
@@ -205,32 +291,23 @@
             name = f"{region}-{number:02}"
             mbps = LARGE_LINK_MBPS if number < LARGE_HOSTS else SMALL_LINK_MBPS
             self.hosts[name] = Host(self, name, region, mbps, clock)
-        self.poller = self.hosts["centro-00"]
-        self.poller.polling = True
-        self.revision = 1
         entries = tuple(sorted(each.entry for each in self.hosts.values()))
-        content = store_cache.encode_content(entries)
+        self.store.write(store_cache.CONFIGURATION, b"1")
+        for kind, value in (
+            (store_cache.UPSTREAMS, ()),
+            (store_cache.EVACUATIONS, ()),
+            (store_cache.HOSTS, entries),
+        ):
+            self.store.write(kind, store_cache.encode_content(value))
         for host in self.hosts.values():
             host.demand = {
                 f"account-{number}": round(self.rng.random(), 1)
                 for number in range(ACCOUNTS)
             }
             host.start()
-            host.accept(store_cache.CONFIGURATION, 1, b"1")
-            host.accept(store_cache.HOSTS, 1, content)
-
-    def run(self, seconds, poll_interval=0.5):
-        """Lets time pass; the poller confirms the configuration."""
-        end = self.clock.monotonic() + seconds
-        while self.clock.monotonic() < end - 1e-6:
-            if self.poller.running:
-                self.poller.cache.confirm(1, self.clock.monotonic())
-                self.poller.mesh.send_now()
-            self.clock.sleep(min(poll_interval, end - self.clock.monotonic()))
 
     def change_upstreams(self, size):
-        """Gives the poller a new list of upstreams of `size` random bytes."""
-        self.revision += 1
+        """Writes a new list of upstreams of about `size` bytes to the store."""
         upstreams = tuple(
             traffic.Upstream(
                 f"i-{self.rng.getrandbits(40):010x}",
@@ -241,22 +318,28 @@
                 False,
                 0.0,
                 1780000000000,
-                self.revision,
+                self.store.revision + 1,
             )
-            for _ in range(size // 75)
+            for _ in range(size // UPSTREAM_BYTES)
         )
-        self.poller.accept(
-            store_cache.UPSTREAMS,
-            self.revision,
-            store_cache.encode_content(upstreams),
+        content = store_cache.encode_content(upstreams)
+        return self.store.write(store_cache.UPSTREAMS, content)
+
+    def are_apart(self, first, second):
+        """Returns True if two hosts can't reach each other."""
+        return any(
+            (first.entry.name in group) != (second.entry.name in group)
+            for group in self.groups
         )
-        self.poller.mesh.send_now()
-        return self.revision
 
     def running(self):
         """Returns the hosts that have not been killed."""
         return [each for each in self.hosts.values() if each.running]
 
+    def oldest_confirmation(self):
+        """Returns the greatest age of a running host's configuration."""
+        return max(each.cache.confirmed_age() for each in self.running())
+
     def reset_counts(self):
         """Forgets the bytes and backlogs counted so far."""
         for host in self.hosts.values():
--- a/test/test_fleet_knowledge.py
+++ b/test/test_fleet_knowledge.py
@@ -9,7 +9,10 @@
 from gooseberryweir import clock as clocks
 from gooseberryweir import codes
 from gooseberryweir import front
+from gooseberryweir.process.fleet import fleet_view
+from gooseberryweir.process.fleet import heartbeat as heartbeat_module
 from gooseberryweir.process.fleet import host_settings
+from gooseberryweir.process.fleet import local_state
 from gooseberryweir.process.fleet import mesh
 from gooseberryweir.process.fleet import reader
 from gooseberryweir.process.fleet import store_cache
@@ -65,7 +68,7 @@
         self.reader = reader.Reader(
             lambda kind: None, lambda: None, self.store_cache, clock
         )
-        state = mesh.LocalState(
+        state = local_state.LocalState(
             ready=lambda: True,
             shutting_down=lambda: False,
             polling=lambda: self.reader.polling,
@@ -76,18 +79,14 @@
             answered=tuple,
         )
         self.mesh = mesh.Mesh(settings(name), self.store_cache, state, clock)
-        self.mesh.add_peer = self.add_peer
+        self.view = self.mesh.view
+        # No connections are opened.
+        self.mesh._update_links = lambda: None
         self.reader.mesh = self.mesh
 
-    def add_peer(self, host_entry):
-        """Adds a peer without connecting to it."""
-        return self.mesh.peers.setdefault(
-            host_entry.name, mesh.Peer(host_entry)
-        )
-
     def receive(self, name, **changes):
         """Delivers a heartbeat of a peer with some fields changed."""
-        heartbeat = mesh.Heartbeat(
+        heartbeat = heartbeat_module.Heartbeat(
             entry=entry(name),
             sent_at=5.0,
             echo=0.0,
@@ -256,7 +255,7 @@
         host = Host()
         host.set_configuration(10)
         host.clock.advance(1)
-        for echo in (host.mesh.started_at - 0.1, host.clock.now + 1, 0.0):
+        for echo in (host.view.started_at - 0.1, host.clock.now + 1, 0.0):
             host.receive(
                 "h2",
                 echo=echo,
@@ -353,13 +352,13 @@
         host.store_cache.hosts = {each.name: each for each in entries}
         meter = limits.RateMeter(host.mesh.clock.monotonic)
         meter.announced = {"a": 40.0}
-        peer_demand = front.peer_demand(host.mesh, meter)
-        self.assertEqual(peer_demand("a"), [40.0, 40.0])
+        peer_demand = front.peer_demand(host.view, meter)
+        self.assertEqual(peer_demand("a"), (80.0, 2))
         host.receive("h2", demand={"a": 5.0})
-        self.assertEqual(sorted(peer_demand("a")), [5.0, 40.0])
+        self.assertEqual(peer_demand("a"), (45.0, 2))
         # Registered hosts that sent no heartbeat for this time count as down.
-        host.clock.advance(mesh.SHARE_EXPIRY_SECONDS + 0.1)
-        self.assertEqual(peer_demand("a"), [])
+        host.clock.advance(fleet_view.SHARE_EXPIRY_SECONDS + 0.1)
+        self.assertEqual(peer_demand("a"), (0.0, 0))
 
 
 class DemandTest(unittest.TestCase):
@@ -368,22 +367,22 @@
     def test_the_demand_of_a_host_without_heartbeats_is_ignored(self):
         host = Host()
         host.receive("h2", demand={"a": 5.0})
-        host.clock.advance(mesh.SHARE_EXPIRY_SECONDS - 0.1)
+        host.clock.advance(fleet_view.SHARE_EXPIRY_SECONDS - 0.1)
         self.assertEqual(
-            len(host.mesh.recent_heartbeats(mesh.SHARE_EXPIRY_SECONDS)), 1
+            len(host.view.recent_heartbeats(fleet_view.SHARE_EXPIRY_SECONDS)), 1
         )
         host.clock.advance(0.2)
         self.assertEqual(
-            host.mesh.recent_heartbeats(mesh.SHARE_EXPIRY_SECONDS), []
+            host.view.recent_heartbeats(fleet_view.SHARE_EXPIRY_SECONDS), []
         )
 
     def test_a_host_is_not_listed_as_ready_after_the_peer_timeout(self):
         host = Host()
         host.receive("h2")
-        self.assertEqual([h.name for h in host.mesh.ready_hosts()], ["h2"])
-        host.clock.advance(mesh.PEER_TIMEOUT_SECONDS + 0.1)
-        self.assertEqual(host.mesh.ready_hosts(), [])
-        self.assertEqual(host.mesh.fleet_size(), 2)
+        self.assertEqual([h.name for h in host.view.ready_hosts()], ["h2"])
+        host.clock.advance(fleet_view.PEER_TIMEOUT_SECONDS + 0.1)
+        self.assertEqual(host.view.ready_hosts(), [])
+        self.assertEqual(host.view.fleet_size(), 2)
 
 
 if __name__ == "__main__":
--- a/test/test_fleet_traffic.py
+++ b/test/test_fleet_traffic.py
@@ -35,14 +35,14 @@
         """
         with virtual_time.virtual_time() as clock:
             fleet = simulated_fleet.Fleet(40, clock)
-            fleet.run(3.0)
+            clock.sleep(6.0)
             fleet.reset_counts()
             sent_at = {}
             for _ in range(8):
                 revision = fleet.change_upstreams(SNAPSHOT_BYTES)
                 sent_at[revision] = clock.monotonic()
-                fleet.run(POLL_SECONDS)
-            fleet.run(CHANGE_SECONDS)
+                clock.sleep(POLL_SECONDS)
+            clock.sleep(CHANGE_SECONDS)
             backlogs = {
                 host.entry.name: link.longest_backlog
                 for host in fleet.running()
@@ -68,17 +68,17 @@
         """
         with virtual_time.virtual_time() as clock:
             fleet = simulated_fleet.Fleet(40, clock)
-            fleet.run(3.0)
+            clock.sleep(6.0)
             for count in range(1, 11):
                 fleet.change_upstreams(count * SNAPSHOT_BYTES // 4)
-                fleet.run(POLL_SECONDS)
-                ages = {
-                    host.entry.name: host.cache.confirmed_age()
-                    for host in fleet.running()
-                }
-                self.assertLess(max(ages.values()), HEALTHY_AGE_SECONDS, count)
+                clock.sleep(POLL_SECONDS)
+                self.assertLess(
+                    fleet.oldest_confirmation(), HEALTHY_AGE_SECONDS, count
+                )
                 for host in fleet.running():
-                    listed = {each.name for each in host.mesh.ready_hosts()}
+                    listed = {
+                        each.name for each in host.mesh.view.ready_hosts()
+                    }
                     region_hosts = {
                         each.entry.name
                         for each in fleet.running()
@@ -91,17 +91,15 @@
     def test_a_list_is_sent_to_each_host_about_once(self):
         with virtual_time.virtual_time() as clock:
             fleet = simulated_fleet.Fleet(40, clock)
-            fleet.run(3.0)
+            clock.sleep(6.0)
             fleet.reset_counts()
-            fleet.run(2.0)
+            clock.sleep(2.0)
             idle = sum(host.incoming.carried for host in fleet.running())
             fleet.reset_counts()
             fleet.change_upstreams(SNAPSHOT_BYTES)
-            fleet.run(2.0)
+            clock.sleep(2.0)
             carried = sum(host.incoming.carried for host in fleet.running())
-            size = len(
-                fleet.poller.cache.snapshots[store_cache.UPSTREAMS].content
-            )
+            size = len(fleet.store.snapshots[store_cache.UPSTREAMS].content)
             self.assertLess((carried - idle) / size, 2 * len(fleet.hosts))
 
 
@@ -112,9 +110,9 @@
         """Returns the bytes that a fleet of hosts sends in a second."""
         with virtual_time.virtual_time() as clock:
             fleet = simulated_fleet.Fleet(size, clock)
-            fleet.run(4.0)
+            clock.sleep(6.0)
             fleet.reset_counts()
-            fleet.run(2.0)
+            clock.sleep(2.0)
             return sum(host.outgoing.carried for host in fleet.running()) / 2
 
     def test_heartbeats_grow_with_the_hosts_not_with_their_square(self):
--- /dev/null
+++ b/test/test_relays.py
@@ -0,0 +1,224 @@
+"""Tests of a fleet that exchanges heartbeats through relays.
+
+All run in virtual time, without a network (see `simulated_fleet`).
+"""
+
+import unittest
+
+from gooseberryweir.process.fleet import relays
+from test import simulated_fleet
+from test import virtual_time
+
+# Longest age of a confirmation with which authenticated requests are served.
+MAX_CONFIRMATION_AGE_SECONDS = 4.5
+# Age of a confirmation at which the first relay, or the first other host, takes
+# over the polling.
+RELAY_TAKEOVER_SECONDS = 1.7
+OTHER_TAKEOVER_SECONDS = 3.2
+# Time from the acknowledgement of a change until it is active on all hosts.
+CHANGE_SECONDS = 2.5
+# Time after which a look-up must not name a host that was killed.
+DEAD_HOST_SECONDS = 6.0
+# Hosts of the platform start at least 10 s before callers.
+SETTLE_SECONDS = 8.0
+STEP_SECONDS = 0.1
+
+
+class SelectionTest(unittest.TestCase):
+    """Which hosts of a region are its relays."""
+
+    def candidates(self, **states):
+        return [
+            relays.Candidate(name, state, 10.0)
+            for name, state in states.items()
+        ]
+
+    def test_ready_hosts_with_a_fast_link_come_first(self):
+        hosts = [
+            relays.Candidate("small", relays.READY, 10.0),
+            relays.Candidate("large", relays.READY, 200.0),
+            relays.Candidate("starting", relays.STARTING, 200.0),
+            relays.Candidate("unknown", relays.UNKNOWN, 200.0),
+            relays.Candidate("silent", relays.SILENT, 200.0),
+        ]
+        self.assertEqual(
+            relays.rank("r", hosts),
+            ["large", "small", "starting", "unknown", "silent"],
+        )
+        self.assertEqual(
+            relays.rank("r", reversed(hosts)), relays.rank("r", hosts)
+        )
+
+    def test_each_silent_host_adds_one_to_the_relays_that_are_tried(self):
+        states = dict.fromkeys("abcdef", relays.UNKNOWN)
+        self.assertEqual(len(relays.select("r", self.candidates(**states))), 2)
+        states["a"] = states["b"] = relays.SILENT
+        selected = relays.select("r", self.candidates(**states))
+        self.assertEqual(len(selected), 4)
+        self.assertFalse({"a", "b"} & set(selected))
+        states["c"] = states["d"] = relays.READY
+        selected = relays.select("r", self.candidates(**states))
+        self.assertEqual(set(selected), {"c", "d"})
+
+
+class FailureTest(unittest.TestCase):
+    """Relays that fail, and a store that refuses them."""
+
+    def setUp(self):
+        self.clock = self.enterContext(virtual_time.virtual_time())
+        self.fleet = simulated_fleet.Fleet(30, self.clock)
+        self.clock.sleep(SETTLE_SECONDS)
+        self.assertEqual(len(self.relays()), 6)
+
+    def relays(self):
+        return [each for each in self.fleet.running() if each.mesh.is_relay]
+
+    def kill(self, hosts):
+        for host in hosts:
+            host.kill()
+
+    def watch(self, seconds):
+        """Returns the greatest age of a confirmation within some time."""
+        oldest = 0.0
+        for _ in range(int(seconds / STEP_SECONDS)):
+            self.clock.sleep(STEP_SECONDS)
+            oldest = max(oldest, self.fleet.oldest_confirmation())
+        return oldest
+
+    def assert_settled(self):
+        """Checks that each host is confirmed and lists its live region."""
+        for host in self.fleet.running():
+            self.assertLess(
+                host.cache.confirmed_age(),
+                RELAY_TAKEOVER_SECONDS
+                if host.mesh.is_relay
+                else OTHER_TAKEOVER_SECONDS,
+            )
+        running = self.fleet.running()
+        for host in running:
+            listed = {
+                each.name
+                for each in host.mesh.view.ready_hosts()
+                if each.region == host.entry.region
+            }
+            expected = {
+                each.entry.name
+                for each in running
+                if each.entry.region == host.entry.region
+            }
+            self.assertEqual(listed | {host.entry.name}, expected)
+
+    def test_keys_stay_usable_while_both_relays_of_a_region_are_killed(self):
+        for region in simulated_fleet.REGIONS:
+            self.kill(
+                each for each in self.relays() if each.entry.region == region
+            )
+            self.assertLess(
+                self.watch(DEAD_HOST_SECONDS), MAX_CONFIRMATION_AGE_SECONDS
+            )
+            self.assert_settled()
+
+    def test_all_relays_killed_at_once_are_replaced(self):
+        self.kill(self.relays())
+        self.clock.sleep(DEAD_HOST_SECONDS)
+        self.assert_settled()
+        self.assertEqual(len(self.relays()), 6)
+
+    def test_half_of_all_hosts_killed_at_once_are_not_listed(self):
+        hosts = self.fleet.running()
+        self.kill(self.fleet.rng.sample(hosts, len(hosts) // 2))
+        self.clock.sleep(DEAD_HOST_SECONDS)
+        self.assert_settled()
+
+    def test_a_change_is_active_in_time_though_the_polling_host_is_killed(self):
+        (poller,) = (each for each in self.relays() if each.reader.polling)
+        self.kill([poller])
+        revision = self.fleet.change_upstreams(simulated_fleet.UPSTREAM_BYTES)
+        self.clock.sleep(CHANGE_SECONDS)
+        for host in self.fleet.running():
+            self.assertGreaterEqual(max(host.reached_at), revision)
+
+    def test_another_host_polls_if_the_store_refuses_all_relays(self):
+        self.fleet.store.refused = {each.entry.name for each in self.relays()}
+        self.assertLess(
+            self.watch(DEAD_HOST_SECONDS), MAX_CONFIRMATION_AGE_SECONDS
+        )
+        polling = [
+            each
+            for each in self.fleet.running()
+            if each.reader.polling and not each.mesh.is_relay
+        ]
+        self.assertTrue(polling)
+        self.assertLess(len(polling), 4)
+
+    def test_groups_of_a_region_find_each_other_after_a_partition(self):
+        hosts = sorted(self.fleet.hosts)
+        self.fleet.groups = [hosts[::2], hosts[1::2]]
+        self.clock.sleep(2 * DEAD_HOST_SECONDS)
+        self.fleet.groups = []
+        self.clock.sleep(2 * DEAD_HOST_SECONDS)
+        self.assert_settled()
+        self.assertEqual(len(self.relays()), 6)
+
+    def test_calls_to_the_store_do_not_grow_with_the_hosts(self):
+        calls = self.fleet.store.calls
+        self.clock.sleep(5.0)
+        # Two polls a second.
+        self.assertLess(self.fleet.store.calls - calls, 12)
+
+
+class DemandTest(unittest.TestCase):
+    """The demand of client accounts that each host knows of the others."""
+
+    def test_each_host_knows_the_demand_of_all_others(self):
+        with virtual_time.virtual_time() as clock:
+            fleet = simulated_fleet.Fleet(30, clock)
+            clock.sleep(SETTLE_SECONDS)
+            for host in fleet.running():
+                for account in host.demand:
+                    expected = sum(
+                        each.demand[account]
+                        for each in fleet.running()
+                        if each is not host
+                    )
+                    demand = host.mesh.view.demand(account, 0.0)
+                    self.assertAlmostEqual(demand.rate, expected, delta=0.4)
+                    self.assertEqual(demand.hosts, 29)
+
+    def test_hosts_that_were_killed_do_not_count_for_long(self):
+        with virtual_time.virtual_time() as clock:
+            fleet = simulated_fleet.Fleet(30, clock)
+            clock.sleep(SETTLE_SECONDS)
+            for host in fleet.running()[::3]:
+                host.kill()
+            clock.sleep(2 * SETTLE_SECONDS)
+            for host in fleet.running():
+                self.assertEqual(host.mesh.view.demand("", 0.0).hosts, 19)
+
+
+class EarlierBuildTest(unittest.TestCase):
+    """Hosts of this build beside a host of the build before digests."""
+
+    def test_hosts_of_both_builds_hear_each_other(self):
+        with virtual_time.virtual_time() as clock:
+            fleet = simulated_fleet.Fleet(12, clock)
+            old = fleet.hosts["norte-03"]
+            simulated_fleet.use_earlier_build(old)
+            clock.sleep(SETTLE_SECONDS)
+            self.assertLess(fleet.oldest_confirmation(), RELAY_TAKEOVER_SECONDS)
+            for host in fleet.running():
+                listed = {e.name for e in host.mesh.view.ready_hosts()}
+                if host is not old:
+                    self.assertIn(old.entry.name, listed)
+                    self.assertEqual(
+                        host.mesh.view.demand("account-0", 0.0).hosts,
+                        11,
+                        host.entry.name,
+                    )
+            self.assertEqual(
+                len({e.name for e in old.mesh.view.ready_hosts()}), 11
+            )
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/test/test_selection.py
+++ b/test/test_selection.py
@@ -212,7 +212,7 @@
                 lambda: False,
                 random.Random(1),
                 suspects.SuspectTracker(
-                    "h1", lambda: [], lambda: [], lambda: 0.0
+                    "h1", lambda _: ["h1"], lambda: [], lambda: 0.0
                 ),
             )
         )
--- a/test/test_steering_limits.py
+++ b/test/test_steering_limits.py
@@ -28,11 +28,14 @@
     def account_limits(self, index):
         return limits.AccountLimits(
             self.meters[index],
-            lambda account: [
-                rates.get(account, 0.0)
-                for peer_index, rates in enumerate(self.announced_rates)
-                if peer_index != index
-            ],
+            lambda account: (
+                sum(
+                    rates.get(account, 0.0)
+                    for peer_index, rates in enumerate(self.announced_rates)
+                    if peer_index != index
+                ),
+                len(self.meters) - 1,
+            ),
             self.now,
             limits.RateTolerance(
                 OVERAGE_FACTOR - 1, MARGIN_REQUESTS, lambda: len(self.meters)
--- a/test/test_steering_suspects.py
+++ b/test/test_steering_suspects.py
@@ -24,7 +24,7 @@
         self.hosts = {
             name: suspects.SuspectTracker(
                 name,
-                lambda: HOSTS,
+                lambda _: HOSTS,
                 lambda name=name: [
                     crashes
                     for other, crashes in self.heartbeats.items()
