Relays hold the tokens of accounts that each host sees rarely

Cause: each host had a bucket for its own share of each account's rate. At 64 hosts and a rate of 22 a second a share is a third of a request a second; a host sees the account every few seconds and seldom finds a whole token. The least demand assumed at each host (a hundredth of the rate) gave two thirds of the rate to hosts without any request. A newer own demand beside an older one of the others made shares add up to more than 1 while demand grows everywhere.

Change: an account with a mean rate under 4 requests a second and host has its tokens at the relay that a host asks for digests. The relay's share is the demand of its clients over that of all. Hosts say in heartbeats from whom they take tokens, so each one is counted once. Demand at this host counts as of 0.75 s ago, like that of other regions. Freshness of the key is checked again after the answer.

--- a/gooseberryweir/front.py
+++ b/gooseberryweir/front.py
@@ -30,13 +30,15 @@
 from gooseberryweir.platform import records
 from gooseberryweir.platform import settings as platform_settings
 from gooseberryweir.platform import store as store_module
-from gooseberryweir.process.fleet import fleet_view
 from gooseberryweir.process.fleet import host_settings
 from gooseberryweir.process.fleet import local_state
 from gooseberryweir.process.fleet import mesh as mesh_module
 from gooseberryweir.process.fleet import reader as reader_module
 from gooseberryweir.process.fleet import shutdown as shutdown_module
 from gooseberryweir.process.fleet import store_cache as store_cache_module
+from gooseberryweir.process.fleet import tokens as tokens_module
+from gooseberryweir.request.steering import account_demand
+from gooseberryweir.request.steering import account_tokens
 from gooseberryweir.request.steering import admission as admission_module
 from gooseberryweir.request.steering import limits
 from gooseberryweir.request.steering import selection as selection_module
@@ -79,16 +81,22 @@
     front: pipelined_server.Server
 
 
-def peer_demand(
-    view: fleet_view.FleetView, meter: limits.RateMeter
-) -> Callable[[str], tuple[float, int]]:
-    """Returns a function that returns an account's demand at all other hosts.
+def token_granter(
+    store_cache: store_cache_module.StoreCache, pool: limits.AccountLimits
+) -> Callable[[str], float]:
+    """Returns a function that grants tokens of this host's pool to any host."""
 
-    The demand is in requests per second, with the number of these hosts.
-    """
-    return lambda account: view.demand(
-        account, meter.announced.get(account, 0.0)
-    )
+    def grant(account_name: str) -> float:
+        configuration = store_cache.configuration
+        account = (
+            configuration.accounts.get(account_name) if configuration else None
+        )
+        if account is None:
+            # This host does not have the configuration of the other host yet.
+            return limits.UNKNOWN_SHARE_RETRY_SECONDS
+        return pool.take_token(account.name, account.rate, account.burst)
+
+    return grant
 
 
 @contextlib.contextmanager
@@ -116,11 +124,17 @@
             polling=lambda: reader.polling,
             store_seconds=lambda: reader.store_seconds,
             demand=lambda: meter.announced,
-            refresh_demand=meter.announce,
+            refresh_demand=lambda: demand.refresh(),
             crashes=lambda: suspects.recent_crashes(),
             answered=lambda: suspects.recently_cleared(),
         )
         mesh = mesh_module.Mesh(settings, store_cache, state, clock)
+        demand = account_demand.AccountDemand(
+            meter,
+            mesh.view,
+            lambda: mesh.token_source == settings.host,
+            clock.monotonic,
+        )
         suspects = suspects_module.SuspectTracker(
             settings.host,
             mesh.view.trial_hosts,
@@ -179,17 +193,7 @@
                 store_cache=store_cache,
                 admission=admission_module.Admission(
                     store_cache,
-                    limits.AccountLimits(
-                        meter,
-                        peer_demand(mesh.view, meter),
-                        clock.monotonic,
-                        limits.RateTolerance(
-                            bounds.rate_overage,
-                            bounds.rate_margin,
-                            mesh.view.fleet_size,
-                        ),
-                        settings.first_start,
-                    ),
+                    _open_account_tokens(settings, clock, mesh, demand),
                     bounds.key_revocation,
                 ),
                 selection=selection,
@@ -230,6 +234,43 @@
         yield Host(settings, clock, shutdown, store_cache, mesh, front)
 
 
+def _open_account_tokens(
+    settings: host_settings.HostSettings,
+    clock: clocks.Clock,
+    mesh: mesh_module.Mesh,
+    demand: account_demand.AccountDemand,
+) -> account_tokens.AccountTokens:
+    """Creates the token buckets and the exchange of tokens with hosts."""
+
+    def account_limits(
+        split_demand: Callable[[str], tuple[limits.Demand, limits.Demand]],
+    ) -> limits.AccountLimits:
+        return limits.AccountLimits(
+            split_demand,
+            clock.monotonic,
+            limits.RateTolerance(
+                settings.bounds.rate_overage,
+                settings.bounds.rate_margin,
+                mesh.view.fleet_size,
+            ),
+            settings.first_start,
+        )
+
+    exchange = tokens_module.TokenExchange(
+        settings.host,
+        lambda: mesh.token_source,
+        token_granter(mesh.store_cache, account_limits(demand.pooled)),
+        mesh.send_message,
+    )
+    mesh.on_message = exchange.receive
+    return account_tokens.AccountTokens(
+        demand.meter,
+        account_limits(demand.local),
+        exchange.take,
+        mesh.view.fleet_size,
+    )
+
+
 def _removal_listener(
     store_cache: store_cache_module.StoreCache,
     states: upstream_state.UpstreamStates,
--- a/gooseberryweir/process/fleet/fleet_view.py
+++ b/gooseberryweir/process/fleet/fleet_view.py
@@ -358,6 +358,20 @@
                     contacts.setdefault(name, False)
         return contacts
 
+    def token_source(self) -> str | None:
+        """Returns the host from which this one takes tokens, or None.
+
+        This is the best relay of the region that is known to be up; it may be
+        this host.
+        """
+        now = self.clock.monotonic()
+        for name in self.selected_relays(self.settings.region):
+            if name == self.settings.host:
+                return name
+            if now - self.peers[name].received_at <= RELAY_TIMEOUT_SECONDS:
+                return name
+        return None
+
     # Demand of client accounts.
 
     def _counted_heartbeats(self) -> list[heartbeat_module.Heartbeat]:
@@ -439,6 +453,15 @@
             uncounted = max(0, len(registered) - hosts)
         return PeerDemand(rate + uncounted * own_rate, hosts + uncounted)
 
+    def token_clients(self) -> list[heartbeat_module.Heartbeat]:
+        """Returns the heartbeats of hosts that take tokens from this one."""
+        return [
+            heartbeat
+            for heartbeat in self.recent_heartbeats(SHARE_EXPIRY_SECONDS)
+            if heartbeat.relaying is not None
+            and heartbeat.relaying.takes_tokens
+        ]
+
     # Requests that crash upstreams.
 
     def crash_reports(self) -> list[dict[str, tuple[str, ...]]]:
--- a/gooseberryweir/process/fleet/heartbeat.py
+++ b/gooseberryweir/process/fleet/heartbeat.py
@@ -65,6 +65,8 @@
         wants_answer: True if the sender needs heartbeats of the receiver, False
             if it sends its own only as an answer.
         wants_digest: True if the receiver should send digests to the sender.
+        takes_tokens: True if the sender takes tokens of client accounts from
+            the receiver (see `tokens`).
         digest: Summary of other hosts, if the receiver asked for it.
     """
 
@@ -72,6 +74,7 @@
     is_relay: bool
     wants_answer: bool
     wants_digest: bool
+    takes_tokens: bool
     digest: Digest | None
 
 
--- a/gooseberryweir/process/fleet/mesh.py
+++ b/gooseberryweir/process/fleet/mesh.py
@@ -15,6 +15,7 @@
 that asked it for digests, and at most once over a connection.
 """
 
+import collections
 from collections.abc import Callable
 import contextlib
 import logging
@@ -57,7 +58,20 @@
 MAX_HEARTBEAT_BYTES = 16 * 1024 * 1024
 # Interval at which a host logs what it sent to its peers.
 TRAFFIC_LOG_SECONDS = 1.0
+# Length of a frame's content. `_MESSAGE_FLAG` is added for messages that are no
+# heartbeats, which only hosts that understand digests get.
 _LENGTH_PREFIX = struct.Struct("!I")
+_MESSAGE_FLAG = 1 << 31
+
+
+def _frame(content: bytes, flag: int = 0) -> bytes:
+    """Returns content with its length prefix."""
+    return _LENGTH_PREFIX.pack(len(content) | flag) + content
+
+
+def _reject_message(_sender: str, _message: bytes) -> None:
+    """Handles messages of other hosts if nothing else does."""
+    raise ValueError("unexpected message")
 
 
 class Mesh:
@@ -72,8 +86,14 @@
         contacts: Hosts to which this host has to send heartbeats; True for
             those that it asks for digests.
         is_relay: True if this host is a relay of its region.
+        token_source: Name of the host from which this one takes tokens of
+            client accounts, or None.
+        on_message: Handles messages of other hosts that are no heartbeats, with
+            the name of the sender; may raise `ValueError`.
+        outboxes: Encoded messages to send to each peer, by name.
         senders: Task that sends heartbeats to each peer, by name.
         wakeups: Event that makes each of these tasks send at once, by name.
+        heartbeats_due: Names of peers to which a heartbeat is to be sent.
         tasks: Tasks that accept connections and time the heartbeats.
         heartbeat_listeners: Functions called with each heartbeat received.
         refreshed_at: Monotonic time, in seconds, of the last update of the
@@ -97,8 +117,12 @@
         self.view = fleet_view.FleetView(settings, store_cache, state, clock)
         self.contacts: dict[str, bool] = {}
         self.is_relay = True
+        self.token_source: str | None = settings.host
+        self.on_message: Callable[[str, bytes], None] = _reject_message
+        self.outboxes: dict[str, collections.deque[bytes]] = {}
         self.senders: dict[str, Any] = {}
         self.wakeups: dict[str, event.Event] = {}
+        self.heartbeats_due: set[str] = set()
         self.tasks: list[Any] = []
         self.heartbeat_listeners: list[
             Callable[[heartbeat_module.Heartbeat], None]
@@ -129,10 +153,23 @@
         for name in list(self.wakeups):
             self._wake(name)
 
-    def _wake(self, name: str) -> None:
-        """Sends the next heartbeat to a peer immediately."""
+    def send_message(self, name: str, message: bytes) -> None:
+        """Sends a message that is no heartbeat to a peer.
+
+        It is dropped if there is no link to the peer, or the link fails.
+        """
+        if name in self.outboxes:
+            self.outboxes[name].append(message)
+            self._wake(name, heartbeat_due=False)
+
+    def _wake(self, name: str, heartbeat_due: bool = True) -> None:
+        """Makes the sender of a peer send a heartbeat or its outbox."""
         wakeup = self.wakeups.get(name)
-        if wakeup is not None and not wakeup.ready():
+        if wakeup is None:
+            return
+        if heartbeat_due:
+            self.heartbeats_due.add(name)
+        if not wakeup.ready():
             wakeup.send()
 
     def _on_cache_change(self, kind: str) -> None:
@@ -156,6 +193,7 @@
             )
         self.contacts = contacts
         self.is_relay = is_relay
+        self.token_source = self.view.token_source()
         links = set(contacts) | {
             peer.entry.name
             for peer in self.view.live_peers()
@@ -163,6 +201,7 @@
         }
         for name in set(self.senders) - links:
             self.wakeups.pop(name, None)
+            self.outboxes.pop(name, None)
             # `kill` lets other tasks run, which may call this method.
             eventlet.spawn(self.senders.pop(name).kill)
         for name in sorted(links - set(self.senders)):
@@ -246,21 +285,33 @@
             OSError: The connection failed.
             eventlet.Timeout: Sending exceeded `SEND_TIMEOUT_SECONDS`.
         """
+        name = peer.entry.name
         connected_at = self.clock.monotonic()
         address = peer.entry.peer
         peer.sent_revisions = {}
+        outbox = self.outboxes[name] = collections.deque()
+        self.heartbeats_due.add(name)
         while peer.entry.peer == address:
-            self.wakeups[peer.entry.name] = wakeup = event.Event()
-            heartbeat = self._build_heartbeat(peer)
-            encoded = heartbeat_module.encode(heartbeat)
-            self.traffic.record(heartbeat, len(encoded))
+            self.wakeups[name] = wakeup = event.Event()
+            frames = [_frame(each, _MESSAGE_FLAG) for each in outbox]
+            outbox.clear()
+            if name in self.heartbeats_due:
+                self.heartbeats_due.discard(name)
+                frames.append(self._encode_heartbeat(peer))
             with eventlet.Timeout(SEND_TIMEOUT_SECONDS):
-                connection.sendall(_LENGTH_PREFIX.pack(len(encoded)) + encoded)
+                connection.sendall(b"".join(frames))
             with eventlet.Timeout(2 * HEARTBEAT_SECONDS, False):
                 wakeup.wait()
             if self._peer_receives_nothing(peer, connected_at):
                 raise ConnectionError("peer does not receive heartbeats")
 
+    def _encode_heartbeat(self, peer: fleet_view.Peer) -> bytes:
+        """Returns the frame of the next heartbeat to a peer."""
+        heartbeat = self._build_heartbeat(peer)
+        encoded = heartbeat_module.encode(heartbeat)
+        self.traffic.record(heartbeat, len(encoded))
+        return _frame(encoded)
+
     def _peer_receives_nothing(
         self, peer: fleet_view.Peer, connected_at: float
     ) -> bool:
@@ -336,6 +387,7 @@
             is_relay=self.is_relay,
             wants_answer=peer.entry.name in self.contacts,
             wants_digest=self.contacts.get(peer.entry.name, False),
+            takes_tokens=peer.entry.name == self.token_source,
             digest=self.view.build_digest(peer) if peer.wants_digest else None,
         )
 
@@ -415,16 +467,24 @@
         connection.settimeout(2 * fleet_view.PEER_TIMEOUT_SECONDS)
         with contextlib.closing(connection), connection.makefile("rb") as file:
             try:
+                sender = ""
                 while True:
                     header = file.read(_LENGTH_PREFIX.size)
                     if len(header) < _LENGTH_PREFIX.size:
                         return
-                    (size,) = _LENGTH_PREFIX.unpack(header)
+                    (prefix,) = _LENGTH_PREFIX.unpack(header)
+                    size = prefix & ~_MESSAGE_FLAG
                     if size > MAX_HEARTBEAT_BYTES:
                         raise ValueError(
                             f"heartbeat of {size} bytes is too large"
                         )
-                    self._on_heartbeat(heartbeat_module.decode(file.read(size)))
+                    content = file.read(size)
+                    if prefix & _MESSAGE_FLAG:
+                        self.on_message(sender, content)
+                        continue
+                    heartbeat = heartbeat_module.decode(content)
+                    sender = heartbeat.entry.name
+                    self._on_heartbeat(heartbeat)
             except (OSError, ValueError) as error:
                 logs.event(
                     LOGGER,
--- a/gooseberryweir/request/steering/admission.py
+++ b/gooseberryweir/request/steering/admission.py
@@ -4,7 +4,7 @@
 
 from gooseberryweir import codes
 from gooseberryweir.process.fleet import store_cache as store_cache_module
-from gooseberryweir.request.steering import limits
+from gooseberryweir.request.steering import account_tokens
 from gooseberryweir.version import traffic
 
 # Subtracted from the time for which a withdrawn key may still be accepted, to
@@ -45,23 +45,29 @@
     def __init__(
         self,
         store_cache: store_cache_module.StoreCache,
-        account_limits: limits.AccountLimits,
+        tokens: account_tokens.AccountTokens,
         key_revocation_seconds: float,
     ) -> None:
         """Creates the checks.
 
         Args:
             store_cache: Cache of the platform's store.
-            account_limits: Limits on the rates of client accounts.
+            tokens: Tokens of client accounts.
             key_revocation_seconds: Longest time for which a withdrawn key may
                 still be accepted.
         """
         self.store_cache = store_cache
-        self.account_limits = account_limits
+        self.tokens = tokens
         self.max_confirmation_age_seconds = (
             key_revocation_seconds - KEY_REVOCATION_MARGIN_SECONDS
         )
 
+    def _is_stale(self) -> bool:
+        """Returns True if a key may have been withdrawn unnoticed."""
+        return (
+            self.store_cache.confirmed_age() > self.max_confirmation_age_seconds
+        )
+
     def admit(
         self, host: str, path: str, key: str
     ) -> AdmissionResult | codes.Refusal:
@@ -83,10 +89,8 @@
             return codes.refuse(codes.Code.UNKNOWN_ROUTE)
         if route.public or not configuration.requires_keys:
             return AdmissionResult(route, None, route.regions, route.importance)
-        if self.store_cache.confirmed_age() > self.max_confirmation_age_seconds:
-            return codes.refuse(
-                codes.Code.HOST_STALE, retry_after=STALE_RETRY_SECONDS
-            )
+        if self._is_stale():
+            return _refuse_stale()
         if not key:
             return codes.refuse(codes.Code.MISSING_KEY)
         account_name = configuration.account_by_key.get(key)
@@ -95,17 +99,20 @@
         )
         if account is None:
             return codes.refuse(codes.Code.UNKNOWN_KEY)
-        wait_seconds = self.account_limits.take_token(
-            account.name, account.rate, account.burst
-        )
+        wait_seconds = self.tokens.take(account)
+        if wait_seconds is None:
+            return codes.refuse(
+                codes.Code.NO_HOME, "no relay of the region grants tokens"
+            )
         if wait_seconds > 0:
-            share = self.account_limits.share(account.name, account.rate)
             return codes.refuse(
                 codes.Code.RATE_EXCEEDED,
-                f"{account.name} exceeds {account.rate:g} requests/s; "
-                f"this host's share is {share:.3f}",
+                self.tokens.describe(account),
                 retry_after=min(MAX_RATE_RETRY_SECONDS, wait_seconds),
             )
+        # A relay may have taken some time to answer.
+        if self._is_stale():
+            return _refuse_stale()
         return AdmissionResult(
             route,
             account,
@@ -116,6 +123,10 @@
         )
 
 
+def _refuse_stale() -> codes.Refusal:
+    return codes.refuse(codes.Code.HOST_STALE, retry_after=STALE_RETRY_SECONDS)
+
+
 def _intersect_regions(
     first: frozenset[str], second: frozenset[str]
 ) -> frozenset[str]:
--- a/gooseberryweir/request/steering/limits.py
+++ b/gooseberryweir/request/steering/limits.py
@@ -10,6 +10,7 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 import math
 from typing import NamedTuple
 
@@ -17,10 +18,17 @@
 
 # Time constant of the decaying average of requests per second.
 DEMAND_DECAY_SECONDS = 1.0
+# Typical age of what a host knows of the demand at hosts of other regions.
+DEMAND_DELAY_SECONDS = 0.75
 # Least demand assumed at each host, as a fraction of a client account's rate,
 # so that a host without earlier requests of the account admits some before its
 # peers receive its new demand.
 MIN_DEMAND_RATE_FRACTION = 0.01
+# Least mean rate of a client account at each host, in requests per second, at
+# which each host has a token bucket of its own for it.
+MIN_HOST_RATE = 4.0
+# Wait that is reported if no host takes tokens from this one.
+UNKNOWN_SHARE_RETRY_SECONDS = 0.5
 # Fraction of the allowed overage and margin (see `RateTolerance`) that buckets
 # use; the rest covers the time in which shares move between hosts.
 USED_RATE_TOLERANCE_FRACTION = 0.5
@@ -74,6 +82,50 @@
         }
 
 
+class Demand(NamedTuple):
+    """Demand of a client account at some hosts.
+
+    Attributes:
+        rate: Requests per second.
+        hosts: Number of the hosts.
+    """
+
+    rate: float
+    hosts: int
+
+
+class DelayedRates:
+    """Rates by client account as they were some time ago.
+
+    The demand of other hosts is known with a delay. A share computed from newer
+    demand at this host would be too large while demand grows everywhere, and
+    the shares of all hosts would add up to more than 1.
+
+    Attributes:
+        now: Returns the monotonic time in seconds.
+        records: Rates and the time at which they were recorded, oldest first.
+    """
+
+    def __init__(self, now: Callable[[], float]) -> None:
+        self.now = now
+        self.records: collections.deque[tuple[float, Mapping[str, float]]]
+        self.records = collections.deque()
+
+    def record(self, rates: Mapping[str, float]) -> None:
+        """Records the current rates; call it at regular intervals."""
+        self.records.append((self.now(), rates))
+        cutoff = self.now() - DEMAND_DELAY_SECONDS
+        # The first record is the latest one that is old enough.
+        while len(self.records) > 1 and self.records[1][0] <= cutoff:
+            self.records.popleft()
+
+    def rate(self, account: str) -> float:
+        """Returns the rate of an account, 0 before the first record."""
+        if not self.records:
+            return 0.0
+        return self.records[0][1].get(account, 0.0)
+
+
 class RateTolerance(NamedTuple):
     """Excess over a client account's rate that the configured bounds allow.
 
@@ -89,11 +141,12 @@
 
 
 class AccountLimits:
-    """Token buckets for this host's share of each client account's rate.
+    """Token buckets for a share of each client account's rate.
 
-    The share is this host's demand divided by the demand of all hosts. A host
-    does not know which requests were admitted before it started, so a bucket
-    starts nearly empty, unless the whole system starts for the first time.
+    The share is the demand at the hosts that take tokens from these buckets
+    divided by the demand at all hosts. Nobody knows which requests were
+    admitted before this host started, so a bucket starts nearly empty, unless
+    the whole system starts for the first time.
 
     Attributes:
         buckets: Tokens and time of their last update, by client account.
@@ -101,8 +154,7 @@
 
     def __init__(
         self,
-        meter: RateMeter,
-        peer_demand: Callable[[str], tuple[float, int]],
+        demand: Callable[[str], tuple[Demand, Demand]],
         now: Callable[[], float],
         tolerance: RateTolerance,
         first_start: bool = False,
@@ -110,30 +162,25 @@
         """Creates the limits without any bucket.
 
         Args:
-            meter: Demand at this host.
-            peer_demand: Returns the demand for a client account at all other
-                hosts, in requests per second, and the number of these hosts.
+            demand: Returns the demand for a client account at the hosts that
+                take tokens from these buckets, and at all other hosts.
             now: Returns the monotonic time in seconds.
             tolerance: Excess that the configured bounds allow.
             first_start: True if the whole system starts for the first time, so
                 that buckets start full.
         """
-        self.meter = meter
+        self.demand = demand
         self.tolerance = tolerance
         self.first_start = first_start
-        self.peer_demand = peer_demand
         self.now = now
         self.buckets: dict[str, tuple[float, float]] = {}
 
     def share(self, account: str, rate: float) -> float:
-        """Returns this host's share of an account's rate, from 0 to 1."""
-        min_demand = MIN_DEMAND_RATE_FRACTION * rate
-        own_demand = self.meter.announced.get(account, 0.0) + min_demand
-        peer_rate, peers = self.peer_demand(account)
-        return own_demand / (own_demand + peer_rate + peers * min_demand)
+        """Returns the share of an account's rate, from 0 to 1."""
+        return _share(*self.demand(account), rate)
 
     def take_token(self, account: str, rate: float, burst: float) -> float:
-        """Records a request and takes a token for it if one is available.
+        """Takes a token for a request if one is available.
 
         Args:
             account: Name of the client account.
@@ -144,15 +191,18 @@
             0 if a token was taken or there is no limit, else the seconds until
             a token is available.
         """
-        self.meter.add(account)
         if rate <= 0:
             return 0.0
-        share = self.share(account, rate)
+        own, others = self.demand(account)
+        share = _share(own, others, rate)
+        if share <= 0:
+            return UNKNOWN_SHARE_RETRY_SECONDS
         now = self.now()
         rate *= 1 + USED_RATE_TOLERANCE_FRACTION * self.tolerance.overage
         extra_tokens = (
             USED_RATE_TOLERANCE_FRACTION
             * self.tolerance.margin
+            * own.hosts
             / self.tolerance.fleet_size()
         )
         capacity = max(1.0, burst * share + extra_tokens)
@@ -170,6 +220,27 @@
         return 0.0
 
 
+def _share(own: Demand, others: Demand, rate: float) -> float:
+    """Returns the share of a rate that is due to a part of the demand."""
+    min_demand = MIN_DEMAND_RATE_FRACTION * rate
+    own_rate = own.rate + own.hosts * min_demand
+    total_rate = own_rate + others.rate + others.hosts * min_demand
+    return own_rate / total_rate if total_rate > 0 else 0.0
+
+
+def is_pooled(rate: float, fleet_size: int) -> bool:
+    """Returns True if an account's tokens are held by relays.
+
+    If a host's mean share of the rate is small, few of its requests would find
+    a whole token in a bucket of its own.
+
+    Args:
+        rate: Requests per second of the account, over all hosts.
+        fleet_size: Number of hosts.
+    """
+    return 0 < rate < MIN_HOST_RATE * fleet_size
+
+
 class SlidingWindowCounter:
     """Counts events by name in a sliding time window."""
 
--- a/test/simulated_fleet.py
+++ b/test/simulated_fleet.py
@@ -97,7 +97,7 @@
 
     def _deliver(self, data):
         if not self.closed and self.receiver.running:
-            self.receiver.receive(data)
+            self.receiver.receive(self.sender.entry.name, data)
 
 
 class Host:
@@ -107,6 +107,7 @@
         running: True from its start until it is killed.
         reader: Reads the store, and polls it if no other host does.
         demand: Requests per second of each client account at this host.
+        refresh_demand: Is called before heartbeats are sent.
         reached_at: Time at which each list of upstreams arrived, by revision.
         lost_links: Connections that failed.
     """
@@ -118,6 +119,7 @@
         self.outgoing = Link(mbps)
         self.running = False
         self.demand = {}
+        self.refresh_demand = lambda: None
         self.reached_at = {}
         settings = host_settings.HostSettings(
             host=name,
@@ -146,7 +148,7 @@
             polling=lambda: self.reader.polling,
             store_seconds=lambda: self.reader.store_seconds,
             demand=lambda: self.demand,
-            refresh_demand=lambda: None,
+            refresh_demand=lambda: self.refresh_demand(),
             crashes=dict,
             answered=tuple,
         )
@@ -183,9 +185,20 @@
         for task in [*self.tasks, *self.mesh.senders.values()]:
             task.kill()
 
-    def receive(self, data):
-        """Takes in one heartbeat with its length prefix."""
-        self.mesh._on_heartbeat(heartbeat.decode(data[LENGTH_PREFIX_BYTES:]))
+    def receive(self, sender, data):
+        """Takes in frames of another host, as `Mesh._receive` does."""
+        while data:
+            (prefix,) = mesh._LENGTH_PREFIX.unpack_from(data)
+            end = LENGTH_PREFIX_BYTES + (prefix & ~mesh._MESSAGE_FLAG)
+            content, data = data[LENGTH_PREFIX_BYTES:end], data[end:]
+            if prefix & mesh._MESSAGE_FLAG:
+                self.mesh.on_message(sender, content)
+            else:
+                self.on_heartbeat(heartbeat.decode(content))
+
+    def on_heartbeat(self, received):
+        """Takes in a heartbeat."""
+        self.mesh._on_heartbeat(received)
 
     def _connect(self, peer):
         receiver = self.fleet.hosts[peer.entry.name]
@@ -221,15 +234,14 @@
             relaying=None, revisions=revisions, demand=host.demand
         )
 
-    def receive(data):
-        decoded = heartbeat.decode(data[LENGTH_PREFIX_BYTES:])
-        if decoded.relaying is not None:
+    def on_heartbeat(received):
+        if received.relaying is not None:
             raise AssertionError("the heartbeat is not a plain one")
-        host.mesh._on_heartbeat(decoded)
+        host.mesh._on_heartbeat(received)
 
     view.contacts = lambda: dict.fromkeys(view.peers, False)
     host.mesh._build_heartbeat = build_heartbeat
-    host.receive = receive
+    host.on_heartbeat = on_heartbeat
 
 
 class Store:
--- a/test/test_fleet_knowledge.py
+++ b/test/test_fleet_knowledge.py
@@ -8,7 +8,6 @@
 
 from gooseberryweir import clock as clocks
 from gooseberryweir import codes
-from gooseberryweir import front
 from gooseberryweir.process.fleet import fleet_view
 from gooseberryweir.process.fleet import heartbeat as heartbeat_module
 from gooseberryweir.process.fleet import host_settings
@@ -16,6 +15,7 @@
 from gooseberryweir.process.fleet import mesh
 from gooseberryweir.process.fleet import reader
 from gooseberryweir.process.fleet import store_cache
+from gooseberryweir.request.steering import account_demand
 from gooseberryweir.request.steering import admission
 from gooseberryweir.request.steering import limits
 from gooseberryweir.version import traffic
@@ -352,13 +352,19 @@
         host.store_cache.hosts = {each.name: each for each in entries}
         meter = limits.RateMeter(host.mesh.clock.monotonic)
         meter.announced = {"a": 40.0}
-        peer_demand = front.peer_demand(host.view, meter)
-        self.assertEqual(peer_demand("a"), (80.0, 2))
+        demand = account_demand.AccountDemand(
+            meter, host.view, lambda: True, host.mesh.clock.monotonic
+        )
+
+        def others():
+            return demand.local("a")[1]
+
+        self.assertEqual(others(), (80.0, 2))
         host.receive("h2", demand={"a": 5.0})
-        self.assertEqual(peer_demand("a"), (45.0, 2))
+        self.assertEqual(others(), (45.0, 2))
         # Registered hosts that sent no heartbeat for this time count as down.
         host.clock.advance(fleet_view.SHARE_EXPIRY_SECONDS + 0.1)
-        self.assertEqual(peer_demand("a"), (0.0, 0))
+        self.assertEqual(others(), (0.0, 0))
 
 
 class DemandTest(unittest.TestCase):
--- a/test/test_steering_limits.py
+++ b/test/test_steering_limits.py
@@ -27,14 +27,18 @@
 
     def account_limits(self, index):
         return limits.AccountLimits(
-            self.meters[index],
             lambda account: (
-                sum(
-                    rates.get(account, 0.0)
-                    for peer_index, rates in enumerate(self.announced_rates)
-                    if peer_index != index
+                limits.Demand(
+                    self.meters[index].announced.get(account, 0.0), 1
+                ),
+                limits.Demand(
+                    sum(
+                        rates.get(account, 0.0)
+                        for peer_index, rates in enumerate(self.announced_rates)
+                        if peer_index != index
+                    ),
+                    len(self.meters) - 1,
                 ),
-                len(self.meters) - 1,
             ),
             self.now,
             limits.RateTolerance(
@@ -59,6 +63,7 @@
                 next_exchange_at += 0.5
             for index, rate in enumerate(rates(self.now())):
                 for _ in range(int(rate * step + rng.random())):
+                    self.meters[index].add("a")
                     if (
                         self.limits[index].take_token(
                             "a", RATE_PER_SECOND, BURST_REQUESTS
