Requests evaluate only upstreams that may have the least cost

Cause: for each request every upstream of the service was estimated (four exponentials), hashed and sorted, and the share of connections recomputed from the list of all hosts for each of them. Ruled out: messages between hosts as the only cost (they had fallen to a tenth).

Change: the order of the upstreams for an object is cached until the list changes; candidates are estimated in that order until no later one can cost less, by the least processing time and slowness and the penalty of the rank. The choice is the same, which test_the_choice_is_the_least_cost_of_all_candidates checks.

--- a/gooseberryweir/request/steering/placement.py
+++ b/gooseberryweir/request/steering/placement.py
@@ -20,6 +20,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
 import math
@@ -138,11 +139,13 @@
     return seconds * (1 + FAILURE_PENALTY * estimate.failure_ratio)
 
 
-def rendezvous_score(object_name: str, candidate: Candidate) -> float:
+def rendezvous_score(
+    object_name: str, upstream_name: str, weight: float
+) -> float:
     """Returns the weighted rendezvous score; the highest ranks first."""
-    hash_value = rendezvous.score(object_name, candidate.upstream.name)
+    hash_value = rendezvous.score(object_name, upstream_name)
     uniform = (hash_value + 0.5) / _HASH_RANGE
-    return -candidate.weight / math.log(uniform)
+    return -weight / math.log(uniform)
 
 
 def choose_by_affinity(
@@ -157,9 +160,27 @@
     """
     ordered = sorted(
         candidates,
-        key=lambda each: rendezvous_score(object_name, each),
+        key=lambda each: rendezvous_score(
+            object_name, each.upstream.name, each.weight
+        ),
         reverse=True,
     )
+    return choose_ranked(ordered, len(ordered), times)
+
+
+def choose_ranked(
+    ordered: Iterable[Candidate], count: int, times: ProcessingTimes
+) -> Choice:
+    """Returns the upstream for a request from candidates in rank order.
+
+    Takes only as many candidates as may have the least cost.
+
+    Args:
+        ordered: At least one upstream, the first by rank first.
+        count: Number of these upstreams.
+        times: Processing times of the route.
+    """
+    least_cost = times.warm * upstream_state.MIN_SLOWNESS
     best: tuple[float, Choice] | None = None
     for rank, each in enumerate(ordered):
         warm = rank == 0 or each.handled_recently
@@ -176,9 +197,11 @@
                 warm,
                 each.handled_recently,
                 rank,
-                len(candidates),
+                count,
             )
             best = (penalised_cost, choice)
+        if least_cost * (1 + RANK_PENALTY * (rank + 1)) >= best[0]:
+            break
     assert best is not None
     return best[1]
 
--- a/gooseberryweir/request/steering/selection.py
+++ b/gooseberryweir/request/steering/selection.py
@@ -23,6 +23,8 @@
 # The platform's zones are 2 ms apart, its regions 40 and 70 ms.
 ZONE_ROUND_TRIP_SECONDS = 0.002
 REGION_ROUND_TRIP_SECONDS = 0.05
+# Objects whose ranking of the upstreams is cached.
+MAX_RANKED_OBJECTS = 1024
 # Limit on connections for services that declare none.
 UNLIMITED_CONNECTIONS = 1 << 30
 
@@ -66,6 +68,18 @@
     weight: float
 
 
+class _UsableUpstream(NamedTuple):
+    """An upstream that may run a request now.
+
+    Attributes:
+        eligible: The upstream and its properties except load.
+        state: Load, speed and failures of the upstream.
+    """
+
+    eligible: _EligibleUpstream
+    state: upstream_state.UpstreamState
+
+
 class Selection:
     """Selects the upstream of each request.
 
@@ -78,6 +92,8 @@
             configuration, upstreams and evacuated zones.
         eligible_by_service: Cache of the upstreams that take new requests, by
             service.
+        ranked_by_object: Cache of the same upstreams in rank order, by service
+            and object.
     """
 
     def __init__(self, dependencies: SelectionDependencies) -> None:
@@ -91,6 +107,9 @@
         )
         self.eligible_inputs: tuple[object, ...] = (None, None, None)
         self.eligible_by_service: dict[str, list[_EligibleUpstream]] = {}
+        self.ranked_by_object: dict[
+            tuple[str, str], list[_EligibleUpstream]
+        ] = {}
 
     def choose(
         self, request: pending_request.PendingRequest, tried: set[str]
@@ -101,18 +120,30 @@
             request: The request.
             tried: Names of upstreams that the request was already sent to.
         """
-        candidates = self._within_shift_limit(self._candidates(request, tried))
-        if not candidates:
+        usable = self._within_shift_limit(self._usable(request, tried))
+        if not usable:
             return None
         processing_times = self.processing_times.estimate(
             request.admitted.route, request.service
         )
+        now = self.dependencies.clock.monotonic()
+        # Created as needed: most upstreams rank too low to be chosen.
+        candidates = (
+            placement.Candidate(
+                each.eligible.upstream,
+                each.state.estimate(now),
+                each.eligible.round_trip,
+                each.eligible.weight,
+                each.state.handled_recently(request.object_name, now),
+            )
+            for each in usable
+        )
         if request.object_name:
-            return placement.choose_by_affinity(
-                request.object_name, candidates, processing_times
+            return placement.choose_ranked(
+                candidates, len(usable), processing_times
             )
         return placement.choose_least_cost(
-            candidates, processing_times, self.dependencies.rng.randrange
+            list(candidates), processing_times, self.dependencies.rng.randrange
         )
 
     def is_overloaded(
@@ -174,26 +205,22 @@
         )
 
     def _within_shift_limit(
-        self, candidates: list[placement.Candidate]
-    ) -> list[placement.Candidate]:
-        """Returns the candidates in regions that may get more requests.
+        self, usable: list[_UsableUpstream]
+    ) -> list[_UsableUpstream]:
+        """Returns the upstreams in regions that may get more requests.
 
-        Returns all candidates if there is no such region, or if this host's
-        region has no candidate.
+        Returns all upstreams if there is no such region, or if this host's
+        region has none.
         """
-        candidate_regions = {
-            self._region(candidate.upstream) for candidate in candidates
-        }
-        if self.dependencies.settings.region not in candidate_regions:
+        usable_regions = {each.eligible.region for each in usable}
+        if self.dependencies.settings.region not in usable_regions:
             # This host's region has no usable upstream: requests must run in
             # other regions, whatever the limit.
-            return candidates
-        allowed_regions = self.shift_limiter.allowed_regions(candidate_regions)
+            return usable
+        allowed_regions = self.shift_limiter.allowed_regions(usable_regions)
         return [
-            candidate
-            for candidate in candidates
-            if self._region(candidate.upstream) in allowed_regions
-        ] or candidates
+            each for each in usable if each.eligible.region in allowed_regions
+        ] or usable
 
     def _eligible_upstreams(self, service: str) -> list[_EligibleUpstream]:
         """Returns the upstreams of a service that take new requests.
@@ -215,6 +242,7 @@
         ):
             self.eligible_inputs = inputs
             self.eligible_by_service = {}
+            self.ranked_by_object = {}
         eligible = self.eligible_by_service.get(service)
         if eligible is None:
             eligible = self.eligible_by_service[service] = (
@@ -257,52 +285,66 @@
             for each in upstreams
         ]
 
-    def _candidates(
+    def _ranked_upstreams(
+        self, service: str, object_name: str
+    ) -> list[_EligibleUpstream]:
+        """Returns the upstreams of a service that take new requests.
+
+        They are in rank order for an object; in any order without one.
+        """
+        eligible = self._eligible_upstreams(service)
+        if not object_name:
+            return eligible
+        ranked = self.ranked_by_object.get((service, object_name))
+        if ranked is None:
+            ranked = sorted(
+                eligible,
+                key=lambda each: placement.rendezvous_score(
+                    object_name, each.upstream.name, each.weight
+                ),
+                reverse=True,
+            )
+            if len(self.ranked_by_object) >= MAX_RANKED_OBJECTS:
+                del self.ranked_by_object[next(iter(self.ranked_by_object))]
+            self.ranked_by_object[service, object_name] = ranked
+        return ranked
+
+    def _usable(
         self, request: pending_request.PendingRequest, tried: set[str]
-    ) -> list[placement.Candidate]:
-        """Returns the upstreams that may run a request now."""
+    ) -> list[_UsableUpstream]:
+        """Returns the upstreams that may run a request now, in rank order."""
         dependencies = self.dependencies
         now = dependencies.clock.monotonic()
         service = self._find_service(request.service)
+        max_connections = self.max_connections(request.service)
         allowed_regions = request.admitted.regions
-        candidates = []
-        for eligible in self._eligible_upstreams(request.service):
+        usable = []
+        for eligible in self._ranked_upstreams(
+            request.service, request.object_name
+        ):
             upstream = eligible.upstream
             if upstream.name in tried:
                 continue
             if allowed_regions and eligible.region not in allowed_regions:
                 continue
             state = dependencies.states.get(upstream.name, upstream.slots)
-            if not state.is_usable(now):
+            if not state.is_usable(now) or state.in_flight >= max_connections:
                 continue
-            if service is not None and not self._within_limits(
-                upstream, state, service
+            if service is not None and not self._accepts_cold(
+                upstream, service
             ):
                 continue
-            candidates.append(
-                placement.Candidate(
-                    upstream,
-                    state.estimate(now),
-                    eligible.round_trip,
-                    eligible.weight,
-                    state.handled_recently(request.object_name, now),
-                )
-            )
-        return candidates
+            usable.append(_UsableUpstream(eligible, state))
+        return usable
 
-    def _within_limits(
-        self,
-        upstream: traffic.Upstream,
-        state: upstream_state.UpstreamState,
-        service: traffic.Service,
+    def _accepts_cold(
+        self, upstream: traffic.Upstream, service: traffic.Service
     ) -> bool:
-        """Returns True if this host may send an upstream one more request.
+        """Returns True unless an upstream is cold and gets no more requests.
 
-        The limits, which all hosts share, are on connections to each upstream
-        and on the rate of requests to a cold one.
+        The limit on the rate of requests to a cold upstream is shared by all
+        hosts.
         """
-        if state.in_flight >= self.max_connections(service.name):
-            return False
         return not self.is_cold(
             upstream
         ) or self.dependencies.cold_limit.has_capacity(
--- a/test/test_placement.py
+++ b/test/test_placement.py
@@ -154,6 +154,54 @@
         self.assertEqual(choice.upstream.name, "b")
 
 
+class RankedChoiceTest(unittest.TestCase):
+    """The choice among many upstreams, of which most rank too low."""
+
+    def test_the_choice_is_the_least_cost_of_all_candidates(self):
+        """Guards against a choice that stops before the best candidate."""
+        rng = random.Random(3)
+        for count in (2, 40, 300):
+            for _ in range(60):
+                ordered = [
+                    candidate(
+                        f"u{i}",
+                        outstanding=rng.choice((0, 6, 12, 30)),
+                        slowness=rng.uniform(0.5, 3.0),
+                        failure_ratio=rng.choice((0.0, 0.0, 0.5)),
+                        round_trip=rng.choice((0.0, 0.05)),
+                        handled_recently=rng.random() < 0.05,
+                    )
+                    for i in range(count)
+                ]
+                chosen = placement.choose_ranked(ordered, count, TIMES)
+
+                def penalised_cost(rank):
+                    each = ordered[rank]  # noqa: B023, called in this loop
+                    warm = rank == 0 or each.handled_recently
+                    seconds = placement.expected_processing_time(
+                        each, warm, TIMES
+                    )
+                    wait = placement.expected_wait(each, TIMES.mean)
+                    cost = placement.expected_cost(each, seconds, wait)
+                    return cost * (1 + placement.RANK_PENALTY * rank)
+
+                self.assertEqual(
+                    chosen.rank, min(range(count), key=penalised_cost)
+                )
+
+    def test_most_of_many_idle_upstreams_are_not_evaluated(self):
+        """Guards against requests that cost time for each of 300 upstreams."""
+        evaluated = []
+
+        def candidates():
+            for i in range(300):
+                evaluated.append(i)
+                yield candidate(f"u{i}")
+
+        placement.choose_ranked(candidates(), 300, TIMES)
+        self.assertLess(len(evaluated), 40)
+
+
 class WeightedRoundRobinTest(unittest.TestCase):
     """Distribution of requests over two services with weights 90 and 10."""
 
