The time to connect to an upstream counts towards a request's timeout

What callers saw: a final answer up to 0.4 s after the route's timeout. Change: one deadline for connecting, sending and receiving. Result: test_the_time_to_connect_counts_towards_the_timeout fails before (1.3 s of 1.0 s) and passes now.

--- a/gooseberryweir/connection/upstream_pool.py
+++ b/gooseberryweir/connection/upstream_pool.py
@@ -149,9 +149,8 @@
         Args:
             endpoint: Upstream to which the request is sent.
             request: Encoded request.
-            timeout: Seconds to send the request and receive the answer.
-                Connecting before that may take as long, but at most
-                `CONNECT_TIMEOUT_SECONDS`.
+            timeout: Seconds to connect, send the request and receive the
+                answer; connecting may take `CONNECT_TIMEOUT_SECONDS` of it.
             is_reply: Returns True if an answer with these headers is the
                 answer to the request.
             keep_alive_seconds: Returns the idle time that the upstream
@@ -163,6 +162,7 @@
             DeadlineError: No complete answer came within the timeout.
         """
         name = endpoint.name
+        deadline = self.clock.monotonic() + timeout
         connection = self._take_idle(name, endpoint.max_idle_seconds)
         new_connection = connection is None
         if connection is None:
@@ -173,7 +173,7 @@
         started_at = self.clock.monotonic()
         self.in_use[name] += 1
         try:
-            with eventlet.Timeout(timeout):
+            with eventlet.Timeout(max(0.0, deadline - started_at)):
                 message, reusable = _send_and_receive(
                     connection, request, is_reply
                 )
--- a/test/test_upstream_pool.py
+++ b/test/test_upstream_pool.py
@@ -13,6 +13,7 @@
 from gooseberryweir import clock as clocks
 from gooseberryweir.connection import upstream_pool
 from gooseberryweir.platform import headers as wire
+from test import virtual_time
 
 REQUEST = b"GET /a/ HTTP/1.1\r\nHost: h\r\nRequest-Id: a\r\n\r\n"
 ANSWER = b"HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 2\r\n\r\nok"
@@ -217,5 +218,43 @@
         self.assertEqual(len(pool.idle["u1"]), 2)
 
 
+class SlowConnectTest(unittest.TestCase):
+    """An exchange whose connection takes long to open, in virtual time."""
+
+    def test_the_time_to_connect_counts_towards_the_timeout(self):
+        """Guards against answers after the timeout of their route (inc1).
+
+        The timeout began only once the connection was open, so the final
+        answer came up to 0.4 s late.
+        """
+        with virtual_time.virtual_time() as clock:
+            pool = upstream_pool.UpstreamPool(clock)
+
+            class SilentConnection:
+                """A connection over which no answer comes."""
+
+                def sendall(self, data):
+                    clock.sleep(60.0)
+
+                def close(self):
+                    pass
+
+            def connect(address, timeout):
+                clock.sleep(0.3)
+                return SilentConnection()
+
+            pool._connect = connect
+            started_at = clock.monotonic()
+            with self.assertRaises(upstream_pool.DeadlineError):
+                pool.exchange(
+                    upstream_pool.Endpoint("i-1", "10.0.0.1:80"),
+                    b"",
+                    1.0,
+                    lambda headers: True,
+                    lambda headers: None,
+                )
+            self.assertAlmostEqual(clock.monotonic() - started_at, 1.0, 3)
+
+
 if __name__ == "__main__":
     unittest.main()
