A restarted host does not say that an earlier ticket's request never ran

Cause: a host that is asked about a ticket of its earlier process has no record of it and answered that the request never ran. Ruled out: `begin` and `correct_ran` compare the process already. Change: the ledger says UNKNOWN for a ticket of another process. Conclusion: a class of false refusals less; the same in `front` can't occur, which keeps no tickets.

--- a/gooseberryweir/request/tickets.py
+++ b/gooseberryweir/request/tickets.py
@@ -193,10 +193,17 @@
         """Returns the execution state of a ticket's request.
 
         It is NO if the request was never started, UNKNOWN while it runs, YES
-        after an answer, and the refusal's `ran` after a refusal.
+        after an answer, and the refusal's `ran` after a refusal. It is UNKNOWN
+        for a ticket of another process, also an earlier one of this host.
         """
         record = self.records.get(text)
         if record is None:
+            ticket = parse(text)
+            if ticket is not None and (
+                (ticket.host, ticket.instance_id)
+                != (self.host, self.instance_id)
+            ):
+                return codes.ExecutionState.UNKNOWN
             return codes.ExecutionState.NO
         if isinstance(record.outcome, codes.Refusal):
             return record.outcome.ran
--- a/test/test_at_most_once.py
+++ b/test/test_at_most_once.py
@@ -344,6 +344,24 @@
         refused = restarted.begin(self.ticket, "ada", "f")
         self.assertEqual(refused.code, codes.Code.OUTCOME_UNKNOWN)
 
+    def test_the_state_of_a_ticket_of_an_earlier_process_is_unknown(self):
+        """Guards against a repeat of a request that had run, refused as not run.
+
+        The restarted host had no record of the ticket and answered "no".
+        """
+        self.ledger.begin(self.ticket, "ada", "f")
+        self.ledger.finish(self.ticket, tickets.StoredAnswer(201, (), b""))
+        restarted = tickets.TicketLedger("h1", self.clock.interface())
+        for ledger, state in (
+            (self.ledger, codes.ExecutionState.YES),
+            (restarted, codes.ExecutionState.UNKNOWN),
+        ):
+            self.assertEqual(ledger.execution_state(self.ticket), state)
+        unused = self.ledger.issue("ada").prefix + "1"
+        self.assertEqual(
+            self.ledger.execution_state(unused), codes.ExecutionState.NO
+        )
+
     def test_large_answer_is_returned_once_and_marked_as_run(self):
         body = b"x" * (tickets.MAX_STORED_ANSWER_BYTES + 1)
         self.ledger.begin(self.ticket, "ada", "f")
