References are checked in a declaration that another host sent

Cause: its arrays arrive as tuples; the checks of references looked for lists and skipped all others. Ruled out: the checks of types, which take both. Change: both are arrays for the checks of references. Conclusion: the class is a check that skips what it does not recognise; the module has no other test for lists.

--- a/gooseberryweir/version/references.py
+++ b/gooseberryweir/version/references.py
@@ -8,7 +8,9 @@
 
 from collections.abc import Iterator
 from collections.abc import Mapping
+from collections.abc import Sequence
 from typing import Any
+from typing import TypeGuard
 
 from gooseberryweir.version import validation
 
@@ -33,18 +35,23 @@
     return frozenset(name for name in names if isinstance(name, str))
 
 
+def _is_array(value: Any) -> TypeGuard[Sequence[Any]]:
+    """Returns True for a list, or a tuple as in a message of another host."""
+    return isinstance(value, list | tuple)
+
+
 def _items(
     document: Mapping[str, Any], section: str
 ) -> Iterator[tuple[str, Mapping[str, Any]]]:
     """Yields the path and content of each mapping in a list."""
     content = document.get(section)
-    for index, item in enumerate(content if isinstance(content, list) else ()):
+    for index, item in enumerate(content if _is_array(content) else ()):
         if isinstance(item, Mapping):
             yield f"{section}[{index}]", item
 
 
 def _strings(value: Any) -> list[str]:
-    values = value if isinstance(value, list) else [value]
+    values = value if _is_array(value) else [value]
     return [item for item in values if isinstance(item, str)]
 
 
--- a/test/test_at_most_once.py
+++ b/test/test_at_most_once.py
@@ -345,7 +345,7 @@
         self.assertEqual(refused.code, codes.Code.OUTCOME_UNKNOWN)
 
     def test_the_state_of_a_ticket_of_an_earlier_process_is_unknown(self):
-        """Guards against a repeat of a request that had run, refused as not run.
+        """Guards against repeats refused as not run though the request had run.
 
         The restarted host had no record of the ticket and answered "no".
         """
--- a/test/test_declarations.py
+++ b/test/test_declarations.py
@@ -57,6 +57,38 @@
         for path in missing:
             self.assertIn(f"{path}: can't be read", caught.exception.message)
 
+    def test_references_are_checked_in_a_declaration_of_a_peer(self):
+        """Guards against a route of an unknown service that is active.
+
+        Arrays of a declaration that another host sent are tuples, whose content
+        was not checked.
+        """
+
+        def with_tuples(value):
+            if isinstance(value, dict):
+                return {key: with_tuples(each) for key, each in value.items()}
+            if isinstance(value, list):
+                return tuple(with_tuples(each) for each in value)
+            return value
+
+        received = with_tuples(VALID_DOCUMENT)
+        self.assertIsInstance(declarations.parse(received), result.Success)
+
+        def break_references(document):
+            document["routes"][0]["service"] = "none"
+            document["links"][0]["between"][0] = "nowhere"
+
+        broken = copy.deepcopy(VALID_DOCUMENT)
+        break_references(broken)
+        errors = declarations.parse(broken).failure()
+        self.assertEqual(
+            [
+                str(each)
+                for each in declarations.parse(with_tuples(broken)).failure()
+            ],
+            [str(each) for each in errors],
+        )
+
     def test_declarations_equal_after_a_round_trip(self):
         parsed = declarations.parse(VALID_DOCUMENT).unwrap()
         document = declarations.to_document(parsed)
