--- a/gooseberryweir/front.py
+++ b/gooseberryweir/front.py
@@ -30,6 +30,7 @@
 from gooseberryweir.platform import records
 from gooseberryweir.platform import settings as platform_settings
 from gooseberryweir.platform import store as store_module
+from gooseberryweir.process.fleet import fleet_demand
 from gooseberryweir.process.fleet import host_settings
 from gooseberryweir.process.fleet import local_state
 from gooseberryweir.process.fleet import mesh as mesh_module
@@ -243,7 +244,9 @@
     """Creates the token buckets and the exchange of tokens with hosts."""
 
     def account_limits(
-        split_demand: Callable[[str], tuple[limits.Demand, limits.Demand]],
+        split_demand: Callable[
+            [str], tuple[fleet_demand.Demand, fleet_demand.Demand]
+        ],
     ) -> limits.AccountLimits:
         return limits.AccountLimits(
             split_demand,
--- a/gooseberryweir/process/fleet/fleet_view.py
+++ b/gooseberryweir/process/fleet/fleet_view.py
@@ -3,14 +3,9 @@
 A host hears some hosts itself, by their heartbeats. Of the others it knows what
 a relay of its region sums up in digests: which hosts of the region are live,
 and how many requests of each client account all other hosts have.
-
-A digest contains only what its sender hears itself, and what relays of other
-regions hear themselves, so a host that is down does not live on in digests.
 """
 
 from collections.abc import Iterable
-import itertools
-from typing import NamedTuple
 
 from gooseberryweir import clock as clocks
 from gooseberryweir import rendezvous
@@ -35,22 +30,6 @@
 SHARE_EXPIRY_SECONDS = 5.0
 # Time for which the crashes that a host reported count after it went down.
 CRASH_REPORT_SECONDS = 120.0
-# Ready hosts of each other region that a digest names.
-MAX_HOSTS_ELSEWHERE = 4
-# Largest number of fingerprints with crashes in a digest.
-MAX_DIGEST_CRASHES = 64
-
-
-class PeerDemand(NamedTuple):
-    """Demand of a client account at all other hosts.
-
-    Attributes:
-        rate: Requests per second.
-        hosts: Number of these hosts.
-    """
-
-    rate: float
-    hosts: int
 
 
 class Peer:
@@ -240,7 +219,7 @@
         }
         for peer in self.live_peers():
             if peer.last_heartbeat is not None:
-                hosts[peer.entry.name] = _status(peer.last_heartbeat)
+                hosts[peer.entry.name] = status_of(peer.last_heartbeat)
         return hosts
 
     def ready_hosts(self) -> list[traffic.HostEntry]:
@@ -372,96 +351,6 @@
                 return name
         return None
 
-    # Demand of client accounts.
-
-    def _counted_heartbeats(self) -> list[heartbeat_module.Heartbeat]:
-        """Returns the heartbeats of peers that no other region counts."""
-        return [
-            heartbeat
-            for heartbeat in self.recent_heartbeats(SHARE_EXPIRY_SECONDS)
-            if heartbeat.entry.region == self.settings.region
-            or not heartbeat.supports_digests
-        ]
-
-    def _region_digests(self) -> list[heartbeat_module.Digest]:
-        """Returns the most complete recent digest of each other region."""
-        now = self.clock.monotonic()
-        best: dict[str, tuple[tuple[bool, int, float], Peer]] = {}
-        for peer in self.peers.values():
-            digest = peer.digest
-            if (
-                digest is None
-                or digest.whole_fleet
-                or digest.region == self.settings.region
-                or now - peer.digest_at > SHARE_EXPIRY_SECONDS
-            ):
-                continue
-            key = (
-                now - peer.digest_at <= PEER_TIMEOUT_SECONDS,
-                digest.counted_hosts,
-                peer.digest_at,
-            )
-            if digest.region not in best or key > best[digest.region][0]:
-                best[digest.region] = (key, peer)
-        return [
-            peer.digest for _, peer in best.values() if peer.digest is not None
-        ]
-
-    def _fleet_digests(self) -> list[heartbeat_module.Digest]:
-        """Returns the recent digests that count all other hosts."""
-        return [
-            each
-            for each in self.digests(SHARE_EXPIRY_SECONDS)
-            if each.whole_fleet
-        ]
-
-    def demand(self, account: str, own_rate: float) -> PeerDemand:
-        """Returns the demand of a client account at all other hosts.
-
-        While relays change, this host may know two sums; it uses the larger
-        one. A registered host that nobody has counted yet is assumed to have
-        the same demand as this host, until this host has run for
-        `SHARE_EXPIRY_SECONDS`: by then it would have been heard if it were up.
-
-        Args:
-            account: Name of the client account.
-            own_rate: Requests per second at this host.
-        """
-        heartbeats = self._counted_heartbeats()
-        region_digests = self._region_digests()
-        heard = PeerDemand(
-            sum(each.demand.get(account, 0.0) for each in heartbeats)
-            + sum(each.demand.get(account, 0.0) for each in region_digests),
-            len(heartbeats)
-            + sum(each.counted_hosts for each in region_digests),
-        )
-        # Earlier builds are counted by each host, not in digests.
-        plain = [each for each in heartbeats if not each.supports_digests]
-        plain_rate = sum(each.demand.get(account, 0.0) for each in plain)
-        sums = [heard] + [
-            PeerDemand(
-                digest.demand.get(account, 0.0) + plain_rate,
-                digest.counted_hosts + len(plain),
-            )
-            for digest in self._fleet_digests()
-        ]
-        rate = max(each.rate for each in sums)
-        hosts = max(each.hosts for each in sums)
-        uncounted = 0
-        if self.clock.monotonic() - self.started_at <= SHARE_EXPIRY_SECONDS:
-            registered = set(self.store_cache.hosts) - {self.settings.host}
-            uncounted = max(0, len(registered) - hosts)
-        return PeerDemand(rate + uncounted * own_rate, hosts + uncounted)
-
-    def token_clients(self) -> list[heartbeat_module.Heartbeat]:
-        """Returns the heartbeats of hosts that take tokens from this one."""
-        return [
-            heartbeat
-            for heartbeat in self.recent_heartbeats(SHARE_EXPIRY_SECONDS)
-            if heartbeat.relaying is not None
-            and heartbeat.relaying.takes_tokens
-        ]
-
     # Requests that crash upstreams.
 
     def crash_reports(self) -> list[dict[str, tuple[str, ...]]]:
@@ -510,89 +399,8 @@
             and self.peers[name].entry.region == self.settings.region
         }
 
-    # Digests for other hosts.
-
-    def build_digest(self, receiver: Peer) -> heartbeat_module.Digest:
-        """Returns the digest for a host that asked for one."""
-        whole_fleet = receiver.entry.region == self.settings.region
-        heartbeats = [
-            each
-            for each in self._counted_heartbeats()
-            if each.supports_digests
-            and each.entry.region == self.settings.region
-            and each.entry.name != receiver.entry.name
-        ]
-        region_digests = self._region_digests() if whole_fleet else []
-        demand = dict(self.state.demand())
-        for source in itertools.chain(
-            (each.demand for each in heartbeats),
-            (each.demand for each in region_digests),
-        ):
-            for account, rate in source.items():
-                demand[account] = demand.get(account, 0.0) + rate
-        live = [
-            _status(peer.last_heartbeat)
-            for peer in self.live_peers()
-            if peer.last_heartbeat is not None
-            and peer.entry.region == self.settings.region
-        ]
-        own_status = heartbeat_module.HostStatus(
-            self.settings.host,
-            self.state.ready() and not self.state.shutting_down(),
-            self.settings.link_mbps,
-        )
-        hosts = (own_status, *live)
-        ready_regions = {
-            region
-            for digest in region_digests
-            for region in digest.ready_regions
-        }
-        if any(each.ready for each in hosts):
-            ready_regions.add(self.settings.region)
-        return heartbeat_module.Digest(
-            region=self.settings.region,
-            whole_fleet=whole_fleet,
-            hosts=hosts,
-            elsewhere=tuple(
-                name
-                for digest in region_digests
-                for name in _ready_names(digest)[:MAX_HOSTS_ELSEWHERE]
-            ),
-            ready_regions=tuple(sorted(ready_regions)),
-            counted_hosts=1
-            + len(heartbeats)
-            + sum(each.counted_hosts for each in region_digests),
-            demand={
-                account: round(rate, 1) for account, rate in demand.items()
-            },
-            crashes=_merge_crashes(
-                [
-                    self.state.crashes(),
-                    *(each.crashes for each in heartbeats),
-                    *(each.crashes for each in region_digests),
-                ]
-            ),
-            answered=tuple(
-                sorted(
-                    {
-                        *self.state.answered(),
-                        *(
-                            name
-                            for each in heartbeats
-                            for name in each.answered
-                        ),
-                        *(
-                            name
-                            for each in region_digests
-                            for name in each.answered
-                        ),
-                    }
-                )
-            ),
-        )
 
-
-def _status(
+def status_of(
     heartbeat: heartbeat_module.Heartbeat,
 ) -> heartbeat_module.HostStatus:
     """Returns the status of the sender of a heartbeat."""
@@ -601,22 +409,3 @@
         heartbeat.ready and not heartbeat.shutting_down,
         heartbeat.relaying.link_mbps if heartbeat.relaying else 0.0,
     )
-
-
-def _ready_names(digest: heartbeat_module.Digest) -> list[str]:
-    return [each.name for each in digest.hosts if each.ready]
-
-
-def _merge_crashes(
-    reports: Iterable[dict[str, tuple[str, ...]]],
-) -> dict[str, tuple[str, ...]]:
-    """Merges the incarnations that each request may have crashed."""
-    merged: dict[str, set[str]] = {}
-    for report in reports:
-        for fingerprint, incarnations in report.items():
-            merged.setdefault(fingerprint, set()).update(incarnations)
-    latest = list(merged.items())[:MAX_DIGEST_CRASHES]
-    return {
-        fingerprint: tuple(sorted(incarnations))
-        for fingerprint, incarnations in latest
-    }
--- a/gooseberryweir/process/fleet/mesh.py
+++ b/gooseberryweir/process/fleet/mesh.py
@@ -28,11 +28,13 @@
 
 from gooseberryweir import clock as clocks
 from gooseberryweir import logs
+from gooseberryweir.process.fleet import digests
 from gooseberryweir.process.fleet import fleet_traffic
 from gooseberryweir.process.fleet import fleet_view
 from gooseberryweir.process.fleet import heartbeat as heartbeat_module
 from gooseberryweir.process.fleet import host_settings
 from gooseberryweir.process.fleet import local_state
+from gooseberryweir.process.fleet import snapshot_delivery
 from gooseberryweir.process.fleet import store_cache as store_cache_module
 
 LOGGER = logging.getLogger(__name__)
@@ -47,9 +49,6 @@
 MIN_REFRESH_SECONDS = 0.25
 # A relay that learns of a confirmation newer by this time forwards it at once.
 FORWARD_SECONDS = 0.25
-# Time for which a peer may lack a snapshot before a host sends it that the peer
-# did not ask for digests.
-RESEND_SECONDS = 1.0
 # Timeout of connecting to a peer, and of sending one heartbeat.
 SEND_TIMEOUT_SECONDS = 1.0
 # TCP_USER_TIMEOUT: the kernel closes a connection whose sent bytes were not
@@ -388,27 +387,11 @@
             wants_answer=peer.entry.name in self.contacts,
             wants_digest=self.contacts.get(peer.entry.name, False),
             takes_tokens=peer.entry.name == self.token_source,
-            digest=self.view.build_digest(peer) if peer.wants_digest else None,
+            digest=digests.build(self.view, peer)
+            if peer.wants_digest
+            else None,
         )
 
-    def _missing_snapshots(
-        self, peer: fleet_view.Peer
-    ) -> dict[str, store_cache_module.Snapshot]:
-        """Returns the snapshots that a peer lacks.
-
-        Leaves out those sent over the current connection, which arrive unless
-        the connection fails.
-        """
-        if peer.last_heartbeat is None:
-            return {}
-        revisions = peer.last_heartbeat.revisions
-        return {
-            kind: snapshot
-            for kind, snapshot in self.store_cache.snapshots.items()
-            if snapshot.revision
-            > max(revisions.get(kind, 0), peer.sent_revisions.get(kind, 0))
-        }
-
     def _snapshots_to_send(
         self, peer: fleet_view.Peer
     ) -> dict[str, store_cache_module.Snapshot]:
@@ -416,18 +399,8 @@
 
         A peer that asked for digests gets new snapshots at once. So do, from
         the host that polls the store, the hosts that it asks for digests, and
-        those of earlier builds. Other peers get a snapshot that they have
-        lacked for `RESEND_SECONDS`.
+        those of earlier builds.
         """
-        missing = self._missing_snapshots(peer)
-        now = self.clock.monotonic()
-        missing_since = {}
-        for kind, snapshot in missing.items():
-            revision, since = peer.missing_since.get(kind, (0, now))
-            if revision != snapshot.revision:
-                since = now
-            missing_since[kind] = (snapshot.revision, since)
-        peer.missing_since = missing_since
         at_once = peer.wants_digest or (
             self.state.polling()
             and (
@@ -435,15 +408,9 @@
                 or not peer.supports_digests
             )
         )
-        to_send = {
-            kind: snapshot
-            for kind, snapshot in missing.items()
-            if at_once or now - missing_since[kind][1] >= RESEND_SECONDS
-        }
-        peer.sent_revisions.update(
-            {kind: snapshot.revision for kind, snapshot in to_send.items()}
+        return snapshot_delivery.take_due(
+            peer, self.store_cache.snapshots, at_once, self.clock.monotonic()
         )
-        return to_send
 
     # Receiving.
 
--- a/gooseberryweir/request/steering/account_demand.py
+++ b/gooseberryweir/request/steering/account_demand.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from gooseberryweir.process.fleet import fleet_demand
 from gooseberryweir.process.fleet import fleet_view
 from gooseberryweir.request.steering import limits
 
@@ -38,21 +39,27 @@
         self.meter.announce()
         self.own_rates.record(self.meter.announced)
         pooled = dict(self.meter.announced) if self.takes_own_tokens() else {}
-        for client in self.view.token_clients():
+        for client in fleet_demand.token_clients(self.view):
             for account, rate in client.demand.items():
                 pooled[account] = pooled.get(account, 0.0) + rate
         self.pooled_rates.record(pooled)
 
-    def local(self, account: str) -> tuple[limits.Demand, limits.Demand]:
+    def local(
+        self, account: str
+    ) -> tuple[fleet_demand.Demand, fleet_demand.Demand]:
         """Returns an account's demand at this host and at all other hosts."""
-        own = limits.Demand(self.own_rates.rate(account), 1)
+        own = fleet_demand.Demand(self.own_rates.rate(account), 1)
         announced = self.meter.announced.get(account, 0.0)
-        return own, limits.Demand(*self.view.demand(account, announced))
+        return own, fleet_demand.Demand(
+            *fleet_demand.elsewhere(self.view, account, announced)
+        )
 
-    def pooled(self, account: str) -> tuple[limits.Demand, limits.Demand]:
+    def pooled(
+        self, account: str
+    ) -> tuple[fleet_demand.Demand, fleet_demand.Demand]:
         """Returns an account's demand at the token clients and elsewhere."""
         own, others = self.local(account)
-        clients = self.view.token_clients()
+        clients = fleet_demand.token_clients(self.view)
         current = sum(each.demand.get(account, 0.0) for each in clients)
         count = len(clients)
         # What this host knows of all hosts, without its token clients.
@@ -62,8 +69,8 @@
         else:
             elsewhere += own.rate
         return (
-            limits.Demand(self.pooled_rates.rate(account), count),
-            limits.Demand(
+            fleet_demand.Demand(self.pooled_rates.rate(account), count),
+            fleet_demand.Demand(
                 max(0.0, elsewhere), max(0, 1 + others.hosts - count)
             ),
         )
--- a/gooseberryweir/request/steering/limits.py
+++ b/gooseberryweir/request/steering/limits.py
@@ -15,6 +15,7 @@
 from typing import NamedTuple
 
 from gooseberryweir import rendezvous
+from gooseberryweir.process.fleet import fleet_demand
 
 # Time constant of the decaying average of requests per second.
 DEMAND_DECAY_SECONDS = 1.0
@@ -82,18 +83,6 @@
         }
 
 
-class Demand(NamedTuple):
-    """Demand of a client account at some hosts.
-
-    Attributes:
-        rate: Requests per second.
-        hosts: Number of the hosts.
-    """
-
-    rate: float
-    hosts: int
-
-
 class DelayedRates:
     """Rates by client account as they were some time ago.
 
@@ -154,7 +143,9 @@
 
     def __init__(
         self,
-        demand: Callable[[str], tuple[Demand, Demand]],
+        demand: Callable[
+            [str], tuple[fleet_demand.Demand, fleet_demand.Demand]
+        ],
         now: Callable[[], float],
         tolerance: RateTolerance,
         first_start: bool = False,
@@ -220,7 +211,9 @@
         return 0.0
 
 
-def _share(own: Demand, others: Demand, rate: float) -> float:
+def _share(
+    own: fleet_demand.Demand, others: fleet_demand.Demand, rate: float
+) -> float:
     """Returns the share of a rate that is due to a part of the demand."""
     min_demand = MIN_DEMAND_RATE_FRACTION * rate
     own_rate = own.rate + own.hosts * min_demand
--- a/test/test_relays.py
+++ b/test/test_relays.py
@@ -5,6 +5,7 @@
 
 import unittest
 
+from gooseberryweir.process.fleet import fleet_demand
 from gooseberryweir.process.fleet import relays
 from test import simulated_fleet
 from test import virtual_time
@@ -181,7 +182,9 @@
                         for each in fleet.running()
                         if each is not host
                     )
-                    demand = host.mesh.view.demand(account, 0.0)
+                    demand = fleet_demand.elsewhere(
+                        host.mesh.view, account, 0.0
+                    )
                     self.assertAlmostEqual(demand.rate, expected, delta=0.4)
                     self.assertEqual(demand.hosts, 29)
 
@@ -193,7 +196,9 @@
                 host.kill()
             clock.sleep(2 * SETTLE_SECONDS)
             for host in fleet.running():
-                self.assertEqual(host.mesh.view.demand("", 0.0).hosts, 19)
+                self.assertEqual(
+                    fleet_demand.elsewhere(host.mesh.view, "", 0.0).hosts, 19
+                )
 
 
 class EarlierBuildTest(unittest.TestCase):
@@ -211,7 +216,9 @@
                 if host is not old:
                     self.assertIn(old.entry.name, listed)
                     self.assertEqual(
-                        host.mesh.view.demand("account-0", 0.0).hosts,
+                        fleet_demand.elsewhere(
+                            host.mesh.view, "account-0", 0.0
+                        ).hosts,
                         11,
                         host.entry.name,
                     )
--- a/test/test_steering_limits.py
+++ b/test/test_steering_limits.py
@@ -7,6 +7,7 @@
 import unittest
 
 from gooseberryweir import clock as clocks
+from gooseberryweir.process.fleet import fleet_demand
 from gooseberryweir.request.steering import limits
 
 RATE_PER_SECOND, BURST_REQUESTS = 200.0, 200.0
@@ -28,10 +29,10 @@
     def account_limits(self, index):
         return limits.AccountLimits(
             lambda account: (
-                limits.Demand(
+                fleet_demand.Demand(
                     self.meters[index].announced.get(account, 0.0), 1
                 ),
-                limits.Demand(
+                fleet_demand.Demand(
                     sum(
                         rates.get(account, 0.0)
                         for peer_index, rates in enumerate(self.announced_rates)
