--- a/test/test_fleet_knowledge.py
+++ b/test/test_fleet_knowledge.py
@@ -206,6 +206,26 @@
         self.assertEqual(set(self.cache.upstreams), {"u1"})
         self.assertEqual(changed, [store_cache.UPSTREAMS])
 
+    def test_a_gap_at_this_host_alone_does_not_retain_upstreams(self):
+        """Guards against DRAIN of hunt 13d4: work for an upstream that left.
+
+        The relays of a host were suspended for so long that it took its own
+        gap for an outage of the store, though the peer that sent the next list
+        had polled the store all the time.
+        """
+        self.host.clock.advance(store_cache.OUTAGE_SECONDS + 0.2)
+        content = store_cache.encode_content([upstream("u2")])
+        self.host.receive(
+            "h2",
+            polling=True,
+            store_seconds=0.004,
+            echo=self.host.clock.now - 0.1,
+            confirmed_age=0.1,
+            revisions={"configuration": 10},
+            snapshots={store_cache.UPSTREAMS: store_cache.Snapshot(2, content)},
+        )
+        self.assertEqual(set(self.cache.upstreams), {"u2"})
+
     def test_a_draining_upstream_is_not_retained(self):
         upstreams = [upstream("u1")._replace(draining=True), upstream("u2")]
         self.cache.accept(
--- a/test/test_relays.py
+++ b/test/test_relays.py
@@ -18,6 +18,10 @@
 OTHER_TAKEOVER_SECONDS = 3.2
 # Time from the acknowledgement of a change until it is active on all hosts.
 CHANGE_SECONDS = 2.5
+# The same on the platform's deployments of 64 and 82 hosts.
+LARGE_FLEET_CHANGE_SECONDS = 3.0
+# Time from the failure to the change.
+DELAY_SECONDS = 0.5
 # Time after which a look-up must not name a host that was killed.
 DEAD_HOST_SECONDS = 6.0
 # Hosts of the platform start at least 10 s before callers.
@@ -139,6 +143,45 @@
         for host in self.fleet.running():
             self.assertGreaterEqual(max(host.reached_at), revision)
 
+    def test_a_change_is_active_in_time_though_two_regions_lose_their_relays(
+        self,
+    ):
+        """Guards against a region that hears of no change for seconds.
+
+        A new relay knows no host of the other regions, and the first ones that
+        it asks may be down too.
+        """
+        for seed in (1, 2):
+            with (
+                self.subTest(seed=seed),
+                virtual_time.virtual_time(seed) as clock,
+            ):
+                fleet = simulated_fleet.Fleet(30, clock, seed)
+                clock.sleep(SETTLE_SECONDS)
+                down = {
+                    host.entry.name
+                    for host in fleet.running()
+                    if not host.reader.polling
+                    and host.entry.region != "golfo"
+                    and host.mesh.is_relay
+                }
+                others = sorted(set(fleet.hosts) - down)
+                down.update(fleet.rng.sample(others, len(others) // 4))
+                for name in down:
+                    if not fleet.hosts[name].reader.polling:
+                        fleet.hosts[name].kill()
+                clock.sleep(DELAY_SECONDS)
+                revision = fleet.change_upstreams(
+                    simulated_fleet.UPSTREAM_BYTES
+                )
+                clock.sleep(LARGE_FLEET_CHANGE_SECONDS)
+                for host in fleet.running():
+                    self.assertGreaterEqual(
+                        max(host.reached_at, default=0),
+                        revision,
+                        host.entry.name,
+                    )
+
     def test_another_host_polls_if_the_store_refuses_all_relays(self):
         self.fleet.store.refused = {each.entry.name for each in self.relays()}
         self.assertLess(
