A host that was cut off alone does not take that for an outage of the store

Change: heartbeats between hosts of this build say for how long the sender knows the store to be without an outage. Ruled out: a longer limit for the outage, which would drop entries that expired. Conclusion: lateness of a message is no state of what it tells of.

--- a/gooseberryweir/process/fleet/heartbeat.py
+++ b/gooseberryweir/process/fleet/heartbeat.py
@@ -67,6 +67,8 @@
         wants_digest: True if the receiver should send digests to the sender.
         takes_tokens: True if the sender takes tokens of client accounts from
             the receiver (see `tokens`).
+        stable_seconds: For how long the sender knows the store to be without an
+            outage, in seconds.
         digest: Summary of other hosts, if the receiver asked for it.
     """
 
@@ -75,6 +77,7 @@
     wants_answer: bool
     wants_digest: bool
     takes_tokens: bool
+    stable_seconds: float
     digest: Digest | None
 
 
--- a/gooseberryweir/process/fleet/mesh.py
+++ b/gooseberryweir/process/fleet/mesh.py
@@ -387,6 +387,7 @@
             wants_answer=peer.entry.name in self.contacts,
             wants_digest=self.contacts.get(peer.entry.name, False),
             takes_tokens=peer.entry.name == self.token_source,
+            stable_seconds=min(self.store_cache.stable_seconds(), 1e9),
             digest=digests.build(self.view, peer)
             if peer.wants_digest
             else None,
@@ -488,6 +489,7 @@
             self.store_cache.confirm(
                 heartbeat.revisions.get(store_cache_module.CONFIGURATION, 0),
                 heartbeat.echo - heartbeat.confirmed_age,
+                heartbeat.relaying.stable_seconds if heartbeat.relaying else 0,
             )
         for listener in self.heartbeat_listeners:
             listener(heartbeat)
--- a/gooseberryweir/process/fleet/store_cache.py
+++ b/gooseberryweir/process/fleet/store_cache.py
@@ -109,7 +109,18 @@
         """Returns the seconds since the configuration was last confirmed."""
         return self.clock.monotonic() - self.confirmed_at
 
-    def confirm(self, revision: int, as_of: float) -> None:
+    def stable_seconds(self) -> float:
+        """Returns for how long the store has been without an outage.
+
+        It is 0 while the configuration is not confirmed.
+        """
+        if self.confirmed_age() > OUTAGE_SECONDS:
+            return 0.0
+        return self.clock.monotonic() - self.recovered_at
+
+    def confirm(
+        self, revision: int, as_of: float, stable_seconds: float = 0.0
+    ) -> None:
         """Records that a revision of the configuration was the newest one.
 
         Args:
@@ -117,11 +128,18 @@
                 cached one.
             as_of: Monotonic time of this host, in seconds, before the request
                 that confirmed it was sent.
+            stable_seconds: For how long the peer that confirmed it knows the
+                store to be without an outage. If that covers the time without
+                a confirmation here, only this host was cut off.
         """
         if revision > self.revision(CONFIGURATION):
             return
         now = self.clock.monotonic()
-        if now - as_of < OUTAGE_SECONDS < self.confirmed_age():
+        gap_seconds = self.confirmed_age()
+        if (
+            now - as_of < OUTAGE_SECONDS < gap_seconds
+            and stable_seconds < gap_seconds
+        ):
             self.recovered_at = now
         self.confirmed_at = max(self.confirmed_at, as_of)
         if self.retained and not self._awaiting_reregistration(now):
--- a/test/test_fleet_knowledge.py
+++ b/test/test_fleet_knowledge.py
@@ -223,9 +223,25 @@
             confirmed_age=0.1,
             revisions={"configuration": 10},
             snapshots={store_cache.UPSTREAMS: store_cache.Snapshot(2, content)},
+            relaying=heartbeat_module.Relaying(
+                link_mbps=10.0,
+                is_relay=True,
+                wants_answer=True,
+                wants_digest=False,
+                takes_tokens=False,
+                stable_seconds=60.0,
+                digest=None,
+            ),
         )
         self.assertEqual(set(self.cache.upstreams), {"u2"})
 
+    def test_an_outage_that_the_peer_saw_too_retains_upstreams(self):
+        self.host.clock.advance(store_cache.OUTAGE_SECONDS + 0.2)
+        self.accept(2, "u2")
+        self.cache.confirm(10, self.host.clock.now, stable_seconds=0.5)
+        self.assertEqual(set(self.cache.upstreams), {"u1", "u2"})
+        self.assertLess(self.cache.stable_seconds(), 0.1)
+
     def test_a_draining_upstream_is_not_retained(self):
         upstreams = [upstream("u1")._replace(draining=True), upstream("u2")]
         self.cache.accept(
