A peer that was confirmed all the time ends a retention after an own gap

Cause: while relays are suspended some hosts of the region poll the store themselves. After a gap such a host can't know whether the store was out; it retains, and says so to its region for 2.2 s, though hosts of other regions know better. Change: whatever a host believed, a gap within the time for which a peer knows the store to be without an outage was none of the store's. Result: the new test fails without this change (u1 retained) and passes with it, as do the tests of outages that peers saw too.

--- a/gooseberryweir/process/fleet/store_cache.py
+++ b/gooseberryweir/process/fleet/store_cache.py
@@ -129,18 +129,15 @@
             as_of: Monotonic time of this host, in seconds, before the request
                 that confirmed it was sent.
             stable_seconds: For how long the peer that confirmed it knows the
-                store to be without an outage. If that covers the time without
-                a confirmation here, only this host was cut off.
+                store to be without an outage. A gap here within that time was
+                none of the store's.
         """
         if revision > self.revision(CONFIGURATION):
             return
         now = self.clock.monotonic()
-        gap_seconds = self.confirmed_age()
-        if (
-            now - as_of < OUTAGE_SECONDS < gap_seconds
-            and stable_seconds < gap_seconds
-        ):
+        if now - as_of < OUTAGE_SECONDS < self.confirmed_age():
             self.recovered_at = now
+        self.recovered_at = min(self.recovered_at, now - stable_seconds)
         self.confirmed_at = max(self.confirmed_at, as_of)
         if self.retained and not self._awaiting_reregistration(now):
             self._drop_retained()
