Log the request rates that upstreams name

The logs show where requests went, but not whether a host knew the limit when it placed one.

Change: the header is decoded in the adapter; a host logs upstream-limit when it learns another limit, and request-placed has the limit known at that moment. Nothing decides by it yet. An incarnation of an upstream has one name in the code, used for suspects too.

Conclusion: the next logs tell a host that does not know the limit from one that does not keep it.

--- a/gooseberryweir/front.py
+++ b/gooseberryweir/front.py
@@ -38,6 +38,9 @@
 from gooseberryweir.process.fleet import shutdown as shutdown_module
 from gooseberryweir.process.fleet import store_cache as store_cache_module
 from gooseberryweir.process.fleet import tokens as tokens_module
+from gooseberryweir.process.fleet import (
+    upstream_limits as upstream_limits_module,
+)
 from gooseberryweir.request.steering import account_demand
 from gooseberryweir.request.steering import account_tokens
 from gooseberryweir.request.steering import admission as admission_module
@@ -163,8 +166,11 @@
             bounds.cold_margin,
             clock.monotonic,
         )
+        upstream_limits = upstream_limits_module.UpstreamLimits(clock.monotonic)
         store_cache.listeners.append(
-            _removal_listener(store_cache, states, pool, cold_upstream_limit)
+            _removal_listener(
+                store_cache, states, pool, cold_upstream_limit, upstream_limits
+            )
         )
         selection = selection_module.Selection(
             selection_module.SelectionDependencies(
@@ -186,6 +192,7 @@
                 pool,
                 telemetry,
                 suspects,
+                upstream_limits,
             )
         )
         request_handler = serving_module.RequestHandler(
@@ -279,6 +286,7 @@
     states: upstream_state.UpstreamStates,
     pool: upstream_pool.UpstreamPool,
     cold_upstream_limit: limits.ColdUpstreamLimit,
+    upstream_limits: upstream_limits_module.UpstreamLimits,
 ) -> Callable[[str], None]:
     """Returns a listener that deletes the state of removed upstreams.
 
@@ -291,6 +299,9 @@
         removed = set(states.states) - set(store_cache.upstreams)
         states.remove(removed)
         cold_upstream_limit.remove(removed)
+        upstream_limits.retain(
+            {each.incarnation for each in store_cache.upstreams.values()}
+        )
         for name in removed:
             pool.close_idle(name)
         for name, upstream in store_cache.upstreams.items():
--- a/gooseberryweir/platform/headers.py
+++ b/gooseberryweir/platform/headers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 import json
+import math
 from typing import NamedTuple
 from urllib import parse
 
@@ -66,11 +67,15 @@
     Attributes:
         not_executed: True if the upstream did not execute the request.
         load: Load of the upstream, or None if it reports none.
+        request_limit: Requests per second that the upstream accepts from all
+            hosts together; infinity if it names no limit, None if the limit
+            can't be read.
         forwarded: Headers that are sent to the caller unchanged.
     """
 
     not_executed: bool
     load: UpstreamLoad | None
+    request_limit: float | None
     forwarded: Headers
 
 
@@ -156,6 +161,7 @@
         not_executed="not-executed" in first_values
         or status == MISDIRECTED_STATUS,
         load=_parse_load(first_values.get("server-load", "")),
+        request_limit=_parse_request_limits(headers),
         forwarded=tuple(
             (name, value)
             for name, value in headers
@@ -199,6 +205,25 @@
     return UpstreamLoad(running, waiting, slots)
 
 
+def _parse_request_limits(headers: Headers) -> float | None:
+    """Returns the least limit in the Server-Limit headers of a response.
+
+    Returns:
+        Requests per second; infinity if there is no such header, None if none
+        of them is a number of 0 or more.
+    """
+    texts = [value for name, value in headers if name.lower() == "server-limit"]
+    if not texts:
+        return math.inf
+    limits = [_parse_number(text) for text in texts]
+    valid = [
+        limit
+        for limit in limits
+        if limit is not None and math.isfinite(limit) and limit >= 0
+    ]
+    return min(valid, default=None)
+
+
 def retry_after(seconds: float) -> tuple[str, str]:
     """Returns a Retry-After header, with fractions of a second."""
     return ("Retry-After", f"{seconds:.2f}")
--- a/gooseberryweir/request/steering/sending.py
+++ b/gooseberryweir/request/steering/sending.py
@@ -12,6 +12,9 @@
 from gooseberryweir.connection import upstream_pool
 from gooseberryweir.platform import headers as wire
 from gooseberryweir.process.fleet import store_cache as store_cache_module
+from gooseberryweir.process.fleet import (
+    upstream_limits as upstream_limits_module,
+)
 from gooseberryweir.request.steering import pending_request
 from gooseberryweir.request.steering import placement
 from gooseberryweir.request.steering import selection as selection_module
@@ -42,6 +45,7 @@
         pool: Connections to upstreams.
         telemetry: Counters and histograms.
         suspects: Requests that may have crashed upstreams.
+        upstream_limits: Request rates that upstreams name.
     """
 
     clock: clocks.Clock
@@ -51,6 +55,7 @@
     pool: upstream_pool.UpstreamPool
     telemetry: telemetry_module.Telemetry
     suspects: suspects_module.SuspectTracker
+    upstream_limits: upstream_limits_module.UpstreamLimits
 
 
 class UpstreamSender:
@@ -99,8 +104,7 @@
         except upstream_pool.BrokenAnswerError as error:
             if isinstance(error, upstream_pool.NoAnswerError):
                 dependencies.suspects.record_crash(
-                    request.fingerprint,
-                    f"{upstream.name}/{upstream.started_at_ms}",
+                    request.fingerprint, upstream.incarnation
                 )
             state.record_failure(
                 dependencies.clock.monotonic(), f"broken answer: {error}", 1
@@ -123,7 +127,9 @@
             )
         finally:
             state.record_ended()
-        return self._handle_reply(request, choice, state, reply, attempt)
+        return self._handle_reply(
+            request, choice, state, reply, attempt, sent_at
+        )
 
     def _exchange(
         self,
@@ -169,22 +175,30 @@
         state: upstream_state.UpstreamState,
         reply: upstream_pool.Reply,
         attempt: int,
+        sent_at: float,
     ) -> pipelined_server.Answer | pending_request.AttemptFailure:
         """Records the reply and converts it to an answer or a failure."""
-        now = self.dependencies.clock.monotonic()
+        dependencies = self.dependencies
+        now = dependencies.clock.monotonic()
         status = reply.message.status
         answer_headers = wire.decode_response(status, reply.message.headers)
         if (
-            self.dependencies.suspects.any_suspects()
+            dependencies.suspects.any_suspects()
             and not answer_headers.not_executed
         ):
-            self.dependencies.suspects.record_success(request.fingerprint)
+            dependencies.suspects.record_success(request.fingerprint)
         if answer_headers.load is not None:
             state.record_load(
                 answer_headers.load.running + answer_headers.load.waiting,
                 answer_headers.load.slots,
                 now,
             )
+        if status != wire.MISDIRECTED_STATUS:
+            dependencies.upstream_limits.record_answer(
+                choice.upstream.incarnation,
+                answer_headers.request_limit,
+                sent_at,
+            )
         if answer_headers.not_executed:
             if status == wire.MISDIRECTED_STATUS:
                 state.record_failure(
@@ -292,6 +306,9 @@
             wait=choice.wait,
             warm=choice.warm,
             cold=upstream_is_cold,
+            limit=self.dependencies.upstream_limits.rate(
+                choice.upstream.incarnation
+            ),
             configuration=store_cache.revision(
                 store_cache_module.CONFIGURATION
             ),
--- a/gooseberryweir/version/traffic.py
+++ b/gooseberryweir/version/traffic.py
@@ -171,6 +171,11 @@
     started_at_ms: int
     revision: int
 
+    @property
+    def incarnation(self) -> str:
+        """Identifies this run, also if the next one has the same name."""
+        return f"{self.name}/{self.started_at_ms}"
+
 
 class HostEntry(NamedTuple):
     """A host, as it registered itself in the platform's store.
