--- a/test/_front.py
+++ b/test/_front.py
@@ -73,6 +73,8 @@
     Attributes:
         name: Name of the host.
         ip: IP address of all its ports.
+        zone: Availability zone that it is in.
+        region: Region that it is in.
         address: Address for callers, `IP:PORT`.
         ready_address: Address of readiness checks, `IP:PORT`.
         directory_address: Address of look-ups, `IP:PORT`.
@@ -85,6 +87,7 @@
     def __init__(self, name, ip, zone, region, store_address, directory):
         ports = [free_port(ip) for _ in range(4)]
         self.name, self.ip = name, ip
+        self.zone, self.region = zone, region
         self.address, self.ready_address, self.directory_address = (
             f"{ip}:{port}" for port in ports[:3]
         )
@@ -267,7 +270,26 @@
         self.wait_for_heartbeats()
 
     def wait_for_heartbeats(self):
-        """Waits until each host has received a heartbeat of every peer."""
+        """Waits until each host knows the others.
+
+        Up to three hosts hear each other, so it waits for a heartbeat of every
+        peer. More hosts learn of each other from relays, so it waits until the
+        look-ups of each host list all hosts of its region.
+        """
+        if len(self.hosts) > len(ZONES):
+            for host in self.hosts:
+                _common.wait_until(
+                    lambda host=host: (
+                        listed_addresses(host)
+                        >= {
+                            each.address
+                            for each in self.hosts
+                            if each.region == host.region
+                        }
+                    ),
+                    description=f"{host.name} lists the hosts of its region",
+                )
+            return
         for host in self.hosts:
             _common.wait_until(
                 lambda host=host: (
@@ -282,6 +304,12 @@
         return [run for each in self.upstreams for run in each.runs]
 
 
+def listed_addresses(host):
+    """Returns the addresses that a look-up in a host's own zone lists."""
+    answer = look_up(host, host.region, host.zone)
+    return set(json.loads(answer.body)["addresses"]) if answer.body else set()
+
+
 def look_up(host, region, zone):
     """Asks a host which hosts a caller in a zone should use."""
     query = urllib.parse.urlencode(
--- a/test/standins/threaded_upstream.py
+++ b/test/standins/threaded_upstream.py
@@ -45,6 +45,8 @@
         on_crash: Called with the name of the ended instance after a crash.
         cancelled: Set once a host closed the connection of a waiting request.
         release: Set to let waiting requests finish.
+        answer_headers: Headers that are added to each answer, as pairs of name
+            and value.
     """
 
     daemon_threads = True
@@ -62,6 +64,7 @@
         self.on_crash = lambda ended_name: None
         self.cancelled = threading.Event()
         self.release = threading.Event()
+        self.answer_headers = ()
         threading.Thread(target=self.serve_forever, daemon=True).start()
 
     def handle_error(self, request, client_address):
@@ -153,5 +156,7 @@
         self.send_header("Content-Length", str(len(body)))
         for name, value in headers.items():
             self.send_header(name, value)
+        for name, value in self.server.answer_headers:
+            self.send_header(name, value)
         self.end_headers()
         self.wfile.write(body)
