Hosts keep the request rates that upstreams name

Cause: no host took notice of the limit, and nothing could have kept it: the two limits that hosts split among themselves give each host a part. At 4.7 a second and 9 hosts a part is half a request a second, at 82 one in 17 s.

Change: one host holds the tokens of a limited upstream, the relay of its region; each request to it takes one. The others call it by way of their own relay. A call carries the latest limit that its sender knows, so the next holder needs no other source, and hosts tell each other of changes by way of the relays. A host without a token passes the upstream over at once; nothing waits. A limit ends with an answer without the header to a request that was sent after the limit was last seen. An upstream that accepts nothing gets one request in 4 s. Calls between hosts (peer_calls) are sent only to hosts that announce that they handle them.

Conclusion: the limit is kept by construction at one place; what remains is the time in which two relays both take themselves for the holder.

--- a/gooseberryweir/front.py
+++ b/gooseberryweir/front.py
@@ -34,6 +34,7 @@
 from gooseberryweir.process.fleet import host_settings
 from gooseberryweir.process.fleet import local_state
 from gooseberryweir.process.fleet import mesh as mesh_module
+from gooseberryweir.process.fleet import peer_calls
 from gooseberryweir.process.fleet import reader as reader_module
 from gooseberryweir.process.fleet import shutdown as shutdown_module
 from gooseberryweir.process.fleet import store_cache as store_cache_module
@@ -41,6 +42,9 @@
 from gooseberryweir.process.fleet import (
     upstream_limits as upstream_limits_module,
 )
+from gooseberryweir.process.fleet import (
+    upstream_tokens as upstream_tokens_module,
+)
 from gooseberryweir.request.steering import account_demand
 from gooseberryweir.request.steering import account_tokens
 from gooseberryweir.request.steering import admission as admission_module
@@ -166,10 +170,10 @@
             bounds.cold_margin,
             clock.monotonic,
         )
-        upstream_limits = upstream_limits_module.UpstreamLimits(clock.monotonic)
+        upstream_tokens = open_upstream_tokens(settings, clock, mesh)
         store_cache.listeners.append(
             _removal_listener(
-                store_cache, states, pool, cold_upstream_limit, upstream_limits
+                store_cache, states, pool, cold_upstream_limit, upstream_tokens
             )
         )
         selection = selection_module.Selection(
@@ -181,6 +185,7 @@
                 cold_limit=cold_upstream_limit,
                 rng=rng,
                 fleet_size=mesh.view.fleet_size,
+                upstream_tokens=upstream_tokens,
             )
         )
         upstream_sender = sending_module.UpstreamSender(
@@ -192,7 +197,7 @@
                 pool,
                 telemetry,
                 suspects,
-                upstream_limits,
+                upstream_tokens.limits,
             )
         )
         request_handler = serving_module.RequestHandler(
@@ -281,12 +286,39 @@
     )
 
 
+def open_upstream_tokens(
+    settings: host_settings.HostSettings,
+    clock: clocks.Clock,
+    mesh: mesh_module.Mesh,
+) -> upstream_tokens_module.UpstreamTokens:
+    """Creates the tokens for upstreams that limit their request rate.
+
+    Connects them to the calls between hosts.
+    """
+    calls = peer_calls.PeerCalls(mesh.send_call)
+    mesh.on_call = calls.receive
+    return upstream_tokens_module.UpstreamTokens(
+        upstream_limits_module.UpstreamLimits(clock.monotonic),
+        calls,
+        upstream_tokens_module.Neighbours(
+            host=settings.host,
+            region=settings.region,
+            token_source=lambda: mesh.called_relay(settings.region),
+            relay_of=mesh.called_relay,
+            linked=lambda: tuple(mesh.senders),
+            regions=lambda: len(set(settings.region_by_zone.values())),
+            fleet_size=mesh.view.fleet_size,
+        ),
+        clock,
+    )
+
+
 def _removal_listener(
     store_cache: store_cache_module.StoreCache,
     states: upstream_state.UpstreamStates,
     pool: upstream_pool.UpstreamPool,
     cold_upstream_limit: limits.ColdUpstreamLimit,
-    upstream_limits: upstream_limits_module.UpstreamLimits,
+    upstream_tokens: upstream_tokens_module.UpstreamTokens,
 ) -> Callable[[str], None]:
     """Returns a listener that deletes the state of removed upstreams.
 
@@ -299,7 +331,7 @@
         removed = set(states.states) - set(store_cache.upstreams)
         states.remove(removed)
         cold_upstream_limit.remove(removed)
-        upstream_limits.retain(
+        upstream_tokens.retain(
             {each.incarnation for each in store_cache.upstreams.values()}
         )
         for name in removed:
--- a/gooseberryweir/process/fleet/fleet_view.py
+++ b/gooseberryweir/process/fleet/fleet_view.py
@@ -88,6 +88,14 @@
             and self.last_heartbeat.supports_digests
         )
 
+    @property
+    def supports_calls(self) -> bool:
+        """True if the peer handles calls; False until it is known."""
+        return (
+            self.last_heartbeat is not None
+            and self.last_heartbeat.supports_calls
+        )
+
 
 class FleetView:
     """Knowledge of the other hosts, from heartbeats and digests.
@@ -351,6 +359,24 @@
                 return name
         return None
 
+    def called_relay(self, region: str) -> str | None:
+        """Returns the relay of a region that this host calls, or None.
+
+        This is the best relay that is known to be up and handles calls; in the
+        region of this host it may be this host.
+        """
+        now = self.clock.monotonic()
+        for name in self.selected_relays(region):
+            if name == self.settings.host:
+                return name
+            peer = self.peers[name]
+            if (
+                peer.supports_calls
+                and now - peer.received_at <= RELAY_TIMEOUT_SECONDS
+            ):
+                return name
+        return None
+
     # Requests that crash upstreams.
 
     def crash_reports(self) -> list[dict[str, tuple[str, ...]]]:
--- a/gooseberryweir/process/fleet/heartbeat.py
+++ b/gooseberryweir/process/fleet/heartbeat.py
@@ -11,6 +11,9 @@
 # heartbeats with a digest. Earlier builds ignore the key and accept only
 # heartbeats without the last field.
 DIGEST_SUPPORT_KEY = "digest"
+# Key in `Heartbeat.revisions` by which a host says that it handles calls (see
+# `peer_calls`). Earlier builds ignore the key and close links that carry calls.
+CALL_SUPPORT_KEY = "calls"
 
 
 class HostStatus(NamedTuple):
@@ -127,6 +130,11 @@
         """True if the sender understands heartbeats with a digest."""
         return DIGEST_SUPPORT_KEY in self.revisions
 
+    @property
+    def supports_calls(self) -> bool:
+        """True if the sender handles calls."""
+        return CALL_SUPPORT_KEY in self.revisions
+
     @property
     def all_answered(self) -> tuple[str, ...]:
         """The answered suspects of the sender and of its digest."""
--- a/gooseberryweir/process/fleet/mesh.py
+++ b/gooseberryweir/process/fleet/mesh.py
@@ -57,10 +57,12 @@
 MAX_HEARTBEAT_BYTES = 16 * 1024 * 1024
 # Interval at which a host logs what it sent to its peers.
 TRAFFIC_LOG_SECONDS = 1.0
-# Length of a frame's content. `_MESSAGE_FLAG` is added for messages that are no
-# heartbeats, which only hosts that understand digests get.
+# Length of a frame's content. `_MESSAGE_FLAG` is added for messages about
+# tokens of client accounts, which only hosts that understand digests get, and
+# `_CALL_FLAG` for calls, which only hosts that handle calls get.
 _LENGTH_PREFIX = struct.Struct("!I")
 _MESSAGE_FLAG = 1 << 31
+_CALL_FLAG = 1 << 30
 
 
 def _frame(content: bytes, flag: int = 0) -> bytes:
@@ -89,7 +91,10 @@
             client accounts, or None.
         on_message: Handles messages of other hosts that are no heartbeats, with
             the name of the sender; may raise `ValueError`.
-        outboxes: Encoded messages to send to each peer, by name.
+        on_call: Handles calls of other hosts, likewise.
+        outboxes: Frames to send to each peer, by name.
+        called_relays: Relays that this host calls, by region, since the last
+            update of its links.
         senders: Task that sends heartbeats to each peer, by name.
         wakeups: Event that makes each of these tasks send at once, by name.
         heartbeats_due: Names of peers to which a heartbeat is to be sent.
@@ -118,6 +123,8 @@
         self.is_relay = True
         self.token_source: str | None = settings.host
         self.on_message: Callable[[str, bytes], None] = _reject_message
+        self.on_call: Callable[[str, bytes], None] = _reject_message
+        self.called_relays: dict[str, str | None] = {}
         self.outboxes: dict[str, collections.deque[bytes]] = {}
         self.senders: dict[str, Any] = {}
         self.wakeups: dict[str, event.Event] = {}
@@ -157,9 +164,33 @@
 
         It is dropped if there is no link to the peer, or the link fails.
         """
-        if name in self.outboxes:
-            self.outboxes[name].append(message)
-            self._wake(name, heartbeat_due=False)
+        self._send_frame(name, _frame(message, _MESSAGE_FLAG))
+
+    def send_call(self, name: str, message: bytes) -> bool:
+        """Sends a message of `peer_calls` to a peer.
+
+        Returns:
+            False if there is no link to the peer or it does not handle calls.
+        """
+        peer = self.view.peers.get(name)
+        if peer is None or not peer.supports_calls:
+            return False
+        return self._send_frame(name, _frame(message, _CALL_FLAG))
+
+    def _send_frame(self, name: str, frame: bytes) -> bool:
+        """Queues a frame for a peer; returns False if there is no link."""
+        outbox = self.outboxes.get(name)
+        if outbox is None:
+            return False
+        outbox.append(frame)
+        self._wake(name, heartbeat_due=False)
+        return True
+
+    def called_relay(self, region: str) -> str | None:
+        """Returns the relay of a region that this host calls, or None."""
+        if region not in self.called_relays:
+            self.called_relays[region] = self.view.called_relay(region)
+        return self.called_relays[region]
 
     def _wake(self, name: str, heartbeat_due: bool = True) -> None:
         """Makes the sender of a peer send a heartbeat or its outbox."""
@@ -193,6 +224,7 @@
         self.contacts = contacts
         self.is_relay = is_relay
         self.token_source = self.view.token_source()
+        self.called_relays.clear()
         links = set(contacts) | {
             peer.entry.name
             for peer in self.view.live_peers()
@@ -292,7 +324,7 @@
         self.heartbeats_due.add(name)
         while peer.entry.peer == address:
             self.wakeups[name] = wakeup = event.Event()
-            frames = [_frame(each, _MESSAGE_FLAG) for each in outbox]
+            frames = list(outbox)
             outbox.clear()
             if name in self.heartbeats_due:
                 self.heartbeats_due.discard(name)
@@ -351,7 +383,11 @@
             polling=self.state.polling(),
             store_seconds=self.state.store_seconds(),
             confirmed_age=min(age, 1e9),
-            revisions={**revisions, heartbeat_module.DIGEST_SUPPORT_KEY: 1},
+            revisions={
+                **revisions,
+                heartbeat_module.DIGEST_SUPPORT_KEY: 1,
+                heartbeat_module.CALL_SUPPORT_KEY: 1,
+            },
             demand=self._demand_for(peer),
             snapshots=self._snapshots_to_send(peer),
             crashes=self.state.crashes(),
@@ -441,14 +477,14 @@
                     if len(header) < _LENGTH_PREFIX.size:
                         return
                     (prefix,) = _LENGTH_PREFIX.unpack(header)
-                    size = prefix & ~_MESSAGE_FLAG
+                    size = prefix & ~(_MESSAGE_FLAG | _CALL_FLAG)
                     if size > MAX_HEARTBEAT_BYTES:
                         raise ValueError(
                             f"heartbeat of {size} bytes is too large"
                         )
                     content = file.read(size)
-                    if prefix & _MESSAGE_FLAG:
-                        self.on_message(sender, content)
+                    if prefix & (_MESSAGE_FLAG | _CALL_FLAG):
+                        self._on_message(sender, content, prefix)
                         continue
                     heartbeat = heartbeat_module.decode(content)
                     sender = heartbeat.entry.name
@@ -460,6 +496,22 @@
                     reason=type(error).__name__,
                 )
 
+    def _on_message(self, sender: str, content: bytes, prefix: int) -> None:
+        """Hands a message that is no heartbeat to its handler.
+
+        Args:
+            sender: Name of the sender.
+            content: Content of the frame.
+            prefix: Prefix of the frame, whose flags select the handler.
+
+        Raises:
+            ValueError: The message is malformed.
+        """
+        if prefix & _CALL_FLAG:
+            self.on_call(sender, content)
+        else:
+            self.on_message(sender, content)
+
     def _on_heartbeat(self, heartbeat: heartbeat_module.Heartbeat) -> None:
         """Updates the state of the sender and the cache from a heartbeat."""
         peer = self.view.add_peer(heartbeat.entry)
--- a/gooseberryweir/request/steering/selection.py
+++ b/gooseberryweir/request/steering/selection.py
@@ -8,6 +8,9 @@
 from gooseberryweir import clock as clocks
 from gooseberryweir.process.fleet import host_settings
 from gooseberryweir.process.fleet import store_cache as store_cache_module
+from gooseberryweir.process.fleet import (
+    upstream_tokens as upstream_tokens_module,
+)
 from gooseberryweir.request.steering import limits
 from gooseberryweir.request.steering import overload
 from gooseberryweir.request.steering import pending_request
@@ -41,6 +44,8 @@
             started recently and whose caches are not filled.
         rng: Source of random numbers.
         fleet_size: Returns the number of hosts that may be serving.
+        upstream_tokens: Tokens for requests to upstreams that limit their
+            request rate.
     """
 
     settings: host_settings.HostSettings
@@ -50,6 +55,7 @@
     cold_limit: limits.ColdUpstreamLimit
     rng: random.Random
     fleet_size: Callable[[], int]
+    upstream_tokens: upstream_tokens_module.UpstreamTokens
 
 
 class _EligibleUpstream(NamedTuple):
@@ -175,6 +181,15 @@
             choice.wait > 0 and expected_seconds > remaining
         )
 
+    def take_token(self, choice: placement.Choice) -> bool:
+        """Returns True if a request may be sent to its upstream.
+
+        Takes a token if the upstream limits its request rate.
+        """
+        return self.dependencies.upstream_tokens.take(
+            choice.upstream.incarnation, self._region(choice.upstream)
+        )
+
     def record_sent(self, choice: placement.Choice) -> None:
         """Records a request that is sent to an upstream."""
         if self.is_cold(choice.upstream):
@@ -334,6 +349,8 @@
                 upstream, service
             ):
                 continue
+            if not dependencies.upstream_tokens.may_ask(upstream.incarnation):
+                continue
             usable.append(_UsableUpstream(eligible, state))
         return usable
 
--- a/gooseberryweir/request/steering/serving.py
+++ b/gooseberryweir/request/steering/serving.py
@@ -154,7 +154,7 @@
                 request.fingerprint
             ):
                 return self._refuse_suspect(request, ran, delay)
-            choice = self.dependencies.selection.choose(request, tried)
+            choice = self._choose(request, tried, attempt)
             if choice is None:
                 break
             if attempt == 1 and self.dependencies.selection.is_overloaded(
@@ -177,6 +177,28 @@
                     break
         return self._finish_failed(request, failure, ran)
 
+    def _choose(
+        self,
+        request: pending_request.PendingRequest,
+        tried: set[str],
+        attempt: int,
+    ) -> placement.Choice | None:
+        """Returns the upstream for an attempt, or None if none may get it.
+
+        An upstream that limits its request rate is passed over if there is no
+        token for it. No token is taken for a request that will be refused.
+        """
+        selection = self.dependencies.selection
+        excluded = set(tried)
+        while choice := selection.choose(request, excluded):
+            if attempt == 1 and selection.is_overloaded(request, choice):
+                break
+            if selection.take_token(choice):
+                break
+            self.dependencies.telemetry.count("upstream_token_refused")
+            excluded.add(choice.upstream.name)
+        return choice
+
     def _refuse_suspect(
         self,
         request: pending_request.PendingRequest,
--- a/test/simulated_fleet.py
+++ b/test/simulated_fleet.py
@@ -189,10 +189,11 @@
         """Takes in frames of another host, as `Mesh._receive` does."""
         while data:
             (prefix,) = mesh._LENGTH_PREFIX.unpack_from(data)
-            end = LENGTH_PREFIX_BYTES + (prefix & ~mesh._MESSAGE_FLAG)
+            flags = mesh._MESSAGE_FLAG | mesh._CALL_FLAG
+            end = LENGTH_PREFIX_BYTES + (prefix & ~flags)
             content, data = data[LENGTH_PREFIX_BYTES:end], data[end:]
-            if prefix & mesh._MESSAGE_FLAG:
-                self.mesh.on_message(sender, content)
+            if prefix & flags:
+                self.mesh._on_message(sender, content, prefix)
             else:
                 self.on_heartbeat(heartbeat.decode(content))
 
--- a/test/test_selection.py
+++ b/test/test_selection.py
@@ -6,7 +6,10 @@
 from gooseberryweir import clock as clocks
 from gooseberryweir import codes
 from gooseberryweir.connection import http_messages
+from gooseberryweir.process.fleet import peer_calls
 from gooseberryweir.process.fleet import store_cache as store_cache_module
+from gooseberryweir.process.fleet import upstream_limits
+from gooseberryweir.process.fleet import upstream_tokens
 from gooseberryweir.request.steering import admission
 from gooseberryweir.request.steering import limits
 from gooseberryweir.request.steering import pending_request
@@ -74,6 +77,20 @@
             for name in names
         }
         self.states = upstream_state.UpstreamStates(clock.monotonic)
+        self.upstream_tokens = upstream_tokens.UpstreamTokens(
+            upstream_limits.UpstreamLimits(clock.monotonic),
+            peer_calls.PeerCalls(lambda host, message: False),
+            upstream_tokens.Neighbours(
+                host="h1",
+                region="north",
+                token_source=lambda: "h1",
+                relay_of=lambda region: None,
+                linked=tuple,
+                regions=lambda: 1,
+                fleet_size=lambda: 1,
+            ),
+            clock,
+        )
         self.selection = selection.Selection(
             selection.SelectionDependencies(
                 test_fleet_knowledge.settings("h1")._replace(
@@ -87,6 +104,7 @@
                 ),
                 random.Random(1),
                 lambda: 1,
+                self.upstream_tokens,
             )
         )
 
@@ -140,6 +158,24 @@
             before.choose(f"o{index}")
         self.assertEqual(before.chosen_regions(), after.chosen_regions())
 
+    def test_upstream_without_a_token_is_skipped_until_the_next_one(self):
+        host = SelectingHost()
+        limited = host.choose("o1")
+        host.upstream_tokens.limits.record_answer(
+            limited.upstream.incarnation, 1.0, host.clock.now
+        )
+        taken = [host.selection.take_token(limited) for _ in range(2)]
+        host.clock.advance(0.6)
+        taken.append(host.selection.take_token(limited))
+        # A new bucket holds the tokens of half a second.
+        self.assertEqual(taken, [False, False, True])
+        self.assertFalse(host.selection.take_token(limited))
+        self.assertNotEqual(
+            host.choose("o1").upstream.name, limited.upstream.name
+        )
+        host.clock.advance(1.0)
+        self.assertEqual(host.choose("o1").upstream.name, limited.upstream.name)
+
     def test_draining_evacuated_ejected_and_tried_upstreams_are_skipped(self):
         host = SelectingHost()
         upstreams = host.store_cache.upstreams
