--- a/test/_front.py
+++ b/test/_front.py
@@ -229,9 +229,11 @@
         store: Stand-in of the store.
         upstreams: Stand-ins of upstreams, all of one service.
         hosts: Hosts, each with its own port of the store.
+        proxy: Fault proxy between hosts and upstreams, or None. Its connections
+            are named `HOST>UPSTREAM`.
     """
 
-    def __init__(self, stack, hosts=3, upstreams=2):
+    def __init__(self, stack, hosts=3, upstreams=2, proxied=False):
         directory = stack.enter_context(tempfile.TemporaryDirectory())
         process = stack.enter_context(
             _common.Process(
@@ -250,8 +252,23 @@
             )
             for i in range(upstreams)
         ]
+        self.proxy = None
+        if proxied:
+            self.proxy = stack.enter_context(
+                _common.Process(
+                    pathlib.Path(directory),
+                    "proxy",
+                    "test.standins.fault_proxy",
+                )
+            ).wait_ready()
         for upstream in self.upstreams:
-            self.store.put("servers", upstream.name, upstream.entry())
+            entry = upstream.entry()
+            if self.proxy:
+                ports = _common.fetch_json(
+                    self.proxy.url("/_links"), {upstream.name: entry["address"]}
+                )
+                entry["address"] = f"127.0.0.1:{ports[upstream.name]}"
+            self.store.put("servers", upstream.name, entry)
         zones = list(ZONES.items())
         self.hosts = [
             stack.enter_context(
@@ -267,8 +284,20 @@
         ]
         for host in self.hosts:
             _common.wait_until(host.ready, description=f"{host.name} ready")
+        if self.proxy:
+            _common.fetch_json(
+                self.proxy.url("/_sources"),
+                {str(host.process.pid): host.name for host in self.hosts},
+            )
         self.wait_for_heartbeats()
 
+    def set_faults(self, hosts, **faults):
+        """Sets faults of the connections of hosts to all upstreams."""
+        _common.fetch_json(
+            self.proxy.url("/_rules"),
+            [{"match": f"{host.name}>*", **faults} for host in hosts],
+        )
+
     def wait_for_heartbeats(self):
         """Waits until each host knows the others.
 
--- a/test/standins/fault_proxy.py
+++ b/test/standins/fault_proxy.py
@@ -57,6 +57,7 @@
     Attributes:
         cut: True to reset open connections and refuse new ones.
         reset: True to reset open connections once, when the rule is set.
+        refuse: True to refuse new connections; open ones go on.
         blackhole: Directions in which bytes are held back: "both", "out" (to
             the target), "in" or "" for none.
         delay_ms: Delay in each direction, milliseconds.
@@ -68,6 +69,7 @@
 
     cut: bool = False
     reset: bool = False
+    refuse: bool = False
     blackhole: str = ""
     delay_ms: float = 0.0
     jitter_ms: float = 0.0
@@ -188,7 +190,8 @@
         name = f"{source_name(client_address[1], port, self.sources)}>{link}"
         with contextlib.closing(client):
             try:
-                if self.faults_of(name).cut:
+                faults = self.faults_of(name)
+                if faults.cut or faults.refuse:
                     raise ConnectionRefusedError
                 target = eventlet.connect(self.targets[link])
             except OSError:
