Hosts that reach no upstream forward requests to hosts that do

Cause: a host takes each failed connection for a fault of that upstream. It ejects one after the other and then refuses every request, though it stays ready and listed, and though other hosts could serve it.

Change: once two upstreams in a row give no answer, or all have been silent for 0.8 s, a host probes up to three others, the last to answer first, with a request that no upstream runs (Expect-Instance of nobody). If none answers, it is cut off: it closes its idle connections and forwards each request to a ready host over a port of its own, and probes every half second until the cut ends; then ejections end at once. One hop, never two: the second host checks the key, takes no token, keeps the service chosen, and refuses if it is cut off too (code 312), so that the first one tries the next. What may have run is offered to nobody else. Only hosts of regions where the request may run get it.

Weighed: to become unready and unlisted (callers keep their connections, two hosts that both rely on the other would both leave the lists); to refuse at once (counts as a failed attempt).

Conclusion: what is left is the time until a host knows: up to about 2.5 s if connections open and then hang.

--- a/gooseberryweir/codes.py
+++ b/gooseberryweir/codes.py
@@ -53,6 +53,7 @@
     UPSTREAM_SHED = 309
     HOST_OVERLOADED = 310
     NO_HOME = 311
+    UPSTREAMS_UNREACHABLE = 312
     OUTCOME_UNKNOWN = 401
     UPSTREAM_DIED = 402
     UPSTREAM_TIMEOUT = 403
@@ -183,6 +184,12 @@
         1,
         "the share of the client account is not known at the moment",
     ),
+    Code.UPSTREAMS_UNREACHABLE: CodeRow(
+        503,
+        _NOT_EXECUTED,
+        1,
+        "this host reaches no upstream; use another host",
+    ),
     Code.OUTCOME_UNKNOWN: CodeRow(
         502, _EXECUTION_UNKNOWN, None, "whether the request ran is not known"
     ),
--- a/gooseberryweir/connection/upstream_pool.py
+++ b/gooseberryweir/connection/upstream_pool.py
@@ -46,7 +46,13 @@
 
 
 class NoAnswerError(BrokenAnswerError):
-    """The connection ended before the first byte of an answer."""
+    """The connection ended before the first byte of an answer.
+
+    Attributes:
+        new_connection: True if the connection was opened for the request.
+    """
+
+    new_connection = False
 
 
 class DeadlineError(Exception):
@@ -179,6 +185,9 @@
                 )
         except eventlet.Timeout as error:
             raise DeadlineError(endpoint.address) from error
+        except NoAnswerError as error:
+            error.new_connection = new_connection
+            raise
         finally:
             self.in_use[name] -= 1
             if not reusable:
--- a/gooseberryweir/front.py
+++ b/gooseberryweir/front.py
@@ -48,7 +48,9 @@
 from gooseberryweir.request.steering import account_demand
 from gooseberryweir.request.steering import account_tokens
 from gooseberryweir.request.steering import admission as admission_module
+from gooseberryweir.request.steering import forwarding
 from gooseberryweir.request.steering import limits
+from gooseberryweir.request.steering import reachability as reachability_module
 from gooseberryweir.request.steering import selection as selection_module
 from gooseberryweir.request.steering import sending as sending_module
 from gooseberryweir.request.steering import serving as serving_module
@@ -188,6 +190,18 @@
                 upstream_tokens=upstream_tokens,
             )
         )
+        reachability = open_reachability(clock, store_cache, pool, states, rng)
+        host_pool = stack.enter_context(upstream_pool.UpstreamPool(clock))
+        forwarder = forwarding.Forwarder(
+            forwarding.ForwardingDependencies(
+                clock,
+                settings.region,
+                reachability,
+                mesh.view.ready_hosts,
+                host_pool,
+                rng,
+            )
+        )
         upstream_sender = sending_module.UpstreamSender(
             sending_module.SendingDependencies(
                 clock,
@@ -198,6 +212,7 @@
                 telemetry,
                 suspects,
                 upstream_tokens.limits,
+                reachability,
             )
         )
         request_handler = serving_module.RequestHandler(
@@ -222,24 +237,38 @@
                 refusing=shutdown.refusing,
                 rng=rng,
                 suspects=suspects,
+                forwarder=forwarder,
+                reachability=reachability,
             )
         )
+
+        def caller_limits() -> traffic.CallerLimits:
+            configuration = store_cache.configuration
+            return configuration.limits if configuration else DEFAULT_LIMITS
+
         front = stack.enter_context(
             pipelined_server.Server(
                 settings.front_address,
                 pipelined_server.Callbacks(
                     request_handler.serve,
-                    lambda: (
-                        store_cache.configuration.limits
-                        if store_cache.configuration
-                        else DEFAULT_LIMITS
-                    ),
+                    caller_limits,
                     shutdown.started,
                     request_handler.record_sent,
                     clock.monotonic,
                 ),
             )
         )
+        if settings.forward_address:
+            stack.enter_context(
+                pipelined_server.Server(
+                    settings.forward_address,
+                    pipelined_server.Callbacks(
+                        request_handler.serve_forwarded,
+                        lambda: forwarding.limits(caller_limits()),
+                        shutdown.refusing,
+                    ),
+                )
+            )
         side_servers.open_side_servers(
             stack, settings, store_cache, mesh, shutdown, telemetry
         )
@@ -313,6 +342,52 @@
     )
 
 
+def open_reachability(
+    clock: clocks.Clock,
+    store_cache: store_cache_module.StoreCache,
+    pool: upstream_pool.UpstreamPool,
+    states: upstream_state.UpstreamStates,
+    rng: random.Random,
+) -> reachability_module.UpstreamReachability:
+    """Creates the check whether this host reaches any upstream."""
+
+    def find_upstreams() -> list[traffic.Upstream]:
+        return [
+            each
+            for each in store_cache.upstreams.values()
+            if not each.draining
+            and each.zone not in store_cache.evacuated_zones
+        ]
+
+    def on_change() -> None:
+        if reachability.reachable:
+            for state in states.states.values():
+                state.end_ejection()
+        else:
+            # These connections may hang.
+            for name in list(pool.idle):
+                pool.close_idle(name)
+
+    reachability = reachability_module.UpstreamReachability(
+        reachability_module.Probing(
+            find_upstreams,
+            lambda upstream, timeout: sending_module.probe(
+                pool, upstream, timeout
+            ),
+        ),
+        clock,
+        rng,
+    )
+    reachability.listeners.append(on_change)
+
+    def on_store_change(kind: str) -> None:
+        if kind == store_cache_module.UPSTREAMS:
+            reachability.retain(set(store_cache.upstreams))
+
+    store_cache.listeners.append(on_store_change)
+    return reachability
+
+
 def _removal_listener(
     store_cache: store_cache_module.StoreCache,
     states: upstream_state.UpstreamStates,
--- a/gooseberryweir/platform/headers.py
+++ b/gooseberryweir/platform/headers.py
@@ -24,6 +24,9 @@
     {"authorization", "tenant-id", "deadline-ms", "expect-instance"}
 )
 _BEARER_PREFIX = "bearer "
+# Prefix of headers by which only this system describes its answers. An
+# upstream's headers with it are not forwarded.
+_RESERVED_PREFIX = "gooseberryweir-"
 
 
 class RequestHeaders(NamedTuple):
@@ -151,6 +154,21 @@
     return headers
 
 
+def encode_probe(host: str) -> list[tuple[str, str]]:
+    """Returns the headers of a request that any upstream refuses at once.
+
+    It names no incarnation that exists, so no upstream runs it.
+
+    Args:
+        host: Value of the Host header.
+    """
+    return [
+        ("Host", host),
+        ("Request-Id", "probe"),
+        ("Expect-Instance", "none"),
+    ]
+
+
 def decode_response(status: int, headers: Headers) -> ResponseHeaders:
     """Decodes the headers of an upstream's response."""
     first_values: dict[str, str] = {}
@@ -166,6 +184,7 @@
             (name, value)
             for name, value in headers
             if name.lower() not in excluded
+            and not name.lower().startswith(_RESERVED_PREFIX)
         ),
     )
 
--- a/gooseberryweir/platform/settings.py
+++ b/gooseberryweir/platform/settings.py
@@ -127,7 +127,8 @@
         raise ValueError(
             f"zone: {file.zone!r} should be a zone of {file.region!r} in zones"
         )
-    first_port, _ = file.internal_port_range
+    first_port, last_port = file.internal_port_range
+    peer_address = f"{file.ip}:{first_port}"
     return host_settings.HostSettings(
         host=file.node_name,
         incarnation=uuid.uuid4().hex[:12],
@@ -137,12 +138,15 @@
         front_address=file.listen.front,
         ready_address=file.listen.ready,
         directory_address=file.listen.directory,
-        peer_address=f"{file.ip}:{first_port}",
+        peer_address=peer_address,
         metrics_address=f"{file.ip}:{host_settings.METRICS_PORT}",
         store_address=file.platform.address,
         first_start=file.bootstrap,
         bounds=_decode_bounds(file.bounds),
         link_mbps=file.limits.link_mbps,
+        forward_address=host_settings.forward_address(peer_address)
+        if last_port > first_port
+        else "",
     )
 
 
--- a/gooseberryweir/process/fleet/host_settings.py
+++ b/gooseberryweir/process/fleet/host_settings.py
@@ -59,6 +59,8 @@
         first_start: True if the whole system starts for the first time.
         bounds: Guarantees that the host has to keep.
         link_mbps: Rate of the host's network link in Mbit/s, 0 if not known.
+        forward_address: Listening address for requests that other hosts
+            forward, `IP:PORT`; empty if the platform leaves no port for it.
     """
 
     host: str
@@ -75,3 +77,14 @@
     first_start: bool
     bounds: Bounds
     link_mbps: float = 0.0
+    forward_address: str = ""
+
+
+def forward_address(peer_address: str) -> str:
+    """Returns the address at which a host takes forwarded requests.
+
+    Args:
+        peer_address: Address at which it takes heartbeats, `IP:PORT`.
+    """
+    ip, _, port = peer_address.rpartition(":")
+    return f"{ip}:{int(port) + 1}"
--- a/gooseberryweir/request/steering/admission.py
+++ b/gooseberryweir/request/steering/admission.py
@@ -69,7 +69,7 @@
         )
 
     def admit(
-        self, host: str, path: str, key: str
+        self, host: str, path: str, key: str, is_forwarded: bool = False
     ) -> AdmissionResult | codes.Refusal:
         """Admits a request, or returns its refusal (an error answer).
 
@@ -80,6 +80,7 @@
             host: The Host header.
             path: The path without the query.
             key: The key, or an empty string.
+            is_forwarded: True if another host has already taken the token.
         """
         configuration = self.store_cache.configuration
         if configuration is None or not self.store_cache.complete():
@@ -99,7 +100,7 @@
         )
         if account is None:
             return codes.refuse(codes.Code.UNKNOWN_KEY)
-        wait_seconds = self.tokens.take(account)
+        wait_seconds = 0.0 if is_forwarded else self.tokens.take(account)
         if wait_seconds is None:
             return codes.refuse(
                 codes.Code.NO_HOME, "no relay of the region grants tokens"
--- a/gooseberryweir/request/steering/pending_request.py
+++ b/gooseberryweir/request/steering/pending_request.py
@@ -22,6 +22,7 @@
         object_name: Name of the object for affinity (see `placement`); empty
             for none.
         fingerprint: Digest that identifies the request and its retries.
+        is_forwarded: True if another host forwarded the request to this one.
     """
 
     message: http_messages.Message
@@ -32,6 +33,7 @@
     deadline: float
     object_name: str
     fingerprint: str
+    is_forwarded: bool = False
 
 
 class AttemptFailure(NamedTuple):
--- /dev/null
+++ b/gooseberryweir/request/steering/reachability.py
@@ -0,0 +1,222 @@
+"""Tells whether this host reaches any upstream.
+
+A host that loses its links to all upstreams looks, at each of them, like one
+whose upstream is down. So once several upstreams in a row give no answer, the
+host probes others, those that answered last first. It takes itself for cut off
+only if none of them answers. While it is cut off it probes a few upstreams at
+intervals, and no request has to find out that the cut has ended.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import logging
+import random
+from typing import NamedTuple
+
+import eventlet
+
+from gooseberryweir import clock as clocks
+from gooseberryweir import logs
+from gooseberryweir.version import traffic
+
+LOGGER = logging.getLogger(__name__)
+
+# Number of upstreams without an answer from which on others are probed.
+MIN_FAILED_UPSTREAMS = 2
+# Time without an answer of any upstream, while several have requests of this
+# host, after which others are probed.
+SILENCE_SECONDS = 0.8
+# Upstreams probed at a time, in different availability zones if possible.
+PROBES_PER_ROUND = 3
+PROBE_TIMEOUT_SECONDS = 0.4
+# Interval of the rounds of probes.
+PROBE_INTERVAL_SECONDS = 0.5
+
+
+class Probing(NamedTuple):
+    """Functions that find upstreams and probe them.
+
+    Attributes:
+        upstreams: Returns the upstreams that take requests.
+        probe: Asks an upstream for any answer over a new connection; returns
+            True if it came within a number of seconds.
+    """
+
+    upstreams: Callable[[], Iterable[traffic.Upstream]]
+    probe: Callable[[traffic.Upstream, float], bool]
+
+
+class UpstreamReachability:
+    """Whether this host reaches any upstream.
+
+    Attributes:
+        probing: Finds upstreams and probes them.
+        clock: Source of time.
+        rng: Selects the upstreams to probe.
+        reachable: False while this host takes itself for cut off.
+        listeners: Functions called after each change of `reachable`.
+        unanswered: Upstreams without an answer since the last answer of any.
+        unconnected: Upstreams whose new connections gave no answer since the
+            last new connection to any that did.
+        outstanding: Number of requests in flight by name of the upstream.
+        quiet_since: Monotonic time, in seconds, of the last answer, or of the
+            first request in flight after it.
+        suspected_at: Monotonic time, in seconds, of the first failure since the
+            last answer, or None.
+        answered_at: Monotonic time of the last answer of each upstream.
+        probing_at: Monotonic time of the start of the last round of probes.
+        is_probing: True while a task sends probes.
+    """
+
+    def __init__(
+        self, probing: Probing, clock: clocks.Clock, rng: random.Random
+    ) -> None:
+        self.probing = probing
+        self.clock = clock
+        self.rng = rng
+        self.reachable = True
+        self.listeners: list[Callable[[], None]] = []
+        self.unanswered: set[str] = set()
+        self.unconnected: set[str] = set()
+        self.outstanding: dict[str, int] = {}
+        self.quiet_since = clock.monotonic()
+        self.suspected_at: float | None = None
+        self.answered_at: dict[str, float] = {}
+        self.probing_at = float("-inf")
+        self.is_probing = False
+
+    # Evidence from requests.
+
+    def record_sent(self, name: str) -> None:
+        """Records that a request to an upstream is in flight."""
+        now = self.clock.monotonic()
+        if not self.outstanding:
+            self.quiet_since = now
+        self.outstanding[name] = self.outstanding.get(name, 0) + 1
+        if (
+            now - self.quiet_since > SILENCE_SECONDS
+            and len(self.outstanding) >= MIN_FAILED_UPSTREAMS
+        ):
+            self._suspect()
+
+    def record_ended(self, name: str) -> None:
+        """Records that a request to an upstream is no longer in flight."""
+        count = self.outstanding.pop(name, 0) - 1
+        if count > 0:
+            self.outstanding[name] = count
+
+    def record_answer(self, name: str, new_connection: bool) -> None:
+        """Records that an upstream sent any byte of an answer.
+
+        Args:
+            name: Name of the upstream's incarnation.
+            new_connection: True if a connection was opened for the request.
+        """
+        now = self.clock.monotonic()
+        self.answered_at[name] = self.quiet_since = now
+        self.unanswered.clear()
+        if new_connection:
+            self.unconnected.clear()
+        if not self.unconnected:
+            self.suspected_at = None
+
+    def record_no_answer(self, name: str, new_connection: bool) -> None:
+        """Records that a connection failed, or ended without an answer.
+
+        Args:
+            name: Name of the upstream's incarnation.
+            new_connection: True if the connection was opened, or failed to
+                open, for the request.
+        """
+        if self.suspected_at is None:
+            self.suspected_at = self.clock.monotonic()
+        self.unanswered.add(name)
+        if new_connection:
+            self.unconnected.add(name)
+        failed = max(len(self.unanswered), len(self.unconnected))
+        if failed >= MIN_FAILED_UPSTREAMS or failed >= len(
+            list(self.probing.upstreams())
+        ):
+            self._suspect()
+
+    # Probes.
+
+    def _suspect(self) -> None:
+        """Starts to probe upstreams unless that was done just now."""
+        now = self.clock.monotonic()
+        if self.is_probing or now - self.probing_at < PROBE_INTERVAL_SECONDS:
+            return
+        self.is_probing = True
+        eventlet.spawn(self._probe_until_reachable)
+
+    def _probe_until_reachable(self) -> None:
+        """Sends rounds of probes until an upstream answers one."""
+        try:
+            while True:
+                self.probing_at = self.clock.monotonic()
+                upstreams = list(self.probing.upstreams())
+                if not upstreams or self._probe_any(self._select(upstreams)):
+                    self._set_reachable(True)
+                    return
+                self._set_reachable(False)
+                elapsed = self.clock.monotonic() - self.probing_at
+                self.clock.sleep(max(0.0, PROBE_INTERVAL_SECONDS - elapsed))
+        finally:
+            self.is_probing = False
+
+    def _select(
+        self, upstreams: list[traffic.Upstream]
+    ) -> list[traffic.Upstream]:
+        """Returns the upstreams to probe.
+
+        At first those that answered last, later any of them, one of each
+        availability zone before a second one of the same.
+        """
+        ordered = list(upstreams)
+        self.rng.shuffle(ordered)
+        if self.reachable:
+            ordered.sort(key=lambda each: -self.answered_at.get(each.name, 0.0))
+        zones: set[str] = set()
+        first: list[traffic.Upstream] = []
+        rest: list[traffic.Upstream] = []
+        for each in ordered:
+            (rest if each.zone in zones else first).append(each)
+            zones.add(each.zone)
+        return (first + rest)[:PROBES_PER_ROUND]
+
+    def _probe_any(self, upstreams: list[traffic.Upstream]) -> bool:
+        """Probes upstreams concurrently; returns True if any answers."""
+        tasks = [
+            eventlet.spawn(self.probing.probe, each, PROBE_TIMEOUT_SECONDS)
+            for each in upstreams
+        ]
+        answered = [
+            each.name
+            for each, task in zip(upstreams, tasks, strict=True)
+            if task.wait()
+        ]
+        for name in answered:
+            self.record_answer(name, new_connection=True)
+        return bool(answered)
+
+    def _set_reachable(self, reachable: bool) -> None:
+        if reachable == self.reachable:
+            return
+        self.reachable = reachable
+        logs.event(
+            LOGGER,
+            "upstreams-reachable" if reachable else "upstreams-unreachable",
+            logging.INFO if reachable else logging.WARNING,
+            failed=",".join(sorted(self.unanswered | self.unconnected)),
+            seconds=self.clock.monotonic()
+            - (self.suspected_at or self.quiet_since),
+        )
+        for listener in self.listeners:
+            listener()
+
+    def retain(self, names: set[str]) -> None:
+        """Forgets all other upstreams, which no longer exist."""
+        self.unanswered &= names
+        self.unconnected &= names
+        for name in set(self.answered_at) - names:
+            del self.answered_at[name]
--- a/gooseberryweir/request/steering/sending.py
+++ b/gooseberryweir/request/steering/sending.py
@@ -17,6 +17,7 @@
 )
 from gooseberryweir.request.steering import pending_request
 from gooseberryweir.request.steering import placement
+from gooseberryweir.request.steering import reachability as reachability_module
 from gooseberryweir.request.steering import selection as selection_module
 from gooseberryweir.request.steering import suspects as suspects_module
 from gooseberryweir.request.steering import telemetry as telemetry_module
@@ -34,6 +35,40 @@
 MAX_NON_IDEMPOTENT_IDLE_SECONDS = 1.0
 
 
+def probe(
+    pool: upstream_pool.UpstreamPool,
+    upstream: traffic.Upstream,
+    timeout: float,
+) -> bool:
+    """Returns True if an upstream answers over a new connection.
+
+    Sends a request that no upstream runs.
+
+    Args:
+        pool: Connections to upstreams.
+        upstream: The upstream.
+        timeout: Longest time to connect and to get the answer, in seconds.
+    """
+    try:
+        pool.exchange(
+            upstream_pool.Endpoint(
+                upstream.name, upstream.address, max_idle_seconds=0.0
+            ),
+            http_messages.encode_request(
+                "GET", "/", wire.encode_probe(upstream.address), b""
+            ),
+            timeout,
+            lambda _headers: True,
+            wire.keep_alive_seconds,
+        )
+    except (upstream_pool.ConnectError, upstream_pool.DeadlineError):
+        return False
+    except upstream_pool.BrokenAnswerError as error:
+        # Any byte shows that the upstream was reached.
+        return not isinstance(error, upstream_pool.NoAnswerError)
+    return True
+
+
 class SendingDependencies(NamedTuple):
     """Objects of the process that sending uses.
 
@@ -46,6 +81,7 @@
         telemetry: Counters and histograms.
         suspects: Requests that may have crashed upstreams.
         upstream_limits: Request rates that upstreams name.
+        reachability: Tells whether this host reaches any upstream.
     """
 
     clock: clocks.Clock
@@ -56,6 +92,7 @@
     telemetry: telemetry_module.Telemetry
     suspects: suspects_module.SuspectTracker
     upstream_limits: upstream_limits_module.UpstreamLimits
+    reachability: reachability_module.UpstreamReachability
 
 
 class UpstreamSender:
@@ -88,9 +125,11 @@
         dependencies.selection.record_sent(choice)
         self._log_placement(request, choice, attempt, upstream_is_cold)
         state.record_sent()
+        dependencies.reachability.record_sent(upstream.name)
         try:
             reply = self._exchange(request, upstream, sent_at)
         except upstream_pool.ConnectError as error:
+            dependencies.reachability.record_no_answer(upstream.name, True)
             state.record_failure(
                 dependencies.clock.monotonic(),
                 f"connection failed: {error}",
@@ -103,6 +142,9 @@
             )
         except upstream_pool.BrokenAnswerError as error:
             if isinstance(error, upstream_pool.NoAnswerError):
+                dependencies.reachability.record_no_answer(
+                    upstream.name, error.new_connection
+                )
                 dependencies.suspects.record_crash(
                     request.fingerprint, upstream.incarnation
                 )
@@ -127,6 +169,10 @@
             )
         finally:
             state.record_ended()
+            dependencies.reachability.record_ended(upstream.name)
+        dependencies.reachability.record_answer(
+            upstream.name, reply.new_connection
+        )
         return self._handle_reply(
             request, choice, state, reply, attempt, sent_at
         )
--- a/gooseberryweir/request/steering/serving.py
+++ b/gooseberryweir/request/steering/serving.py
@@ -14,10 +14,12 @@
 from gooseberryweir.process.fleet import store_cache as store_cache_module
 from gooseberryweir.request import fingerprints
 from gooseberryweir.request.steering import admission
+from gooseberryweir.request.steering import forwarding
 from gooseberryweir.request.steering import limits
 from gooseberryweir.request.steering import overload
 from gooseberryweir.request.steering import pending_request
 from gooseberryweir.request.steering import placement
+from gooseberryweir.request.steering import reachability as reachability_module
 from gooseberryweir.request.steering import selection as selection_module
 from gooseberryweir.request.steering import sending as sending_module
 from gooseberryweir.request.steering import suspects as suspects_module
@@ -54,6 +56,8 @@
             shuts down.
         rng: Source of random numbers.
         suspects: Requests that may have crashed upstreams.
+        forwarder: Forwards requests to other hosts.
+        reachability: Tells whether this host reaches any upstream.
     """
 
     clock: clocks.Clock
@@ -66,6 +70,24 @@
     refusing: Callable[[], bool]
     rng: random.Random
     suspects: suspects_module.SuspectTracker
+    forwarder: forwarding.Forwarder
+    reachability: reachability_module.UpstreamReachability
+
+
+class _Attempts(NamedTuple):
+    """Attempts to run a request that brought no answer.
+
+    Attributes:
+        failure: Failure of the last attempt; None if none was made.
+        ran: YES or UNKNOWN if an upstream ran or may have run the request,
+            else NO.
+    """
+
+    failure: pending_request.AttemptFailure | None
+    ran: codes.ExecutionState
+
+
+_NOT_ATTEMPTED = _Attempts(None, codes.ExecutionState.NO)
 
 
 class RequestHandler:
@@ -74,14 +96,50 @@
     Attributes:
         dependencies: Objects of the process that serving uses.
         round_robin: Distribution of each route's requests over its services.
+        forwarded_count: Number of requests of other hosts being handled.
     """
 
     def __init__(self, dependencies: ServingDependencies) -> None:
         self.dependencies = dependencies
         self.round_robin = placement.WeightedRoundRobin()
+        self.forwarded_count = 0
 
     def serve(self, message: http_messages.Message) -> pipelined_server.Answer:
         """Returns the answer to a caller's request."""
+        return self._serve(message)
+
+    def serve_forwarded(
+        self, message: http_messages.Message
+    ) -> pipelined_server.Answer:
+        """Returns the answer to a request that another host forwarded."""
+        dependencies = self.dependencies
+        if not dependencies.reachability.reachable:
+            code = codes.Code.UPSTREAMS_UNREACHABLE
+        elif self.forwarded_count >= forwarding.MAX_FORWARDED:
+            code = codes.Code.HOST_OVERLOADED
+        else:
+            self.forwarded_count += 1
+            try:
+                return self._serve(*forwarding.decode(message))
+            finally:
+                self.forwarded_count -= 1
+        return self._refuse(
+            wire.decode_request(message.headers),
+            "",
+            codes.refuse(code),
+            dependencies.clock.monotonic(),
+        )
+
+    def _serve(
+        self, message: http_messages.Message, service: str | None = None
+    ) -> pipelined_server.Answer:
+        """Returns the answer to a request.
+
+        Args:
+            message: The request.
+            service: Service that another host chose before it forwarded the
+                request; None if a caller sent it to this host.
+        """
         dependencies = self.dependencies
         started_at = dependencies.clock.monotonic()
         caller_headers = wire.decode_request(message.headers)
@@ -90,7 +148,10 @@
             return self._refuse(caller_headers, "", refusal, started_at)
         path = message.target.partition("?")[0]
         admitted = dependencies.admission.admit(
-            caller_headers.host, path, caller_headers.key
+            caller_headers.host,
+            path,
+            caller_headers.key,
+            is_forwarded=service is not None,
         )
         if isinstance(admitted, codes.Refusal):
             return self._refuse(caller_headers, "", admitted, started_at)
@@ -98,8 +159,9 @@
             caller_headers.timeout_seconds or DEFAULT_CALLER_TIMEOUT_SECONDS
         )
         deadline = started_at + min(caller_timeout, admitted.route.timeout)
-        service = self.round_robin.next(admitted.route)
-        dependencies.retry_budget.record_request(service)
+        is_forwarded = service is not None
+        if service not in {each.service for each in admitted.route.targets}:
+            service = self.round_robin.next(admitted.route)
         uses_affinity = admitted.route.affinity and caller_headers.affinity_key
         request = pending_request.PendingRequest(
             message,
@@ -117,8 +179,9 @@
                 message.target,
                 message.body,
             ),
+            is_forwarded,
         )
-        return self._attempt_upstreams(request)
+        return self._run(request)
 
     def record_sent(
         self,
@@ -138,10 +201,38 @@
             sending=timing.sending,
         )
 
-    def _attempt_upstreams(
+    def _run(
         self, request: pending_request.PendingRequest
     ) -> pipelined_server.Answer:
-        """Sends a request to one upstream after another until one answers."""
+        """Runs a request at an upstream, or forwards it to another host.
+
+        It is forwarded while this host reaches no upstream.
+        """
+        forwarder = self.dependencies.forwarder
+        outcome = _NOT_ATTEMPTED
+        if not forwarder.is_due(request):
+            self.dependencies.retry_budget.record_request(request.service)
+            attempted = self._attempt_upstreams(request)
+            if isinstance(attempted, pipelined_server.Answer):
+                return attempted
+            outcome = attempted
+        if outcome.ran is codes.ExecutionState.NO and forwarder.is_due(request):
+            forwarded = forwarder.forward(request)
+            if isinstance(forwarded, pipelined_server.Answer):
+                return forwarded
+            if forwarded is not None:
+                outcome = _Attempts(forwarded, forwarded.ran)
+        return self._finish_failed(request, outcome.failure, outcome.ran)
+
+    def _attempt_upstreams(
+        self, request: pending_request.PendingRequest
+    ) -> "pipelined_server.Answer | _Attempts":
+        """Sends a request to one upstream after another until one answers.
+
+        Returns:
+            The answer, also if it is a refusal; the failures if no upstream
+            answered.
+        """
         tried: set[str] = set()
         ran = codes.ExecutionState.NO
         failure: pending_request.AttemptFailure | None = None
@@ -150,21 +241,12 @@
             now = self.dependencies.clock.monotonic()
             if request.deadline - now < MIN_ATTEMPT_SECONDS:
                 break
-            if delay := self.dependencies.suspects.retry_delay(
-                request.fingerprint
-            ):
-                return self._refuse_suspect(request, ran, delay)
-            choice = self._choose(request, tried, attempt)
-            if choice is None:
+            if attempt > 1 and self.dependencies.forwarder.is_due(request):
                 break
-            if attempt == 1 and self.dependencies.selection.is_overloaded(
-                request, choice
-            ):
-                return self._refuse_overloaded(request, choice)
-            if attempt > 1 and not self.dependencies.retry_budget.try_acquire(
-                request.service
-            ):
-                self.dependencies.telemetry.count("retry_budget_spent")
+            choice = self._prepare_attempt(request, tried, attempt, ran)
+            if isinstance(choice, pipelined_server.Answer):
+                return choice
+            if choice is None:
                 break
             tried.add(choice.upstream.name)
             outcome = self.dependencies.sender.attempt(request, choice, attempt)
@@ -175,7 +257,40 @@
                 ran = outcome.ran
                 if not route.idempotent:
                     break
-        return self._finish_failed(request, failure, ran)
+        return _Attempts(failure, ran)
+
+    def _prepare_attempt(
+        self,
+        request: pending_request.PendingRequest,
+        tried: set[str],
+        attempt: int,
+        ran: codes.ExecutionState,
+    ) -> placement.Choice | pipelined_server.Answer | None:
+        """Selects the upstream of an attempt and checks that it may be made.
+
+        Args:
+            request: The request.
+            tried: Names of upstreams that the request was already sent to.
+            attempt: Number of the attempt, from 1.
+            ran: YES or UNKNOWN if an earlier attempt ran or may have run the
+                request, else NO.
+
+        Returns:
+            The choice; a refusal; None if no further attempt may be made.
+        """
+        dependencies = self.dependencies
+        if delay := dependencies.suspects.retry_delay(request.fingerprint):
+            return self._refuse_suspect(request, ran, delay)
+        choice = self._choose(request, tried, attempt)
+        if choice is None:
+            return None
+        if attempt == 1:
+            if dependencies.selection.is_overloaded(request, choice):
+                return self._refuse_overloaded(request, choice)
+        elif not dependencies.retry_budget.try_acquire(request.service):
+            dependencies.telemetry.count("retry_budget_spent")
+            return None
+        return choice
 
     def _choose(
         self,
@@ -257,7 +372,9 @@
         """
         if failure is not None and failure.answer is not None:
             return failure.answer
-        if failure is None:
+        if failure is None and not self.dependencies.reachability.reachable:
+            refusal = codes.refuse(codes.Code.UPSTREAMS_UNREACHABLE)
+        elif failure is None:
             refusal = codes.refuse(
                 codes.Code.NO_HEADROOM,
                 detail="no upstream can take the request now",
@@ -307,7 +424,7 @@
             confirmed_age=store_cache.confirmed_age(),
         )
         self.dependencies.telemetry.record_refusal(route, int(refusal.code))
-        headers = [("Gooseberryweir-Code", str(int(refusal.code)))]
+        headers = [(forwarding.CODE_HEADER, str(int(refusal.code)))]
         if (
             refusal.retry_after is not None
             and refusal.ran is codes.ExecutionState.NO
--- a/gooseberryweir/request/steering/upstream_state.py
+++ b/gooseberryweir/request/steering/upstream_state.py
@@ -290,6 +290,12 @@
                 evidence=self.failure_score,
             )
 
+    def end_ejection(self) -> None:
+        """Lets the upstream get requests again at once."""
+        self.failure_score = 0
+        self.consecutive_ejections = 0
+        self.ejected_until = 0.0
+
 
 class UpstreamStates:
     """States of all upstreams, by the name of their incarnation."""
--- a/test/test_selection.py
+++ b/test/test_selection.py
@@ -6,13 +6,16 @@
 from gooseberryweir import clock as clocks
 from gooseberryweir import codes
 from gooseberryweir.connection import http_messages
+from gooseberryweir.connection import upstream_pool
 from gooseberryweir.process.fleet import peer_calls
 from gooseberryweir.process.fleet import store_cache as store_cache_module
 from gooseberryweir.process.fleet import upstream_limits
 from gooseberryweir.process.fleet import upstream_tokens
 from gooseberryweir.request.steering import admission
+from gooseberryweir.request.steering import forwarding
 from gooseberryweir.request.steering import limits
 from gooseberryweir.request.steering import pending_request
+from gooseberryweir.request.steering import reachability
 from gooseberryweir.request.steering import selection
 from gooseberryweir.request.steering import serving
 from gooseberryweir.request.steering import suspects
@@ -236,6 +239,11 @@
             host.store_cache.snapshots[kind] = store_cache_module.Snapshot(
                 1, b""
             )
+        reachable = reachability.UpstreamReachability(
+            reachability.Probing(list, lambda *_: False),
+            clock,
+            random.Random(1),
+        )
         handler = serving.RequestHandler(
             serving.ServingDependencies(
                 clock,
@@ -250,6 +258,17 @@
                 suspects.SuspectTracker(
                     "h1", lambda _: ["h1"], lambda: [], lambda: 0.0
                 ),
+                forwarding.Forwarder(
+                    forwarding.ForwardingDependencies(
+                        clock,
+                        "north",
+                        reachable,
+                        list,
+                        upstream_pool.UpstreamPool(clock),
+                        random.Random(1),
+                    )
+                ),
+                reachable,
             )
         )
         message = http_messages.Message(
