A cut of a host's own links makes no request a suspect

What callers saw: after the connections of one host to all upstreams were reset, every host refused honest requests as not run with code 307 for 5 s and more.

Cause: a connection that ends before the first byte of an answer counts as a crash of the upstream by the request. In a cut, each request under way is one; three upstreams for the same request (account, method, path, body) make it a suspect, and heartbeats tell all hosts. Class: a fault of the observer is taken for faults of what it observes.

Change: a host that concludes that it is cut off withdraws the crashes that it recorded since the first failure, and records none while it is cut off. Peers drop them with its next heartbeat.

Conclusion: a reset of some connections with no cut still counts as crashes, as before; the first answer to a retry clears them.

--- a/gooseberryweir/front.py
+++ b/gooseberryweir/front.py
@@ -190,7 +190,9 @@
                 upstream_tokens=upstream_tokens,
             )
         )
-        reachability = open_reachability(clock, store_cache, pool, states, rng)
+        reachability = open_reachability(
+            clock, store_cache, pool, states, suspects, rng
+        )
         host_pool = stack.enter_context(upstream_pool.UpstreamPool(clock))
         forwarder = forwarding.Forwarder(
             forwarding.ForwardingDependencies(
@@ -347,6 +349,7 @@
     store_cache: store_cache_module.StoreCache,
     pool: upstream_pool.UpstreamPool,
     states: upstream_state.UpstreamStates,
+    suspects: suspects_module.SuspectTracker,
     rng: random.Random,
 ) -> reachability_module.UpstreamReachability:
     """Creates the check whether this host reaches any upstream."""
@@ -364,6 +367,8 @@
             for state in states.states.values():
                 state.end_ejection()
         else:
+            # The requests did not end these connections.
+            suspects.withdraw_crashes(reachability.failing_since)
             # These connections may hang.
             for name in list(pool.idle):
                 pool.close_idle(name)
--- a/gooseberryweir/request/steering/reachability.py
+++ b/gooseberryweir/request/steering/reachability.py
@@ -199,6 +199,13 @@
             self.record_answer(name, new_connection=True)
         return bool(answered)
 
+    @property
+    def failing_since(self) -> float:
+        """Monotonic time, in seconds, from which on nothing was answered."""
+        return (
+            self.quiet_since if self.suspected_at is None else self.suspected_at
+        )
+
     def _set_reachable(self, reachable: bool) -> None:
         if reachable == self.reachable:
             return
@@ -208,8 +215,7 @@
             "upstreams-reachable" if reachable else "upstreams-unreachable",
             logging.INFO if reachable else logging.WARNING,
             failed=",".join(sorted(self.unanswered | self.unconnected)),
-            seconds=self.clock.monotonic()
-            - (self.suspected_at or self.quiet_since),
+            seconds=self.clock.monotonic() - self.failing_since,
         )
         for listener in self.listeners:
             listener()
--- a/gooseberryweir/request/steering/sending.py
+++ b/gooseberryweir/request/steering/sending.py
@@ -145,9 +145,10 @@
                 dependencies.reachability.record_no_answer(
                     upstream.name, error.new_connection
                 )
-                dependencies.suspects.record_crash(
-                    request.fingerprint, upstream.incarnation
-                )
+                if dependencies.reachability.reachable:
+                    dependencies.suspects.record_crash(
+                        request.fingerprint, upstream.incarnation
+                    )
             state.record_failure(
                 dependencies.clock.monotonic(), f"broken answer: {error}", 1
             )
--- a/gooseberryweir/request/steering/suspects.py
+++ b/gooseberryweir/request/steering/suspects.py
@@ -125,6 +125,23 @@
         if len(self.own_crashes) > MAX_SUSPECTS:
             self._drop(next(iter(self.own_crashes)))
 
+    def withdraw_crashes(self, since: float) -> None:
+        """Removes the crashes that this host recorded from a time on.
+
+        Args:
+            since: Monotonic time in seconds.
+        """
+        for fingerprint, incarnations in list(self.own_crashes.items()):
+            earlier = {
+                incarnation: crashed_at
+                for incarnation, crashed_at in incarnations.items()
+                if crashed_at < since
+            }
+            if earlier:
+                self.own_crashes[fingerprint] = earlier
+            else:
+                self._drop(fingerprint)
+
     def record_success(self, fingerprint: str) -> None:
         """Clears a request that an upstream answered, if it is a suspect."""
         if self._crashed_incarnations(fingerprint):
--- a/test/test_steering_suspects.py
+++ b/test/test_steering_suspects.py
@@ -73,6 +73,20 @@
             )
             self.fleet.record_crash(fingerprint, host, incarnation)
 
+    def test_withdrawn_crashes_count_at_no_host(self):
+        host = self.fleet.hosts["h1"]
+        host.record_crash("f", "u1/1")
+        cut_at = host.now() + 1.0
+        self.fleet.clock.advance(1.0)
+        for incarnation in ("u2/1", "u3/1", "u4/1"):
+            host.record_crash("f", incarnation)
+        self.fleet.exchange_heartbeats()
+        self.assertEqual(self.fleet.hosts_that_run("f"), [])
+        host.withdraw_crashes(cut_at)
+        self.fleet.exchange_heartbeats()
+        self.assertEqual(len(self.fleet.hosts_that_run("f")), len(HOSTS))
+        self.assertEqual(host.recent_crashes(), {"f": ("u1/1",)})
+
     def test_after_the_third_crash_no_host_runs_the_request(self):
         self.crash_three_upstreams()
         self.assertEqual(self.fleet.hosts_that_run("f"), [])
--- a/test/test_unreachable_upstreams.py
+++ b/test/test_unreachable_upstreams.py
@@ -208,6 +208,40 @@
     def test_callers_of_a_zone_cut_off_from_the_upstreams_are_served(self):
         self.play([0, 3, 6], cut=True)
 
+    # Guards against honest requests that all hosts refuse as suspects, since
+    # one host's connections were reset while it had them at several upstreams.
+    def test_requests_that_lose_their_connections_in_a_cut_are_no_suspects(
+        self,
+    ):
+        with contextlib.ExitStack() as stack:
+            system = _front.System(
+                stack, hosts=3, upstreams=UPSTREAMS, proxied=True
+            )
+            cut, *others = system.hosts
+            for number in range(4 * UPSTREAMS):
+                connection = stack.enter_context(_raw.Connection(cut.address))
+                connection.send(
+                    _front.request_bytes(
+                        "/long/wait",
+                        request_id=str(number),
+                        deadline_ms=60_000,
+                        Affinity_Key=str(number),
+                    )
+                )
+            _common.wait_until(
+                lambda: sum(1 for each in system.upstreams if each.runs) > 3
+            )
+            system.set_faults([cut], cut=True)
+            _common.wait_until(
+                lambda: cut.log_lines("event=upstreams-unreachable")
+            )
+            for upstream in system.upstreams:
+                upstream.release.set()
+            time.sleep(2.0)
+            for host in others:
+                answer = _front.call(host.address, "/long/wait")
+                self.assertEqual(answer.status, 200, answer.headers)
+
 
 if __name__ == "__main__":
     unittest.main()
