Answers without end are given up before they fill a host's memory

Cause: one answer may have had 64 MiB of headers and 64 MiB of body, and nothing bounded all answers together; a header line without end is not even counted, since the parser holds it until it is complete.

Ruled out: the time alone as a bound (an answer ends with its deadline, and 48 at full speed come with gigabytes until then).

Change: an answer may have 64 KiB of headers and 16 MiB in all. Answers that are being received, from upstreams and from hosts, share 48 MiB; beyond it the largest is given up, so requests with small answers are not affected. Bytes of headers that are not complete count as they come, in requests too.

Conclusion: memory of complete answers that callers do not read is not counted.

--- a/gooseberryweir/connection/http_messages.py
+++ b/gooseberryweir/connection/http_messages.py
@@ -12,6 +12,9 @@
 
 Headers = tuple[tuple[str, str], ...]
 
+# Largest number of bytes that connections read and feed to a parser at a time.
+MAX_FED_BYTES = 64 * 1024
+
 
 class Message(NamedTuple):
     """A complete HTTP request or answer.
@@ -54,6 +57,8 @@
         completed: Complete messages that `feed` has not returned yet.
         in_progress: True while a message has begun and is not complete.
         header_size: Bytes of target and headers so far.
+        incomplete_size: Bytes fed since the headers began, until they are
+            complete. The parser itself holds a line until it has all of it.
         body_size: Bytes of the body so far.
         headers_complete: True once all headers of the message were parsed.
         error: Error raised in a callback, or None; kept here, since httptools
@@ -72,6 +77,7 @@
         self.target = b""
         self.headers: list[tuple[str, str]] = []
         self.header_size = 0
+        self.incomplete_size = 0
         self.body_chunks: list[bytes] = []
         self.body_size = 0
         self.headers_complete = False
@@ -96,6 +102,19 @@
             self.error = MessageError(431, "the headers are too large")
             raise self.error
 
+    def check_incomplete_headers(self, size: int) -> None:
+        """Raises an error if headers that are not complete are too large.
+
+        Args:
+            size: Bytes that were fed last.
+        """
+        if not self.in_progress or self.headers_complete:
+            return
+        self.incomplete_size += size
+        # The bytes fed first may belong to an earlier message in part.
+        if self.incomplete_size > self.max_header_bytes + MAX_FED_BYTES:
+            raise MessageError(431, "the headers are too large")
+
     def on_headers_complete(self) -> None:
         self.headers_complete = True
 
@@ -185,8 +204,8 @@
 class AnswerReader:
     """Parses the answers on a connection to an upstream."""
 
-    def __init__(self, max_body_bytes: int) -> None:
-        self.collector = _AnswerCollector(max_body_bytes, max_body_bytes)
+    def __init__(self, max_header_bytes: int, max_body_bytes: int) -> None:
+        self.collector = _AnswerCollector(max_header_bytes, max_body_bytes)
         self.parser = httptools.HttpResponseParser(self.collector)
         self.collector.parser = self.parser
 
@@ -229,6 +248,7 @@
     """Feeds bytes to a parser and translates its errors to `MessageError`."""
     try:
         parser.feed_data(data)
+        collector.check_incomplete_headers(len(data))
     except httptools.HttpParserUpgrade as error:
         raise MessageError(
             400, "protocol upgrades are not supported"
--- a/gooseberryweir/connection/upstream_pool.py
+++ b/gooseberryweir/connection/upstream_pool.py
@@ -7,6 +7,7 @@
 
 import collections
 from collections.abc import Callable
+import contextlib
 import socket
 from typing import Any
 from typing import NamedTuple
@@ -16,14 +17,13 @@
 
 from gooseberryweir import clock as clocks
 from gooseberryweir.connection import http_messages
+from gooseberryweir.connection import receive_budget
 
 # A TCP handshake takes one round trip plus a millisecond. A lost SYN is sent
 # again only after a second, so the timeout ends before that and another
 # upstream is tried.
 CONNECT_TIMEOUT_SECONDS = 0.4
 READ_BYTES = 64 * 1024
-# Limit on the headers and on the body of an answer.
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
 # Largest number of late answers to other requests that are dropped while one
 # request waits for its answer; the request fails at the next one.
 MAX_UNMATCHED_ANSWERS = 3
@@ -114,10 +114,16 @@
         idle: Idle connections by name of the upstream's incarnation; the most
             recently used one is last.
         in_use: Number of connections in use, by the same name.
+        budget: Limits the bytes of all answers that are being received.
     """
 
-    def __init__(self, clock: clocks.Clock) -> None:
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        budget: receive_budget.ReceiveBudget | None = None,
+    ) -> None:
         self.clock = clock
+        self.budget = budget or receive_budget.ReceiveBudget()
         self.idle: dict[str, collections.deque[_IdleConnection]] = {}
         self.in_use: collections.Counter[str] = collections.Counter()
 
@@ -181,7 +187,7 @@
         try:
             with eventlet.Timeout(max(0.0, deadline - started_at)):
                 message, reusable = _send_and_receive(
-                    connection, request, is_reply
+                    connection, request, is_reply, self.budget
                 )
         except eventlet.Timeout as error:
             raise DeadlineError(endpoint.address) from error
@@ -282,6 +288,7 @@
     connection: Any,
     request: bytes,
     is_reply: Callable[[http_messages.Headers], bool],
+    budget: receive_budget.ReceiveBudget,
 ) -> tuple[http_messages.Message, bool]:
     """Sends a request and receives its answer.
 
@@ -292,19 +299,62 @@
         BrokenAnswerError: The answer is missing, truncated or malformed.
     """
     send_error: OSError | None = None
-    answer_begun = False
     try:
         connection.sendall(request)
     except OSError as error:
         # The upstream may have answered before it closed the connection.
         send_error = error
-    reader = http_messages.AnswerReader(MAX_ANSWER_BYTES)
+    with budget.open(lambda: _shut_down(connection)) as reception:
+        return _receive_answer(
+            connection,
+            is_reply,
+            lambda size: budget.add(reception, size),
+            send_error is None,
+        )
+
+
+def _shut_down(connection: Any) -> None:
+    """Ends a connection that another task reads, without closing its socket."""
+    with contextlib.suppress(OSError):
+        # The upstream may have closed it already.
+        connection.shutdown(socket.SHUT_RDWR)
+
+
+def _receive_answer(
+    connection: Any,
+    is_reply: Callable[[http_messages.Headers], bool],
+    count_bytes: Callable[[int], None],
+    was_sent: bool,
+) -> tuple[http_messages.Message, bool]:
+    """Receives the answer to a request.
+
+    Args:
+        connection: Connection over which the request was sent.
+        is_reply: Returns True if an answer with these headers is the answer to
+            the request.
+        count_bytes: Counts received bytes; raises `TooManyBytesError`.
+        was_sent: True if the whole request was sent.
+
+    Returns:
+        The answer, and True if the connection may be reused.
+
+    Raises:
+        BrokenAnswerError: The answer is missing, truncated or malformed.
+    """
+    answer_begun = False
+    reader = http_messages.AnswerReader(
+        receive_budget.MAX_ANSWER_HEADER_BYTES, receive_budget.MAX_ANSWER_BYTES
+    )
     unmatched = 0
     while True:
         try:
             data = _receive(connection)
+            count_bytes(len(data))
             answers = reader.feed(data) if data else []
-        except http_messages.MessageError as error:
+        except (
+            http_messages.MessageError,
+            receive_budget.TooManyBytesError,
+        ) as error:
             raise BrokenAnswerError(
                 str(error) or type(error).__name__
             ) from error
@@ -318,8 +368,7 @@
         for index, answer in enumerate(answers):
             if is_reply(answer.headers):
                 is_last = index == len(answers) - 1 and not reader.in_progress
-                reusable = answer.keep_alive and is_last and send_error is None
-                return answer, reusable
+                return answer, answer.keep_alive and is_last and was_sent
             unmatched += 1
         if not answer_begun:
             raise NoAnswerError("no answer")
--- a/gooseberryweir/front.py
+++ b/gooseberryweir/front.py
@@ -26,6 +26,7 @@
 from gooseberryweir import store_snapshots
 from gooseberryweir.commands import exit_codes
 from gooseberryweir.connection import pipelined_server
+from gooseberryweir.connection import receive_budget
 from gooseberryweir.connection import upstream_pool
 from gooseberryweir.platform import records
 from gooseberryweir.platform import settings as platform_settings
@@ -162,7 +163,8 @@
         )
         reader.mesh = mesh
         stack.enter_context(mesh)
-        pool = stack.enter_context(upstream_pool.UpstreamPool(clock))
+        budget = receive_budget.ReceiveBudget()
+        pool = stack.enter_context(upstream_pool.UpstreamPool(clock, budget))
         states = upstream_state.UpstreamStates(clock.monotonic)
         bounds = settings.bounds
         cold_upstream_limit = limits.ColdUpstreamLimit(
@@ -193,7 +195,9 @@
         reachability = open_reachability(
             clock, store_cache, pool, states, suspects, rng
         )
-        host_pool = stack.enter_context(upstream_pool.UpstreamPool(clock))
+        host_pool = stack.enter_context(
+            upstream_pool.UpstreamPool(clock, budget)
+        )
         forwarder = forwarding.Forwarder(
             forwarding.ForwardingDependencies(
                 clock,
--- a/test/standins/threaded_upstream.py
+++ b/test/standins/threaded_upstream.py
@@ -5,14 +5,17 @@
 closes the connection after the request was read, `shed` answers that the
 request did not run, `wait` answers once `release` is set, and `crash` closes
 the connection and continues as a new instance at the same address.
+`endless-head`, `endless-line` and `endless-body` send an answer without end.
 """
 
+import contextlib
 import http.server
 import threading
 import time
 from typing import NamedTuple
 
 SLOW_SECONDS = 1.0
+CHUNK_BYTES = 64 * 1024
 
 
 class Run(NamedTuple):
@@ -65,6 +68,7 @@
         self.cancelled = threading.Event()
         self.release = threading.Event()
         self.answer_headers = ()
+        self.endless_bytes = 0
         threading.Thread(target=self.serve_forever, daemon=True).start()
 
     def handle_error(self, request, client_address):
@@ -131,6 +135,9 @@
         if action in ("break", "crash"):
             self.close_connection = True
             return
+        if action.startswith("endless-"):
+            self.send_without_end(action)
+            return
         if action == "slow":
             time.sleep(SLOW_SECONDS)
         if action == "wait":
@@ -139,6 +146,25 @@
 
     do_POST = do_GET  # noqa: N815
 
+    def send_without_end(self, action):
+        """Sends bytes until the host closes the connection."""
+        self.close_connection = True
+        request_id = self.headers.get("Request-Id", "")
+        start = f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\n"
+        piece = {
+            "endless-head": b"".join(b"X-%d: y\r\n" % i for i in range(5000)),
+            "endless-line": b"X" * CHUNK_BYTES,
+            "endless-body": b"b" * CHUNK_BYTES,
+        }[action]
+        start += {"endless-line": "X-Long: ", "endless-body": "\r\n"}.get(
+            action, ""
+        )
+        with contextlib.suppress(OSError):
+            self.wfile.write(start.encode())
+            while True:
+                self.wfile.write(piece)
+                self.server.endless_bytes += len(piece)
+
     def wait_for_release(self):
         """Waits until `release` is set or the host closes the connection."""
         self.connection.settimeout(0.05)
