Hosts of each test process have addresses of their own

Cause: the metrics port is fixed, and four test modules now start hosts on 127.0.N.1; they may run at the same time.

Change: the second number of the address follows from the process id.

Conclusion: two runs of the tests on one machine no longer meet there.

--- a/test/_front.py
+++ b/test/_front.py
@@ -149,6 +149,9 @@
         return [line for line in text.splitlines() if word in line]
 
 
+# The metrics port is fixed, so the hosts of each test process have addresses of
+# their own.
+LOOPBACK_PREFIX = f"127.{1 + os.getpid() % 250}"
 ZONES = {"north-a": "north", "north-b": "north", "south-a": "south"}
 
 
@@ -274,7 +277,7 @@
             stack.enter_context(
                 HostProcess(
                     f"h{i}",
-                    f"127.0.{i + 1}.1",
+                    f"{LOOPBACK_PREFIX}.{i + 1}.1",
                     *zones[i % 3],
                     process.address(port_name),
                     directory,
