A host that leaves ends the requests that were forwarded to it

What callers would see: 502 for a request that a cut-off host had forwarded to a host that was told to leave meanwhile.

Cause: the graceful shutdown counted the open requests of callers only, and ended the process while forwarded ones were under way.

Ruled out: the grace period (6 s; the request ended after 4 s).

Change: both servers' open requests count.

Measured: the new test failed before (502), passes now, as does test_sigterm_lets_open_requests_end_and_exits_in_time.

Conclusion: forwarded requests end with a shutdown as callers' do.

--- a/gooseberryweir/front.py
+++ b/gooseberryweir/front.py
@@ -82,6 +82,7 @@
         store_cache: Cached content of the store.
         mesh: Exchanges heartbeats with the peers (the other hosts).
         front: HTTP server for callers.
+        forwarded: HTTP server for requests that other hosts forward, or None.
     """
 
     settings: host_settings.HostSettings
@@ -90,6 +91,13 @@
     store_cache: store_cache_module.StoreCache
     mesh: mesh_module.Mesh
     front: pipelined_server.Server
+    forwarded: pipelined_server.Server | None
+
+    @property
+    def open_requests(self) -> int:
+        """Number of requests whose answers have not been sent yet."""
+        forwarded = self.forwarded.open_requests if self.forwarded else 0
+        return self.front.open_requests + forwarded
 
 
 def token_granter(
@@ -264,8 +272,9 @@
                 ),
             )
         )
+        forwarded = None
         if settings.forward_address:
-            stack.enter_context(
+            forwarded = stack.enter_context(
                 pipelined_server.Server(
                     settings.forward_address,
                     pipelined_server.Callbacks(
@@ -279,7 +288,9 @@
             stack, settings, store_cache, mesh, shutdown, telemetry
         )
         stack.enter_context(reader)
-        yield Host(settings, clock, shutdown, store_cache, mesh, front)
+        yield Host(
+            settings, clock, shutdown, store_cache, mesh, front, forwarded
+        )
 
 
 def _open_account_tokens(
@@ -484,22 +495,21 @@
     period is nearly over.
     """
     started_at = host.clock.monotonic()
-    open_requests = host.front.open_requests
-    logs.event(LOGGER, "host-leaving", open_requests=open_requests)
+    logs.event(LOGGER, "host-leaving", open_requests=host.open_requests)
     host.mesh.send_now()
     deadline = started_at + host.settings.bounds.grace - SHUTDOWN_MARGIN_SECONDS
     while host.clock.monotonic() < deadline:
         if host.shutdown.refusing():
             host.front.stop_accepting()
             host.front.close_idle()
-            if host.front.open_requests == 0:
+            if host.open_requests == 0:
                 break
         host.clock.sleep(SHUTDOWN_POLL_SECONDS)
     logs.event(
         LOGGER,
         "host-drained",
         seconds=host.clock.monotonic() - started_at,
-        cut_off=host.front.open_requests,
+        cut_off=host.open_requests,
     )
 
 
--- a/test/_front.py
+++ b/test/_front.py
@@ -143,6 +143,14 @@
         except OSError:
             return False
 
+    def accepts_connections(self):
+        """Returns True if a caller can connect to the host."""
+        try:
+            with _raw.Connection(self.address):
+                return True
+        except OSError:
+            return False
+
     def log_lines(self, word):
         """Returns the lines of the log that contain a word."""
         text = self.log_path.read_text(errors="replace")
--- a/test/test_unreachable_upstreams.py
+++ b/test/test_unreachable_upstreams.py
@@ -8,6 +8,7 @@
 import contextlib
 import itertools
 import random
+import signal
 import threading
 import time
 import unittest
@@ -242,6 +243,36 @@
                 answer = _front.call(host.address, "/long/wait")
                 self.assertEqual(answer.status, 200, answer.headers)
 
+    # Guards against a host that ends on SIGTERM while it still has requests
+    # that another host forwarded.
+    def test_leaving_host_ends_the_requests_that_were_forwarded_to_it(self):
+        with contextlib.ExitStack() as stack:
+            system = _front.System(stack, hosts=3, proxied=True)
+            # The first two are in one region.
+            cut, leaving, _ = system.hosts
+            system.set_faults([cut], cut=True)
+            _common.wait_until(
+                lambda: (
+                    _front.call(cut.address, "/read/x").status == 200
+                    and cut.log_lines("event=upstreams-unreachable")
+                )
+            )
+            runs_before = len(system.runs())
+            connection = stack.enter_context(_raw.Connection(cut.address))
+            connection.send(
+                _front.request_bytes(
+                    "/long/wait", request_id="w", deadline_ms=60_000
+                )
+            )
+            _common.wait_until(lambda: len(system.runs()) > runs_before)
+            leaving.process.send_signal(signal.SIGTERM)
+            _common.wait_until(lambda: not leaving.accepts_connections())
+            time.sleep(0.5)
+            for upstream in system.upstreams:
+                upstream.release.set()
+            self.assertEqual(connection.read_answer().status, 200)
+            self.assertEqual(leaving.process.wait(_front.GRACE_SECONDS), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
