--- a/gooseberryweir/request/steering/reachability.py
+++ b/gooseberryweir/request/steering/reachability.py
@@ -64,6 +64,7 @@
         suspected_at: Monotonic time, in seconds, of the first failure since the
             last answer, or None.
         answered_at: Monotonic time of the last answer of each upstream.
+        lost_at: Monotonic time, in seconds, at which `reachable` became False.
         probing_at: Monotonic time of the start of the last round of probes.
         is_probing: True while a task sends probes.
     """
@@ -82,6 +83,7 @@
         self.quiet_since = clock.monotonic()
         self.suspected_at: float | None = None
         self.answered_at: dict[str, float] = {}
+        self.lost_at = clock.monotonic()
         self.probing_at = float("-inf")
         self.is_probing = False
 
@@ -210,13 +212,20 @@
         if reachable == self.reachable:
             return
         self.reachable = reachable
-        logs.event(
-            LOGGER,
-            "upstreams-reachable" if reachable else "upstreams-unreachable",
-            logging.INFO if reachable else logging.WARNING,
-            failed=",".join(sorted(self.unanswered | self.unconnected)),
-            seconds=self.clock.monotonic() - self.failing_since,
-        )
+        now = self.clock.monotonic()
+        if reachable:
+            logs.event(
+                LOGGER, "upstreams-reachable", seconds=now - self.lost_at
+            )
+        else:
+            self.lost_at = now
+            logs.event(
+                LOGGER,
+                "upstreams-unreachable",
+                logging.WARNING,
+                failed=",".join(sorted(self.unanswered | self.unconnected)),
+                seconds=now - self.failing_since,
+            )
         for listener in self.listeners:
             listener()
 
