Requests look for refused tokens only while there are some

Cause: the selection built the name of each upstream's incarnation for each request to look up whether a token was refused lately, also with no limit named anywhere; and a reply to a call for a token that can't be read ended the request with 500.

Change: the look-up is skipped while no token was refused; such a reply counts as none, with a log line.

Measured: test_selection, test_placement, test_upstream_limit pass.

--- a/gooseberryweir/process/fleet/upstream_tokens.py
+++ b/gooseberryweir/process/fleet/upstream_tokens.py
@@ -273,7 +273,18 @@
         )
         if encoded is None:
             return None
-        reply: _TokenReply = peer_calls.decode(encoded, _TokenReply)
+        try:
+            reply: _TokenReply = peer_calls.decode(encoded, _TokenReply)
+        except ValueError as error:
+            logs.event(
+                LOGGER,
+                "peer-call-failed",
+                logging.WARNING,
+                peer=host,
+                kind=TOKEN_CALL,
+                reason=error,
+            )
+            return None
         return reply
 
     # Tokens for other hosts.
--- a/gooseberryweir/request/steering/selection.py
+++ b/gooseberryweir/request/steering/selection.py
@@ -333,6 +333,7 @@
         service = self._find_service(request.service)
         max_connections = self.max_connections(request.service)
         allowed_regions = request.admitted.regions
+        refused_until = dependencies.upstream_tokens.refused_until
         usable = []
         for eligible in self._ranked_upstreams(
             request.service, request.object_name
@@ -349,7 +350,9 @@
                 upstream, service
             ):
                 continue
-            if not dependencies.upstream_tokens.may_ask(upstream.incarnation):
+            if refused_until and not dependencies.upstream_tokens.may_ask(
+                upstream.incarnation
+            ):
                 continue
             usable.append(_UsableUpstream(eligible, state))
         return usable
