Plainer words for limits, offers and probes

Cause: a reader of drawn texts stumbled over limits that upstreams name, hosts that take themselves for cut off, and offers that are not taken.

Change: upstreams advertise limits, hosts accept or decline offers; the log pair result says declined.

Measured: formatter, linter, types; test_docs, test_forwarding, test_selection and AdvertisedLimitTest pass.

Conclusion: names and texts only; what the code does is as before.

--- a/gooseberryweir/platform/headers.py
+++ b/gooseberryweir/platform/headers.py
@@ -71,7 +71,7 @@
         not_executed: True if the upstream did not execute the request.
         load: Load of the upstream, or None if it reports none.
         request_limit: Requests per second that the upstream accepts from all
-            hosts together; infinity if it names no limit, None if the limit
+            hosts together; infinity if it has no limit, None if the limit
             can't be read.
         forwarded: Headers that are sent to the caller unchanged.
     """
--- a/gooseberryweir/process/fleet/upstream_limits.py
+++ b/gooseberryweir/process/fleet/upstream_limits.py
@@ -1,7 +1,7 @@
-"""Request rates that upstreams name in their answers.
+"""Rate limits that upstreams advertise in their answers.
 
-An upstream in need names the requests per second that it accepts from all hosts
-together, in each answer for as long as the limit applies.
+An overloaded upstream advertises the requests per second that it accepts from
+all hosts together, in each answer for as long as the limit applies.
 """
 
 from collections.abc import Callable
@@ -20,11 +20,11 @@
 REPORT_DELAY_SECONDS = 0.05
 
 
-class NamedLimit(NamedTuple):
-    """The last limit that an upstream is known to have named.
+class AdvertisedLimit(NamedTuple):
+    """The last limit that an upstream is known to have advertised.
 
     Attributes:
-        rate: Requests per second over all hosts; infinity once answers name no
+        rate: Requests per second over all hosts; infinity once answers have no
             limit any more.
         observed_at: Monotonic time, in seconds, of the answer.
     """
@@ -38,14 +38,15 @@
 
     Attributes:
         now: Returns the monotonic time in seconds.
-        limits: Limits by incarnation of the upstream, of those that named one.
+        limits: Limits by incarnation of the upstream, of those that advertised
+            one.
         announced: Rates as of the last call of the listeners, likewise.
         listeners: Functions called with an incarnation when its limit changed.
     """
 
     def __init__(self, now: Callable[[], float]) -> None:
         self.now = now
-        self.limits: dict[str, NamedLimit] = {}
+        self.limits: dict[str, AdvertisedLimit] = {}
         self.announced: dict[str, float] = {}
         self.listeners: list[Callable[[str], None]] = []
 
@@ -56,7 +57,7 @@
             incarnation: Incarnation of the upstream.
 
         Returns:
-            Requests per second over all hosts, infinity if it names no limit.
+            Requests per second over all hosts, infinity if there is no limit.
         """
         known = self.limits.get(incarnation)
         return math.inf if known is None else known.rate
@@ -68,7 +69,7 @@
 
         Args:
             incarnation: Incarnation of the upstream.
-            rate: Requests per second, infinity if the answer names no limit,
+            rate: Requests per second, infinity if the answer has no limit,
                 None if the limit can't be read, which changes nothing.
             sent_at: Monotonic time, in seconds, at which the request was sent.
         """
@@ -80,10 +81,10 @@
             and rate == math.inf
             and sent_at < known.observed_at
         ):
-            # The upstream may have written this answer before it named the
-            # limit.
+            # The upstream may have written this answer before it
+            # advertised the limit.
             return
-        self._record(incarnation, NamedLimit(rate, self.now()), "answer")
+        self._record(incarnation, AdvertisedLimit(rate, self.now()), "answer")
 
     def record_report(self, incarnation: str, rate: float, age: float) -> None:
         """Records what another host knows, unless this host knows it newer.
@@ -97,9 +98,13 @@
         observed_at = self.now() - age - REPORT_DELAY_SECONDS
         known = self.limits.get(incarnation)
         if known is None or observed_at > known.observed_at:
-            self._record(incarnation, NamedLimit(rate, observed_at), "host")
+            self._record(
+                incarnation, AdvertisedLimit(rate, observed_at), "host"
+            )
 
-    def _record(self, incarnation: str, limit: NamedLimit, source: str) -> None:
+    def _record(
+        self, incarnation: str, limit: AdvertisedLimit, source: str
+    ) -> None:
         known = self.limits.get(incarnation)
         if known is None and limit.rate == math.inf:
             return
--- a/gooseberryweir/process/fleet/upstream_tokens.py
+++ b/gooseberryweir/process/fleet/upstream_tokens.py
@@ -1,6 +1,6 @@
 """Tokens for requests to upstreams that limit their request rate.
 
-An upstream names the requests per second that it accepts from all hosts
+An upstream advertises the requests per second that it accepts from all hosts
 together. Split among all hosts, such a rate is often far below one request per
 second for each. So one host holds the tokens of an upstream and all others take
 them from it, one for each request: the relay of the upstream's region. A host
@@ -8,8 +8,8 @@
 
 Each call carries the latest limit that its sender knows, so a host that starts
 to hold tokens, such as after the death of the previous holder, needs no other
-source. Hosts also tell each other, by way of the relays, when an upstream names
-another limit.
+source. Hosts also tell each other, by way of the relays, when an upstream
+advertises another limit.
 """
 
 from collections.abc import Callable
@@ -96,7 +96,7 @@
 
     Attributes:
         upstream: Incarnation of the upstream.
-        rate: Requests per second, infinity if it names no limit any more.
+        rate: Requests per second, infinity if it has no limit any more.
         age: Seconds since it was observed.
     """
 
@@ -156,7 +156,7 @@
     """Takes tokens for this host's requests, and grants them to other hosts.
 
     Attributes:
-        limits: Limits that upstreams name.
+        limits: Limits that upstreams advertise.
         calls: Calls between hosts.
         neighbours: Hosts with which tokens and limits are exchanged.
         clock: Source of time.
@@ -206,7 +206,7 @@
         return True
 
     def take(self, incarnation: str, region: str) -> bool:
-        """Takes a token for a request, unless the upstream names no limit.
+        """Takes a token for a request, unless the upstream has no limit.
 
         Args:
             incarnation: Incarnation of the upstream.
--- a/gooseberryweir/request/steering/forwarding.py
+++ b/gooseberryweir/request/steering/forwarding.py
@@ -35,15 +35,15 @@
 ADDED_HEADER_BYTES = 1024
 # Hosts that one request is offered to, one after the other.
 MAX_OFFERS = 8
-# Time for which a host that did not take a request is not offered others.
+# Time for which a host that declined a request is not offered others.
 AVOID_SECONDS = 3.0
-# Time for which a host that took a request is preferred for one that the first
-# host did not take.
-PROVEN_SECONDS = 3.0
-PROVEN_OFFER_FRACTION = 0.5
-# Number of offers in a row that no host took after which this host offers none
-# for some time: probably nobody reaches an upstream.
-MAX_UNTAKEN_OFFERS = 24
+# Time for which a host that accepted a request is preferred for requests that
+# another host declined, and the fraction of those that go to such hosts.
+PREFERENCE_SECONDS = 3.0
+PREFERRED_OFFER_FRACTION = 0.5
+# Number of declined offers in a row after which this host makes none for some
+# time: probably no host reaches an upstream.
+MAX_DECLINED_OFFERS = 24
 PAUSE_SECONDS = 1.0
 # Largest number of requests that a host forwards, and that it handles for
 # others, at a time.
@@ -53,8 +53,8 @@
 MAX_NON_IDEMPOTENT_IDLE_SECONDS = 1.0
 # Time for which the list of hosts is used again.
 HOSTS_SECONDS = 0.25
-# Result codes of a host that can't take requests at the moment.
-_UNABLE_CODES = frozenset(
+# Result codes by which a host declines a request.
+_DECLINE_CODES = frozenset(
     str(int(code))
     for code in (
         codes.Code.HOST_STALE,
@@ -120,12 +120,12 @@
 def _decode_answer(
     message: http_messages.Message,
 ) -> pipelined_server.Answer | None:
-    """Returns the answer of another host, or None if it took no request."""
+    """Returns the answer of another host, or None if it declined."""
     headers = wire.decode_response(message.status, message.headers).forwarded
     # Only a refusal has a code: hosts remove this header from the answers of
     # upstreams.
     code = dict(message.headers).get(CODE_HEADER)
-    if code in _UNABLE_CODES:
+    if code in _DECLINE_CODES:
         return None
     if code is not None:
         headers += ((CODE_HEADER, code),)
@@ -158,10 +158,10 @@
     Attributes:
         dependencies: Objects of the process that forwarding uses.
         avoided_until: Monotonic time, in seconds, until which each host gets no
-            request, since it did not take an earlier one.
-        proven_until: Monotonic time, in seconds, until which each host is
-            preferred, since it took an earlier one.
-        untaken_offers: Number of offers since a host took one.
+            request, since it declined an earlier one.
+        preferred_until: Monotonic time, in seconds, until which each host is
+            preferred, since it accepted an earlier one.
+        declined_offers: Number of offers since a host accepted one.
         paused_until: Monotonic time, in seconds, until which none are made.
         hosts: Ready hosts, as of `hosts_at`.
         hosts_at: Monotonic time, in seconds, at which they were listed.
@@ -171,8 +171,8 @@
     def __init__(self, dependencies: ForwardingDependencies) -> None:
         self.dependencies = dependencies
         self.avoided_until: dict[str, float] = {}
-        self.proven_until: dict[str, float] = {}
-        self.untaken_offers = 0
+        self.preferred_until: dict[str, float] = {}
+        self.declined_offers = 0
         self.paused_until = float("-inf")
         self.hosts: list[traffic.HostEntry] = []
         self.hosts_at = float("-inf")
@@ -191,11 +191,11 @@
     def forward(
         self, request: pending_request.PendingRequest
     ) -> pipelined_server.Answer | pending_request.AttemptFailure | None:
-        """Offers a request to other hosts until one takes it.
+        """Offers a request to other hosts until one accepts it.
 
         Returns:
             The answer; the failure if the request may have run; None if no host
-            took it.
+            accepted it.
         """
         self.forwarded_count += 1
         try:
@@ -240,10 +240,10 @@
     ) -> traffic.HostEntry:
         """Returns the host to offer a request to.
 
-        At first any host of this region, if there is one, so that they share
-        the work. If the first one did not take the request, others nearby may
-        not either, so every other offer goes to a host that took an earlier
-        request.
+        The first offer goes to any host of this region, if there is one, so
+        that they share the work. If that host declines, others nearby may do
+        so too, so half of the further offers go to hosts that accepted an
+        earlier request.
 
         Args:
             candidates: At least one host.
@@ -256,28 +256,28 @@
                 for each in candidates
                 if each.region == self.dependencies.region
             ]
-        elif rng.random() < PROVEN_OFFER_FRACTION:
+        elif rng.random() < PREFERRED_OFFER_FRACTION:
             preferred = [
                 each
                 for each in candidates
-                if self.proven_until.get(each.name, 0.0) > now
+                if self.preferred_until.get(each.name, 0.0) > now
             ]
         else:
             preferred = candidates
         return rng.choice(preferred or candidates)
 
-    def _record_offer(self, host: str, taken: bool) -> None:
-        """Records whether a host took a request."""
+    def _record_offer(self, host: str, accepted: bool) -> None:
+        """Records whether a host accepted a request."""
         now = self.dependencies.clock.monotonic()
-        if taken:
-            self.untaken_offers = 0
-            self.proven_until[host] = now + PROVEN_SECONDS
+        if accepted:
+            self.declined_offers = 0
+            self.preferred_until[host] = now + PREFERENCE_SECONDS
             return
         self.avoided_until[host] = now + AVOID_SECONDS
-        self.proven_until.pop(host, None)
-        self.untaken_offers += 1
-        if self.untaken_offers >= MAX_UNTAKEN_OFFERS:
-            self.untaken_offers = 0
+        self.preferred_until.pop(host, None)
+        self.declined_offers += 1
+        if self.declined_offers >= MAX_DECLINED_OFFERS:
+            self.declined_offers = 0
             self.paused_until = now + PAUSE_SECONDS
 
     def _offer(
@@ -290,10 +290,10 @@
 
         Returns:
             The answer; the failure if the request may have run; None if the
-            host did not take it.
+            host declined it.
         """
         outcome: pipelined_server.Answer | pending_request.AttemptFailure | None
-        outcome, result = None, "not taken"
+        outcome, result = None, "declined"
         try:
             reply = self._exchange(request, host, remaining)
             outcome = _decode_answer(reply.message)
--- a/gooseberryweir/request/steering/reachability.py
+++ b/gooseberryweir/request/steering/reachability.py
@@ -1,10 +1,11 @@
 """Tells whether this host reaches any upstream.
 
-A host that loses its links to all upstreams looks, at each of them, like one
-whose upstream is down. So once several upstreams in a row give no answer, the
-host probes others, those that answered last first. It takes itself for cut off
-only if none of them answers. While it is cut off it probes a few upstreams at
-intervals, and no request has to find out that the cut has ended.
+To a host that has lost its links to all upstreams, each upstream seems to be
+down. So if several upstreams in a row do not answer, the host probes some
+others, preferably those that answered most recently. If none of them answers,
+the host concludes that it is cut off. While it is cut off it probes a few
+upstreams at intervals, so that no request is needed to detect the end of the
+cut.
 """
 
 from collections.abc import Callable
@@ -53,7 +54,7 @@
         probing: Finds upstreams and probes them.
         clock: Source of time.
         rng: Selects the upstreams to probe.
-        reachable: False while this host takes itself for cut off.
+        reachable: False while this host is cut off, as far as it knows.
         listeners: Functions called after each change of `reachable`.
         unanswered: Upstreams without an answer since the last answer of any.
         unconnected: Upstreams whose new connections gave no answer since the
@@ -171,8 +172,8 @@
     ) -> list[traffic.Upstream]:
         """Returns the upstreams to probe.
 
-        At first those that answered last, later any of them, one of each
-        availability zone before a second one of the same.
+        Prefers those that answered most recently until the host is cut off,
+        selects at random afterwards, and prefers different availability zones.
         """
         ordered = list(upstreams)
         self.rng.shuffle(ordered)
--- a/gooseberryweir/request/steering/sending.py
+++ b/gooseberryweir/request/steering/sending.py
@@ -80,7 +80,7 @@
         pool: Connections to upstreams.
         telemetry: Counters and histograms.
         suspects: Requests that may have crashed upstreams.
-        upstream_limits: Request rates that upstreams name.
+        upstream_limits: Rate limits that upstreams advertise.
         reachability: Tells whether this host reaches any upstream.
     """
 
--- a/test/test_upstream_tokens.py
+++ b/test/test_upstream_tokens.py
@@ -222,7 +222,7 @@
         )
 
 
-class NamedLimitTest(unittest.TestCase):
+class AdvertisedLimitTest(unittest.TestCase):
     """Which limit holds after answers and reports of other hosts."""
 
     def setUp(self):
