Failing tests of a store that comes back from an older copy

Change: the stand-in of the store returns from a copy (return_from_copy) and has the header in all answers. Two tests with three real hosts: a configuration, and an upstream, written after the return under revisions that were used before.

--- a/test/standins/platform.py
+++ b/test/standins/platform.py
@@ -3,9 +3,11 @@
 The protocol is that of docs/design/platform.md. `GET /_control` returns
 counts; `POST /_control` sets switches, named in `Switches`, or runs one of the
 actions `put` (an unconditional write of an object; a deletion if `spec` is
-null) and `compact` (deletes the history of changes). `/_control` also answers
-during an outage. With `--port-count N` the process listens at N ports, which
-serve the same objects; each has its own switches.
+null), `compact` (deletes the history of changes) and `return_from_copy` (loses
+the changes of so many seconds and begins a new era). `/_control` also answers
+during an outage. The header `Store-Era` is in all answers. With
+`--port-count N` the process listens at N ports, which serve the same objects;
+each has its own switches.
 """
 
 import argparse
@@ -94,6 +96,15 @@
 
     def __call__(self, environ: serving.Environ, start_response: Any) -> Any:
         """Answers one request."""
+
+        def start(status: str, headers: list[tuple[str, str]]) -> Any:
+            era = ("Store-Era", str(self.store.era))
+            return start_response(status, [*headers, era])
+
+        return self.answer(environ, start)
+
+    def answer(self, environ: serving.Environ, start_response: Any) -> Any:
+        """Answers one request without the headers of all answers."""
         path = environ["PATH_INFO"]
         if path == "/_control":
             return self.control(environ, start_response)
@@ -236,7 +247,8 @@
         """
         version = int(query.get("watch") or 0)
         deadline = time.monotonic() + int(query.get("waitMs", "0")) / 1000
-        if version < self.store.oldest:
+        era = self.store.era
+        if not self.store.oldest <= version <= self.store.version:
             raise RejectedError("410 Gone")
         self.open_watches += 1
         try:
@@ -248,6 +260,8 @@
                     return None
                 if self.check_outage(environ):
                     return None
+                if era != self.store.era:
+                    raise RejectedError("410 Gone")
                 batch = self.changes_after(version)
                 version = max([version, *(each.version for each in batch)])
                 changes = self.reorder(batch, kind)
@@ -288,6 +302,8 @@
                     self.commit(value["kind"], value["name"], value["spec"])
                 elif name == "compact":
                     self.store.compact()
+                elif name == "return_from_copy":
+                    self.store.return_from_copy(float(value))
                 else:
                     serving.set_switch(self.switches, name, value)
                 if name == "stale_reads":
--- a/test/standins/store.py
+++ b/test/standins/store.py
@@ -1,9 +1,12 @@
 """Objects of the platform's stand-in, in memory, and their changes."""
 
+import collections
 import time
 from typing import Any
 from typing import NamedTuple
 
+MAX_COPIES = 500
+
 
 class Change(NamedTuple):
     """One committed change.
@@ -21,11 +24,27 @@
     event: dict[str, Any]
 
 
+class Copy(NamedTuple):
+    """A copy of the store.
+
+    Attributes:
+        at: Monotonic time of the copy, seconds.
+        version: Version of the store.
+        objects: Objects by kind and name.
+    """
+
+    at: float
+    version: int
+    objects: dict[tuple[str, str], dict[str, Any]]
+
+
 class Store:
     """Objects and the history of their changes.
 
     Attributes:
-        version: Number of commits so far.
+        era: Number of returns from a copy, plus 1.
+        copies: A copy after each of the last commits, oldest first.
+        version: Number of commits so far; goes back at a return from a copy.
         objects: Objects by kind and name.
         history: Changes since the last compaction, oldest first.
         oldest: Version from which watches can start; a watch from an earlier
@@ -33,6 +52,10 @@
     """
 
     def __init__(self) -> None:
+        self.era = 1
+        self.copies: collections.deque[Copy] = collections.deque(
+            [Copy(time.monotonic(), 0, {})], MAX_COPIES
+        )
         self.version = 0
         self.objects: dict[tuple[str, str], dict[str, Any]] = {}
         self.history: list[Change] = []
@@ -61,9 +84,26 @@
         if not deleted:
             self.objects[kind, name] = stored
         event = {"object": stored, "deleted": deleted}
-        self.history.append(Change(self.version, time.monotonic(), kind, event))
+        now = time.monotonic()
+        self.history.append(Change(self.version, now, kind, event))
+        self.copies.append(Copy(now, self.version, dict(self.objects)))
         return stored
 
+    def return_from_copy(self, seconds: float) -> None:
+        """Loses all changes of the last seconds, as a return from a copy does.
+
+        Versions are given out again; watches from those that are lost, or from
+        before the return, get 410.
+        """
+        copied_at = time.monotonic() - seconds
+        while len(self.copies) > 1 and self.copies[-1].at > copied_at:
+            self.copies.pop()
+        self.version = self.copies[-1].version
+        self.objects = dict(self.copies[-1].objects)
+        self.history.clear()
+        self.oldest = self.version
+        self.era += 1
+
     def compact(self) -> None:
         """Deletes the history, so that watches from older versions get 410."""
         self.history.clear()
--- /dev/null
+++ b/test/test_store_era.py
@@ -0,0 +1,79 @@
+"""Tests of a store that comes back from an older copy, with real processes.
+
+The store then lacks the changes of its last seconds and gives out their
+revisions again; the header `Store-Era` rises by one. Operators and upstreams
+write their objects again.
+"""
+
+import contextlib
+import time
+import unittest
+
+from test import _common
+from test import _front
+from test.standins import threaded_upstream
+
+LOST_SECONDS = 1.5
+# Changes that are lost; so many revisions are given out again.
+LOST_CHANGES = 20
+# The platform's bound on a change of the configuration, and the longest time
+# by which a disruption of the store may extend it.
+APPLY_SECONDS = 2.5 + 5.0
+
+
+class StoreEraTest(unittest.TestCase):
+    """Three hosts whose store returns from a copy."""
+
+    def setUp(self):
+        stack = self.enterContext(contextlib.ExitStack())
+        self.stack = stack
+        self.system = _front.System(stack)
+        self.store = self.system.store
+        time.sleep(LOST_SECONDS)
+        for number in range(LOST_CHANGES):
+            self.store.put("config", "main", _front.configuration(number + 2))
+        # All hosts know the latest revision before it is lost.
+        time.sleep(1.0)
+        self.store.control(
+            self.store.port_names[0], return_from_copy=LOST_SECONDS
+        )
+
+    # Guards against hosts that keep what they had until the revisions of the
+    # new era pass those of the old one.
+    def test_configuration_written_after_the_return_is_in_force(self):
+        configuration = _front.configuration(LOST_CHANGES + 2)
+        configuration["routes"]["new"] = {
+            **configuration["routes"]["read"],
+            "pathPrefix": "/new/",
+        }
+        self.store.put("config", "main", configuration)
+        for host in self.system.hosts:
+            _common.wait_until(
+                lambda host=host: (
+                    _front.call(host.address, "/new/1").status == 200
+                ),
+                timeout=APPLY_SECONDS,
+                description=f"{host.name} serves the new route",
+            )
+
+    # The same for the list of upstreams.
+    def test_upstream_that_registers_after_the_return_is_used(self):
+        for upstream in self.system.upstreams:
+            self.store.delete("servers", upstream.name)
+        new = self.stack.enter_context(
+            threaded_upstream.ThreadedUpstream("i-new", "work", "north-a")
+        )
+        self.store.put("servers", new.name, new.entry())
+
+        def is_used():
+            for host in self.system.hosts:
+                _front.call(host.address, "/read/1")
+            return new.runs
+
+        _common.wait_until(
+            is_used, timeout=APPLY_SECONDS, description="it gets requests"
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
