The fault proxy lists a connection until its sockets are closed

Ruled out: the hosts; the test has none.

Change: the connection is removed from the list after both sockets are closed.

--- a/test/standins/fault_proxy.py
+++ b/test/standins/fault_proxy.py
@@ -188,6 +188,22 @@
         """Connects to the target and forwards one connection until its end."""
         port = self.ports[link]
         name = f"{source_name(client_address[1], port, self.sources)}>{link}"
+        number = next(self.numbers)
+        try:
+            self.connect(number, name, link, client)
+        finally:
+            # Only now, so that a connection that is no longer listed is closed.
+            self.connections.pop(number, None)
+
+    def connect(self, number: int, name: str, link: str, client: Any) -> None:
+        """Connects to the target and forwards; closes both sockets at the end.
+
+        Args:
+            number: Number of the connection.
+            name: Name of the connection.
+            link: Name of the link.
+            client: Socket of the client.
+        """
         with contextlib.closing(client):
             try:
                 faults = self.faults_of(name)
@@ -198,15 +214,16 @@
                 reset_on_close((client,))
                 return
             with contextlib.closing(target):
-                self.exchange(name, client, target)
+                self.exchange(number, name, client, target)
 
-    def exchange(self, name: str, client: Any, target: Any) -> None:
+    def exchange(
+        self, number: int, name: str, client: Any, target: Any
+    ) -> None:
         """Forwards bytes in both directions until both have ended.
 
         Resets both sockets if a direction ends with a reset.
         """
         target.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        number = next(self.numbers)
         task = eventlet.getcurrent()
         self.connections[number] = Connection(name, task, (client, target))
         ends: queue.LightQueue = queue.LightQueue()
@@ -224,7 +241,6 @@
             if not (ends.get() and ends.get()):
                 reset_on_close((client, target))
         finally:
-            del self.connections[number]
             for task in tasks:
                 task.kill()
 
