Components of a host that connect packages are in a module of their own

Change: tokens, the check for reachable upstreams and the listener for removed upstreams move unchanged to host_components.

--- a/test/test_upstream_tokens.py
+++ b/test/test_upstream_tokens.py
@@ -7,7 +7,7 @@
 import math
 import unittest
 
-from gooseberryweir import front
+from gooseberryweir import host_components
 from gooseberryweir.platform import headers as wire
 from gooseberryweir.process.fleet import heartbeat
 from gooseberryweir.process.fleet import upstream_limits
@@ -41,7 +41,7 @@
         self.asked = 0
         self.name = "i-1/5"
         self.tokens = {
-            name: front.open_upstream_tokens(
+            name: host_components.open_upstream_tokens(
                 host.mesh.settings, clock, host.mesh
             )
             for name, host in self.fleet.hosts.items()
