--- a/test/test_store_era.py
+++ b/test/test_store_era.py
@@ -8,9 +8,11 @@
 import contextlib
 import time
 import unittest
+from unittest import mock
 
 from test import _common
 from test import _front
+from test.standins import store
 from test.standins import threaded_upstream
 
 LOST_SECONDS = 1.5
@@ -75,5 +77,29 @@
         )
 
 
+class ReturnFromCopyTest(unittest.TestCase):
+    """The stand-in of the store itself."""
+
+    def test_return_from_a_copy_gives_out_revisions_again(self):
+        now = 100.0
+        with mock.patch.object(store.time, "monotonic", lambda: now):
+            objects = store.Store()
+            objects.commit("config", "main", {"a": 1})
+            now = 105.0
+            lost = objects.commit("config", "main", {"a": 2})
+            objects.commit("servers", "i-1", {})
+            now = 106.0
+            objects.return_from_copy(2.0)
+            self.assertEqual(objects.era, 2)
+            self.assertEqual(
+                objects.objects["config", "main"]["spec"], {"a": 1}
+            )
+            self.assertNotIn(("servers", "i-1"), objects.objects)
+            again = objects.commit("config", "main", {"a": 3})
+        self.assertEqual(
+            again["metadata"]["revision"], lost["metadata"]["revision"]
+        )
+
+
 if __name__ == "__main__":
     unittest.main()
