Tests of a second host that dies, and of callers that leave

Cause: forwarding has two more places where a request may be lost or run twice.

Change: tests with three real hosts: the host that a non-idempotent request was forwarded to is killed while it runs (502, one run); the caller disconnects (the upstream's work is cancelled).

Measured: both pass; not shown failing.

Conclusion: at most once holds over the hop.

--- a/test/test_unreachable_upstreams.py
+++ b/test/test_unreachable_upstreams.py
@@ -243,28 +243,44 @@
                 answer = _front.call(host.address, "/long/wait")
                 self.assertEqual(answer.status, 200, answer.headers)
 
+    def start_forwarding(self, stack):
+        """Returns a system whose first host forwards requests to the second."""
+        system = _front.System(stack, hosts=3, proxied=True)
+        # The first two are in one region.
+        cut = system.hosts[0]
+        system.set_faults([cut], cut=True)
+        _common.wait_until(
+            lambda: (
+                _front.call(cut.address, "/read/x").status == 200
+                and cut.log_lines("event=upstreams-unreachable")
+            )
+        )
+        return system
+
+    def send_and_wait_for_run(self, stack, system, path, **options):
+        """Sends a request to the first host and waits until it runs."""
+        connection = stack.enter_context(
+            _raw.Connection(system.hosts[0].address)
+        )
+        connection.send(
+            _front.request_bytes(
+                path, request_id="w", deadline_ms=60_000, **options
+            )
+        )
+
+        def has_run():
+            return any(run.request_id == "w" for run in system.runs())
+
+        _common.wait_until(has_run)
+        return connection
+
     # Guards against a host that ends on SIGTERM while it still has requests
     # that another host forwarded.
     def test_leaving_host_ends_the_requests_that_were_forwarded_to_it(self):
         with contextlib.ExitStack() as stack:
-            system = _front.System(stack, hosts=3, proxied=True)
-            # The first two are in one region.
-            cut, leaving, _ = system.hosts
-            system.set_faults([cut], cut=True)
-            _common.wait_until(
-                lambda: (
-                    _front.call(cut.address, "/read/x").status == 200
-                    and cut.log_lines("event=upstreams-unreachable")
-                )
-            )
-            runs_before = len(system.runs())
-            connection = stack.enter_context(_raw.Connection(cut.address))
-            connection.send(
-                _front.request_bytes(
-                    "/long/wait", request_id="w", deadline_ms=60_000
-                )
-            )
-            _common.wait_until(lambda: len(system.runs()) > runs_before)
+            system = self.start_forwarding(stack)
+            leaving = system.hosts[1]
+            connection = self.send_and_wait_for_run(stack, system, "/long/wait")
             leaving.process.send_signal(signal.SIGTERM)
             _common.wait_until(lambda: not leaving.accepts_connections())
             time.sleep(0.5)
@@ -273,6 +289,31 @@
             self.assertEqual(connection.read_answer().status, 200)
             self.assertEqual(leaving.process.wait(_front.GRACE_SECONDS), 0)
 
+    # Guards against a second run of a forwarded request whose host died.
+    def test_request_whose_second_host_dies_is_not_run_again(self):
+        with contextlib.ExitStack() as stack:
+            system = self.start_forwarding(stack)
+            connection = self.send_and_wait_for_run(
+                stack, system, "/write/wait", method="POST", body=b"x"
+            )
+            system.hosts[1].process.send_signal(signal.SIGKILL)
+            self.assertEqual(connection.read_answer().status, 502)
+            for upstream in system.upstreams:
+                upstream.release.set()
+            time.sleep(1.0)
+            ids = [run.request_id for run in system.runs()]
+            self.assertEqual(ids.count("w"), 1)
+
+    # Guards against work for callers that have left.
+    def test_caller_that_disconnects_cancels_its_forwarded_request(self):
+        with contextlib.ExitStack() as stack:
+            system = self.start_forwarding(stack)
+            connection = self.send_and_wait_for_run(stack, system, "/long/wait")
+            connection.__exit__()
+            _common.wait_until(
+                lambda: any(u.cancelled.is_set() for u in system.upstreams)
+            )
+
 
 if __name__ == "__main__":
     unittest.main()
