Upstreams that leave or ask for a pause get nothing from the host that they told

Neither header was read. During an upgrade hosts of two builds serve together, which had no test.

Ruled out: telling other hosts (saves one request each, costs bytes in heartbeats); ending a pause with a later or shorter answer (each time binds until its own end); reading dates (clocks differ).

Change: the adapter decodes both headers; `upstream_notices` keeps both by incarnation; selection and probes pass such upstreams over; a host that forwarded a request learns that the upstream leaves from the host that ran it; callers get the time until the first pause ends, spread by importance.

--- a/gooseberryweir/front.py
+++ b/gooseberryweir/front.py
@@ -161,6 +161,7 @@
                 store_cache, states, pool, cold_upstream_limit, upstream_tokens
             )
         )
+        notices = host_components.open_notices(clock, store_cache, pool)
         selection = selection_module.Selection(
             selection_module.SelectionDependencies(
                 settings=settings,
@@ -171,10 +172,11 @@
                 rng=rng,
                 fleet_size=mesh.view.fleet_size,
                 upstream_tokens=upstream_tokens,
+                notices=notices,
             )
         )
         reachability = host_components.open_reachability(
-            clock, store_cache, pool, states, suspects, rng
+            clock, store_cache, pool, states, suspects, notices, rng
         )
         host_pool = stack.enter_context(
             upstream_pool.UpstreamPool(clock, budget)
@@ -187,6 +189,7 @@
                 mesh.view.ready_hosts,
                 host_pool,
                 rng,
+                notices,
             )
         )
         upstream_sender = sending_module.UpstreamSender(
@@ -200,6 +203,7 @@
                 suspects,
                 upstream_tokens.limits,
                 reachability,
+                notices,
             )
         )
         request_handler = serving_module.RequestHandler(
--- a/gooseberryweir/host_components.py
+++ b/gooseberryweir/host_components.py
@@ -27,6 +27,7 @@
 from gooseberryweir.request.steering import reachability as reachability_module
 from gooseberryweir.request.steering import sending as sending_module
 from gooseberryweir.request.steering import suspects as suspects_module
+from gooseberryweir.request.steering import upstream_notices
 from gooseberryweir.request.steering import upstream_state
 from gooseberryweir.version import traffic
 
@@ -115,12 +116,38 @@
     )
 
 
+def open_notices(
+    clock: clocks.Clock,
+    store_cache: store_cache_module.StoreCache,
+    pool: upstream_pool.UpstreamPool,
+) -> upstream_notices.UpstreamNotices:
+    """Creates the record of what upstreams ask of this host.
+
+    Closes the idle connections to an upstream that is found to leave.
+    """
+    notices = upstream_notices.UpstreamNotices(clock.monotonic)
+
+    def on_leaving(incarnation: str) -> None:
+        for upstream in store_cache.upstreams.values():
+            if upstream.incarnation == incarnation:
+                pool.close_idle(upstream.name)
+
+    def on_store_change(kind: str) -> None:
+        if kind == store_cache_module.UPSTREAMS:
+            notices.forget_ended_pauses()
+
+    notices.listeners.append(on_leaving)
+    store_cache.listeners.append(on_store_change)
+    return notices
+
+
 def open_reachability(
     clock: clocks.Clock,
     store_cache: store_cache_module.StoreCache,
     pool: upstream_pool.UpstreamPool,
     states: upstream_state.UpstreamStates,
     suspects: suspects_module.SuspectTracker,
+    notices: upstream_notices.UpstreamNotices,
     rng: random.Random,
 ) -> reachability_module.UpstreamReachability:
     """Creates the check whether this host reaches any upstream."""
@@ -131,6 +158,7 @@
             for each in store_cache.upstreams.values()
             if not each.draining
             and each.zone not in store_cache.evacuated_zones
+            and notices.accepts(each.incarnation)
         ]
 
     def on_change() -> None:
--- a/gooseberryweir/platform/headers.py
+++ b/gooseberryweir/platform/headers.py
@@ -12,6 +12,8 @@
 
 READINESS_PATH = "/-/readiness"
 LOOK_UP_PATH = "/-/resolve"
+# HTTP status with which an upstream turns a request away.
+OVERLOADED_STATUS = 503
 # HTTP status with which an upstream refuses a request whose Expect-Instance
 # header names another upstream.
 MISDIRECTED_STATUS = 421
@@ -73,12 +75,17 @@
         request_limit: Requests per second that the upstream accepts from all
             hosts together; infinity if it has no limit, None if the limit
             can't be read.
+        leaving: True if the upstream leaves and wants no new requests.
+        pause_seconds: Seconds for which the upstream wants no requests from
+            this host; 0 if it names no time that can be read.
         forwarded: Headers that are sent to the caller unchanged.
     """
 
     not_executed: bool
     load: UpstreamLoad | None
     request_limit: float | None
+    leaving: bool
+    pause_seconds: float
     forwarded: Headers
 
 
@@ -180,6 +187,15 @@
         or status == MISDIRECTED_STATUS,
         load=_parse_load(first_values.get("server-load", "")),
         request_limit=_parse_request_limits(headers),
+        leaving=any(
+            name.lower() == "server-leaving" and value.strip() == "1"
+            for name, value in headers
+        ),
+        pause_seconds=(
+            _parse_pause_seconds(headers)
+            if status == OVERLOADED_STATUS
+            else 0.0
+        ),
         forwarded=tuple(
             (name, value)
             for name, value in headers
@@ -243,6 +259,30 @@
     return min(valid, default=None)
 
 
+def _parse_pause_seconds(headers: Headers) -> float:
+    """Returns the greatest time in the Retry-After headers of a response.
+
+    The platform's times are seconds. A date is not read: the clocks of hosts
+    and upstreams differ by more than such a time.
+
+    Returns:
+        Seconds; 0 if no header is a finite number above 0.
+    """
+    seconds = [
+        _parse_number(value)
+        for name, value in headers
+        if name.lower() == "retry-after"
+    ]
+    return max(
+        (
+            each
+            for each in seconds
+            if each is not None and math.isfinite(each) and each > 0
+        ),
+        default=0.0,
+    )
+
+
 def retry_after(seconds: float) -> tuple[str, str]:
     """Returns a Retry-After header, with fractions of a second."""
     return ("Retry-After", f"{seconds:.2f}")
--- a/gooseberryweir/request/steering/forwarding.py
+++ b/gooseberryweir/request/steering/forwarding.py
@@ -23,6 +23,9 @@
 from gooseberryweir.process.fleet import host_settings
 from gooseberryweir.request.steering import pending_request
 from gooseberryweir.request.steering import reachability as reachability_module
+from gooseberryweir.request.steering import (
+    upstream_notices as upstream_notices_module,
+)
 from gooseberryweir.version import traffic
 
 LOGGER = logging.getLogger(__name__)
@@ -31,6 +34,9 @@
 SERVICE_HEADER = "Gooseberryweir-Service"
 # Header with the result code of a refusal.
 CODE_HEADER = "Gooseberryweir-Code"
+# Header of a forwarded request's answer with the incarnation of the upstream,
+# if it leaves.
+LEAVING_HEADER = "Gooseberryweir-Leaving"
 # Size of the headers that forwarding adds, in bytes.
 ADDED_HEADER_BYTES = 1024
 # Hosts that one request is offered to, one after the other.
@@ -142,6 +148,7 @@
         ready_hosts: Returns the other hosts that are ready to serve callers.
         pool: Connections to other hosts.
         rng: Selects hosts.
+        notices: Upstreams that leave or want no requests for some time.
     """
 
     clock: clocks.Clock
@@ -150,6 +157,7 @@
     ready_hosts: Callable[[], Iterable[traffic.HostEntry]]
     pool: upstream_pool.UpstreamPool
     rng: random.Random
+    notices: upstream_notices_module.UpstreamNotices
 
 
 class Forwarder:
@@ -299,6 +307,9 @@
             outcome = _decode_answer(reply.message)
             if outcome is not None:
                 result = str(outcome.status)
+            leaving = dict(reply.message.headers).get(LEAVING_HEADER)
+            if leaving is not None:
+                self.dependencies.notices.record_leaving(leaving, host.name)
         except upstream_pool.ConnectError:
             result = "no connection"
         except upstream_pool.BrokenAnswerError as error:
--- a/gooseberryweir/request/steering/selection.py
+++ b/gooseberryweir/request/steering/selection.py
@@ -19,6 +19,9 @@
     processing_times as processing_times_module,
 )
 from gooseberryweir.request.steering import regions
+from gooseberryweir.request.steering import (
+    upstream_notices as upstream_notices_module,
+)
 from gooseberryweir.request.steering import upstream_state
 from gooseberryweir.version import traffic
 
@@ -46,6 +49,7 @@
         fleet_size: Returns the number of hosts that may be serving.
         upstream_tokens: Tokens for requests to upstreams that limit their
             request rate.
+        notices: Upstreams that leave or want no requests for some time.
     """
 
     settings: host_settings.HostSettings
@@ -56,6 +60,7 @@
     rng: random.Random
     fleet_size: Callable[[], int]
     upstream_tokens: upstream_tokens_module.UpstreamTokens
+    notices: upstream_notices_module.UpstreamNotices
 
 
 class _EligibleUpstream(NamedTuple):
@@ -95,7 +100,7 @@
         zone_counts: Number of availability zones in each region.
         shift_limiter: Limit on shifts of requests between regions.
         eligible_inputs: Objects from which `eligible_by_service` was computed:
-            configuration, upstreams and evacuated zones.
+            configuration, upstreams, evacuated zones and upstreams that leave.
         eligible_by_service: Cache of the upstreams that take new requests, by
             service.
         ranked_by_object: Cache of the same upstreams in rank order, by service
@@ -111,7 +116,7 @@
         self.shift_limiter = regions.RegionShiftLimiter(
             dependencies.clock.monotonic
         )
-        self.eligible_inputs: tuple[object, ...] = (None, None, None)
+        self.eligible_inputs: tuple[object, ...] = (None,) * 4
         self.eligible_by_service: dict[str, list[_EligibleUpstream]] = {}
         self.ranked_by_object: dict[
             tuple[str, str], list[_EligibleUpstream]
@@ -181,6 +186,25 @@
             choice.wait > 0 and expected_seconds > remaining
         )
 
+    def pause_seconds(self, request: pending_request.PendingRequest) -> float:
+        """Returns the seconds until an upstream's pause lets a request run.
+
+        Returns:
+            The least time for which an upstream that may run the request wants
+            no requests; 0 if one of them has not asked for a pause.
+        """
+        allowed_regions = request.admitted.regions
+        return min(
+            (
+                self.dependencies.notices.pause_seconds(
+                    each.upstream.incarnation
+                )
+                for each in self._eligible_upstreams(request.service)
+                if not allowed_regions or each.region in allowed_regions
+            ),
+            default=0.0,
+        )
+
     def take_token(self, choice: placement.Choice) -> bool:
         """Returns True if a request may be sent to its upstream.
 
@@ -240,14 +264,15 @@
     def _eligible_upstreams(self, service: str) -> list[_EligibleUpstream]:
         """Returns the upstreams of a service that take new requests.
 
-        The result is cached until the configuration, the upstreams or the
-        evacuated zones are replaced.
+        The result is cached until the configuration, the upstreams, the
+        evacuated zones or the upstreams that leave are replaced.
         """
         store_cache = self.dependencies.store_cache
         inputs = (
             store_cache.configuration,
             store_cache.upstreams,
             store_cache.evacuated_zones,
+            self.dependencies.notices.leaving,
         )
         if any(
             current is not previous
@@ -274,6 +299,7 @@
             if each.service == service
             and not each.draining
             and each.zone not in store_cache.evacuated_zones
+            and each.incarnation not in self.dependencies.notices.leaving
         ]
         slots: collections.Counter[str] = collections.Counter()
         for each in upstreams:
@@ -343,6 +369,8 @@
                 continue
             if allowed_regions and eligible.region not in allowed_regions:
                 continue
+            if not dependencies.notices.accepts(upstream.incarnation):
+                continue
             state = dependencies.states.get(upstream.name, upstream.slots)
             if not state.is_usable(now) or state.in_flight >= max_connections:
                 continue
--- a/gooseberryweir/request/steering/sending.py
+++ b/gooseberryweir/request/steering/sending.py
@@ -15,12 +15,16 @@
 from gooseberryweir.process.fleet import (
     upstream_limits as upstream_limits_module,
 )
+from gooseberryweir.request.steering import forwarding
 from gooseberryweir.request.steering import pending_request
 from gooseberryweir.request.steering import placement
 from gooseberryweir.request.steering import reachability as reachability_module
 from gooseberryweir.request.steering import selection as selection_module
 from gooseberryweir.request.steering import suspects as suspects_module
 from gooseberryweir.request.steering import telemetry as telemetry_module
+from gooseberryweir.request.steering import (
+    upstream_notices as upstream_notices_module,
+)
 from gooseberryweir.request.steering import upstream_state
 from gooseberryweir.version import traffic
 
@@ -82,6 +86,7 @@
         suspects: Requests that may have crashed upstreams.
         upstream_limits: Rate limits that upstreams advertise.
         reachability: Tells whether this host reaches any upstream.
+        notices: Upstreams that leave or want no requests for some time.
     """
 
     clock: clocks.Clock
@@ -93,6 +98,7 @@
     suspects: suspects_module.SuspectTracker
     upstream_limits: upstream_limits_module.UpstreamLimits
     reachability: reachability_module.UpstreamReachability
+    notices: upstream_notices_module.UpstreamNotices
 
 
 class UpstreamSender:
@@ -246,6 +252,7 @@
                 answer_headers.request_limit,
                 sent_at,
             )
+        self._record_notices(choice.upstream.incarnation, answer_headers)
         if answer_headers.not_executed:
             if status == wire.MISDIRECTED_STATUS:
                 state.record_failure(
@@ -258,9 +265,12 @@
                 codes.ExecutionState.NO,
                 f"upstream did not run the request: status {status}",
             )
-        answer = pipelined_server.Answer(
-            status, answer_headers.forwarded, reply.message.body
-        )
+        headers = answer_headers.forwarded
+        if request.is_forwarded and answer_headers.leaving:
+            headers += (
+                (forwarding.LEAVING_HEADER, choice.upstream.incarnation),
+            )
+        answer = pipelined_server.Answer(status, headers, reply.message.body)
         if status >= 500:
             state.record_failure(now, f"status {status}", 0)
             return pending_request.AttemptFailure(
@@ -285,6 +295,21 @@
         )
         return answer
 
+    def _record_notices(
+        self, incarnation: str, answer_headers: wire.ResponseHeaders
+    ) -> None:
+        """Records what an upstream says about further requests.
+
+        Only the answer to this request counts; the pool drops answers with the
+        id of another one. If another upstream answered at the address (status
+        421), the incarnation that was meant has ended.
+        """
+        notices = self.dependencies.notices
+        if answer_headers.leaving:
+            notices.record_leaving(incarnation, "answer")
+        if answer_headers.pause_seconds > 0:
+            notices.record_pause(incarnation, answer_headers.pause_seconds)
+
     def _record_success(
         self,
         request: pending_request.PendingRequest,
--- a/gooseberryweir/request/steering/serving.py
+++ b/gooseberryweir/request/steering/serving.py
@@ -36,6 +36,10 @@
 SHED_RETRY_SECONDS = 0.3
 # Retry-After if no upstream can take the request.
 UNAVAILABLE_RETRY_SECONDS = 0.5
+# If upstreams have asked for a pause, callers retry in a time of this length
+# after the first pause ends, so that they do not return all at once. It is
+# multiplied by 1 + importance, so that the most important work returns first.
+PAUSE_RETRY_SPREAD_SECONDS = 0.2
 # An answer that was ready for longer than this before all of it was sent is
 # logged: the platform accepts half a second past a route's timeout.
 MAX_SENDING_DELAY_SECONDS = 0.1
@@ -378,14 +382,15 @@
             refusal = codes.refuse(
                 codes.Code.NO_HEADROOM,
                 detail="no upstream can take the request now",
-                retry_after=UNAVAILABLE_RETRY_SECONDS,
+                retry_after=self._pause_retry_after(request)
+                or UNAVAILABLE_RETRY_SECONDS,
             )
         elif ran is codes.ExecutionState.NO:
             refusal = codes.refuse(
                 codes.Code.UPSTREAM_SHED,
                 detail=failure.reason,
-                retry_after=SHED_RETRY_SECONDS
-                * (0.5 + self.dependencies.rng.random()),
+                retry_after=self._pause_retry_after(request)
+                or SHED_RETRY_SECONDS * (0.5 + self.dependencies.rng.random()),
             )
         else:
             code = failure.code
@@ -399,6 +404,22 @@
             request.started_at,
         )
 
+    def _pause_retry_after(
+        self, request: pending_request.PendingRequest
+    ) -> float | None:
+        """Returns the Retry-After if all upstreams have asked for a pause.
+
+        Returns:
+            Seconds until the first pause ends, and a random part of
+            `PAUSE_RETRY_SPREAD_SECONDS`; None if another upstream of the
+            service may take requests.
+        """
+        seconds = self.dependencies.selection.pause_seconds(request)
+        if seconds == 0.0:
+            return None
+        spread = PAUSE_RETRY_SPREAD_SECONDS * (1 + request.admitted.importance)
+        return seconds + spread * self.dependencies.rng.random()
+
     def _refuse(
         self,
         caller_headers: wire.RequestHeaders,
--- a/test/_front.py
+++ b/test/_front.py
@@ -81,10 +81,20 @@
         log_path: File with its standard output and error.
         settings_path: Its settings file.
         environment: Environment variables of the process.
+        root: Directory with the package that it runs.
         process: The process, or None before its start.
     """
 
-    def __init__(self, name, ip, zone, region, store_address, directory):
+    def __init__(
+        self,
+        name,
+        ip,
+        zone,
+        region,
+        store_address,
+        directory,
+        root=_common.ROOT,
+    ):
         ports = [free_port(ip) for _ in range(4)]
         self.name, self.ip = name, ip
         self.zone, self.region = zone, region
@@ -114,6 +124,7 @@
         ]
         path.write_text("\n".join(lines))
         self.environment = {**os.environ, "GOOSEBERRYWEIR_BOOT": str(path)}
+        self.root = root
         self.process = None
 
     def start(self):
@@ -121,7 +132,7 @@
         with open(self.log_path, "ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "gooseberryweir", "front"],
-                cwd=_common.ROOT,
+                cwd=self.root,
                 env=self.environment,
                 stdout=log,
                 stderr=subprocess.STDOUT,
@@ -244,7 +255,14 @@
             are named `HOST>UPSTREAM`.
     """
 
-    def __init__(self, stack, hosts=3, upstreams=2, proxied=False):
+    def __init__(
+        self,
+        stack,
+        hosts=3,
+        upstreams=2,
+        proxied=False,
+        root=_common.ROOT,
+    ):
         directory = stack.enter_context(tempfile.TemporaryDirectory())
         process = stack.enter_context(
             _common.Process(
@@ -289,6 +307,7 @@
                     *zones[i % 3],
                     process.address(port_name),
                     directory,
+                    root,
                 )
             )
             for i, port_name in enumerate(self.store.port_names)
--- a/test/standins/threaded_upstream.py
+++ b/test/standins/threaded_upstream.py
@@ -50,6 +50,9 @@
         release: Set to let waiting requests finish.
         answer_headers: Headers that are added to each answer, as pairs of name
             and value.
+        pause_seconds: While above 0, each request is turned away and the answer
+            names this time in Retry-After.
+        turned_away: Id and monotonic time of each request turned away so.
     """
 
     daemon_threads = True
@@ -68,6 +71,8 @@
         self.cancelled = threading.Event()
         self.release = threading.Event()
         self.answer_headers = ()
+        self.pause_seconds = 0.0
+        self.turned_away = []
         self.endless_bytes = 0
         threading.Thread(target=self.serve_forever, daemon=True).start()
 
@@ -117,6 +122,14 @@
             server.refused += 1
             self.answer(421, b"", {"Instance-Id": server.name})
             return
+        if server.pause_seconds:
+            request_id = self.headers.get("Request-Id", "")
+            server.turned_away.append((request_id, time.monotonic()))
+            retry_after = f"{server.pause_seconds:g}"
+            self.answer(
+                503, b"", {"Not-Executed": "1", "Retry-After": retry_after}
+            )
+            return
         action = self.path.rpartition("/")[2]
         if action == "shed":
             server.refused += 1
--- a/test/test_forwarding.py
+++ b/test/test_forwarding.py
@@ -18,6 +18,7 @@
 from gooseberryweir.request.steering import forwarding
 from gooseberryweir.request.steering import pending_request
 from gooseberryweir.request.steering import reachability
+from gooseberryweir.request.steering import upstream_notices
 from gooseberryweir.version import traffic
 from test import test_selection
 from test import virtual_time
@@ -100,6 +101,7 @@
                 ],
                 self,
                 self.rng,
+                upstream_notices.UpstreamNotices(fleet.clock.monotonic),
             )
         )
 
@@ -299,6 +301,7 @@
         )
         state.reachable = False
         self.pool = ScriptedPool(*script)
+        self.notices = upstream_notices.UpstreamNotices(self.clock.monotonic)
         hosts = [
             traffic.HostEntry(name, "1", "", "10.0.0.1:70", "z", region)
             for name, region in (
@@ -315,6 +318,7 @@
                 lambda: hosts,
                 self.pool,
                 random.Random(1),
+                self.notices,
             )
         )
 
@@ -373,6 +377,15 @@
         self.assertEqual(headers[forwarding.CODE_HEADER], "302")
         self.assertEqual(headers["Retry-After"], "1")
 
+    def test_upstream_found_to_leave_by_the_other_host_is_known_here(self):
+        forwarder = self.forwarder(
+            self.answer((forwarding.LEAVING_HEADER, "i-1/5"))
+        )
+        answer = forwarder.forward(pending(self.clock))
+        self.assertEqual(answer.headers, ())
+        self.assertFalse(self.notices.accepts("i-1/5"))
+        self.assertTrue(self.notices.accepts("i-1/6"))
+
     def test_code_in_an_answer_of_an_upstream_is_not_taken_for_a_refusal(self):
         decoded = wire.decode_response(
             200, ((forwarding.CODE_HEADER, "312"), ("A", "b"))
--- a/test/test_selection.py
+++ b/test/test_selection.py
@@ -20,6 +20,7 @@
 from gooseberryweir.request.steering import serving
 from gooseberryweir.request.steering import suspects
 from gooseberryweir.request.steering import telemetry
+from gooseberryweir.request.steering import upstream_notices
 from gooseberryweir.request.steering import upstream_state
 from gooseberryweir.version import traffic
 from test import test_fleet_knowledge
@@ -94,6 +95,7 @@
             ),
             clock,
         )
+        self.notices = upstream_notices.UpstreamNotices(clock.monotonic)
         self.selection = selection.Selection(
             selection.SelectionDependencies(
                 test_fleet_knowledge.settings("h1")._replace(
@@ -108,6 +110,7 @@
                 random.Random(1),
                 lambda: 1,
                 self.upstream_tokens,
+                self.notices,
             )
         )
 
@@ -191,6 +194,43 @@
             choice = host.choose(f"o{index}", tried={"n2"})
             self.assertEqual(choice.upstream.name, "n3")
 
+    def test_upstream_that_leaves_is_skipped_until_its_next_start(self):
+        host = SelectingHost()
+        upstreams = host.store_cache.upstreams
+        left = host.choose("o1").upstream
+        host.notices.record_leaving(left.incarnation, "answer")
+        # The store still lists it as ready, and lists it again after an outage.
+        host.store_cache.upstreams = {
+            name: each for name, each in upstreams.items() if name != left.name
+        }
+        successor = host.choose("o1").upstream
+        host.store_cache.upstreams = dict(upstreams)
+        self.assertEqual(host.choose("o1").upstream, successor)
+        host.store_cache.upstreams = {
+            **upstreams,
+            left.name: left._replace(started_at_ms=left.started_at_ms + 1),
+        }
+        self.assertEqual(host.choose("o1").upstream.name, left.name)
+
+    def test_paused_upstream_gets_nothing_until_the_named_time_is_over(self):
+        host = SelectingHost()
+        paused = host.choose("o1").upstream
+        host.notices.record_pause(paused.incarnation, 2.0)
+        host.clock.advance(1.99)
+        self.assertNotEqual(host.choose("o1").upstream, paused)
+        host.clock.advance(0.02)
+        self.assertEqual(host.choose("o1").upstream, paused)
+
+    def test_time_until_a_place_is_free_if_all_upstreams_ask_for_a_pause(self):
+        host = SelectingHost()
+        names = list(host.store_cache.upstreams)
+        for index, name in enumerate(names[1:]):
+            host.notices.record_pause(f"{name}/0", 1.0 + index)
+        self.assertEqual(host.selection.pause_seconds(host.request()), 0.0)
+        host.notices.record_pause(f"{names[0]}/0", 5.0)
+        self.assertEqual(host.selection.pause_seconds(host.request()), 1.0)
+        self.assertIsNone(host.choose("o1"))
+
     def test_a_route_restricted_to_regions_runs_only_there(self):
         host = SelectingHost(regions=frozenset({"south"}))
         self.assertEqual(set(host.chosen_regions(50)), {"s"})
@@ -266,6 +306,7 @@
                         list,
                         upstream_pool.UpstreamPool(clock),
                         random.Random(1),
+                        host.notices,
                     )
                 ),
                 reachable,
