`losses` says from the logs of hosts where credit is lost

Cause: the table of what binds a deployment was made by hand from logs, and these did not tell apart why an answer was late.

Ruled out: a table from counters (they lack the moment and the reason); a larger library than the one that typer brings (its folder is built on each host).

Change: `request-served` says objective, time at the last upstream, round trip, queue and whether the object was warm; `gooseberryweir losses` groups losses by reason, route, zone and second.

--- a/gooseberryweir/cli.py
+++ b/gooseberryweir/cli.py
@@ -3,6 +3,7 @@
 `main` catches the `UserError` of any command and prints it as one line.
 """
 
+import itertools
 import os
 import sys
 from typing import Annotated
@@ -18,6 +19,7 @@
 from gooseberryweir.commands import exit_codes
 from gooseberryweir.commands import explain as explain_command
 from gooseberryweir.commands import key as key_command
+from gooseberryweir.commands import losses as losses_command
 from gooseberryweir.commands import operator_client
 from gooseberryweir.commands import status as status_command
 from gooseberryweir.platform import store as platform_store
@@ -193,6 +195,30 @@
     explain_command.explain(context, method, path, account)
 
 
+@APP.command()
+def losses(
+    files: Annotated[
+        list[typer.FileText], typer.Argument(help="Logs of hosts; - for stdin.")
+    ],
+    by: Annotated[
+        list[str] | None,
+        typer.Option(help="reason, route, zone or second; may be repeated."),
+    ] = None,
+    worth: Annotated[
+        list[str] | None,
+        typer.Option(help="ROUTE=NUMBER; may be repeated."),
+    ] = None,
+) -> None:
+    """Says from the logs of hosts why requests lost their credit."""
+    values = dict(losses_command.parse_worth(each) for each in worth or [])
+    losses_command.show_losses(
+        itertools.chain.from_iterable(files),
+        by or ["reason"],
+        values,
+        typer.echo,
+    )
+
+
 def main() -> None:
     """Runs the command line and exits with the code of a `UserError`."""
     try:
--- a/gooseberryweir/request/steering/sending.py
+++ b/gooseberryweir/request/steering/sending.py
@@ -279,7 +279,7 @@
                 f"status {status}",
                 answer,
             )
-        self._record_success(request, choice, state, reply)
+        warm = self._record_success(request, choice, state, reply)
         self.dependencies.telemetry.record_served(
             request.admitted.route.name, now - request.started_at, attempt
         )
@@ -292,6 +292,11 @@
             status=status,
             attempt=attempt,
             seconds=now - request.started_at,
+            objective=request.admitted.route.objective,
+            attempt_seconds=now - sent_at,
+            round_trip=dependencies.selection.round_trip(choice.upstream.zone),
+            waiting=answer_headers.load.waiting if answer_headers.load else 0,
+            warm=warm,
         )
         return answer
 
@@ -316,11 +321,15 @@
         choice: placement.Choice,
         state: upstream_state.UpstreamState,
         reply: upstream_pool.Reply,
-    ) -> None:
+    ) -> bool:
         """Records the processing time of an answered request.
 
         If the upstream had handled the object recently, it also records whether
         the object was still warm (see `placement`).
+
+        Returns:
+            True if the object seems to have been warm; the expectation if the
+            request waited for a slot, since its time then does not tell.
         """
         now = self.dependencies.clock.monotonic()
         state.record_object(request.object_name, now)
@@ -338,7 +347,7 @@
         tracker.record_mean(request.service, processing_time)
         if waited:
             state.record_success(now, None)
-            return
+            return choice.warm
         warm = choice.warm
         if warm:
             # The object was cold if the time is nearer to that of cold objects.
@@ -350,6 +359,7 @@
             now, elapsed / (estimate.warm if warm else estimate.cold)
         )
         tracker.record(route, request.service, warm, elapsed / state.slowness)
+        return warm
 
     def _log_placement(
         self,
