Overloaded upstreams are not taken for a cut of this host

Overloaded upstreams refuse or delay new connections, so probes fail; answers to requests that came while the host probed did not count. Such a host closes its idle connections and forwards to other hosts, which adds work to the overload.

Change: after a round of probes without an answer the host is cut off only if no request was answered either; while new connections to several upstreams fail only answers over new ones count.

--- a/gooseberryweir/request/steering/reachability.py
+++ b/gooseberryweir/request/steering/reachability.py
@@ -65,6 +65,9 @@
         suspected_at: Monotonic time, in seconds, of the first failure since the
             last answer, or None.
         answered_at: Monotonic time of the last answer of each upstream.
+        last_answer_at: Monotonic time, in seconds, of the last answer.
+        new_answered_at: The same, over a connection that was opened for its
+            request.
         lost_at: Monotonic time, in seconds, at which `reachable` became False.
         probing_at: Monotonic time of the start of the last round of probes.
         is_probing: True while a task sends probes.
@@ -84,6 +87,8 @@
         self.quiet_since = clock.monotonic()
         self.suspected_at: float | None = None
         self.answered_at: dict[str, float] = {}
+        self.last_answer_at = float("-inf")
+        self.new_answered_at = float("-inf")
         self.lost_at = clock.monotonic()
         self.probing_at = float("-inf")
         self.is_probing = False
@@ -116,9 +121,10 @@
             new_connection: True if a connection was opened for the request.
         """
         now = self.clock.monotonic()
-        self.answered_at[name] = self.quiet_since = now
+        self.answered_at[name] = self.quiet_since = self.last_answer_at = now
         self.unanswered.clear()
         if new_connection:
+            self.new_answered_at = now
             self.unconnected.clear()
         if not self.unconnected:
             self.suspected_at = None
@@ -158,7 +164,11 @@
             while True:
                 self.probing_at = self.clock.monotonic()
                 upstreams = list(self.probing.upstreams())
-                if not upstreams or self._probe_any(self._select(upstreams)):
+                if (
+                    not upstreams
+                    or self._probe_any(self._select(upstreams))
+                    or self._answered_since(self.probing_at)
+                ):
                     self._set_reachable(True)
                     return
                 self._set_reachable(False)
@@ -167,6 +177,21 @@
         finally:
             self.is_probing = False
 
+    def _answered_since(self, start: float) -> bool:
+        """Returns True if an answer to a request shows that there is no cut.
+
+        Overloaded upstreams refuse new connections, so that they answer no
+        probe, while requests in flight are answered. Answers over connections
+        that were open before do not count while new ones to several upstreams
+        fail.
+
+        Args:
+            start: Monotonic time in seconds.
+        """
+        if len(self.unconnected) >= MIN_FAILED_UPSTREAMS:
+            return self.new_answered_at > start
+        return self.last_answer_at > start
+
     def _select(
         self, upstreams: list[traffic.Upstream]
     ) -> list[traffic.Upstream]:
