--- a/bench/placement.py
+++ b/bench/placement.py
@@ -362,6 +362,33 @@
             lambda: self.record_answer(request, upstream, load, succeeded),
         )
 
+    def record_processing(
+        self,
+        request: Request,
+        state: upstream_state.UpstreamState,
+        elapsed: float,
+    ) -> None:
+        """Records a processing time, as `sending` does.
+
+        Args:
+            request: The request, which did not wait for a slot.
+            state: State of its upstream at its host.
+            elapsed: Seconds of processing.
+        """
+        times = request.host.processing_times
+        estimate = times.estimate(self.route, "s")
+        warm = request.choice.warm
+        if warm:
+            warm = elapsed / state.slowness < math.sqrt(
+                estimate.warm * estimate.cold
+            )
+        if request.choice.handled_recently:
+            state.record_affinity_result(warm)
+        state.record_success(
+            self.now, elapsed / (estimate.warm if warm else estimate.cold)
+        )
+        times.record(self.route, "s", warm, elapsed / state.slowness)
+
     def record_answer(
         self, request: Request, upstream: Upstream, load: int, succeeded: bool
     ) -> None:
@@ -380,10 +407,10 @@
         host.processing_times.record_mean(
             "s", elapsed - (request.choice.wait if waited else 0.0)
         )
-        if not waited:
-            warm = request.choice.warm
-            host.processing_times.record(self.route, "s", warm, elapsed)
-        state.record_success(self.now, None)
+        if waited:
+            state.record_success(self.now, None)
+        else:
+            self.record_processing(request, state, elapsed)
         in_objective = seconds <= self.site.objective
         self.outcomes["in objective" if in_objective else "late"] += 1
 
