Round trips to upstreams are measured

Ruled out: a setting (operators declare no latencies); the least time of an answer (it contains work).

Change: `round_trips` keeps the least time in which a connection to a zone was opened; it rises slowly. The constants are used until the first connection. `request-served` says whether the upstream is in another region, which `losses` took from the trip before.

--- a/gooseberryweir/commands/losses.py
+++ b/gooseberryweir/commands/losses.py
@@ -71,6 +71,7 @@
     seconds = float(pairs["seconds"])
     attempt_seconds = float(pairs["attempt_seconds"])
     round_trip = float(pairs["round_trip"])
+    abroad = pairs["abroad"] == "True"
     if int(pairs["attempt"]) > 1:
         return "late: further attempt"
     if seconds - attempt_seconds > HELD_OBJECTIVE_FRACTION * objective:
@@ -78,8 +79,8 @@
     if int(pairs["waiting"]) > 0:
         return "late: queue at the upstream"
     if pairs["warm"] == "False":
-        return f"late: cold object {'abroad' if round_trip else 'at home'}"
-    if round_trip and seconds - round_trip <= objective:
+        return f"late: cold object {'abroad' if abroad else 'at home'}"
+    if abroad and seconds - round_trip <= objective:
         return "late: round trip"
     return "late: slow upstream"
 
--- a/gooseberryweir/connection/upstream_pool.py
+++ b/gooseberryweir/connection/upstream_pool.py
@@ -67,11 +67,13 @@
         seconds: Seconds from the start of sending the request to the end of the
             answer.
         new_connection: True if a connection was opened for the request.
+        connect_seconds: Seconds in which it was opened, else 0.
     """
 
     message: http_messages.Message
     seconds: float
     new_connection: bool
+    connect_seconds: float = 0.0
 
 
 class Endpoint(NamedTuple):
@@ -174,7 +176,8 @@
             DeadlineError: No complete answer came within the timeout.
         """
         name = endpoint.name
-        deadline = self.clock.monotonic() + timeout
+        begun_at = self.clock.monotonic()
+        deadline = begun_at + timeout
         connection = self._take_idle(name, endpoint.max_idle_seconds)
         new_connection = connection is None
         if connection is None:
@@ -209,7 +212,10 @@
         elif reusable:
             connection.close()
         return Reply(
-            message, self.clock.monotonic() - started_at, new_connection
+            message,
+            self.clock.monotonic() - started_at,
+            new_connection,
+            started_at - begun_at if new_connection else 0.0,
         )
 
     def _connect(self, address: str, timeout: float) -> Any:
--- a/gooseberryweir/request/steering/selection.py
+++ b/gooseberryweir/request/steering/selection.py
@@ -19,16 +19,13 @@
     processing_times as processing_times_module,
 )
 from gooseberryweir.request.steering import regions
+from gooseberryweir.request.steering import round_trips as round_trips_module
 from gooseberryweir.request.steering import (
     upstream_notices as upstream_notices_module,
 )
 from gooseberryweir.request.steering import upstream_state
 from gooseberryweir.version import traffic
 
-# Assumed round trips between zones and between regions, to compare upstreams.
-# The platform's zones are 2 ms apart, its regions 40 and 70 ms.
-ZONE_ROUND_TRIP_SECONDS = 0.002
-REGION_ROUND_TRIP_SECONDS = 0.05
 # Objects whose ranking of the upstreams is cached.
 MAX_RANKED_OBJECTS = 1024
 # Limit on connections for services that declare none.
@@ -69,13 +66,11 @@
     Attributes:
         upstream: The upstream.
         region: Region of the upstream.
-        round_trip: Seconds to the upstream and back.
         weight: Relative share of the objects that the upstream gets.
     """
 
     upstream: traffic.Upstream
     region: str
-    round_trip: float
     weight: float
 
 
@@ -97,6 +92,7 @@
     Attributes:
         dependencies: Objects of the process that the selection uses.
         processing_times: Processing times by route and service.
+        round_trips: Round trips to upstreams.
         zone_counts: Number of availability zones in each region.
         shift_limiter: Limit on shifts of requests between regions.
         eligible_inputs: Objects from which `eligible_by_service` was computed:
@@ -110,6 +106,9 @@
     def __init__(self, dependencies: SelectionDependencies) -> None:
         self.dependencies = dependencies
         self.processing_times = processing_times_module.ProcessingTimeTracker()
+        self.round_trips = round_trips_module.RoundTrips(
+            dependencies.settings.zone, dependencies.settings.region_by_zone
+        )
         self.zone_counts = collections.Counter(
             dependencies.settings.region_by_zone.values()
         )
@@ -143,7 +142,7 @@
             placement.Candidate(
                 each.eligible.upstream,
                 each.state.estimate(now),
-                each.eligible.round_trip,
+                self.round_trips.estimate(each.eligible.upstream.zone),
                 each.eligible.weight,
                 each.state.handled_recently(request.object_name, now),
             )
@@ -169,18 +168,15 @@
         processing_times = self.processing_times.estimate(
             request.admitted.route, request.service
         )
+        round_trip = self.round_trips.estimate(choice.upstream.zone)
         max_wait = overload.max_queue_wait(
             request.admitted.route.objective,
-            self.round_trip(choice.upstream.zone),
+            round_trip,
             processing_times.warm,
             processing_times.mean,
             request.admitted.importance,
         )
-        expected_seconds = (
-            self.round_trip(choice.upstream.zone)
-            + choice.processing_time
-            + choice.wait
-        )
+        expected_seconds = round_trip + choice.processing_time + choice.wait
         remaining = request.deadline - self.dependencies.clock.monotonic()
         return choice.wait > max_wait or (
             choice.wait > 0 and expected_seconds > remaining
@@ -231,18 +227,6 @@
         """Returns the region of an upstream, or an empty string."""
         return self.dependencies.settings.region_by_zone.get(upstream.zone, "")
 
-    def round_trip(self, zone: str) -> float:
-        """Returns the seconds to an upstream in a zone and back."""
-        settings = self.dependencies.settings
-        if zone == settings.zone:
-            return 0.0
-        region = settings.region_by_zone.get(zone, "")
-        return (
-            ZONE_ROUND_TRIP_SECONDS
-            if region == settings.region
-            else REGION_ROUND_TRIP_SECONDS
-        )
-
     def _within_shift_limit(
         self, usable: list[_UsableUpstream]
     ) -> list[_UsableUpstream]:
@@ -320,7 +304,6 @@
             _EligibleUpstream(
                 each,
                 self._region(each),
-                self.round_trip(each.zone),
                 each.slots * weights.get(self._region(each), 1.0),
             )
             for each in upstreams
--- a/gooseberryweir/request/steering/sending.py
+++ b/gooseberryweir/request/steering/sending.py
@@ -219,6 +219,9 @@
         )
         if reply.new_connection:
             self.dependencies.telemetry.count("upstream_connections")
+            self.dependencies.selection.round_trips.record(
+                upstream.zone, reply.connect_seconds
+            )
         return reply
 
     def _handle_reply(
@@ -294,7 +297,12 @@
             seconds=now - request.started_at,
             objective=request.admitted.route.objective,
             attempt_seconds=now - sent_at,
-            round_trip=dependencies.selection.round_trip(choice.upstream.zone),
+            round_trip=dependencies.selection.round_trips.estimate(
+                choice.upstream.zone
+            ),
+            abroad=dependencies.selection.round_trips.is_abroad(
+                choice.upstream.zone
+            ),
             waiting=answer_headers.load.waiting if answer_headers.load else 0,
             warm=warm,
         )
@@ -338,8 +346,11 @@
             answer_headers.load is not None and answer_headers.load.waiting > 0
         )
         route = request.admitted.route
-        elapsed = reply.seconds - self.dependencies.selection.round_trip(
-            choice.upstream.zone
+        elapsed = (
+            reply.seconds
+            - self.dependencies.selection.round_trips.estimate(
+                choice.upstream.zone
+            )
         )
         tracker = self.dependencies.selection.processing_times
         estimate = tracker.estimate(route, request.service)
--- a/test/test_losses.py
+++ b/test/test_losses.py
@@ -10,7 +10,7 @@
     "2026-01-01 00:00:03,500 level=INFO host=h1 event=request-served"
     " request=x route=r upstream=u status=200 attempt={attempt}"
     " seconds={seconds} objective=0.4 attempt_seconds={attempt_seconds}"
-    " round_trip={round_trip} waiting={waiting} warm={warm}"
+    " round_trip={round_trip} abroad={abroad} waiting={waiting} warm={warm}"
 )
 REFUSED = (
     "2026-01-01 00:00:04,000 level=INFO host=h1 event=request-refused"
@@ -23,6 +23,7 @@
         "attempt": 1,
         "attempt_seconds": seconds,
         "round_trip": 0,
+        "abroad": changes.get("round_trip", 0) > 0,
         "waiting": 0,
         "warm": True,
     }
