A host that stops as planned answers requests that had just arrived

Cause: operators of similar systems lost requests that had just been accepted in a planned stop. Here the listening socket was closed with connections in its queue, which the kernel resets, and connections without a read request were closed at once, also if they had been opened a moment before.

Ruled out: a shorter backlog (a connection lost all the same); half-closing the listening socket (not portable).

Change: connections that wait are accepted before the socket is closed; a connection with unread bytes, or opened in the last 0.25 s, is not closed; the host ends only once no such connection is left, within its grace period.

--- a/gooseberryweir/connection/pipelined_server.py
+++ b/gooseberryweir/connection/pipelined_server.py
@@ -18,6 +18,7 @@
 
 import eventlet
 from eventlet import event
+from eventlet import greenio
 import greenlet
 
 from gooseberryweir import logs
@@ -37,6 +38,9 @@
 IDLE_MARGIN_SECONDS = 0.5
 # Time that a caller has to read the last answer of a connection.
 LINGER_SECONDS = 1.0
+# Time after the accept within which the first request of a connection is
+# expected; a server that stops does not close the connection before.
+FIRST_REQUEST_SECONDS = 0.25
 # Pause after a failed accept, and between checks while a connection has
 # MAX_PIPELINED open requests.
 RETRY_PAUSE_SECONDS = 0.05
@@ -154,21 +158,44 @@
             connection.close()
 
     def stop_accepting(self) -> None:
-        """Closes the listening socket; open connections are still served."""
+        """Closes the listening socket; open connections are still served.
+
+        Connections that callers have opened already are accepted first, since
+        the kernel would reset them.
+        """
         if self.accept_task is not None:
             self.accept_task.kill()
             self.accept_task = None
+            self._accept_pending()
             self.listener.close()
 
     def close_idle(self) -> None:
-        """Closes the connections without an open or partly read request."""
+        """Closes the connections without a request."""
         for connection in list(self.connections):
-            if (
-                not connection.open_requests
-                and not connection.reader.in_progress
-            ):
+            if not connection.has_request():
                 connection.close()
 
+    def has_requests(self) -> bool:
+        """Returns True if a request is open, or may be in a connection."""
+        return any(each.has_request() for each in self.connections)
+
+    def _accept_pending(self) -> None:
+        """Accepts the connections that wait in the listening socket."""
+        while True:
+            try:
+                # `fd` is the non-blocking socket inside the eventlet socket.
+                accepted, _ = self.listener.fd.accept()
+            except OSError:
+                # No connection waits any more.
+                return
+            self._start(greenio.GreenSocket(accepted))
+
+    def _start(self, accepted: Any) -> None:
+        """Starts the task of an accepted connection."""
+        connection = _Connection(self, accepted)
+        self.connections.add(connection)
+        eventlet.spawn(connection.serve)
+
     def _accept(self) -> None:
         """Accepts connections and starts a task for each."""
         while True:
@@ -180,7 +207,7 @@
                 )
                 eventlet.sleep(RETRY_PAUSE_SECONDS)
                 continue
-            eventlet.spawn(_Connection(self, accepted).serve)
+            self._start(accepted)
 
 
 class _Connection:
@@ -196,6 +223,7 @@
         closed: True once the connection has been shut down or closed.
         closing: True once the last answer was queued or sent; further input
             is discarded.
+        accepted_at: Monotonic time, in seconds, at which it was accepted.
     """
 
     def __init__(self, server: Server, accepted: Any) -> None:
@@ -212,10 +240,31 @@
         self.writer_task: Any = None
         self.closed = False
         self.closing = False
+        self.accepted_at = server.callbacks.now()
+
+    def has_request(self) -> bool:
+        """Returns True if a request is open or partly received.
+
+        Also if one may be on its way, since the connection is new.
+        """
+        age = self.server.callbacks.now() - self.accepted_at
+        return bool(
+            self.open_requests
+            or self.reader.in_progress
+            or (not self.closing and self._has_unread_bytes())
+            or (not self.closing and age < FIRST_REQUEST_SECONDS)
+        )
+
+    def _has_unread_bytes(self) -> bool:
+        """Returns True if bytes have arrived that were not read yet."""
+        try:
+            return bool(self.socket.fd.recv(1, socket.MSG_PEEK))
+        except OSError:
+            # Nothing has arrived, or the connection is broken.
+            return False
 
     def serve(self) -> None:
         """Reads requests until the caller or the server ends the connection."""
-        self.server.connections.add(self)
         try:
             self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self._read_requests()
--- a/gooseberryweir/front.py
+++ b/gooseberryweir/front.py
@@ -336,7 +336,7 @@
         if host.shutdown.refusing():
             host.front.stop_accepting()
             host.front.close_idle()
-            if host.open_requests == 0:
+            if host.open_requests == 0 and not host.front.has_requests():
                 break
         host.clock.sleep(SHUTDOWN_POLL_SECONDS)
     logs.event(
