--- a/bench/placement.py
+++ b/bench/placement.py
@@ -32,6 +32,10 @@
 PROCESSING_JITTER_FRACTION = 0.15
 # Availability zones of each region.
 ZONES = 2
+# In the policy with longer queues while objects are cold: ratio of mean to warm
+# processing time from which on they count as cold, and the longest wait.
+COLD_ALLOWANCE_TIME_RATIO = 1.8
+COLD_ALLOWANCE_PROCESSING_TIMES = 2.5
 LOCAL_ONE_WAY_SECONDS = 0.001
 ARRIVAL_DURATION_SECONDS = 30.0
 
@@ -514,16 +518,34 @@
 ) -> placement.Choice | None:
     """Chooses by affinity and region; refuses if the wait would be too long."""
     choice = place_by_region_affinity(simulation, host, name)
+    return None if choice.wait > _max_wait(simulation, host, choice) else choice
+
+
+def place_with_cold_allowance(
+    simulation: Simulation, host: Host, name: str
+) -> placement.Choice | None:
+    """The same, but requests may wait longer while most objects are cold."""
+    choice = place_by_region_affinity(simulation, host, name)
+    times = host.processing_times.estimate(simulation.route, "s")
+    max_wait = _max_wait(simulation, host, choice)
+    if times.mean > COLD_ALLOWANCE_TIME_RATIO * times.warm:
+        max_wait = max(max_wait, COLD_ALLOWANCE_PROCESSING_TIMES * times.mean)
+    return None if choice.wait > max_wait else choice
+
+
+def _max_wait(
+    simulation: Simulation, host: Host, choice: placement.Choice
+) -> float:
+    """Returns the longest accepted wait at a chosen upstream, in seconds."""
     times = host.processing_times.estimate(simulation.route, "s")
     local = choice.upstream.zone == host.region
-    max_wait = overload.max_queue_wait(
+    return overload.max_queue_wait(
         simulation.site.objective,
         2 * LOCAL_ONE_WAY_SECONDS if local else simulation.site.round_trip,
         times.warm,
         times.mean,
         simulation.route.importance,
     )
-    return None if choice.wait > max_wait else choice
 
 
 def _choice(candidate: placement.Candidate) -> placement.Choice:
@@ -541,6 +563,7 @@
     "affinity over all regions": place_by_affinity,
     "affinity by region": place_by_region_affinity,
     "affinity by region, early refusal": place_with_refusal,
+    "the same, longer queues while cold": place_with_cold_allowance,
 }
 
 
--- a/gooseberryweir/commands/losses.py
+++ b/gooseberryweir/commands/losses.py
@@ -71,7 +71,7 @@
     seconds = float(pairs["seconds"])
     attempt_seconds = float(pairs["attempt_seconds"])
     round_trip = float(pairs["round_trip"])
-    abroad = pairs["abroad"] == "True"
+    remote = pairs["remote"] == "True"
     if int(pairs["attempt"]) > 1:
         return "late: further attempt"
     if seconds - attempt_seconds > HELD_OBJECTIVE_FRACTION * objective:
@@ -79,8 +79,8 @@
     if int(pairs["waiting"]) > 0:
         return "late: queue at the upstream"
     if pairs["warm"] == "False":
-        return f"late: cold object {'abroad' if abroad else 'at home'}"
-    if abroad and seconds - round_trip <= objective:
+        return f"late: cold object in {'another' if remote else 'this'} region"
+    if remote and seconds - round_trip <= objective:
         return "late: round trip"
     return "late: slow upstream"
 
@@ -119,12 +119,14 @@
         zones: Availability zone of each host, by its name.
         started_at: Time of the first line.
         omitted: Number of lines that the logs omitted.
+        malformed: Number of lines that can't be read.
     """
 
     def __init__(self) -> None:
         self.zones: dict[str, str] = {}
         self.started_at: datetime.datetime | None = None
         self.omitted = 0
+        self.malformed = 0
 
     def read(self, lines: Iterable[str]) -> Iterator[Outcome]:
         """Yields the outcome of each request that the lines tell of."""
@@ -134,19 +136,30 @@
                 continue
             at = datetime.datetime.strptime(time[0], "%Y-%m-%d %H:%M:%S,%f")
             self.started_at = self.started_at or at
-            pairs = parse_line(line)
-            host = pairs.get("host", "")
-            if pairs.get("event") == "host-started":
-                self.zones[host] = pairs.get("zone", "")
-            self.omitted += int(pairs.get("omitted", 0))
-            outcome = _outcome(
-                pairs,
-                self.zones.get(host, host),
-                int((at - self.started_at).total_seconds()),
-            )
+            second = int((at - self.started_at).total_seconds())
+            try:
+                outcome = self._read_line(line, second)
+            except (KeyError, ValueError):
+                # The end of the line may be missing.
+                self.malformed += 1
+                continue
             if outcome is not None:
                 yield outcome
 
+    def _read_line(self, line: str, second: int) -> Outcome | None:
+        """Returns the outcome that a line tells, or None if it tells none.
+
+        Raises:
+            KeyError: The line lacks a pair.
+            ValueError: A value can't be read.
+        """
+        pairs = parse_line(line)
+        host = pairs.get("host", "")
+        if pairs.get("event") == "host-started":
+            self.zones[host] = pairs.get("zone", "")
+        self.omitted += int(pairs.get("omitted", 0))
+        return _outcome(pairs, self.zones.get(host, host), second)
+
 
 def parse_worth(text: str) -> tuple[str, float]:
     """Returns route and worth of an option `ROUTE=NUMBER`.
@@ -203,7 +216,9 @@
             *key, str(counts[key]), f"{loss:.1f}", _fraction(loss, total)
         )
     _print_table(table, print_line)
-    print_line(f"log lines omitted: {reader.omitted}")
+    print_line(
+        f"log lines omitted: {reader.omitted}, malformed: {reader.malformed}"
+    )
     for reason, loss in _largest_first(by_reason)[:RANKED_REASONS]:
         print_line(f"without {reason!r}: {_fraction(loss, total)} more credit")
 
--- a/gooseberryweir/request/steering/round_trips.py
+++ b/gooseberryweir/request/steering/round_trips.py
@@ -35,7 +35,7 @@
         else:
             self.seconds[zone] = known + RISE_WEIGHT * (seconds - known)
 
-    def is_abroad(self, zone: str) -> bool:
+    def is_remote(self, zone: str) -> bool:
         """Returns True if a zone is in another region than this host."""
         return self.region_by_zone.get(zone) != self.region_by_zone.get(
             self.zone
@@ -50,6 +50,6 @@
             return 0.0
         return (
             INITIAL_REGION_SECONDS
-            if self.is_abroad(zone)
+            if self.is_remote(zone)
             else INITIAL_ZONE_SECONDS
         )
--- a/gooseberryweir/request/steering/sending.py
+++ b/gooseberryweir/request/steering/sending.py
@@ -300,7 +300,7 @@
             round_trip=dependencies.selection.round_trips.estimate(
                 choice.upstream.zone
             ),
-            abroad=dependencies.selection.round_trips.is_abroad(
+            remote=dependencies.selection.round_trips.is_remote(
                 choice.upstream.zone
             ),
             waiting=answer_headers.load.waiting if answer_headers.load else 0,
--- a/test/test_losses.py
+++ b/test/test_losses.py
@@ -10,7 +10,7 @@
     "2026-01-01 00:00:03,500 level=INFO host=h1 event=request-served"
     " request=x route=r upstream=u status=200 attempt={attempt}"
     " seconds={seconds} objective=0.4 attempt_seconds={attempt_seconds}"
-    " round_trip={round_trip} abroad={abroad} waiting={waiting} warm={warm}"
+    " round_trip={round_trip} remote={remote} waiting={waiting} warm={warm}"
 )
 REFUSED = (
     "2026-01-01 00:00:04,000 level=INFO host=h1 event=request-refused"
@@ -23,7 +23,7 @@
         "attempt": 1,
         "attempt_seconds": seconds,
         "round_trip": 0,
-        "abroad": changes.get("round_trip", 0) > 0,
+        "remote": changes.get("round_trip", 0) > 0,
         "waiting": 0,
         "warm": True,
     }
@@ -43,10 +43,10 @@
             (served(0.5, attempt=2), "late: further attempt"),
             (served(0.5, attempt_seconds=0.2), "late: held at the host"),
             (served(0.5, waiting=3), "late: queue at the upstream"),
-            (served(0.5, warm=False), "late: cold object at home"),
+            (served(0.5, warm=False), "late: cold object in this region"),
             (
                 served(0.5, warm=False, round_trip=0.1),
-                "late: cold object abroad",
+                "late: cold object in another region",
             ),
             (served(0.45, round_trip=0.1), "late: round trip"),
             (served(0.6, round_trip=0.1), "late: slow upstream"),
@@ -79,6 +79,19 @@
             printed,
         )
 
+    def test_malformed_line_is_counted_and_the_others_are_read(self):
+        printed = []
+        cut_off = served(0.5)[:-12]
+        quoted = REFUSED.format(code=302, ran="no", detail='"cut')
+        losses.show_losses(
+            [START, cut_off, quoted, served(0.3)],
+            ["reason"],
+            {},
+            printed.append,
+        )
+        self.assertIn("log lines omitted: 0, malformed: 2", printed)
+        self.assertTrue(any(losses.SERVED_IN_TIME in each for each in printed))
+
     def test_unknown_group_and_malformed_worth_are_refused(self):
         with self.assertRaises(codes.UserError):
             losses.show_losses([], ["host"], {}, print)
