A test of pauses at 82 hosts

Cause: the bound on requests inside a named time had been shown with nine hosts only.

Change: 82 hosts with a manual clock, ten upstreams that turn every request away with three seconds, some hosts suspended inside that time. A comment in serving is clearer.

Conclusion: the bound holds by host, so it does not depend on their number.

--- a/gooseberryweir/request/steering/serving.py
+++ b/gooseberryweir/request/steering/serving.py
@@ -36,8 +36,8 @@
 SHED_RETRY_SECONDS = 0.3
 # Retry-After if no upstream can take the request.
 UNAVAILABLE_RETRY_SECONDS = 0.5
-# If upstreams have asked for a pause, callers retry in a time of this length
-# after the first pause ends, so that they do not return all at once. It is
+# While all upstreams ask for a pause, callers are told to retry within this
+# time after the first pause ends, so that they do not return all at once. It is
 # multiplied by 1 + importance, so that the most important work returns first.
 PAUSE_RETRY_SPREAD_SECONDS = 0.2
 # An answer that was ready for longer than this before all of it was sent is
--- a/test/test_selection.py
+++ b/test/test_selection.py
@@ -52,8 +52,8 @@
     Upstreams n0 to n3 are in the north, s0 to s5 in the south.
     """
 
-    def __init__(self, **changes):
-        self.clock = clocks.ManualClock()
+    def __init__(self, manual_clock=None, **changes):
+        self.clock = manual_clock or clocks.ManualClock()
         clock = self.clock.interface()
         self.store_cache = store_cache_module.StoreCache(None, clock)
         self.store_cache.configuration = traffic.Configuration(
--- a/test/test_upstream_notices.py
+++ b/test/test_upstream_notices.py
@@ -143,5 +143,52 @@
                 self.assertNotIn(choice.upstream.incarnation, paused)
 
 
+class FleetTest(unittest.TestCase):
+    """82 hosts whose upstreams turn requests away, with a manual clock.
+
+    Some hosts are suspended inside the named time.
+    """
+
+    HOSTS = 82
+    PAUSE_SECONDS = 3.0
+    STEP_SECONDS = 0.05
+    # A host sends a request in this many steps.
+    STEPS_PER_REQUEST = 4
+
+    def test_no_upstream_gets_more_than_the_allowed_requests_of_a_host(self):
+        clock = clocks.ManualClock()
+        hosts = [test_selection.SelectingHost(clock) for _ in range(self.HOSTS)]
+        arrivals = {}
+        answers = []
+        for step in range(200):
+            clock.advance(self.STEP_SECONDS)
+            for at, host, upstream in [a for a in answers if a[0] <= clock.now]:
+                answers.remove((at, host, upstream))
+                hosts[host].notices.record_pause(upstream, self.PAUSE_SECONDS)
+            for index, host in enumerate(hosts):
+                is_suspended = index % 5 == 0 and 20 <= step < 50
+                is_due = (step + index) % self.STEPS_PER_REQUEST == 0
+                choice = None
+                if is_due and not is_suspended:
+                    choice = host.choose(f"o{step % 7}")
+                if choice is not None:
+                    upstream = choice.upstream.incarnation
+                    arrivals.setdefault((index, upstream), []).append(clock.now)
+                    answers.append(
+                        (clock.now + ANSWER_SECONDS, index, upstream)
+                    )
+        self.assertGreater(len(arrivals), self.HOSTS)
+        for times in arrivals.values():
+            for turned_away_at in times:
+                late = [
+                    each
+                    for each in times
+                    if turned_away_at + REACTION_SECONDS
+                    < each
+                    < turned_away_at + self.PAUSE_SECONDS
+                ]
+                self.assertLessEqual(len(late), ALLOWED_REQUESTS)
+
+
 if __name__ == "__main__":
     unittest.main()
