Tests of signals at a host that restarts and at one that is cut off

Cause: a host that starts inside a named time, and one that gets its answers through another host, were argued about and not shown.

Ruled out: that the first draft of the second test showed a fault. There the other hosts had learned of the leaving upstream from their own callers, so the cut host never passed on such an answer and is not bound; in the test only it has callers now.

Change: both tests, with real processes.

--- a/test/test_upstream_signals.py
+++ b/test/test_upstream_signals.py
@@ -30,7 +30,7 @@
 
 
 class Load:
-    """Callers that send requests to all hosts; a context manager.
+    """Callers that send requests to hosts in turn; a context manager.
 
     Attributes:
         leaving_at: Time of the first answer that says that the upstream leaves,
@@ -38,8 +38,8 @@
         answers: Time, status and Retry-After of each answer.
     """
 
-    def __init__(self, system):
-        self.system = system
+    def __init__(self, hosts):
+        self.hosts = hosts
         self.leaving_at = {}
         self.answers = []
         self.ended = threading.Event()
@@ -63,7 +63,7 @@
         for count in itertools.count():
             if self.ended.wait(CALLERS / REQUESTS_PER_SECOND):
                 return
-            host = self.system.hosts[(number + count) % HOSTS]
+            host = self.hosts[(number + count) % len(self.hosts)]
             with contextlib.suppress(OSError, AssertionError):
                 # A host of the test may just be restarting.
                 self.call(host, f"{host.name}.{number}.{count}", rng)
@@ -94,32 +94,41 @@
     return request_id.partition(".")[0]
 
 
+def late_runs(load, upstream, seconds):
+    """Returns requests sent some time after their host had been told."""
+    return [
+        run
+        for run in list(upstream.runs)
+        if run.at
+        > load.leaving_at.get(
+            (host_name(run.request_id), upstream.name), float("inf")
+        )
+        + seconds
+    ]
+
+
 class UpstreamSignalsTest(unittest.TestCase):
     """Nine hosts and six upstreams, of which some leave or name a time."""
 
     def setUp(self):
         stack = self.enterContext(contextlib.ExitStack())
         self.system = _front.System(stack, hosts=HOSTS, upstreams=UPSTREAMS)
-        self.load = stack.enter_context(Load(self.system))
+        self.load = stack.enter_context(Load(self.system.hosts))
         time.sleep(1.0)
 
-    def late_runs(self, upstream, seconds):
-        """Returns requests sent some time after their host had been told."""
-        return [
-            run
-            for run in list(upstream.runs)
-            if run.at
-            > self.load.leaving_at.get(
-                (host_name(run.request_id), upstream.name), float("inf")
-            )
-            + seconds
-        ]
+    def turned_away_in_a_pause(self, upstream, restarted=None, since=0.0):
+        """Returns the most requests of one host inside one named time.
 
-    def turned_away_in_a_pause(self, upstream):
-        """Returns the most requests of one host inside one named time."""
+        Args:
+            upstream: The upstream that names the time.
+            restarted: Name of a host that knows nothing of earlier times.
+            since: Monotonic time, in seconds, of its restart.
+        """
         by_host = collections.defaultdict(list)
         for request_id, at in list(upstream.turned_away):
-            by_host[host_name(request_id)].append(at)
+            name = host_name(request_id)
+            if name != restarted or at >= since:
+                by_host[name].append(at)
         return max(
             sum(
                 1
@@ -138,7 +147,7 @@
         told = {host for host, _ in self.load.leaving_at}
         self.assertGreaterEqual(len(told), HOSTS // 2)
         # One answer may be on its way while the next request is sent.
-        self.assertEqual(self.late_runs(leaving, REACTION_SECONDS), [])
+        self.assertEqual(late_runs(self.load, leaving, REACTION_SECONDS), [])
         self.assertTrue(all(each.runs for each in others))
         # A host that restarts learns it again from the first answer.
         host = self.system.hosts[0]
@@ -148,7 +157,7 @@
         host.start()
         _common.wait_until(host.ready, description="the host is ready again")
         time.sleep(_front.DRAIN_SECONDS)
-        self.assertEqual(self.late_runs(leaving, REACTION_SECONDS), [])
+        self.assertEqual(late_runs(self.load, leaving, REACTION_SECONDS), [])
 
     def test_upstream_gets_nothing_from_a_host_for_the_time_it_names(self):
         busy, *_ = self.system.upstreams
@@ -164,6 +173,22 @@
         hosts = {host_name(request_id) for request_id, _ in busy.turned_away}
         self.assertGreater(len(busy.turned_away), len(hosts))
 
+    def test_host_that_restarts_inside_the_time_learns_it_anew(self):
+        busy, *_ = self.system.upstreams
+        busy.pause_seconds = PAUSE_SECONDS
+        time.sleep(1.0)
+        host = self.system.hosts[0]
+        host.process.send_signal(signal.SIGKILL)
+        host.process.wait()
+        restarted_at = time.monotonic()
+        host.start()
+        _common.wait_until(host.ready, description="the host is ready again")
+        time.sleep(PAUSE_SECONDS)
+        self.assertLessEqual(
+            self.turned_away_in_a_pause(busy, host.name, restarted_at),
+            ALLOWED_REQUESTS,
+        )
+
     def test_callers_learn_when_the_first_of_all_paused_upstreams_is_back(self):
         for upstream in self.system.upstreams:
             upstream.pause_seconds = PAUSE_SECONDS
@@ -181,5 +206,36 @@
         self.assertGreater(len(set(times)), len(times) // 10)
 
 
+class CutHostTest(unittest.TestCase):
+    """A host that reaches no upstream gets its answers through other hosts."""
+
+    def test_host_that_forwarded_a_request_learns_that_the_upstream_leaves(
+        self,
+    ):
+        stack = self.enterContext(contextlib.ExitStack())
+        system = _front.System(stack, hosts=3, upstreams=4, proxied=True)
+        # The other hosts get forwarded requests only, so the first answer that
+        # says so goes to the cut host.
+        load = stack.enter_context(Load(system.hosts[:1]))
+        cut, leaving = system.hosts[0], system.upstreams[0]
+        system.set_faults([cut], cut=True)
+        _common.wait_until(
+            lambda: cut.log_lines("event=upstreams-unreachable"),
+            description="the host knows that it is cut off",
+        )
+        leaving.answer_headers = [("Server-Leaving", "1")]
+        _common.wait_until(
+            lambda: cut.log_lines("event=upstream-leaving"),
+            description="another host told it that the upstream leaves",
+        )
+        system.set_faults([cut])
+        _common.wait_until(
+            lambda: cut.log_lines("event=upstreams-reachable"),
+            description="the host reaches upstreams again",
+        )
+        time.sleep(_front.DRAIN_SECONDS)
+        self.assertEqual(late_runs(load, leaving, REACTION_SECONDS), [])
+
+
 if __name__ == "__main__":
     unittest.main()
