--- a/gooseberryweir/request/steering/admission.py
+++ b/gooseberryweir/request/steering/admission.py
@@ -5,7 +5,6 @@
 from gooseberryweir import codes
 from gooseberryweir.process.fleet import store_cache as store_cache_module
 from gooseberryweir.request.steering import account_tokens
-from gooseberryweir.request.steering import limits
 from gooseberryweir.version import traffic
 
 # Subtracted from the time for which a withdrawn key may still be accepted, to
@@ -15,6 +14,8 @@
 # accept keys. It is half of `directory.TTL_SECONDS`, the longest time for which
 # callers use a look-up response (the list of hosts).
 STALE_RETRY_SECONDS = 1.0
+# Longest Retry-After sent to a client account over its rate.
+MAX_RATE_RETRY_SECONDS = 2.0
 
 
 class AdmissionResult(NamedTuple):
@@ -108,7 +109,7 @@
             return codes.refuse(
                 codes.Code.RATE_EXCEEDED,
                 self.tokens.describe(account),
-                retry_after=min(limits.MAX_RATE_RETRY_SECONDS, wait_seconds),
+                retry_after=min(MAX_RATE_RETRY_SECONDS, wait_seconds),
             )
         # A relay may have taken some time to answer.
         if self._is_stale():
--- a/gooseberryweir/request/steering/limits.py
+++ b/gooseberryweir/request/steering/limits.py
@@ -30,8 +30,6 @@
 MIN_HOST_RATE = 4.0
 # Wait that is reported if no host takes tokens from this one.
 UNKNOWN_SHARE_RETRY_SECONDS = 0.5
-# Longest Retry-After sent to a client account over its rate.
-MAX_RATE_RETRY_SECONDS = 2.0
 # Fraction of the allowed overage and margin (see `RateTolerance`) that buckets
 # use; the rest covers the time in which shares move between hosts.
 USED_RATE_TOLERANCE_FRACTION = 0.5
@@ -141,8 +139,6 @@
 
     Attributes:
         buckets: Tokens and time of their last update, by client account.
-        expected_at: Monotonic time, in seconds, of the last token that a
-            refused request was told to expect, by client account.
     """
 
     def __init__(
@@ -169,7 +165,6 @@
         self.first_start = first_start
         self.now = now
         self.buckets: dict[str, tuple[float, float]] = {}
-        self.expected_at: dict[str, float] = {}
 
     def share(self, account: str, rate: float) -> float:
         """Returns the share of an account's rate, from 0 to 1."""
@@ -185,9 +180,7 @@
 
         Returns:
             0 if a token was taken or there is no limit, else the seconds until
-            a token is available that no other refused request was told to
-            expect, at most `MAX_RATE_RETRY_SECONDS`. So callers far over the
-            rate do not all return for the same token.
+            a token is available.
         """
         if rate <= 0:
             return 0.0
@@ -213,13 +206,7 @@
         tokens = min(capacity, tokens + (now - updated_at) * rate * share)
         if tokens < 1.0:
             self.buckets[account] = (tokens, now)
-            expected_at = max(
-                now + (1.0 - tokens) / (rate * share),
-                self.expected_at.get(account, now) + 1.0 / (rate * share),
-            )
-            expected_at = min(expected_at, now + MAX_RATE_RETRY_SECONDS)
-            self.expected_at[account] = expected_at
-            return expected_at - now
+            return (1.0 - tokens) / (rate * share)
         self.buckets[account] = (tokens - 1.0, now)
         return 0.0
 
--- a/test/test_load_patterns.py
+++ b/test/test_load_patterns.py
@@ -8,9 +8,6 @@
 import unittest
 
 from bench import placement
-from gooseberryweir import clock as clocks
-from gooseberryweir.process.fleet import fleet_demand
-from gooseberryweir.request.steering import limits
 from gooseberryweir.request.steering import reachability
 from test import test_forwarding
 from test import virtual_time
@@ -99,40 +96,5 @@
             self.assertGreater(self.credit(seed), MIN_CREDIT)
 
 
-class HotAccountTest(unittest.TestCase):
-    """Pattern: one client account sends several times its rate."""
-
-    def refused_waits(self, requests, seconds):
-        """Returns the waits of refused requests, in the order of refusal."""
-        clock = clocks.ManualClock()
-        account_limits = limits.AccountLimits(
-            lambda _account: (
-                fleet_demand.Demand(100.0, 1),
-                fleet_demand.Demand(0.0, 0),
-            ),
-            clock.interface().monotonic,
-            limits.RateTolerance(0.0, 0.0, lambda: 1),
-        )
-        waits = []
-        for _ in range(requests):
-            waits.append(account_limits.take_token("a", 100.0, 10.0))
-            clock.advance(seconds / requests)
-        return [each for each in waits if each > 0]
-
-    def test_refused_callers_are_told_different_times(self):
-        waits = self.refused_waits(requests=60, seconds=0.1)
-        # A second holds 100 tokens, so as many callers may return in it.
-        returns = sorted(waits)
-        self.assertGreater(returns[-1] - returns[0], len(returns) / 100 - 0.15)
-
-    def test_wait_is_bounded_while_the_account_stays_over_its_rate(self):
-        waits = self.refused_waits(requests=4000, seconds=4.0)
-        self.assertLessEqual(max(waits), limits.MAX_RATE_RETRY_SECONDS)
-
-    def test_account_just_over_its_rate_waits_for_the_next_token(self):
-        waits = self.refused_waits(requests=525, seconds=5.0)
-        self.assertLess(sum(waits) / len(waits), 0.3)
-
-
 if __name__ == "__main__":
     unittest.main()
