--- a/review/1/case.py
+++ b/review/1/case.py
@@ -7,6 +7,9 @@
 from review import harness
 
 REVOKED_KEY = "key-b"
+# Time for which each of the added backends is cold. Their entries change until
+# they are warm.
+COLD_SECONDS = 3.0
 # Age of the copy from which the store returns, and length of its absence.
 COPY_SECONDS = 6.0
 AWAY_SECONDS = 1.0
@@ -33,7 +36,13 @@
 async def case(deployment: harness.Deployment) -> str:
     """Revokes a key and sends requests with it for some time."""
     store, record = deployment.store, deployment.record
-    await asyncio.sleep(COPY_SECONDS - AWAY_SECONDS - 0.5)
+    for number, zone in enumerate([*harness.ZONES, "centro-a"]):
+        backend = harness.Backend(record, store, f"i-new-{number}", zone)
+        backend.cold_until = time.monotonic() + COLD_SECONDS
+        await backend.start()
+        deployment.backends.append(backend)
+    record.add("scaled-out", store.revision)
+    await asyncio.sleep(COPY_SECONDS - AWAY_SECONDS - 1.0)
     both = ["key-a", REVOKED_KEY]
     changed = harness.configuration(2, both)
     changed["routes"]["read"]["timeout"] = "1900ms"
@@ -81,4 +90,4 @@
 
 
 if __name__ == "__main__":
-    harness.main(case, pathlib.Path(__file__).parent, backends=8)
+    harness.main(case, pathlib.Path(__file__).parent, backends=4)
