Order what is read from the store by its era and revision

New configurations and new upstreams were ignored.

Ruled out: a late heartbeat of a peer (all hosts polled or heard the poller) and the decoding of the configuration (the answer had it; `accept` dropped it).

Change: a version is the pair of era and revision, decoded once in the adapter. What is of an earlier era changes and confirms nothing. Configurations are ordered by the operators' numbers first, so the copy's earlier one does not replace the one in force. Upstreams that had left and evacuations from before the return are remembered; lost host entries are written again, spread over 2 s. Heartbeats say the era in a key that earlier builds ignore.

`serve` does not read the era and is not mended; it does not run on the platform.

--- a/gooseberryweir/front.py
+++ b/gooseberryweir/front.py
@@ -139,6 +139,7 @@
             store_snapshots.host_registrar(store, mesh.view.entry),
             store_cache,
             clock,
+            rng,
         )
         reader.mesh = mesh
         stack.enter_context(mesh)
--- a/gooseberryweir/platform/store.py
+++ b/gooseberryweir/platform/store.py
@@ -5,6 +5,7 @@
 execute a call seconds after it timed out.
 """
 
+import re
 from typing import Any
 from typing import NamedTuple
 from urllib import parse
@@ -13,6 +14,7 @@
 import urllib3
 
 from gooseberryweir import clock as clocks
+from gooseberryweir.version import store_version
 
 # Timeout of one call: four times the latency of the store when it is slow.
 CALL_TIMEOUT_SECONDS = 1.5
@@ -26,6 +28,9 @@
 # have fewer.
 MAX_PAGES = 50
 _OBJECTS_PATH = "/-/objects/"
+# Number of returns of the store from an older copy, in all its answers.
+_ERA_HEADER = "Store-Era"
+_ERA = re.compile(r"[0-9]{1,15}")
 _JSON_HEADERS = {"Content-Type": "application/json"}
 
 
@@ -51,11 +56,18 @@
         revision: Revision of the store up to which the list has all changes.
         requested_at: Monotonic time, in seconds, at which the first call was
             sent.
+        era: Era of the store.
     """
 
     items: list[msgspec.Raw]
     revision: int
     requested_at: float
+    era: int = store_version.NO_ERA
+
+    @property
+    def version(self) -> store_version.StoreVersion:
+        """Version of the store up to which the list has all changes."""
+        return store_version.StoreVersion(self.era, self.revision)
 
     def objects(self) -> tuple[StoredObject, ...]:
         """Decodes the objects.
@@ -141,6 +153,13 @@
         return self.status == 0 or self.status >= 500
 
 
+class _Answer(NamedTuple):
+    """Answer of the store to one call."""
+
+    body: bytes
+    era: int
+
+
 class Store:
     """Client of the store; a context manager that owns its connections.
 
@@ -193,15 +212,22 @@
         items: list[msgspec.Raw] = []
         after = ""
         revision: int | None = None
+        era: int | None = None
         for _ in range(MAX_PAGES):
             query = f"?after={parse.quote(after)}" if after else ""
-            page = _decode(self._call("GET", kind + query), _Page)
+            answer = self._call("GET", kind + query)
+            if era not in (None, answer.era):
+                raise StoreError(
+                    0, f"the store returned from a copy in a list of {kind}"
+                )
+            era = answer.era
+            page = _decode(answer.body, _Page)
             items += page.items
             # Later pages may include later changes, so the revision of the
             # first page is the one that the whole list has reached.
             revision = page.current_rev if revision is None else revision
             if not page.has_more or not page.items:
-                return Listing(items, revision, requested_at)
+                return Listing(items, revision, requested_at, era)
             after = _decode_object(page.items[-1]).name
         raise StoreError(0, f"the list of {kind} has too many pages")
 
@@ -212,7 +238,8 @@
             StoreError: The call failed.
         """
         try:
-            return _decode_object(self._call("GET", _object_path(kind, name)))
+            answer = self._call("GET", _object_path(kind, name))
+            return _decode_object(answer.body)
         except StoreError as error:
             if error.status == 404:
                 return None
@@ -234,10 +261,10 @@
         """
         wait = min(timeout_seconds, MAX_WATCH_SECONDS)
         query = f"?watch={revision}&waitMs={int(wait * 1000)}"
-        body = self._call(
+        answer = self._call(
             "GET", kind + query, timeout_seconds=wait + WATCH_MARGIN_SECONDS
         )
-        batch = _decode(body, _Events)
+        batch = _decode(answer.body, _Events)
         return Changes(
             tuple(
                 Change(each.deleted, _to_stored_object(each.object))
@@ -249,7 +276,7 @@
     def create(self, kind: str, name: str, spec: Any) -> StoredObject:
         """Creates an object; fails with status 409 if it exists."""
         document = _document(name, spec)
-        return _decode_object(self._call("POST", kind, document))
+        return _decode_object(self._call("POST", kind, document).body)
 
     def replace(
         self, kind: str, name: str, version: int, spec: Any
@@ -257,7 +284,7 @@
         """Replaces an object; fails with status 409 if its version differs."""
         document = _document(name, spec, revision=version)
         return _decode_object(
-            self._call("PUT", _object_path(kind, name), document)
+            self._call("PUT", _object_path(kind, name), document).body
         )
 
     def put(self, kind: str, name: str, spec: Any) -> None:
@@ -279,8 +306,8 @@
         target: str,
         document: Any = None,
         timeout_seconds: float | None = None,
-    ) -> bytes:
-        """Makes one call and returns the body of the response."""
+    ) -> _Answer:
+        """Makes one call and returns the answer."""
         self.calls += 1
         try:
             response = self.pool.request(
@@ -307,7 +334,9 @@
             raise StoreError(
                 response.status, f"the store answered {response.status}"
             )
-        return response.data
+        return _Answer(
+            response.data, _parse_era(response.headers.get(_ERA_HEADER))
+        )
 
 
 def _document(name: str, spec: Any, **condition: int) -> dict[str, Any]:
@@ -323,6 +352,19 @@
     return {"metadata": metadata, "spec": spec}
 
 
+def _parse_era(text: str | None) -> int:
+    """Returns the era of an answer; `NO_ERA` if it does not tell it.
+
+    Raises:
+        StoreError: The era can't be read, so the answer can't be ordered.
+    """
+    if text is None:
+        return store_version.NO_ERA
+    if not _ERA.fullmatch(text):
+        raise StoreError(0, f"the store's answer has a malformed {_ERA_HEADER}")
+    return int(text)
+
+
 def _object_path(kind: str, name: str) -> str:
     return f"{kind}/{parse.quote(name, safe='')}"
 
--- a/gooseberryweir/process/fleet/fleet_view.py
+++ b/gooseberryweir/process/fleet/fleet_view.py
@@ -46,10 +46,10 @@
             expects answers of the peer, or None.
         silent_until: Monotonic time, in seconds, until which the peer is not
             preferred as a relay, since it did not answer.
-        missing_since: Revision of each snapshot that the peer lacks, and the
+        missing_since: Order of each snapshot that the peer lacks, and the
             monotonic time in seconds since which it lacks that one, by kind.
-        sent_revisions: Revisions of the snapshots sent over the current
-            connection to the peer, by kind.
+        sent_ranks: Order of the snapshots sent over the current connection to
+            the peer, by kind.
     """
 
     def __init__(self, entry: traffic.HostEntry) -> None:
@@ -60,8 +60,10 @@
         self.digest_at = float("-inf")
         self.contacted_since: float | None = None
         self.silent_until = float("-inf")
-        self.missing_since: dict[str, tuple[int, float]] = {}
-        self.sent_revisions: dict[str, int] = {}
+        self.missing_since: dict[
+            str, tuple[store_cache_module.Rank, float]
+        ] = {}
+        self.sent_ranks: dict[str, store_cache_module.Rank] = {}
 
     @property
     def wants_digest(self) -> bool:
--- a/gooseberryweir/process/fleet/heartbeat.py
+++ b/gooseberryweir/process/fleet/heartbeat.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from gooseberryweir.process.fleet import store_cache as store_cache_module
+from gooseberryweir.version import store_version
 from gooseberryweir.version import traffic
 
 # Key in `Heartbeat.revisions` by which a host says that it understands
@@ -14,6 +15,26 @@
 # Key in `Heartbeat.revisions` by which a host says that it handles calls (see
 # `peer_calls`). Earlier builds ignore the key and close links that carry calls.
 CALL_SUPPORT_KEY = "calls"
+# Key in `Heartbeat.revisions` of the newest era of the store that a host knows;
+# all other revisions there are of this era. Hosts of earlier builds ignore the
+# key and send none.
+ERA_KEY = "era"
+# Key in `Heartbeat.revisions` of the version number that operators gave to the
+# configuration of a host.
+NUMBER_KEY = "number"
+
+
+class SentSnapshot(NamedTuple):
+    """A snapshot in a heartbeat.
+
+    Attributes:
+        revision: Revision of the store at which the objects were read, in the
+            era of the heartbeat.
+        content: The encoded objects.
+    """
+
+    revision: int
+    content: bytes
 
 
 class HostStatus(NamedTuple):
@@ -98,7 +119,8 @@
             seconds.
         confirmed_age: Seconds since the sender's configuration was confirmed to
             be the newest one.
-        revisions: Revision of each snapshot of the sender, by kind.
+        revisions: Revision of each snapshot of the sender that is of its newest
+            era of the store, by kind.
         demand: Requests per second of each client account at the sender; empty
             if the receiver does not count it.
         snapshots: Snapshots that the receiver lacks, by kind.
@@ -120,7 +142,7 @@
     confirmed_age: float
     revisions: dict[str, int]
     demand: dict[str, float]
-    snapshots: dict[str, store_cache_module.Snapshot]
+    snapshots: dict[str, SentSnapshot]
     crashes: dict[str, tuple[str, ...]]
     answered: tuple[str, ...]
     relaying: Relaying | None = None
@@ -135,6 +157,39 @@
         """True if the sender handles calls."""
         return CALL_SUPPORT_KEY in self.revisions
 
+    def era(self, own_era: int) -> int:
+        """Returns the newest era of the store that the sender knows.
+
+        A host of an earlier build does not know eras: what it says counts
+        unless the store has returned from an older copy.
+
+        Args:
+            own_era: Newest era that the receiver knows.
+        """
+        return self.revisions.get(
+            ERA_KEY, min(own_era, store_version.FIRST_ERA)
+        )
+
+    def rank(
+        self, kind: str, own: store_cache_module.StoreCache
+    ) -> store_cache_module.Rank:
+        """Returns the order of the sender's snapshot of a kind.
+
+        Args:
+            kind: The kind.
+            own: Cache of the receiver, whose configuration has the same number
+                as that of a host of an earlier build.
+        """
+        number = 0
+        if kind == store_cache_module.CONFIGURATION:
+            number = self.revisions.get(NUMBER_KEY, own.configuration_number)
+        return store_cache_module.Rank(
+            number,
+            store_version.StoreVersion(
+                self.era(own.era), self.revisions.get(kind, 0)
+            ),
+        )
+
     @property
     def all_answered(self) -> tuple[str, ...]:
         """The answered suspects of the sender and of its digest."""
--- a/gooseberryweir/process/fleet/mesh.py
+++ b/gooseberryweir/process/fleet/mesh.py
@@ -36,6 +36,7 @@
 from gooseberryweir.process.fleet import local_state
 from gooseberryweir.process.fleet import snapshot_delivery
 from gooseberryweir.process.fleet import store_cache as store_cache_module
+from gooseberryweir.version import store_version
 
 LOGGER = logging.getLogger(__name__)
 
@@ -319,7 +320,7 @@
         name = peer.entry.name
         connected_at = self.clock.monotonic()
         address = peer.entry.peer
-        peer.sent_revisions = {}
+        peer.sent_ranks = {}
         outbox = self.outboxes[name] = collections.deque()
         self.heartbeats_due.add(name)
         while peer.entry.peer == address:
@@ -371,8 +372,8 @@
         now = self.clock.monotonic()
         age = now - self.store_cache.confirmed_at
         revisions = {
-            kind: snapshot.revision
-            for kind, snapshot in self.store_cache.snapshots.items()
+            kind: self.store_cache.version(kind).revision
+            for kind in self.store_cache.current_kinds()
         }
         return heartbeat_module.Heartbeat(
             entry=self.view.entry,
@@ -387,6 +388,10 @@
                 **revisions,
                 heartbeat_module.DIGEST_SUPPORT_KEY: 1,
                 heartbeat_module.CALL_SUPPORT_KEY: 1,
+                heartbeat_module.ERA_KEY: self.store_cache.era,
+                heartbeat_module.NUMBER_KEY: (
+                    self.store_cache.configuration_number
+                ),
             },
             demand=self._demand_for(peer),
             snapshots=self._snapshots_to_send(peer),
@@ -431,7 +436,7 @@
 
     def _snapshots_to_send(
         self, peer: fleet_view.Peer
-    ) -> dict[str, store_cache_module.Snapshot]:
+    ) -> dict[str, heartbeat_module.SentSnapshot]:
         """Returns the snapshots that the next heartbeat to a peer carries.
 
         A peer that asked for digests gets new snapshots at once. So do, from
@@ -446,7 +451,7 @@
             )
         )
         return snapshot_delivery.take_due(
-            peer, self.store_cache.snapshots, at_once, self.clock.monotonic()
+            peer, self.store_cache, at_once, self.clock.monotonic()
         )
 
     # Receiving.
@@ -528,9 +533,14 @@
         self.view.record(peer, heartbeat)
         if heartbeat.entry.name not in self.senders:
             self._update_links()
+        era = heartbeat.era(self.store_cache.era)
+        self.store_cache.enter_era(era, heartbeat.entry.name)
         accepted = [
             self.store_cache.accept(
-                kind, snapshot.revision, snapshot.content, heartbeat.entry.name
+                kind,
+                store_version.StoreVersion(era, snapshot.revision),
+                snapshot.content,
+                heartbeat.entry.name,
             )
             for kind, snapshot in heartbeat.snapshots.items()
         ]
@@ -539,7 +549,9 @@
         # host, or is 0.
         if self.view.started_at <= heartbeat.echo <= peer.received_at:
             self.store_cache.confirm(
-                heartbeat.revisions.get(store_cache_module.CONFIGURATION, 0),
+                heartbeat.rank(
+                    store_cache_module.CONFIGURATION, self.store_cache
+                ),
                 heartbeat.echo - heartbeat.confirmed_age,
                 heartbeat.relaying.stable_seconds if heartbeat.relaying else 0,
             )
--- a/gooseberryweir/process/fleet/reader.py
+++ b/gooseberryweir/process/fleet/reader.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable
 import logging
+import random
 from typing import Any
 from typing import NamedTuple
 
@@ -20,6 +21,7 @@
 from gooseberryweir.process.fleet import mesh as mesh_module
 from gooseberryweir.process.fleet import relays
 from gooseberryweir.process.fleet import store_cache as store_cache_module
+from gooseberryweir.version import store_version
 
 LOGGER = logging.getLogger(__name__)
 
@@ -40,6 +42,8 @@
 # with each failure.
 MIN_BACKOFF_SECONDS = 0.25
 MAX_BACKOFF_SECONDS = 1.0
+# Hosts whose entries the store has lost write them again spread over this time.
+REGISTRATION_SPREAD_SECONDS = 2.0
 # Hosts whose latencies to the store fall into the same step are ranked by name.
 LATENCY_STEP_SECONDS = 0.01
 # Latency that is assumed for a host without a successful call to the store.
@@ -54,13 +58,13 @@
     """Result of reading one kind of objects from the store.
 
     Attributes:
-        snapshot: The objects with the revision at which they were read.
-        store_revision: Revision of the whole store at that time.
+        snapshot: The objects with the version at which they were read.
+        store_version: Version of the whole store at that time.
         requested_at: Monotonic time, in seconds, before the call was sent.
     """
 
     snapshot: store_cache_module.Snapshot
-    store_revision: int
+    store_version: store_version.StoreVersion
     requested_at: float
 
 
@@ -78,9 +82,12 @@
             before the first configuration.
         store_seconds: Latency of the last poll in seconds;
             `UNKNOWN_LATENCY_SECONDS` after a failed call.
-        latest_revision: Highest revision of the store seen in a poll; a poll
+        latest_version: Latest version of the store seen in a poll; a poll
             reads the configuration alone.
-        synced_revision: Revision up to which the other kinds have been read.
+        synced_version: Version up to which the other kinds have been read.
+        registered_era: Era of the store for which this host's entry was
+            written.
+        rng: Source of randomness for the time of writing the entry again.
         store_reachable: True if the last call to the store succeeded.
         sync_requested: Event that triggers a read of the other kinds.
         tasks: Tasks that poll the store and read the other kinds.
@@ -92,6 +99,7 @@
         register: Callable[[], None],
         store_cache: store_cache_module.StoreCache,
         clock: clocks.Clock,
+        rng: random.Random | None = None,
     ) -> None:
         self.read = read
         self.register = register
@@ -100,13 +108,16 @@
         self.mesh: mesh_module.Mesh | None = None
         self.polling = False
         self.store_seconds = UNKNOWN_LATENCY_SECONDS
-        self.latest_revision = 0
-        self.synced_revision = 0
+        self.latest_version = store_version.NONE
+        self.synced_version = store_version.NONE
+        self.registered_era = store_version.NO_ERA
+        self.rng = rng or random.Random()
         self.store_reachable = True
         self.sync_requested = event.Event()
         self.tasks: list[Any] = []
 
     def __enter__(self) -> "Reader":
+        self.store_cache.listeners.append(self._on_cache_change)
         self.tasks = [
             eventlet.spawn(self._run),
             eventlet.spawn(self._sync_forever),
@@ -123,6 +134,7 @@
         Polls until there is a configuration, then only if no other host
         does.
         """
+        self.registered_era = self.store_cache.era
         eventlet.spawn(self._register_until_done)
         backoff = MIN_BACKOFF_SECONDS
         while self.store_cache.configuration is None:
@@ -149,6 +161,21 @@
                 self.clock.sleep(backoff)
                 backoff = min(2 * backoff, MAX_BACKOFF_SECONDS)
 
+    def _on_cache_change(self, kind: str) -> None:
+        """Writes this host's entry again if the store returned without it."""
+        era = self.store_cache.era
+        if kind != store_cache_module.HOSTS or era <= self.registered_era:
+            return
+        self.registered_era = era
+        if self.mesh is None:
+            return
+        entry = self.mesh.view.entry
+        if self.store_cache.hosts.get(entry.name) == entry:
+            return
+        delay_seconds = self.rng.uniform(0.0, REGISTRATION_SPREAD_SECONDS)
+        logs.event(LOGGER, "registration-lost", era=era, retry_in=delay_seconds)
+        eventlet.spawn_after(delay_seconds, self._register_until_done)
+
     def _poll_forever(self) -> None:
         """Polls the store at each interval in which this host should poll."""
         backoff = 0.0
@@ -188,9 +215,16 @@
         result = self._read_snapshot(store_cache_module.CONFIGURATION)
         self.store_seconds = self.clock.monotonic() - started_at
         self._set_store_reachable(True)
-        self.store_cache.confirm(result.snapshot.revision, result.requested_at)
-        self.latest_revision = max(self.latest_revision, result.store_revision)
-        if self.latest_revision > self.synced_revision:
+        # The cached configuration is the newest one if its version is that of
+        # the answer: the store has it, or only an earlier one.
+        self.store_cache.confirm(
+            store_cache_module.Rank(
+                self.store_cache.configuration_number, result.snapshot.version
+            ),
+            result.requested_at,
+        )
+        self.latest_version = max(self.latest_version, result.store_version)
+        if self.latest_version > self.synced_version:
             self._request_sync()
         if self.mesh is not None:
             self.mesh.send_now()
@@ -204,7 +238,7 @@
         while True:
             self.sync_requested.wait()
             self.sync_requested = event.Event()
-            target_revision = self.latest_revision
+            target_version = self.latest_version
             try:
                 for kind in (
                     store_cache_module.UPSTREAMS,
@@ -216,7 +250,7 @@
                 self._set_store_reachable(False, error)
                 # The next poll requests the sync again.
                 continue
-            self.synced_revision = max(self.synced_revision, target_revision)
+            self.synced_version = max(self.synced_version, target_version)
             if self.mesh is not None:
                 self.mesh.send_now()
 
@@ -228,34 +262,36 @@
         """
         result = self.read(kind)
         snapshot = result.snapshot
-        if snapshot.revision == 0:
+        if snapshot.version.revision == 0:
             # The store has no configuration yet.
             return result
         old = self.store_cache.snapshots.get(kind)
         if (
             old is not None
             and old.content == snapshot.content
-            and not self._peer_is_newer(kind, old.revision)
+            and old.version.era == snapshot.version.era
+            and not self._peer_is_newer(kind)
         ):
-            # Unchanged content keeps its revision, so that peers need no new
+            # Unchanged content keeps its version, so that peers need no new
             # snapshot.
             return result._replace(snapshot=old)
         self.store_cache.accept(
-            kind, snapshot.revision, snapshot.content, "store"
+            kind, snapshot.version, snapshot.content, "store"
         )
         return result
 
-    def _peer_is_newer(self, kind: str, revision: int) -> bool:
-        """Returns True if a live peer reports a newer revision of a kind.
+    def _peer_is_newer(self, kind: str) -> bool:
+        """Returns True if a live peer reports a newer snapshot of a kind.
 
         Its content may differ from the cached one, so an unchanged snapshot is
-        then cached and sent to the peers under its new revision.
+        then cached and sent to the peers under its new version.
         """
         if self.mesh is None:
             return False
         return any(
             peer.last_heartbeat is not None
-            and peer.last_heartbeat.revisions.get(kind, 0) > revision
+            and peer.last_heartbeat.rank(kind, self.store_cache)
+            > self.store_cache.rank(kind)
             for peer in self.mesh.view.live_peers()
         )
 
--- a/gooseberryweir/process/fleet/snapshot_delivery.py
+++ b/gooseberryweir/process/fleet/snapshot_delivery.py
@@ -5,9 +5,8 @@
 it was sent long ago, so sending again on that account would fill its link.
 """
 
-from collections.abc import Mapping
-
 from gooseberryweir.process.fleet import fleet_view
+from gooseberryweir.process.fleet import heartbeat as heartbeat_module
 from gooseberryweir.process.fleet import store_cache as store_cache_module
 
 # Time for which a peer may lack a revision of a snapshot before it gets it from
@@ -17,49 +16,52 @@
 
 def take_due(
     peer: fleet_view.Peer,
-    snapshots: Mapping[str, store_cache_module.Snapshot],
+    store_cache: store_cache_module.StoreCache,
     at_once: bool,
     now: float,
-) -> dict[str, store_cache_module.Snapshot]:
+) -> dict[str, heartbeat_module.SentSnapshot]:
     """Returns the snapshots to send to a peer now, and records them as sent.
 
     Args:
         peer: The peer.
-        snapshots: Latest snapshots of this host, by kind.
+        store_cache: Latest snapshots of this host.
         at_once: True to send all that the peer lacks; False to send those that
             it has lacked for `UNASKED_DELAY_SECONDS`.
         now: Monotonic time in seconds.
     """
-    missing = _missing(peer, snapshots)
     missing_since = {}
-    for kind, snapshot in missing.items():
-        revision, since = peer.missing_since.get(kind, (0, now))
-        # The delay starts again with each revision.
-        if revision != snapshot.revision:
+    due = {}
+    for kind in _missing_kinds(peer, store_cache):
+        rank = store_cache.rank(kind)
+        missing_rank, since = peer.missing_since.get(kind, (rank, now))
+        # The delay starts again with each version.
+        if missing_rank != rank:
             since = now
-        missing_since[kind] = (snapshot.revision, since)
+        missing_since[kind] = (rank, since)
+        if at_once or now - since >= UNASKED_DELAY_SECONDS:
+            peer.sent_ranks[kind] = rank
+            due[kind] = heartbeat_module.SentSnapshot(
+                rank.version.revision, store_cache.snapshots[kind].content
+            )
     peer.missing_since = missing_since
-    due = {
-        kind: snapshot
-        for kind, snapshot in missing.items()
-        if at_once or now - missing_since[kind][1] >= UNASKED_DELAY_SECONDS
-    }
-    peer.sent_revisions.update(
-        {kind: snapshot.revision for kind, snapshot in due.items()}
-    )
     return due
 
 
-def _missing(
-    peer: fleet_view.Peer, snapshots: Mapping[str, store_cache_module.Snapshot]
-) -> dict[str, store_cache_module.Snapshot]:
-    """Returns the snapshots that a peer lacks and was not sent."""
+def _missing_kinds(
+    peer: fleet_view.Peer, store_cache: store_cache_module.StoreCache
+) -> list[str]:
+    """Returns the kinds of which a peer lacks a snapshot and was not sent it.
+
+    A heartbeat has snapshots of the newest era only.
+    """
     if peer.last_heartbeat is None:
-        return {}
-    revisions = peer.last_heartbeat.revisions
-    return {
-        kind: snapshot
-        for kind, snapshot in snapshots.items()
-        if snapshot.revision
-        > max(revisions.get(kind, 0), peer.sent_revisions.get(kind, 0))
-    }
+        return []
+    return [
+        kind
+        for kind in store_cache.current_kinds()
+        if store_cache.rank(kind)
+        > max(
+            peer.last_heartbeat.rank(kind, store_cache),
+            peer.sent_ranks.get(kind, store_cache_module.NO_RANK),
+        )
+    ]
--- a/gooseberryweir/process/fleet/store_cache.py
+++ b/gooseberryweir/process/fleet/store_cache.py
@@ -1,9 +1,13 @@
 """Caches the content of the platform's store on each host.
 
 The cache has one snapshot of each kind (configuration, upstreams, evacuations,
-hosts), with the revision of the store at which it was read. A snapshot replaces
+hosts), with the version of the store at which it was read. A snapshot replaces
 an older one as a whole and never a newer one, whether it arrives from the store
 or from a peer.
+
+The store may return from an older copy, which begins a new era of its
+revisions. The configuration in force then stays until the store has the same or
+a newer one again; `store_return` says what applies to the other kinds.
 """
 
 from collections.abc import Callable
@@ -15,6 +19,8 @@
 
 from gooseberryweir import clock as clocks
 from gooseberryweir import logs
+from gooseberryweir.process.fleet import store_return as store_return_module
+from gooseberryweir.version import store_version
 from gooseberryweir.version import traffic
 
 LOGGER = logging.getLogger(__name__)
@@ -38,14 +44,31 @@
     """One versioned set of objects of the store, all of one kind.
 
     Attributes:
-        revision: Revision of the store at which the objects were read.
+        version: Version of the store at which the objects were read.
         content: The encoded objects.
     """
 
-    revision: int
+    version: store_version.StoreVersion
     content: bytes
 
 
+class Rank(NamedTuple):
+    """Order of the snapshots of one kind; the one to use compares as greater.
+
+    Attributes:
+        number: Version number that operators gave to the configuration, which
+            only rises, also over a return of the store from an older copy; 0
+            for the other kinds.
+        version: Version of the store.
+    """
+
+    number: int
+    version: store_version.StoreVersion
+
+
+NO_RANK = Rank(0, store_version.NONE)
+
+
 def encode_content(value: Any) -> bytes:
     """Encodes the content of a snapshot of any kind but the configuration."""
     return msgspec.msgpack.encode(value)
@@ -59,6 +82,9 @@
     """Latest content of the store that this host received, to serve callers.
 
     Attributes:
+        era: Newest era of the store that is known.
+        store_return: Knowledge of the time before the last return of the store
+            from an older copy.
         snapshots: Latest accepted snapshot of each kind.
         configuration: Newest configuration, or None.
         upstreams: Upstreams by name.
@@ -85,6 +111,8 @@
     ) -> None:
         self.decode_configuration = decode_configuration
         self.clock = clock
+        self.era = store_version.NO_ERA
+        self.store_return = store_return_module.StoreReturn(clock)
         self.snapshots: dict[str, Snapshot] = {}
         self.configuration: traffic.Configuration | None = None
         self.upstreams: dict[str, traffic.Upstream] = {}
@@ -96,10 +124,28 @@
         self.cold_until: dict[str, float] = {}
         self.listeners: list[Callable[[str], None]] = []
 
-    def revision(self, kind: str) -> int:
-        """Returns the revision of a kind's snapshot, 0 if there is none."""
+    def version(self, kind: str) -> store_version.StoreVersion:
+        """Returns the version of a kind's snapshot, `NONE` without one."""
         snapshot = self.snapshots.get(kind)
-        return 0 if snapshot is None else snapshot.revision
+        return store_version.NONE if snapshot is None else snapshot.version
+
+    @property
+    def configuration_number(self) -> int:
+        """Version number of the configuration, 0 if there is none."""
+        return 0 if self.configuration is None else self.configuration.version
+
+    def rank(self, kind: str) -> Rank:
+        """Returns the order of a kind's snapshot."""
+        number = self.configuration_number if kind == CONFIGURATION else 0
+        return Rank(number, self.version(kind))
+
+    def current_kinds(self) -> tuple[str, ...]:
+        """Returns the kinds whose snapshots are of the newest era."""
+        return tuple(
+            kind
+            for kind, snapshot in self.snapshots.items()
+            if snapshot.version.era == self.era
+        )
 
     def complete(self) -> bool:
         """Returns True if all kinds are cached, so that the host may serve."""
@@ -118,21 +164,51 @@
             return 0.0
         return self.clock.monotonic() - self.recovered_at
 
+    def enter_era(self, era: int, source: str) -> None:
+        """Records the era of the store, which began at its last return.
+
+        Entries of upstreams that the copy lacks have time to be written again.
+
+        Args:
+            era: The era; ignored unless newer than the known one.
+            source: Name of the host that said so, or `store`, for the log.
+        """
+        if era <= self.era:
+            return
+        if self.snapshots:
+            self.recovered_at = self.clock.monotonic()
+            self.store_return.begin(
+                self.upstreams.values(), self.evacuated_zones
+            )
+            logs.event(
+                LOGGER,
+                "store-era-changed",
+                logging.WARNING,
+                era=era,
+                previous_era=self.era,
+                source=source,
+                confirmed_age=self.confirmed_age(),
+                configuration=self.configuration_number,
+                left_upstreams=",".join(sorted(self.store_return.left)),
+                evacuated_zones=",".join(sorted(self.evacuated_zones)),
+            )
+        self.era = era
+
     def confirm(
-        self, revision: int, as_of: float, stable_seconds: float = 0.0
+        self, rank: Rank, as_of: float, stable_seconds: float = 0.0
     ) -> None:
-        """Records that a revision of the configuration was the newest one.
+        """Records that a configuration was the newest one.
 
         Args:
-            revision: Revision of the configuration; ignored if newer than the
-                cached one.
+            rank: Order of the configuration; ignored if newer than the cached
+                one or of an earlier era of the store.
             as_of: Monotonic time of this host, in seconds, before the request
                 that confirmed it was sent.
             stable_seconds: For how long the peer that confirmed it knows the
                 store to be without an outage. A gap here within that time was
                 none of the store's.
         """
-        if revision > self.revision(CONFIGURATION):
+        if rank > self.rank(CONFIGURATION) or rank.version.era < self.era:
             return
         now = self.clock.monotonic()
         if now - as_of < OUTAGE_SECONDS < self.confirmed_age():
@@ -141,6 +217,22 @@
         self.confirmed_at = max(self.confirmed_at, as_of)
         if self.retained and not self._awaiting_reregistration(now):
             self._drop_retained()
+        if self.store_return.expire_upstreams():
+            self._apply_again(UPSTREAMS)
+        if self.store_return.expire_zones():
+            self._apply_again(EVACUATIONS)
+
+    def _apply_again(self, kind: str) -> None:
+        """Applies a snapshot without what the time before a return adds."""
+        snapshot = self.snapshots.get(kind)
+        if snapshot is None:
+            return
+        logs.event(
+            LOGGER, "store-return-ended", part=kind, version=snapshot.version
+        )
+        self._apply(kind, snapshot.content, snapshot.version, "return")
+        for listener in self.listeners:
+            listener(kind)
 
     def _awaiting_reregistration(self, now: float) -> bool:
         """Returns True while live upstreams may still have to register again.
@@ -161,6 +253,9 @@
             upstreams=",".join(sorted(self.retained)),
             seconds=self.clock.monotonic() - self.recovered_at,
         )
+        self.store_return.record_gone(
+            self.upstreams[name].incarnation for name in self.retained
+        )
         self.upstreams = {
             name: each
             for name, each in self.upstreams.items()
@@ -171,41 +266,108 @@
             listener(UPSTREAMS)
 
     def accept(
-        self, kind: str, revision: int, content: bytes, source: str
+        self,
+        kind: str,
+        version: store_version.StoreVersion,
+        content: bytes,
+        source: str,
     ) -> bool:
         """Stores a snapshot if it is valid and newer than the cached one.
 
         Args:
             kind: Kind of the snapshot.
-            revision: Revision of the store at which it was read.
+            version: Version of the store at which it was read.
             content: Encoded content.
             source: Name of the sending host, or `store`, for the log.
 
         Returns:
             True if the snapshot was stored.
         """
+        if version.era < self.era:
+            return False
+        self.enter_era(version.era, source)
         old = self.snapshots.get(kind)
-        if old is not None and revision <= old.revision:
+        if kind == CONFIGURATION and old is not None and old.content != content:
+            return self._replace_configuration(old, version, content, source)
+        if old is not None and version <= old.version:
             return False
-        changed = old is None or old.content != content
-        if changed and not self._apply(kind, content, revision, source):
+        changed = (
+            old is None
+            or old.content != content
+            or old.version.era < version.era
+        )
+        if changed and not self._apply(kind, content, version, source):
             return False
-        self.snapshots[kind] = Snapshot(revision, content)
-        if changed:
+        self._store(kind, version, content, source, changed)
+        return True
+
+    def _store(
+        self,
+        kind: str,
+        version: store_version.StoreVersion,
+        content: bytes,
+        source: str,
+        changed: bool,
+    ) -> None:
+        """Stores a snapshot that was applied; logs and announces a change."""
+        self.snapshots[kind] = Snapshot(version, content)
+        if not changed:
+            return
+        logs.event(
+            LOGGER,
+            "knowledge-changed",
+            part=kind,
+            version=version,
+            source=source,
+            bytes=len(content),
+        )
+        for listener in self.listeners:
+            listener(kind)
+
+    def _replace_configuration(
+        self,
+        old: Snapshot,
+        version: store_version.StoreVersion,
+        content: bytes,
+        source: str,
+    ) -> bool:
+        """Replaces the configuration unless operators gave it a lower number.
+
+        A store that returned from an older copy has an earlier configuration,
+        until operators have written the later one again.
+
+        Returns:
+            True if the configuration was replaced.
+        """
+        kept = self.configuration
+        kept_rank = self.rank(CONFIGURATION)
+        if not self._apply(CONFIGURATION, content, version, source):
+            return False
+        new_rank = Rank(self.configuration_number, version)
+        if new_rank > kept_rank:
+            self._store(CONFIGURATION, version, content, source, changed=True)
+            return True
+        self.configuration = kept
+        if version > old.version:
+            # The store has no newer configuration as of this version.
+            self.snapshots[CONFIGURATION] = Snapshot(version, old.content)
             logs.event(
                 LOGGER,
-                "knowledge-changed",
-                part=kind,
-                revision=revision,
+                "configuration-kept",
+                logging.WARNING,
+                version=version,
+                number=kept_rank.number,
+                stored_number=new_rank.number,
                 source=source,
-                bytes=len(content),
             )
-            for listener in self.listeners:
-                listener(kind)
-        return True
+        return False
 
     def _apply(
-        self, kind: str, content: bytes, revision: int, source: str
+        self,
+        kind: str,
+        content: bytes,
+        version: store_version.StoreVersion,
+        source: str,
     ) -> bool:
         """Decodes a snapshot into the attribute for its kind.
 
@@ -216,10 +378,14 @@
             if kind == CONFIGURATION:
                 self.configuration = self.decode_configuration(content)
             elif kind == UPSTREAMS:
-                self._set_upstreams(_decode_upstreams(content))
+                old_era = self.version(kind).era
+                self._set_upstreams(
+                    _decode_upstreams(content), version.era == old_era
+                )
             elif kind == EVACUATIONS:
-                self.evacuated_zones = frozenset(
-                    msgspec.msgpack.decode(content, type=tuple[str, ...])
+                listed = msgspec.msgpack.decode(content, type=tuple[str, ...])
+                self.evacuated_zones = self.store_return.add_zones(
+                    frozenset(listed)
                 )
             elif kind == HOSTS:
                 entries = msgspec.msgpack.decode(
@@ -232,14 +398,16 @@
                 "knowledge-rejected",
                 logging.ERROR,
                 part=kind,
-                revision=revision,
+                version=version,
                 source=source,
                 reason=error,
             )
             return False
         return True
 
-    def _set_upstreams(self, entries: tuple[traffic.Upstream, ...]) -> None:
+    def _set_upstreams(
+        self, entries: tuple[traffic.Upstream, ...], same_era: bool
+    ) -> None:
         """Replaces the upstreams by those of the latest snapshot.
 
         During an outage of the store and shortly after it, keeps upstreams that
@@ -247,14 +415,17 @@
 
         Args:
             entries: Upstreams of the latest snapshot.
+            same_era: True if their revisions are of the same era as those of
+                the cached ones.
         """
         now = self.clock.monotonic()
+        entries = self.store_return.correct_upstreams(entries)
         cold_until: dict[str, float] = {}
         for each in entries:
             old = self.upstreams.get(each.name)
             if each.cold_seconds <= 0:
                 continue
-            if old is not None and old.revision == each.revision:
+            if same_era and old is not None and old.revision == each.revision:
                 cold_until[each.name] = self.cold_until.get(each.name, 0.0)
             else:
                 # The entry may be old already, so counting from now
@@ -279,4 +450,9 @@
         for name in missing:
             cold_until[name] = self.cold_until.get(name, 0.0)
         self.cold_until = cold_until
-        self.upstreams = {**missing, **listed}
+        remaining = {**missing, **listed}
+        self.store_return.record_gone(
+            {each.incarnation for each in self.upstreams.values()}
+            - {each.incarnation for each in remaining.values()}
+        )
+        self.upstreams = remaining
--- a/gooseberryweir/request/steering/sending.py
+++ b/gooseberryweir/request/steering/sending.py
@@ -402,9 +402,7 @@
             limit=self.dependencies.upstream_limits.rate(
                 choice.upstream.incarnation
             ),
-            configuration=store_cache.revision(
-                store_cache_module.CONFIGURATION
-            ),
-            upstreams=store_cache.revision(store_cache_module.UPSTREAMS),
+            configuration=store_cache.version(store_cache_module.CONFIGURATION),
+            upstreams=store_cache.version(store_cache_module.UPSTREAMS),
             confirmed_age=store_cache.confirmed_age(),
         )
--- a/gooseberryweir/request/steering/serving.py
+++ b/gooseberryweir/request/steering/serving.py
@@ -439,9 +439,7 @@
             detail=refusal.detail,
             retry_after=refusal.retry_after or 0.0,
             seconds=self.dependencies.clock.monotonic() - started_at,
-            configuration=store_cache.revision(
-                store_cache_module.CONFIGURATION
-            ),
+            configuration=store_cache.version(store_cache_module.CONFIGURATION),
             confirmed_age=store_cache.confirmed_age(),
         )
         self.dependencies.telemetry.record_refusal(route, int(refusal.code))
--- a/gooseberryweir/store_snapshots.py
+++ b/gooseberryweir/store_snapshots.py
@@ -12,6 +12,7 @@
 from gooseberryweir.platform import store as store_module
 from gooseberryweir.process.fleet import reader as reader_module
 from gooseberryweir.process.fleet import store_cache as store_cache_module
+from gooseberryweir.version import store_version
 from gooseberryweir.version import traffic
 
 
@@ -47,8 +48,10 @@
         except store_module.StoreError as error:
             raise reader_module.ReadError(f"{kind}: {error}") from error
         return reader_module.ReadResult(
-            store_cache_module.Snapshot(revision, content),
-            listing.revision,
+            store_cache_module.Snapshot(
+                store_version.StoreVersion(listing.era, revision), content
+            ),
+            listing.version,
             listing.requested_at,
         )
 
--- a/test/simulated_fleet.py
+++ b/test/simulated_fleet.py
@@ -15,6 +15,7 @@
 from gooseberryweir.process.fleet import mesh
 from gooseberryweir.process.fleet import reader
 from gooseberryweir.process.fleet import store_cache
+from gooseberryweir.version import store_version
 from gooseberryweir.version import traffic
 
 REGIONS = ("centro", "golfo", "norte")
@@ -211,7 +212,9 @@
     def _on_change(self, kind):
         if kind == store_cache.UPSTREAMS:
             # Listeners are called after the snapshot is stored.
-            self.reached_at[self.cache.revision(kind)] = self.clock.monotonic()
+            self.reached_at[self.cache.version(kind).revision] = (
+                self.clock.monotonic()
+            )
 
 
 def _decode_configuration(content):
@@ -230,7 +233,12 @@
     def build_heartbeat(peer):
         plain = build(peer)
         revisions = dict(plain.revisions)
-        revisions.pop(heartbeat.DIGEST_SUPPORT_KEY)
+        for key in (
+            heartbeat.DIGEST_SUPPORT_KEY,
+            heartbeat.ERA_KEY,
+            heartbeat.NUMBER_KEY,
+        ):
+            revisions.pop(key)
         return plain._replace(
             relaying=None, revisions=revisions, demand=host.demand
         )
@@ -249,23 +257,39 @@
     """The platform's store.
 
     Attributes:
+        era: Era, which rises with each return from a copy.
         revision: Revision of the latest change.
-        snapshots: Content of each kind with the revision of its change.
+        snapshots: Content of each kind with the version of its change.
         refused: Names of hosts whose calls fail.
         calls: Number of calls.
     """
 
     def __init__(self, clock):
         self.clock = clock
+        self.era = store_version.FIRST_ERA
         self.revision = 0
         self.snapshots = {}
         self.refused = set()
         self.calls = 0
 
+    @property
+    def version(self):
+        """Version of the latest change."""
+        return store_version.StoreVersion(self.era, self.revision)
+
+    def copy(self):
+        """Returns a copy to which the store may return."""
+        return self.revision, dict(self.snapshots)
+
+    def return_from(self, copy):
+        """Loses the changes since a copy and begins a new era."""
+        self.era += 1
+        self.revision, self.snapshots = copy[0], dict(copy[1])
+
     def write(self, kind, content):
         """Replaces the content of a kind; returns the new revision."""
         self.revision += 1
-        self.snapshots[kind] = store_cache.Snapshot(self.revision, content)
+        self.snapshots[kind] = store_cache.Snapshot(self.version, content)
         return self.revision
 
     def read(self, host, kind):
@@ -277,9 +301,11 @@
         if host.entry.name in self.refused:
             raise reader.ReadError("refused")
         snapshot = self.snapshots[kind]
-        if kind != store_cache.CONFIGURATION:
-            snapshot = snapshot._replace(revision=self.revision)
-        return reader.ReadResult(snapshot, self.revision, requested_at)
+        version = self.version
+        if kind == store_cache.CONFIGURATION:
+            version = snapshot.version._replace(era=self.era)
+        snapshot = snapshot._replace(version=version)
+        return reader.ReadResult(snapshot, self.version, requested_at)
 
 
 class Fleet:
--- a/test/test_fleet_knowledge.py
+++ b/test/test_fleet_knowledge.py
@@ -18,9 +18,20 @@
 from gooseberryweir.request.steering import account_demand
 from gooseberryweir.request.steering import admission
 from gooseberryweir.request.steering import limits
+from gooseberryweir.version import store_version
 from gooseberryweir.version import traffic
 
 
+def version(revision, era=store_version.NO_ERA):
+    """Returns a version of the store."""
+    return store_version.StoreVersion(era, revision)
+
+
+def rank(number, era=store_version.NO_ERA):
+    """Returns the order of a configuration with its number as revision."""
+    return store_cache.Rank(number, version(number, era))
+
+
 def decode(content):
     """Returns a configuration with only its version set."""
     return traffic.Configuration(
@@ -105,7 +116,10 @@
 
     def set_configuration(self, revision):
         self.store_cache.accept(
-            store_cache.CONFIGURATION, revision, b"%d" % revision, "test"
+            store_cache.CONFIGURATION,
+            version(revision),
+            b"%d" % revision,
+            "test",
         )
 
 
@@ -120,11 +134,15 @@
         host = Host()
         host.set_configuration(10)
         host.receive(
-            "h2", snapshots={"configuration": store_cache.Snapshot(9, b"9")}
+            "h2",
+            snapshots={"configuration": heartbeat_module.SentSnapshot(9, b"9")},
         )
         self.assertEqual(host.store_cache.configuration.version, 10)
         host.receive(
-            "h2", snapshots={"configuration": store_cache.Snapshot(11, b"11")}
+            "h2",
+            snapshots={
+                "configuration": heartbeat_module.SentSnapshot(11, b"11")
+            },
         )
         self.assertEqual(host.store_cache.configuration.version, 11)
 
@@ -132,10 +150,13 @@
         host = Host()
         host.set_configuration(10)
         host.receive(
-            "h2", snapshots={"configuration": store_cache.Snapshot(12, b"bad")}
+            "h2",
+            snapshots={
+                "configuration": heartbeat_module.SentSnapshot(12, b"bad")
+            },
         )
         self.assertEqual(host.store_cache.configuration.version, 10)
-        self.assertEqual(host.store_cache.revision("configuration"), 10)
+        self.assertEqual(host.store_cache.version("configuration"), version(10))
 
     def test_the_cold_time_starts_once_for_each_revision_of_an_entry(self):
         host = Host()
@@ -143,7 +164,7 @@
         def accept(revision, *upstreams):
             host.store_cache.accept(
                 store_cache.UPSTREAMS,
-                revision,
+                version(revision),
                 store_cache.encode_content(upstreams),
                 "test",
             )
@@ -179,11 +200,13 @@
         self.accept(1, "u1", "u2")
 
     def confirm(self):
-        self.cache.confirm(10, self.host.clock.now)
+        self.cache.confirm(rank(10), self.host.clock.now)
 
     def accept(self, revision, *names):
         content = store_cache.encode_content([upstream(name) for name in names])
-        self.cache.accept(store_cache.UPSTREAMS, revision, content, "test")
+        self.cache.accept(
+            store_cache.UPSTREAMS, version(revision), content, "test"
+        )
 
     def test_without_an_outage_an_unlisted_upstream_is_dropped_at_once(self):
         self.accept(2, "u2")
@@ -222,7 +245,9 @@
             echo=self.host.clock.now - 0.1,
             confirmed_age=0.1,
             revisions={"configuration": 10},
-            snapshots={store_cache.UPSTREAMS: store_cache.Snapshot(2, content)},
+            snapshots={
+                store_cache.UPSTREAMS: heartbeat_module.SentSnapshot(2, content)
+            },
             relaying=heartbeat_module.Relaying(
                 link_mbps=10.0,
                 is_relay=True,
@@ -248,13 +273,13 @@
         self.confirm()
         self.assertEqual(set(self.cache.upstreams), {"u1", "u2"})
         self.host.clock.advance(0.1)
-        self.cache.confirm(10, self.host.clock.now, stable_seconds=60.0)
+        self.cache.confirm(rank(10), self.host.clock.now, stable_seconds=60.0)
         self.assertEqual(set(self.cache.upstreams), {"u2"})
 
     def test_an_outage_that_the_peer_saw_too_retains_upstreams(self):
         self.host.clock.advance(store_cache.OUTAGE_SECONDS + 0.2)
         self.accept(2, "u2")
-        self.cache.confirm(10, self.host.clock.now, stable_seconds=0.5)
+        self.cache.confirm(rank(10), self.host.clock.now, stable_seconds=0.5)
         self.assertEqual(set(self.cache.upstreams), {"u1", "u2"})
         self.assertAlmostEqual(self.cache.stable_seconds(), 0.5)
 
@@ -262,7 +287,7 @@
         upstreams = [upstream("u1")._replace(draining=True), upstream("u2")]
         self.cache.accept(
             store_cache.UPSTREAMS,
-            2,
+            version(2),
             store_cache.encode_content(upstreams),
             "test",
         )
@@ -319,8 +344,8 @@
     def test_an_older_confirmation_is_ignored(self):
         host = Host()
         host.set_configuration(10)
-        host.store_cache.confirm(10, 999.0)
-        host.store_cache.confirm(10, 990.0)
+        host.store_cache.confirm(rank(10), 999.0)
+        host.store_cache.confirm(rank(10), 990.0)
         self.assertEqual(host.store_cache.confirmed_at, 999.0)
 
 
@@ -330,14 +355,14 @@
     def test_a_host_confirmed_by_peers_does_not_poll(self):
         host = Host()
         host.set_configuration(10)
-        host.store_cache.confirm(10, host.clock.now)
+        host.store_cache.confirm(rank(10), host.clock.now)
         host.clock.advance(1.2)
         self.assertFalse(host.reader._should_poll())
 
     def test_a_host_takes_over_when_confirmations_stop(self):
         host = Host()
         host.set_configuration(10)
-        host.store_cache.confirm(10, host.clock.now)
+        host.store_cache.confirm(rank(10), host.clock.now)
         host.clock.advance(reader.TAKEOVER_SECONDS + 0.1)
         self.assertTrue(host.reader._should_poll())
 
@@ -345,7 +370,7 @@
         host = Host()
         host.reader.store_seconds = 0.045
         host.set_configuration(10)
-        host.store_cache.confirm(10, host.clock.now)
+        host.store_cache.confirm(rank(10), host.clock.now)
         host.clock.advance(reader.TAKEOVER_SECONDS + 0.1)
         host.receive("h2", store_seconds=0.004)
         self.assertFalse(host.reader._should_poll())
@@ -358,7 +383,7 @@
             host.reader.store_seconds = 0.004
             host.reader.polling = True
             host.set_configuration(10)
-            host.store_cache.confirm(10, host.clock.now)
+            host.store_cache.confirm(rank(10), host.clock.now)
             host.receive(
                 peer_name, polling=True, store_seconds=0.004, confirmed_age=0.1
             )
@@ -394,7 +419,7 @@
         ):
             self.assertEqual(code(), starting, kind)
             host.store_cache.accept(
-                kind, 1, store_cache.encode_content(()), "test"
+                kind, version(1), store_cache.encode_content(()), "test"
             )
         self.assertEqual(code(), codes.Code.UNKNOWN_ROUTE)
 
--- a/test/test_selection.py
+++ b/test/test_selection.py
@@ -22,6 +22,7 @@
 from gooseberryweir.request.steering import telemetry
 from gooseberryweir.request.steering import upstream_notices
 from gooseberryweir.request.steering import upstream_state
+from gooseberryweir.version import store_version
 from gooseberryweir.version import traffic
 from test import test_fleet_knowledge
 
@@ -277,7 +278,7 @@
         host.store_cache.upstreams.clear()
         for kind in store_cache_module.KINDS:
             host.store_cache.snapshots[kind] = store_cache_module.Snapshot(
-                1, b""
+                store_version.StoreVersion(1, 1), b""
             )
         reachable = reachability.UpstreamReachability(
             reachability.Probing(list, lambda *_: False),
--- a/test/test_steering_properties.py
+++ b/test/test_steering_properties.py
@@ -34,7 +34,10 @@
         newest = 0
         for revision in revisions:
             cache.accept(
-                store_cache.CONFIGURATION, revision, b"%d" % revision, "test"
+                store_cache.CONFIGURATION,
+                test_fleet_knowledge.version(revision),
+                b"%d" % revision,
+                "test",
             )
             newest = max(newest, revision)
             self.assertEqual(cache.configuration.version, newest)
@@ -51,10 +54,15 @@
     def test_a_confirmation_of_a_newer_configuration_is_ignored(self, events):
         clock = clocks.ManualClock().interface()
         cache = store_cache.StoreCache(test_fleet_knowledge.decode, clock)
-        cache.accept(store_cache.CONFIGURATION, 3, b"3", "test")
+        cache.accept(
+            store_cache.CONFIGURATION,
+            test_fleet_knowledge.version(3),
+            b"3",
+            "test",
+        )
         latest = float("-inf")
         for revision, time in events:
-            cache.confirm(revision, time)
+            cache.confirm(test_fleet_knowledge.rank(revision), time)
             if revision <= 3:
                 latest = max(latest, time)
             self.assertEqual(cache.confirmed_at, latest)
--- a/test/test_store_era.py
+++ b/test/test_store_era.py
@@ -23,6 +23,16 @@
 APPLY_SECONDS = 2.5 + 5.0
 
 
+def with_route(name, version):
+    """Returns a configuration with one more route, `/NAME/`."""
+    configuration = _front.configuration(version)
+    configuration["routes"][name] = {
+        **configuration["routes"]["read"],
+        "pathPrefix": f"/{name}/",
+    }
+    return configuration
+
+
 class StoreEraTest(unittest.TestCase):
     """Three hosts whose store returns from a copy."""
 
@@ -33,7 +43,7 @@
         self.store = self.system.store
         time.sleep(LOST_SECONDS)
         for number in range(LOST_CHANGES):
-            self.store.put("config", "main", _front.configuration(number + 2))
+            self.store.put("config", "main", with_route("lost", number + 2))
         # All hosts know the latest revision before it is lost.
         time.sleep(1.0)
         self.store.control(
@@ -43,12 +53,7 @@
     # Guards against hosts that keep what they had until the revisions of the
     # new era pass those of the old one.
     def test_configuration_written_after_the_return_is_in_force(self):
-        configuration = _front.configuration(LOST_CHANGES + 2)
-        configuration["routes"]["new"] = {
-            **configuration["routes"]["read"],
-            "pathPrefix": "/new/",
-        }
-        self.store.put("config", "main", configuration)
+        self.store.put("config", "main", with_route("new", LOST_CHANGES + 2))
         for host in self.system.hosts:
             _common.wait_until(
                 lambda host=host: (
@@ -58,6 +63,38 @@
                 description=f"{host.name} serves the new route",
             )
 
+    # Guards against CONFIG of review/1: a key that is revoked after the return
+    # stays accepted, since each poll confirms the configuration before it.
+    def test_key_revoked_after_the_return_is_refused(self):
+        revoked = _front.configuration(
+            LOST_CHANGES + 2, tenants={"t1": {"apiKeys": ["k1"]}}
+        )
+        self.store.put("config", "main", revoked)
+        for host in self.system.hosts:
+            _common.wait_until(
+                lambda host=host: (
+                    _front.call(host.address, "/read/1", key="k2").status == 401
+                ),
+                timeout=_front.KEY_REVOCATION_SECONDS,
+                description=f"{host.name} refuses the key",
+            )
+            answer = _front.call(host.address, "/read/1")
+            self.assertEqual(answer.status, 200)
+
+    # Guards against hosts that go back to the configuration of the copy.
+    def test_configuration_that_the_copy_lacks_stays_in_force(self):
+        for host in self.system.hosts:
+            _common.wait_until(
+                lambda host=host: host.log_lines("store-era-changed"),
+                timeout=APPLY_SECONDS,
+                description=f"{host.name} learns of the return",
+            )
+        for _ in range(10):
+            for host in self.system.hosts:
+                answer = _front.call(host.address, "/lost/1")
+                self.assertEqual(answer.status, 200, host.name)
+            time.sleep(0.1)
+
     # The same for the list of upstreams.
     def test_upstream_that_registers_after_the_return_is_used(self):
         for upstream in self.system.upstreams:
