Bound the fields of the store's objects and keep tasks running

Change: ranges for all numbers, durations and addresses of the store's objects and for Server-Load; `tasks.spawn` runs long-lived tasks again after an unforeseen exception; listeners of the cache fail one by one.

--- a/gooseberryweir/connection/peer_server.py
+++ b/gooseberryweir/connection/peer_server.py
@@ -15,6 +15,7 @@
 from eventlet.green import socket
 
 from gooseberryweir import logs
+from gooseberryweir import tasks
 from gooseberryweir.connection import messages
 from gooseberryweir.connection import peer_link
 
@@ -57,7 +58,7 @@
         self.tasks: set[Any] = set()
 
     def __enter__(self) -> "PeerServer":
-        self._spawn(self._accept)
+        self._spawn(tasks.run, "accept", self._accept)
         return self
 
     def __exit__(self, *_exc: object) -> None:
--- a/gooseberryweir/connection/pipelined_server.py
+++ b/gooseberryweir/connection/pipelined_server.py
@@ -22,6 +22,7 @@
 import greenlet
 
 from gooseberryweir import logs
+from gooseberryweir import tasks
 from gooseberryweir.connection import http_messages
 from gooseberryweir.version import traffic
 
@@ -149,7 +150,7 @@
         self.listener = eventlet.listen(
             (host, int(port)), backlog=LISTEN_BACKLOG
         )
-        self.accept_task = eventlet.spawn(self._accept)
+        self.accept_task = tasks.spawn("accept", self._accept)
         return self
 
     def __exit__(self, *_: object) -> None:
@@ -443,6 +444,10 @@
                 reason=type(error).__name__,
             )
             self.close()
+        except Exception as error:
+            # The caller gets no answer to any open request of the connection.
+            tasks.log_failure("send answers", error)
+            self.close()
         finally:
             self.writer_task = None
 
--- a/gooseberryweir/platform/headers.py
+++ b/gooseberryweir/platform/headers.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 import json
 import math
+import re
 from typing import NamedTuple
 from urllib import parse
 
@@ -26,6 +27,8 @@
     {"authorization", "tenant-id", "deadline-ms", "expect-instance"}
 )
 _BEARER_PREFIX = "bearer "
+# Numbers of running and waiting requests, and of slots.
+_LOAD = re.compile(r"\s*([0-9]{1,9})\s*,\s*([0-9]{1,9})\s*,\s*([0-9]{1,9})\s*")
 # Prefix of headers by which only this system describes its answers. An
 # upstream's headers with it are not forwarded.
 _RESERVED_PREFIX = "gooseberryweir-"
@@ -104,12 +107,13 @@
 
 
 def _parse_number(text: str | None) -> float | None:
-    """Parses the value of a header; returns None if it is not a number."""
+    """Parses the value of a header; None if it is not a finite number."""
     try:
-        return None if text is None else float(text)
+        number = None if text is None else float(text)
     except ValueError:
         # A malformed header is treated as absent.
         return None
+    return number if number is not None and math.isfinite(number) else None
 
 
 def decode_request(headers: Headers) -> RequestHeaders:
@@ -233,11 +237,8 @@
 
 def _parse_load(text: str) -> UpstreamLoad | None:
     """Parses a Server-Load header; returns None if it is malformed."""
-    parts = text.split(",")
-    if len(parts) != 3 or not all(each.strip().isdigit() for each in parts):
-        return None
-    running, waiting, slots = (int(each) for each in parts)
-    return UpstreamLoad(running, waiting, slots)
+    match = _LOAD.fullmatch(text)
+    return None if match is None else UpstreamLoad(*map(int, match.groups()))
 
 
 def _parse_request_limits(headers: Headers) -> float | None:
@@ -251,11 +252,7 @@
     if not texts:
         return math.inf
     limits = [_parse_number(text) for text in texts]
-    valid = [
-        limit
-        for limit in limits
-        if limit is not None and math.isfinite(limit) and limit >= 0
-    ]
+    valid = [limit for limit in limits if limit is not None and limit >= 0]
     return min(valid, default=None)
 
 
@@ -274,11 +271,7 @@
         if name.lower() == "retry-after"
     ]
     return max(
-        (
-            each
-            for each in seconds
-            if each is not None and math.isfinite(each) and each > 0
-        ),
+        (each for each in seconds if each is not None and each > 0),
         default=0.0,
     )
 
--- a/gooseberryweir/platform/records.py
+++ b/gooseberryweir/platform/records.py
@@ -27,7 +27,15 @@
 # Name of the only object of kind `CONFIGURATION`.
 CONFIGURATION_NAME = "main"
 
-_NonNegativeInt = Annotated[int, msgspec.Meta(ge=0)]
+# Greatest number of slots of one upstream.
+MAX_SLOTS = 1_000_000
+# Limits of numbers of an object: those that other programs store exactly.
+_MAX_INT = 2**63 - 1
+_MAX_NUMBER = 1e15
+_Int = Annotated[int, msgspec.Meta(ge=-_MAX_INT, le=_MAX_INT)]
+_Revision = Annotated[int, msgspec.Meta(ge=0, le=_MAX_INT)]
+_Number = Annotated[float, msgspec.Meta(ge=-_MAX_NUMBER, le=_MAX_NUMBER)]
+_DECODE_ERRORS = (ValueError, OverflowError, RecursionError)
 _T = TypeVar("_T")
 
 
@@ -36,7 +44,7 @@
 
     name: str
     # Revision of the store at which the object last changed.
-    revision: int
+    revision: _Revision
     deletion_pending: bool = False
 
 
@@ -49,21 +57,21 @@
 
 class _Upstream(msgspec.Struct, rename="camel"):
     service: str
-    address: Annotated[str, msgspec.Meta(pattern=r"^\d+(\.\d+){3}:\d{1,5}$")]
+    address: str
     zone: str
-    slots: Annotated[int, msgspec.Meta(ge=1)]
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
     state: Literal["ready", "draining"]
     # Time until the upstream is no longer cold (its cache is not filled yet).
     cold_remaining: str
     # Start time of the upstream, in Unix milliseconds.
-    born: int = 0
+    born: _Int = 0
 
 
 class _Split(msgspec.Struct):
     """A service that gets a part of a route's requests."""
 
     service: str
-    weight: float
+    weight: _Number
 
 
 class _Route(msgspec.Struct, rename="camel"):
@@ -73,10 +81,10 @@
     timeout: str
     # Latency objective, counted from the caller's first attempt.
     target_latency: str = "1s"
-    priority: int = 0
+    priority: _Int = 0
     service: str = ""
     traffic_split: list[_Split] = []
-    max_attempts: int = 1
+    max_attempts: _Int = 1
     # True if requests need no API key.
     public: bool = False
     # True if an upstream that recently handled requests for the same object is
@@ -86,22 +94,22 @@
 
 
 class _Service(msgspec.Struct, rename="camel"):
-    max_connections: int = 0
+    max_connections: _Int = 0
     # Requests per second that a cold upstream can handle; 0 means no limit.
-    cold_per_s: float = 0.0
+    cold_per_s: _Number = 0.0
 
 
 class _Tenant(msgspec.Struct, rename="camel"):
     api_keys: list[str] = []
-    priority: int | None = None
-    rate_per_s: float = 0.0
-    burst: float = 0.0
+    priority: _Int | None = None
+    rate_per_s: _Number = 0.0
+    burst: _Number = 0.0
     allowed_regions: list[str] = []
 
 
 class _Limits(msgspec.Struct, rename="camel"):
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 1 << 20
+    max_header_bytes: _Int = 16384
+    max_body_bytes: _Int = 1 << 20
     header_timeout: str = "3s"
     idle_timeout: str = "15s"
 
@@ -125,7 +133,7 @@
     for item in items:
         try:
             decoded.append(_decode(item, _Object))
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        except _DECODE_ERRORS as error:
             _log_skipped(kind, "unknown", error)
     return decoded
 
@@ -163,7 +171,7 @@
     """
     try:
         wire = _decode(content, _Configuration)
-    except msgspec.MsgspecError as error:
+    except (OverflowError, RecursionError) as error:
         raise ValueError(str(error)) from error
     routes: dict[str, list[traffic.Route]] = {}
     for name, each in wire.routes.items():
@@ -237,7 +245,8 @@
         try:
             wire = _decode(each.spec, _Upstream)
             remaining_cold_seconds = units.parse_duration(wire.cold_remaining)
-        except (msgspec.MsgspecError, ValueError) as error:
+            units.check_address(wire.address)
+        except _DECODE_ERRORS as error:
             _log_skipped(UPSTREAMS, each.metadata.name, error)
             continue
         upstreams.append(
@@ -271,8 +280,11 @@
     hosts = []
     for each in _decode_objects(items, HOSTS):
         try:
-            hosts.append(_decode(each.spec, traffic.HostEntry))
-        except msgspec.MsgspecError as error:
+            entry = _decode(each.spec, traffic.HostEntry)
+            units.check_address(entry.front)
+            units.check_address(entry.peer)
+            hosts.append(entry)
+        except _DECODE_ERRORS as error:
             _log_skipped(HOSTS, each.metadata.name, error)
     return tuple(sorted(hosts))
 
--- a/gooseberryweir/platform/store.py
+++ b/gooseberryweir/platform/store.py
@@ -6,6 +6,7 @@
 """
 
 import re
+from typing import Annotated
 from typing import Any
 from typing import NamedTuple
 from urllib import parse
@@ -102,10 +103,13 @@
     revision: int
 
 
+_Revision = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
+
 class _Metadata(msgspec.Struct):
     name: str
     # Revision of the store at which the object last changed.
-    revision: int
+    revision: _Revision
 
 
 class _Object(msgspec.Struct):
@@ -118,7 +122,7 @@
 
     items: list[msgspec.Raw]
     # Revision of the whole store, not of the items.
-    current_rev: int
+    current_rev: _Revision
     has_more: bool = False
 
 
@@ -133,7 +137,7 @@
     """Response of the store to a watch."""
 
     events: list[_Event]
-    current_rev: int
+    current_rev: _Revision
 
 
 class StoreError(Exception):
@@ -372,7 +376,7 @@
 def _decode(body: bytes | msgspec.Raw, expected_type: type[Any]) -> Any:
     try:
         return msgspec.json.decode(body, type=expected_type)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (ValueError, RecursionError) as error:
         raise StoreError(
             0, f"the store's answer is malformed: {error}"
         ) from error
--- a/gooseberryweir/platform/units.py
+++ b/gooseberryweir/platform/units.py
@@ -1,22 +1,33 @@
 """Converts the platform's formats of durations and version numbers."""
 
+import ipaddress
 import re
 
-_DURATION = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
+_DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
+# Longest duration that is accepted, about ten years.
+MAX_DURATION_SECONDS = 3e8
 _SECONDS_BY_UNIT = {"ms": 0.001, "s": 1.0}
-_VERSION = re.compile(r"r(\d+)")
+_VERSION = re.compile(r"r([0-9]{1,18})")
+_PORT = re.compile(r"[0-9]{1,5}")
+MAX_PORT = 65535
 
 
 def parse_duration(text: str) -> float:
     """Parses a duration such as `1500ms` or `2.5s` into seconds.
 
     Raises:
-        ValueError: The text is not a number followed by a unit.
+        ValueError: The text is not a number followed by a unit, or it is
+            longer than `MAX_DURATION_SECONDS`.
     """
     match = _DURATION.fullmatch(text)
     if match is None:
         raise ValueError(f"{text!r} should be a number and its unit, ms or s")
-    return float(match[1]) * _SECONDS_BY_UNIT[match[2]]
+    seconds = float(match[1]) * _SECONDS_BY_UNIT[match[2]]
+    if seconds > MAX_DURATION_SECONDS:
+        raise ValueError(
+            f"{text[:20]!r} should be at most {MAX_DURATION_SECONDS:g} s"
+        )
+    return seconds
 
 
 def render_duration(seconds: float) -> str:
@@ -24,6 +35,18 @@
     return f"{max(0, round(seconds * 1000))}ms"
 
 
+def check_address(text: str) -> None:
+    """Checks an address, an IPv4 address and a port.
+
+    Raises:
+        ValueError: The text is not such an address.
+    """
+    ip, _, port = text.rpartition(":")
+    ipaddress.IPv4Address(ip)
+    if not _PORT.fullmatch(port) or not 1 <= int(port) <= MAX_PORT:
+        raise ValueError(f"{text!r} should end with a port of 1 to {MAX_PORT}")
+
+
 def parse_version(text: str) -> int:
     """Parses the number of a version such as `r12`.
 
--- a/gooseberryweir/process/fleet/mesh.py
+++ b/gooseberryweir/process/fleet/mesh.py
@@ -28,6 +28,7 @@
 
 from gooseberryweir import clock as clocks
 from gooseberryweir import logs
+from gooseberryweir import tasks
 from gooseberryweir.process.fleet import digests
 from gooseberryweir.process.fleet import fleet_traffic
 from gooseberryweir.process.fleet import fleet_view
@@ -141,8 +142,8 @@
     def __enter__(self) -> "Mesh":
         host, _, port = self.settings.peer_address.rpartition(":")
         listener = eventlet.listen((host, int(port)), backlog=256)
-        self.tasks.append(eventlet.spawn(self._accept, listener))
-        self.tasks.append(eventlet.spawn(self._heartbeat_forever))
+        self.tasks.append(tasks.spawn("accept", self._accept, listener))
+        self.tasks.append(tasks.spawn("heartbeat", self._heartbeat_forever))
         self.store_cache.listeners.append(self._on_cache_change)
         return self
 
@@ -237,8 +238,8 @@
             # `kill` lets other tasks run, which may call this method.
             eventlet.spawn(self.senders.pop(name).kill)
         for name in sorted(links - set(self.senders)):
-            self.senders[name] = eventlet.spawn(
-                self._send_forever, self.view.peers[name]
+            self.senders[name] = tasks.spawn(
+                f"send to {name}", self._send_forever, self.view.peers[name]
             )
         self.view.record_contacts(contacts)
 
@@ -500,6 +501,9 @@
                     "peer-connection-ended",
                     reason=type(error).__name__,
                 )
+            except Exception as error:
+                # The sender connects again.
+                tasks.log_failure(f"receive from {sender}", error)
 
     def _on_message(self, sender: str, content: bytes, prefix: int) -> None:
         """Hands a message that is no heartbeat to its handler.
--- a/gooseberryweir/process/fleet/reader.py
+++ b/gooseberryweir/process/fleet/reader.py
@@ -12,11 +12,11 @@
 from typing import Any
 from typing import NamedTuple
 
-import eventlet
 from eventlet import event
 
 from gooseberryweir import clock as clocks
 from gooseberryweir import logs
+from gooseberryweir import tasks
 from gooseberryweir.process.fleet import fleet_view
 from gooseberryweir.process.fleet import mesh as mesh_module
 from gooseberryweir.process.fleet import relays
@@ -118,9 +118,11 @@
 
     def __enter__(self) -> "Reader":
         self.store_cache.listeners.append(self._on_cache_change)
+        self.registered_era = self.store_cache.era
         self.tasks = [
-            eventlet.spawn(self._run),
-            eventlet.spawn(self._sync_forever),
+            tasks.spawn("register", self._register_until_done),
+            tasks.spawn("poll", self._run),
+            tasks.spawn("sync", self._sync_forever),
         ]
         return self
 
@@ -129,13 +131,7 @@
             task.kill()
 
     def _run(self) -> None:
-        """Registers this host and polls the store.
-
-        Polls until there is a configuration, then only if no other host
-        does.
-        """
-        self.registered_era = self.store_cache.era
-        eventlet.spawn(self._register_until_done)
+        """Polls until there is a configuration, then if no other host does."""
         backoff = MIN_BACKOFF_SECONDS
         while self.store_cache.configuration is None:
             try:
@@ -149,6 +145,10 @@
                 self.clock.sleep(POLL_SECONDS)
         self._poll_forever()
 
+    def _register_after(self, delay_seconds: float) -> None:
+        self.clock.sleep(delay_seconds)
+        self._register_until_done()
+
     def _register_until_done(self) -> None:
         """Registers this host in the store; retries until it succeeds."""
         backoff = MIN_BACKOFF_SECONDS
@@ -174,7 +174,9 @@
             return
         delay_seconds = self.rng.uniform(0.0, REGISTRATION_SPREAD_SECONDS)
         logs.event(LOGGER, "registration-lost", era=era, retry_in=delay_seconds)
-        eventlet.spawn_after(delay_seconds, self._register_until_done)
+        self.tasks.append(
+            tasks.spawn("register", self._register_after, delay_seconds)
+        )
 
     def _poll_forever(self) -> None:
         """Polls the store at each interval in which this host should poll."""
--- a/gooseberryweir/process/fleet/store_cache.py
+++ b/gooseberryweir/process/fleet/store_cache.py
@@ -19,6 +19,7 @@
 
 from gooseberryweir import clock as clocks
 from gooseberryweir import logs
+from gooseberryweir import tasks
 from gooseberryweir.process.fleet import store_return as store_return_module
 from gooseberryweir.version import store_version
 from gooseberryweir.version import traffic
@@ -231,8 +232,15 @@
             LOGGER, "store-return-ended", part=kind, version=snapshot.version
         )
         self._apply(kind, snapshot.content, snapshot.version, "return")
+        self._notify(kind)
+
+    def _notify(self, kind: str) -> None:
+        """Calls the listeners; one that fails does not affect the others."""
         for listener in self.listeners:
-            listener(kind)
+            try:
+                listener(kind)
+            except Exception as error:
+                tasks.log_failure(f"listener of {kind}", error)
 
     def _awaiting_reregistration(self, now: float) -> bool:
         """Returns True while live upstreams may still have to register again.
@@ -262,8 +270,7 @@
             if name not in self.retained
         }
         self.retained = frozenset()
-        for listener in self.listeners:
-            listener(UPSTREAMS)
+        self._notify(UPSTREAMS)
 
     def accept(
         self,
@@ -321,8 +328,7 @@
             source=source,
             bytes=len(content),
         )
-        for listener in self.listeners:
-            listener(kind)
+        self._notify(kind)
 
     def _replace_configuration(
         self,
@@ -392,7 +398,7 @@
                     content, type=tuple[traffic.HostEntry, ...]
                 )
                 self.hosts = {each.name: each for each in entries}
-        except (ValueError, msgspec.MsgspecError) as error:
+        except (ValueError, OverflowError, RecursionError) as error:
             logs.event(
                 LOGGER,
                 "knowledge-rejected",
--- a/gooseberryweir/process/fleet/upstream_tokens.py
+++ b/gooseberryweir/process/fleet/upstream_tokens.py
@@ -366,12 +366,13 @@
 
         A host that is no relay has links only to relays, which pass them on.
         """
+        # The next change starts this again, also after an exception here.
+        changed, self.changed = self.changed, set()
         reports = [
             self._report(each)
-            for each in sorted(self.changed)
+            for each in sorted(changed)
             if each in self.limits.limits
         ]
-        self.changed.clear()
         content = msgspec.msgpack.encode(reports)
         for name in self.neighbours.linked():
             self.calls.notify(name, LIMIT_NOTICE, content)
--- a/gooseberryweir/process/reporting.py
+++ b/gooseberryweir/process/reporting.py
@@ -5,12 +5,11 @@
 import logging
 from typing import NamedTuple
 
-import eventlet
-
 from gooseberryweir import clock as clocks
 from gooseberryweir import codes
 from gooseberryweir import logs
 from gooseberryweir import metrics as metrics_module
+from gooseberryweir import tasks
 from gooseberryweir.process.shares import shares as shares_module
 
 LOGGER = logging.getLogger(__name__)
@@ -163,7 +162,7 @@
             clock.sleep(REPORT_INTERVAL_SECONDS)
             report_once(shares, outcomes, metrics, clock.monotonic())
 
-    task = eventlet.spawn(run)
+    task = tasks.spawn("report", run)
     try:
         yield
     finally:
--- a/gooseberryweir/process/shares/shares.py
+++ b/gooseberryweir/process/shares/shares.py
@@ -2,10 +2,10 @@
 
 from types import TracebackType
 
-import eventlet
 from eventlet import greenthread
 
 from gooseberryweir import clock as clocks
+from gooseberryweir import tasks
 from gooseberryweir.connection import peer_link
 from gooseberryweir.process import upstream_monitor as upstream_monitor_module
 from gooseberryweir.process.membership import facts as facts_module
@@ -88,7 +88,7 @@
     def __enter__(self) -> "Shares":
         self.membership.store.listeners.append(self.refresh)
         self.facts.listeners.append(self.refresh)
-        self.task = eventlet.spawn(self.run)
+        self.task = tasks.spawn("shares", self.run)
         return self
 
     def __exit__(
--- a/gooseberryweir/process/upkeep/watcher.py
+++ b/gooseberryweir/process/upkeep/watcher.py
@@ -23,6 +23,7 @@
 
 from gooseberryweir import clock as clocks
 from gooseberryweir import logs
+from gooseberryweir import tasks
 from gooseberryweir.platform import store as platform_store
 from gooseberryweir.version import objects
 
@@ -78,7 +79,7 @@
 
     def __enter__(self) -> "Watcher":
         self.tasks = [eventlet.spawn(self.watch_kind, kind) for kind in KINDS]
-        self.tasks.append(eventlet.spawn(self.poll))
+        self.tasks.append(tasks.spawn("poll", self.poll))
         return self
 
     def __exit__(self, *unused_error: object) -> None:
--- a/gooseberryweir/process/upstream_monitor.py
+++ b/gooseberryweir/process/upstream_monitor.py
@@ -20,6 +20,7 @@
 
 from gooseberryweir import clock as clocks
 from gooseberryweir import logs
+from gooseberryweir import tasks
 from gooseberryweir.process.membership import facts as facts_module
 from gooseberryweir.process.shares import slot_capacity
 from gooseberryweir.version import tables as tables_module
@@ -118,7 +119,7 @@
         self.task: Any = None
 
     def __enter__(self) -> "UpstreamMonitor":
-        self.task = eventlet.spawn(self.run)
+        self.task = tasks.spawn("probe upstreams", self.run)
         return self
 
     def __exit__(self, *_: object) -> None:
--- a/gooseberryweir/request/steering/reachability.py
+++ b/gooseberryweir/request/steering/reachability.py
@@ -18,6 +18,7 @@
 
 from gooseberryweir import clock as clocks
 from gooseberryweir import logs
+from gooseberryweir import tasks
 from gooseberryweir.version import traffic
 
 LOGGER = logging.getLogger(__name__)
@@ -156,26 +157,24 @@
         if self.is_probing or now - self.probing_at < PROBE_INTERVAL_SECONDS:
             return
         self.is_probing = True
-        eventlet.spawn(self._probe_until_reachable)
+        tasks.spawn("probe upstreams", self._probe_until_reachable)
 
     def _probe_until_reachable(self) -> None:
         """Sends rounds of probes until an upstream answers one."""
-        try:
-            while True:
-                self.probing_at = self.clock.monotonic()
-                upstreams = list(self.probing.upstreams())
-                if (
-                    not upstreams
-                    or self._probe_any(self._select(upstreams))
-                    or self._answered_since(self.probing_at)
-                ):
-                    self._set_reachable(True)
-                    return
-                self._set_reachable(False)
-                elapsed = self.clock.monotonic() - self.probing_at
-                self.clock.sleep(max(0.0, PROBE_INTERVAL_SECONDS - elapsed))
-        finally:
-            self.is_probing = False
+        while True:
+            self.probing_at = self.clock.monotonic()
+            upstreams = list(self.probing.upstreams())
+            if (
+                not upstreams
+                or self._probe_any(self._select(upstreams))
+                or self._answered_since(self.probing_at)
+            ):
+                self._set_reachable(True)
+                self.is_probing = False
+                return
+            self._set_reachable(False)
+            elapsed = self.clock.monotonic() - self.probing_at
+            self.clock.sleep(max(0.0, PROBE_INTERVAL_SECONDS - elapsed))
 
     def _answered_since(self, start: float) -> bool:
         """Returns True if an answer to a request shows that there is no cut.
--- /dev/null
+++ b/test/test_foreign_entries.py
@@ -0,0 +1,69 @@
+"""Tests of entries of other programs among the upstreams, with real processes.
+
+The store takes any JSON. What such an entry holds must not keep hosts from
+learning of the other entries.
+"""
+
+import contextlib
+import time
+import unittest
+
+from test import _common
+from test import _front
+from test.standins import threaded_upstream
+
+# The platform's bound on a change of the configuration or of the upstreams.
+APPLY_SECONDS = 2.5
+# Time for which the entry is in the store.
+ENTRY_SECONDS = 2.0
+
+
+class ForeignEntriesTest(unittest.TestCase):
+    """Three hosts."""
+
+    def setUp(self):
+        self.stack = self.enterContext(contextlib.ExitStack())
+        self.system = _front.System(self.stack)
+        self.store = self.system.store
+
+    def put_entry(self, **changes):
+        """Writes the entry of another program."""
+        entry = {**self.system.upstreams[0].entry(), **changes}
+        self.store.put("servers", "i-other", entry)
+
+    def assert_learns_of_a_new_service(self):
+        """Checks that all hosts serve a route whose upstream is new."""
+        configuration = _front.configuration(2)
+        configuration["routes"]["new"] = {
+            **configuration["routes"]["read"],
+            "pathPrefix": "/new/",
+            "service": "new",
+        }
+        configuration["services"]["new"] = configuration["services"]["work"]
+        self.store.put("config", "main", configuration)
+        upstream = self.stack.enter_context(
+            threaded_upstream.ThreadedUpstream("i-new", "new", "north-a")
+        )
+        self.store.put("servers", upstream.name, upstream.entry())
+        for host in self.system.hosts:
+            _common.wait_until(
+                lambda host=host: (
+                    _front.call(host.address, "/new/1").status == 200
+                ),
+                timeout=APPLY_SECONDS,
+                description=f"{host.name} serves the new route",
+            )
+
+    # Guards against CONFIG of review/2: no host learned of upstreams any more
+    # after an entry with such a number.
+    def test_upstreams_are_read_after_an_entry_with_a_huge_number(self):
+        self.put_entry(slots=2**64)
+        time.sleep(ENTRY_SECONDS)
+        self.store.delete("servers", "i-other")
+        self.assert_learns_of_a_new_service()
+        for host in self.system.hosts:
+            self.assertFalse(host.log_lines("task-failed"), host.name)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/test/test_platform_records.py
+++ b/test/test_platform_records.py
@@ -1,11 +1,15 @@
 """Tests of decoding the objects of the platform's store."""
 
+import json
 import unittest
 
+import hypothesis
+from hypothesis import strategies
 import msgspec
 
 from gooseberryweir.platform import records
 from gooseberryweir.platform import units
+from gooseberryweir.process.fleet import store_cache
 
 CONFIGURATION = {
     "version": "r12",
@@ -127,6 +131,73 @@
         )
         self.assertEqual([each.draining for each in upstreams], [True, True])
 
+    # Guards against CONFIG of review/2: a number that no snapshot can hold
+    # ended the task that reads the upstreams.
+    def test_entries_with_values_out_of_range_are_skipped(self):
+        for change in (
+            {"slots": 2**64},
+            {"slots": 2**63},
+            {"slots": 10**400},
+            {"slots": records.MAX_SLOTS + 1},
+            {"slots": 0},
+            {"born": 2**64},
+            {"born": -(2**70)},
+            {"coldRemaining": "9" * 400 + "s"},
+            {"coldRemaining": "-1s"},
+            {"address": "10.0.0.9:65536"},
+            {"address": "10.0.0.9:0"},
+            {"address": "10.0.0.256:80"},
+            {"address": "10.0.0.9:80\n"},
+            {"address": "\u0661.0.0.9:80"},
+        ):
+            item = msgspec.Raw(
+                json.dumps(
+                    {
+                        "metadata": {"name": "i-1", "revision": 7},
+                        "spec": {**UPSTREAM, **change},
+                    }
+                ).encode()
+            )
+            valid = stored_object("i-2", UPSTREAM)
+            with self.subTest(change):
+                decoded = records.decode_upstreams([item, valid])
+                self.assertEqual([each.name for each in decoded], ["i-2"])
+
+    def test_an_object_with_a_revision_out_of_range_is_skipped(self):
+        items = [
+            msgspec.Raw(
+                b'{"metadata":{"name":"i-1","revision":%d},"spec":%s}'
+                % (revision, msgspec.json.encode(UPSTREAM))
+            )
+            for revision in (2**64, -1)
+        ]
+        self.assertEqual(records.decode_upstreams(items), ())
+
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
+    @hypothesis.given(
+        strategies.dictionaries(
+            strategies.sampled_from(sorted(UPSTREAM)),
+            strategies.recursive(
+                strategies.none()
+                | strategies.booleans()
+                | strategies.integers()
+                | strategies.integers(2**60, 2**70)
+                | strategies.floats(allow_nan=False, allow_infinity=False)
+                | strategies.text(),
+                strategies.lists,
+            ),
+        )
+    )
+    def test_whatever_is_decoded_can_be_sent_to_other_hosts(self, changes):
+        item = json.dumps(
+            {
+                "metadata": {"name": "i-1", "revision": 7},
+                "spec": {**UPSTREAM, **changes},
+            }
+        )
+        decoded = records.decode_upstreams([msgspec.Raw(item.encode())])
+        store_cache.encode_content(decoded)
+
     def test_malformed_entries_are_skipped_and_the_others_kept(self):
         without_address = {k: v for k, v in UPSTREAM.items() if k != "address"}
         malformed = [
