Read evacuations and upstreams beside objects that can't be read

Cause: a page of a list was decoded as a whole, and the decoder refuses such escapes also in objects that it leaves undecoded; evacuations were read only after the upstreams. Ruled out: the decoding of single entries, which skips what it can't read.

Change: a page that can't be decoded is split into its objects by strings and brackets alone. Evacuations, upstreams and hosts are read in this order and each for itself. Also: the next page follows the last name that can be read; of an evacuation only the name counts; a configuration that can't be read is an error, not none, which had confirmed the cached one.

--- /dev/null
+++ b/gooseberryweir/platform/pages.py
@@ -0,0 +1,105 @@
+"""Splits lists of the store into their objects.
+
+Other programs write to the store too. JSON allows more than a strict decoder
+accepts, such as escapes of lone surrogates or very deep nesting. What one
+object holds must not make the others unreadable.
+"""
+
+import json
+import re
+
+import msgspec
+
+# Strings and brackets; all other bytes don't matter for the structure.
+_TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[\]{}]', re.DOTALL)
+_ITEMS_START = re.compile(rb"\s*:\s*\[")
+_ITEMS_KEY = b'"items"'
+
+
+class _Metadata(msgspec.Struct):
+    name: str
+
+
+class _Named(msgspec.Struct):
+    """An object of the store, of which only the name is decoded."""
+
+    metadata: _Metadata
+
+
+def split(body: bytes) -> tuple[bytes, list[msgspec.Raw]]:
+    """Splits a list without decoding its objects.
+
+    Args:
+        body: JSON of the list, an object with the field `items`.
+
+    Returns:
+        The JSON with an empty `items`, and the JSON of each object.
+
+    Raises:
+        ValueError: The list has no field `items`, or it does not end.
+    """
+    start = _find_items(body)
+    items: list[msgspec.Raw] = []
+    depth = 0
+    item_start = start
+    for token in _TOKEN.finditer(body, start):
+        if token[0] in (b"{", b"["):
+            if depth == 0:
+                item_start = token.start()
+            depth += 1
+        elif token[0] in (b"}", b"]"):
+            if depth == 0:
+                return body[:start] + body[token.start() :], items
+            depth -= 1
+            if depth == 0:
+                items.append(msgspec.Raw(body[item_start : token.end()]))
+    raise ValueError("the list does not end")
+
+
+def _find_items(body: bytes) -> int:
+    """Returns the position after the bracket that opens the field `items`.
+
+    Raises:
+        ValueError: There is no such field.
+    """
+    depth = 0
+    for token in _TOKEN.finditer(body):
+        if token[0] in (b"{", b"["):
+            depth += 1
+        elif token[0] in (b"}", b"]"):
+            depth -= 1
+        elif depth == 1 and token[0] == _ITEMS_KEY:
+            opening = _ITEMS_START.match(body, token.end())
+            if opening is not None:
+                return opening.end()
+    raise ValueError("the list has no items")
+
+
+def object_name(item: msgspec.Raw) -> str | None:
+    """Returns the name of an object, also if the rest of it is unreadable.
+
+    Returns:
+        The name; None if it can't be read either.
+    """
+    try:
+        return msgspec.json.decode(item, type=_Named).metadata.name
+    except (ValueError, RecursionError):
+        return _name_in_lenient_json(item)
+
+
+def _name_in_lenient_json(item: msgspec.Raw) -> str | None:
+    """Returns the name of an object that a strict decoder refuses, or None."""
+    try:
+        document = json.loads(bytes(item).decode("utf-8", "replace"))
+        name = document["metadata"]["name"]
+        # A lone surrogate has no UTF-8 encoding.
+        return str(name) if name.encode("utf-8") else None
+    except (
+        ValueError,
+        RecursionError,
+        KeyError,
+        TypeError,
+        AttributeError,
+    ):
+        # The callers log what they skip.
+        return None
--- a/gooseberryweir/platform/records.py
+++ b/gooseberryweir/platform/records.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from gooseberryweir import logs
+from gooseberryweir.platform import pages
 from gooseberryweir.platform import units
 from gooseberryweir.version import traffic
 
@@ -134,7 +135,7 @@
         try:
             decoded.append(_decode(item, _Object))
         except _DECODE_ERRORS as error:
-            _log_skipped(kind, "unknown", error)
+            _log_skipped(kind, pages.object_name(item) or "unknown", error)
     return decoded
 
 
@@ -156,10 +157,19 @@
 
     Args:
         items: JSON of the objects of kind `CONFIGURATION`.
+
+    Raises:
+        ValueError: There is a configuration, but it can't be read.
     """
-    for each in _decode_objects(items, CONFIGURATION):
-        if each.metadata.name == CONFIGURATION_NAME:
-            return each.metadata.revision, bytes(each.spec)
+    for item in items:
+        if pages.object_name(item) == CONFIGURATION_NAME:
+            try:
+                decoded = _decode(item, _Object)
+            except _DECODE_ERRORS as error:
+                raise ValueError(
+                    f"the configuration is unreadable: {error}"
+                ) from error
+            return decoded.metadata.revision, bytes(decoded.spec)
     return None
 
 
@@ -268,9 +278,18 @@
 
 
 def decode_evacuations(items: Iterable[msgspec.Raw]) -> tuple[str, ...]:
-    """Returns the names of the evacuated availability zones, sorted."""
-    objects = _decode_objects(items, EVACUATIONS)
-    return tuple(sorted(each.metadata.name for each in objects))
+    """Returns the names of the evacuated availability zones, sorted.
+
+    Only the name of an object counts, whatever else it holds.
+    """
+    names = set()
+    for item in items:
+        name = pages.object_name(item)
+        if name is None:
+            _log_skipped(EVACUATIONS, "unknown", ValueError("no name"))
+        else:
+            names.add(name)
+    return tuple(sorted(names))
 
 
 def decode_hosts(
--- a/gooseberryweir/platform/store.py
+++ b/gooseberryweir/platform/store.py
@@ -15,6 +15,7 @@
 import urllib3
 
 from gooseberryweir import clock as clocks
+from gooseberryweir.platform import pages
 from gooseberryweir.version import store_version
 
 # Timeout of one call: four times the latency of the store when it is slow.
@@ -157,6 +158,13 @@
         return self.status == 0 or self.status >= 500
 
 
+class MalformedError(StoreError):
+    """The store answered, but the answer can't be read."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(0, f"the store's answer is malformed: {message}")
+
+
 class _Answer(NamedTuple):
     """Answer of the store to one call."""
 
@@ -225,14 +233,14 @@
                     0, f"the store returned from a copy in a list of {kind}"
                 )
             era = answer.era
-            page = _decode(answer.body, _Page)
+            page = _decode_page(answer.body)
             items += page.items
             # Later pages may include later changes, so the revision of the
             # first page is the one that the whole list has reached.
             revision = page.current_rev if revision is None else revision
             if not page.has_more or not page.items:
                 return Listing(items, revision, requested_at, era)
-            after = _decode_object(page.items[-1]).name
+            after = _last_name(page.items)
         raise StoreError(0, f"the list of {kind} has too many pages")
 
     def get(self, kind: str, name: str) -> StoredObject | None:
@@ -365,7 +373,7 @@
     if text is None:
         return store_version.NO_ERA
     if not _ERA.fullmatch(text):
-        raise StoreError(0, f"the store's answer has a malformed {_ERA_HEADER}")
+        raise MalformedError(f"header {_ERA_HEADER}")
     return int(text)
 
 
@@ -377,9 +385,34 @@
     try:
         return msgspec.json.decode(body, type=expected_type)
     except (ValueError, RecursionError) as error:
-        raise StoreError(
-            0, f"the store's answer is malformed: {error}"
-        ) from error
+        raise MalformedError(str(error)) from error
+
+
+def _decode_page(body: bytes) -> _Page:
+    """Decodes a page of a list; an unreadable object stays in it as it is."""
+    try:
+        page: _Page = _decode(body, _Page)
+    except MalformedError:
+        try:
+            rest, items = pages.split(body)
+        except ValueError as error:
+            raise MalformedError(str(error)) from error
+        page = _decode(rest, _Page)
+        page.items = items
+    return page
+
+
+def _last_name(items: list[msgspec.Raw]) -> str:
+    """Returns the name of the last object whose name can be read.
+
+    Raises:
+        MalformedError: There is none.
+    """
+    for item in reversed(items):
+        name = pages.object_name(item)
+        if name is not None:
+            return name
+    raise MalformedError("no object of a page has a name")
 
 
 def _decode_object(body: bytes | msgspec.Raw) -> StoredObject:
--- a/gooseberryweir/process/fleet/reader.py
+++ b/gooseberryweir/process/fleet/reader.py
@@ -51,7 +51,15 @@
 
 
 class ReadError(Exception):
-    """A read from the store, or the registration of this host, failed."""
+    """A read from the store, or the registration of this host, failed.
+
+    Attributes:
+        answered: True if the store answered, but the answer can't be read.
+    """
+
+    def __init__(self, message: str, answered: bool = False) -> None:
+        super().__init__(message)
+        self.answered = answered
 
 
 class ReadResult(NamedTuple):
@@ -214,7 +222,13 @@
     def _poll(self) -> None:
         """Reads the configuration and requests a sync if the store changed."""
         started_at = self.clock.monotonic()
-        result = self._read_snapshot(store_cache_module.CONFIGURATION)
+        try:
+            result = self._read_snapshot(store_cache_module.CONFIGURATION)
+        except ReadError as error:
+            if error.answered:
+                # The other kinds may be readable.
+                self._request_sync()
+            raise
         self.store_seconds = self.clock.monotonic() - started_at
         self._set_store_reachable(True)
         # The cached configuration is the newest one if its version is that of
@@ -241,21 +255,33 @@
             self.sync_requested.wait()
             self.sync_requested = event.Event()
             target_version = self.latest_version
-            try:
+            # Each kind is read, also if another one can't be.
+            results = [
+                self._sync(kind)
                 for kind in (
-                    store_cache_module.UPSTREAMS,
                     store_cache_module.EVACUATIONS,
+                    store_cache_module.UPSTREAMS,
                     store_cache_module.HOSTS,
-                ):
-                    self._read_snapshot(kind)
-            except ReadError as error:
-                self._set_store_reachable(False, error)
-                # The next poll requests the sync again.
-                continue
-            self.synced_version = max(self.synced_version, target_version)
-            if self.mesh is not None:
+                )
+            ]
+            if all(results):
+                self.synced_version = max(self.synced_version, target_version)
+            # Otherwise the next poll requests the sync again.
+            if any(results) and self.mesh is not None:
                 self.mesh.send_now()
 
+    def _sync(self, kind: str) -> bool:
+        """Reads the objects of a kind; returns False if that failed."""
+        try:
+            self._read_snapshot(kind)
+        except ReadError as error:
+            self._set_store_reachable(False, error)
+            return False
+        except Exception as error:
+            tasks.log_failure(f"read {kind}", error)
+            return False
+        return True
+
     def _read_snapshot(self, kind: str) -> ReadResult:
         """Reads the objects of a kind and caches them if they changed.
 
--- a/gooseberryweir/store_snapshots.py
+++ b/gooseberryweir/store_snapshots.py
@@ -45,6 +45,10 @@
                 content = store_cache_module.encode_content(
                     decode(listing.items)
                 )
+        except (store_module.MalformedError, ValueError) as error:
+            raise reader_module.ReadError(
+                f"{kind}: {error}", answered=True
+            ) from error
         except store_module.StoreError as error:
             raise reader_module.ReadError(f"{kind}: {error}") from error
         return reader_module.ReadResult(
--- a/test/test_foreign_entries.py
+++ b/test/test_foreign_entries.py
@@ -14,6 +14,8 @@
 
 # The platform's bound on a change of the configuration or of the upstreams.
 APPLY_SECONDS = 2.5
+# The platform's bound on an evacuation.
+EVACUATION_SECONDS = 5.0
 # Time for which the entry is in the store.
 ENTRY_SECONDS = 2.0
 
@@ -31,7 +33,7 @@
         entry = {**self.system.upstreams[0].entry(), **changes}
         self.store.put("servers", "i-other", entry)
 
-    def assert_learns_of_a_new_service(self):
+    def assert_learns_of_a_new_service(self, zone="north-a"):
         """Checks that all hosts serve a route whose upstream is new."""
         configuration = _front.configuration(2)
         configuration["routes"]["new"] = {
@@ -42,7 +44,7 @@
         configuration["services"]["new"] = configuration["services"]["work"]
         self.store.put("config", "main", configuration)
         upstream = self.stack.enter_context(
-            threaded_upstream.ThreadedUpstream("i-new", "new", "north-a")
+            threaded_upstream.ThreadedUpstream("i-new", "new", zone)
         )
         self.store.put("servers", upstream.name, upstream.entry())
         for host in self.system.hosts:
@@ -64,6 +66,29 @@
         for host in self.system.hosts:
             self.assertFalse(host.log_lines("task-failed"), host.name)
 
+    # Guards against EVAC of review/3: while such an entry was in the store,
+    # hosts could read neither upstreams nor evacuations.
+    def test_evacuations_are_read_beside_an_entry_that_is_no_text(self):
+        other = self.stack.enter_context(
+            threaded_upstream.ThreadedUpstream("i-b", "work", "south-a")
+        )
+        self.store.put("servers", other.name, other.entry())
+        self.put_entry(service="worn\udcff\udcfe")
+        self.store.put("evacuations", "north-a", {})
+        time.sleep(EVACUATION_SECONDS)
+        before = [len(each.runs) for each in self.system.upstreams]
+        for _ in range(10):
+            self.call_all()
+        after = [len(each.runs) for each in self.system.upstreams]
+        self.assertEqual(before, after)
+        self.assert_learns_of_a_new_service("south-a")
+
+    def call_all(self):
+        """Sends a request to each host; returns True."""
+        for host in self.system.hosts:
+            self.assertEqual(_front.call(host.address, "/read/1").status, 200)
+        return True
+
 
 if __name__ == "__main__":
     unittest.main()
