Ignore input of a connection once its last answer is decided

Cause: `closing` was set after the last answer had been sent. Ruled out: the pipelining itself (requests that were read before the decision are answered).

Change: `closing` is set before the first byte of that answer.

--- a/gooseberryweir/connection/pipelined_server.py
+++ b/gooseberryweir/connection/pipelined_server.py
@@ -414,6 +414,9 @@
                     or not oldest.request.keep_alive
                     or callbacks.shutting_down()
                 )
+                # A request that arrives while this answer is being sent would
+                # get no answer any more; its caller takes it as not read.
+                self.closing = self.closing or close
                 with eventlet.Timeout(SEND_TIMEOUT_SECONDS):
                     self.socket.sendall(
                         http_messages.encode_answer(
--- a/test/test_planned_stop.py
+++ b/test/test_planned_stop.py
@@ -15,6 +15,8 @@
 LIMITS = traffic.CallerLimits(8192, 8192, 3.0, 15.0)
 REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 SETTLE_SECONDS = 0.05
+# More than the kernel's buffers of a connection hold.
+LARGE_ANSWER_BYTES = 32_000_000
 
 
 class PlannedStopTest(unittest.TestCase):
@@ -22,6 +24,8 @@
 
     def setUp(self):
         stack = self.enterContext(contextlib.ExitStack())
+        self.handled = []
+        self.body = b""
         with socket.socket() as probe:
             probe.bind(("127.0.0.1", 0))
             self.port = probe.getsockname()[1]
@@ -30,7 +34,7 @@
             pipelined_server.Server(
                 f"127.0.0.1:{self.port}",
                 pipelined_server.Callbacks(
-                    lambda _message: pipelined_server.Answer(503, (), b""),
+                    self.handle,
                     lambda: LIMITS,
                     lambda: True,
                 ),
@@ -38,6 +42,10 @@
         )
         eventlet.sleep(SETTLE_SECONDS)
 
+    def handle(self, message):
+        self.handled.append(message.target)
+        return pipelined_server.Answer(503, (), self.body)
+
     def connect(self):
         caller = socket.create_connection(("127.0.0.1", self.port), timeout=2)
         return self.stack.enter_context(caller)
@@ -79,6 +87,32 @@
         self.assertFalse(self.server.has_requests())
         self.assertEqual(caller.recv(1000), b"")
 
+    # Guards against LOST of review/4: a request that arrived while the last
+    # answer was being sent was passed on, and its connection closed.
+    def test_request_behind_the_last_answer_is_not_handled(self):
+        self.body = bytes(LARGE_ANSWER_BYTES)
+        caller = self.connect()
+        caller.sendall(REQUEST)
+        eventlet.sleep(SETTLE_SECONDS)
+        head = caller.recv(1000)
+        self.assertIn(b"Connection: close", head)
+        caller.sendall(REQUEST)
+        eventlet.sleep(SETTLE_SECONDS)
+        self.assertEqual(len(self.handled), 1)
+        received = len(head)
+        while data := self.receive(caller):
+            received += len(data)
+        self.assertGreater(received, LARGE_ANSWER_BYTES)
+
+    def receive(self, caller):
+        """Lets the server send, and returns what has arrived."""
+        caller.settimeout(0.01)
+        for _ in range(100):
+            eventlet.sleep(0.001)
+            with contextlib.suppress(TimeoutError):
+                return caller.recv(1 << 20)
+        raise AssertionError("nothing arrived")
+
 
 if __name__ == "__main__":
     unittest.main()
