Show that an earlier refusal written again is no answer

Report of another operator: a faulty backend wrote an earlier refusal once more on a kept connection, and callers were told "not run" for requests that ran, or these ran twice.

Seen here: it can't happen in `front`. An answer counts only with the id of the request; a request goes to an upstream once, so no earlier refusal on the same connection has its id; bytes that arrive while a connection is idle close it. Tests: the refusal before and during the next request, and in place of its answer (outcome unknown, no refusal). What could be better: the connection of an upstream that sent an answer to another request was used again; it is closed now, which the first test showed (1 connection where 2 are wanted).

Not covered: a caller that sends two requests with the same id. `serve` has no ids; it sends requests that may not be repeated over new connections only.

--- a/gooseberryweir/connection/upstream_pool.py
+++ b/gooseberryweir/connection/upstream_pool.py
@@ -374,7 +374,9 @@
         for index, answer in enumerate(answers):
             if is_reply(answer.headers):
                 is_last = index == len(answers) - 1 and not reader.in_progress
-                return answer, answer.keep_alive and is_last and was_sent
+                return answer, (
+                    answer.keep_alive and is_last and was_sent and not unmatched
+                )
             unmatched += 1
         if not answer_begun:
             raise NoAnswerError("no answer")
--- a/test/test_upstream_pool.py
+++ b/test/test_upstream_pool.py
@@ -20,6 +20,10 @@
 OTHER_ANSWER = (
     b"HTTP/1.1 200 OK\r\nRequest-Id: b\r\nContent-Length: 5\r\n\r\nother"
 )
+REFUSAL_OF_OTHER = (
+    b"HTTP/1.1 503 Full\r\nRequest-Id: b\r\nNot-Executed: 1\r\n"
+    b"Content-Length: 0\r\n\r\n"
+)
 ANSWER_WITHOUT_LENGTH = b"HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\nsome"
 # SO_LINGER with a time of 0: closing the socket resets the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -78,14 +82,16 @@
     The upstream sends complete, truncated, late, additional or no answers.
     """
 
-    def exchange(self, upstream, pool, timeout=2.0, max_connections=64):
+    def exchange(
+        self, upstream, pool, timeout=2.0, max_connections=64, request_id="a"
+    ):
         return pool.exchange(
             upstream_pool.Endpoint(
                 "u1", upstream.address, max_connections=max_connections
             ),
             REQUEST,
             timeout,
-            lambda headers: wire.response_request_id(headers) == "a",
+            lambda headers: wire.response_request_id(headers) == request_id,
             wire.keep_alive_seconds,
         )
 
@@ -157,6 +163,81 @@
         self.assertEqual(self.exchange(upstream, pool).message.body, b"ok")
         self.assertEqual(upstream.connections, 2)
 
+    # Shows that an answer whose head was cut off is never taken for a whole one
+    # without a body, nor one whose body was cut off.
+    def test_an_answer_cut_off_at_any_byte_is_an_error(self):
+        for size in range(len(ANSWER)):
+
+            def script(connection, size=size):
+                connection.sendall(ANSWER[:size])
+                return False
+
+            upstream, pool = self.start(script)
+            with (
+                self.subTest(size),
+                self.assertRaises(upstream_pool.BrokenAnswerError),
+            ):
+                self.exchange(upstream, pool)
+
+    # The same after an interim answer and after one to another request.
+    def test_an_answer_cut_off_behind_another_one_is_an_error(self):
+        for before in (b"HTTP/1.1 102 Processing\r\n\r\n", OTHER_ANSWER):
+            for size in range(len(ANSWER)):
+
+                def script(connection, data=before + ANSWER[:size]):
+                    connection.sendall(data)
+                    return False
+
+                upstream, pool = self.start(script)
+                with (
+                    self.subTest(size, before=before),
+                    self.assertRaises(upstream_pool.BrokenAnswerError),
+                ):
+                    self.exchange(upstream, pool)
+
+    # Shows that an earlier refusal that is written once more does not count as
+    # the answer to the next request, which the upstream runs.
+    def test_an_earlier_refusal_written_again_is_no_answer(self):
+        for pause_seconds in (0.0, 0.05):
+            seen = []
+
+            def script(connection, seen=seen, pause_seconds=pause_seconds):
+                seen.append(connection)
+                if len(seen) == 1:
+                    connection.sendall(REFUSAL_OF_OTHER)
+                    return True
+                connection.sendall(REFUSAL_OF_OTHER)
+                eventlet.sleep(pause_seconds)
+                connection.sendall(ANSWER)
+                return True
+
+            upstream, pool = self.start(script)
+            first = self.exchange(upstream, pool, request_id="b")
+            self.assertEqual(first.message.status, 503)
+            reply = self.exchange(upstream, pool)
+            self.assertEqual(
+                (reply.message.status, upstream.connections), (200, 1)
+            )
+            self.assertIs(seen[0], seen[1])
+            # A connection with such an answer is not used again.
+            self.exchange(upstream, pool)
+            self.assertEqual(upstream.connections, 2)
+
+    # The same if the request gets no other answer: its outcome is unknown.
+    def test_an_earlier_refusal_before_the_end_is_no_answer(self):
+        seen = []
+
+        def script(connection):
+            seen.append(connection)
+            connection.sendall(REFUSAL_OF_OTHER)
+            return len(seen) == 1
+
+        upstream, pool = self.start(script)
+        self.exchange(upstream, pool, request_id="b")
+        with self.assertRaises(upstream_pool.BrokenAnswerError) as caught:
+            self.exchange(upstream, pool)
+        self.assertNotIsInstance(caught.exception, upstream_pool.NoAnswerError)
+
     def test_no_answer_within_the_timeout_is_a_deadline_error(self):
         upstream, pool = self.start(lambda _: True)
         with self.assertRaises(upstream_pool.DeadlineError):
