Refuse answers of upstreams whose head is cut off (serve)

Report of another operator: a backend stopped in the middle of its answer's head, and clients got a 200 with an empty body.

Cause, in `serve`: http.client takes the end of the connection for the end of the head.

Change: the last line of a head must be empty, else the upstream died before its answer.

--- a/gooseberryweir/connection/upstream_http.py
+++ b/gooseberryweir/connection/upstream_http.py
@@ -8,10 +8,12 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 import contextlib
+import http.client
 from typing import Any
 from typing import NamedTuple
 
 import urllib3
+from urllib3 import connection as urllib3_connection
 
 from gooseberryweir.connection import hop_headers
 from gooseberryweir.request import incoming
@@ -176,9 +178,51 @@
                 dedicated_pool.close()
 
 
+class _LineRecorder:
+    """Input of an answer that keeps the last line that was read."""
+
+    def __init__(self, file: Any) -> None:
+        self.file = file
+        self.last_line = b""
+
+    def readline(self, *args: int) -> bytes:
+        self.last_line = self.file.readline(*args)
+        return self.last_line
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.file, name)
+
+
+class _Response(http.client.HTTPResponse):
+    """Answer whose head must end with an empty line.
+
+    The base class takes the end of the connection for the end of the head, so
+    an answer whose head was cut off would look complete and without a body.
+    """
+
+    fp: Any
+
+    def begin(self) -> None:
+        recorder = self.fp = _LineRecorder(self.fp)
+        super().begin()
+        if self.fp is recorder:
+            self.fp = recorder.file
+        if recorder.last_line not in (b"\r\n", b"\n"):
+            self.close()
+            raise http.client.IncompleteRead(recorder.last_line)
+
+
+class _Connection(urllib3_connection.HTTPConnection):
+    response_class = _Response
+
+
+class _Pool(urllib3.HTTPConnectionPool):
+    ConnectionCls = _Connection
+
+
 def _new_pool(address: str, connections: int) -> urllib3.HTTPConnectionPool:
     host, _, port = address.rpartition(":")
-    return urllib3.HTTPConnectionPool(
+    return _Pool(
         host, int(port), maxsize=connections, block=False, retries=False
     )
 
--- /dev/null
+++ b/test/test_cut_answers.py
@@ -0,0 +1,65 @@
+"""Tests of answers that an upstream cuts off, for the `serve` command."""
+
+import contextlib
+import socket
+import threading
+import unittest
+
+from gooseberryweir.connection import upstream_http
+
+ANSWER = (
+    b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+    b"Content-Length: 2\r\n\r\nok"
+)
+REQUEST = upstream_http.UpstreamRequest(
+    "GET", "/a", (("Host", "h"),), None, idempotent=True
+)
+TIMEOUT_SECONDS = 2.0
+
+
+class CutAnswerTest(unittest.TestCase):
+    """An upstream that closes the connection in the middle of an answer."""
+
+    def answer_with(self, data):
+        """Returns the body of an answer of which an upstream sends `data`."""
+        listener = self.enterContext(
+            contextlib.closing(socket.create_server(("127.0.0.1", 0)))
+        )
+
+        def serve():
+            connection, _ = listener.accept()
+            with connection:
+                connection.recv(65536)
+                connection.sendall(data)
+
+        thread = threading.Thread(target=serve)
+        thread.start()
+        self.addCleanup(thread.join)
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        with (
+            upstream_http.UpstreamConnections() as connections,
+            connections.send(address, 1, REQUEST, TIMEOUT_SECONDS) as answer,
+        ):
+            return answer.status, b"".join(upstream_http.read_body(answer))
+
+    # Guards against a head that is cut off and taken for a whole answer without
+    # a body.
+    def test_an_answer_cut_off_at_any_byte_is_an_error(self):
+        for size in range(len(ANSWER)):
+            with (
+                self.subTest(size),
+                self.assertRaises(upstream_http.UpstreamDiedError),
+            ):
+                self.answer_with(ANSWER[:size])
+
+    def test_whole_answers_are_read(self):
+        self.assertEqual(self.answer_with(ANSWER), (200, b"ok"))
+        for head in (b"HTTP/1.1 200 OK\r\n\r\n", b"HTTP/1.1 200 OK\n\n"):
+            self.assertEqual(self.answer_with(head + b"some"), (200, b"some"))
+        self.assertEqual(
+            self.answer_with(b"HTTP/1.1 204 No Content\r\n\r\n"), (204, b"")
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
