Refuse late requests that could be cut off at the end of a stop

Report of another operator: requests that came late in a planned stop were passed on and cut off without an answer, among them requests that may not be repeated.

Seen here: yes, for deadlines longer than what is left of the grace period; after 2.8 s requests were refused already.

Change: from SIGTERM on a request that may not be repeated is refused as not run if its deadline lies behind the end of the process.

Result: test_late_requests failed on (no answer) and passes; short requests are still served. test_front, test_shutdown, test_at_most_once, test_bodies, test_crashing: 66 passed.

--- a/gooseberryweir/front.py
+++ b/gooseberryweir/front.py
@@ -233,6 +233,9 @@
                 suspects=suspects,
                 forwarder=forwarder,
                 reachability=reachability,
+                seconds_until_exit=lambda: shutdown.seconds_until(
+                    bounds.grace - SHUTDOWN_MARGIN_SECONDS
+                ),
             )
         )
 
--- a/gooseberryweir/process/fleet/shutdown.py
+++ b/gooseberryweir/process/fleet/shutdown.py
@@ -1,5 +1,7 @@
 """Tracks the graceful shutdown of a host, from SIGTERM until its exit."""
 
+import math
+
 from eventlet import event
 from eventlet import hubs
 
@@ -37,6 +39,19 @@
         """Returns True once the shutdown has started."""
         return self.started_at is not None
 
+    def seconds_until(self, exit_seconds: float) -> float:
+        """Returns the time until the process exits, in seconds.
+
+        Args:
+            exit_seconds: Seconds from SIGTERM to the exit.
+
+        Returns:
+            The seconds; infinity if the shutdown has not started.
+        """
+        if self.started_at is None:
+            return math.inf
+        return self.started_at + exit_seconds - self.clock.monotonic()
+
     def refusing(self) -> bool:
         """Returns True once new requests are refused."""
         return (
--- a/gooseberryweir/request/steering/serving.py
+++ b/gooseberryweir/request/steering/serving.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import logging
+import math
 import random
 from typing import NamedTuple
 
@@ -62,6 +63,8 @@
         suspects: Requests that may have crashed upstreams.
         forwarder: Forwards requests to other hosts.
         reachability: Tells whether this host reaches any upstream.
+        seconds_until_exit: Returns the seconds until the process exits;
+            infinity unless it shuts down.
     """
 
     clock: clocks.Clock
@@ -76,6 +79,7 @@
     suspects: suspects_module.SuspectTracker
     forwarder: forwarding.Forwarder
     reachability: reachability_module.UpstreamReachability
+    seconds_until_exit: Callable[[], float] = lambda: math.inf
 
 
 class _Attempts(NamedTuple):
@@ -162,7 +166,17 @@
         caller_timeout = (
             caller_headers.timeout_seconds or DEFAULT_CALLER_TIMEOUT_SECONDS
         )
-        deadline = started_at + min(caller_timeout, admitted.route.timeout)
+        timeout = min(caller_timeout, admitted.route.timeout)
+        if (
+            not admitted.route.idempotent
+            and timeout > dependencies.seconds_until_exit()
+        ):
+            # It could be cut off, and its caller could not send it again.
+            refusal = codes.refuse(codes.Code.HOST_LEAVING, retry_after=0.0)
+            return self._refuse(
+                caller_headers, admitted.route.name, refusal, started_at
+            )
+        deadline = started_at + timeout
         is_forwarded = service is not None
         if service not in {each.service for each in admitted.route.targets}:
             service = self.round_robin.next(admitted.route)
