--- a/test/test_upgrade.py
+++ b/test/test_upgrade.py
@@ -19,11 +19,14 @@
 from test import _common
 from test import _front
 
-EARLIER_BUILDS = ("4651409", "dad1e2d", "0e7e896")
+EARLIER_BUILDS = ("dad1e2d", "0e7e896", "9d4ded2")
 HOSTS = 4
 # Longest allowed time from the acknowledgement of a configuration until it is
 # in force on all hosts.
 CONFIGURATION_SECONDS = 2.5
+# Changes of the configuration that the store loses, and their greatest age.
+LOST_CHANGES = 20
+LOST_SECONDS = 1.5
 EXIT_SECONDS = _front.GRACE_SECONDS + 1.0
 REQUEST_INTERVAL_SECONDS = 0.05
 # Requests that may fail while one host of four restarts: those that crossed the
@@ -172,6 +175,35 @@
     def test_hosts_of_the_last_build_are_replaced(self):
         self.check_upgrade(EARLIER_BUILDS[2])
 
+    # Guards against hosts that take the word of earlier builds, which do not
+    # notice that the store has returned from an older copy.
+    def test_hosts_of_this_build_follow_the_store_after_a_return(self):
+        self.start_earlier_build(EARLIER_BUILDS[2])
+        store = self.system.store
+        with Load(self.system.hosts) as load:
+            for host in self.system.hosts[: HOSTS // 2]:
+                self.replace(host, load, _common.ROOT)
+            for number in range(LOST_CHANGES):
+                store.put("config", "main", _front.configuration(number + 2))
+            time.sleep(1.0)
+            store.control(store.port_names[0], return_from_copy=LOST_SECONDS)
+            store.put(
+                "config",
+                "main",
+                _front.configuration(
+                    LOST_CHANGES + 2, tenants={"t1": {"apiKeys": ["k1"]}}
+                ),
+            )
+            time.sleep(_front.KEY_REVOCATION_SECONDS)
+            for host in self.system.hosts[: HOSTS // 2]:
+                answer = _front.call(host.address, "/read/x", key="k2")
+                self.assertEqual(answer.status, 401, host.name)
+            # Hosts of the earlier build follow as soon as they are replaced.
+            for host in self.system.hosts[HOSTS // 2 :]:
+                self.replace(host, load, _common.ROOT)
+                answer = _front.call(host.address, "/read/x", key="k2")
+                self.assertEqual(answer.status, 401, host.name)
+
 
 if __name__ == "__main__":
     unittest.main()
