Register once at the start of a host

Found while reading: the first list of hosts is of era 1, which was taken for a return of the store, so a host that was not listed yet wrote its entry a second time and logged registration-lost. The first era that a host knows is now that of its registration.

test_hosts_register_once_at_the_start failed before and passes; test_store_return: 23 passed.

--- a/gooseberryweir/process/fleet/reader.py
+++ b/gooseberryweir/process/fleet/reader.py
@@ -93,8 +93,8 @@
         latest_version: Latest version of the store seen in a poll; a poll
             reads the configuration alone.
         synced_version: Version up to which the other kinds have been read.
-        registered_era: Era of the store for which this host's entry was
-            written.
+        registered_era: Era of the store in which this host's entry was last
+            written or checked; `NO_ERA` before the first list of hosts.
         rng: Source of randomness for the time of writing the entry again.
         store_reachable: True if the last call to the store succeeded.
         sync_requested: Event that triggers a read of the other kinds.
@@ -126,7 +126,6 @@
 
     def __enter__(self) -> "Reader":
         self.store_cache.listeners.append(self._on_cache_change)
-        self.registered_era = self.store_cache.era
         self.tasks = [
             tasks.spawn("register", self._register_until_done),
             tasks.spawn("poll", self._run),
@@ -171,11 +170,12 @@
 
     def _on_cache_change(self, kind: str) -> None:
         """Writes this host's entry again if the store returned without it."""
-        era = self.store_cache.era
-        if kind != store_cache_module.HOSTS or era <= self.registered_era:
+        if kind != store_cache_module.HOSTS or self.mesh is None:
             return
+        era, registered_era = self.store_cache.era, self.registered_era
         self.registered_era = era
-        if self.mesh is None:
+        # At the start the list may have been read before this host registered.
+        if era == registered_era or registered_era == store_version.NO_ERA:
             return
         entry = self.mesh.view.entry
         if self.store_cache.hosts.get(entry.name) == entry:
--- a/test/test_store_return.py
+++ b/test/test_store_return.py
@@ -27,6 +27,8 @@
 # Calls a second of all hosts together in steady operation: one host polls each
 # half second, and reads the three other kinds after a change.
 MAX_CALLS_PER_SECOND = 8
+# Time until the store lists the hosts that have registered.
+LISTED_SECONDS = 1.0
 # Number of the configuration that the store loses, and of the next one.
 LAST_NUMBER = 19
 NEXT_NUMBER = 20
@@ -307,18 +309,23 @@
 class FleetTest(unittest.TestCase):
     """A return of the store at many hosts, in virtual time."""
 
-    def run_return(self, clock, size=FLEET_HOSTS, refused_region=""):
-        """Runs a return that loses a configuration and all hosts' entries.
-
-        Returns:
-            The fleet, and the times and hosts of registrations since then.
-        """
+    def start(self, clock, size):
+        """Returns a fleet, and the times and hosts of its registrations."""
         fleet = simulated_fleet.Fleet(size, clock)
         registered = []
         for name, host in fleet.hosts.items():
             host.reader.register = lambda name=name: registered.append(
                 (clock.monotonic(), name)
             )
+        return fleet, registered
+
+    def run_return(self, clock, size=FLEET_HOSTS, refused_region=""):
+        """Runs a return that loses a configuration and all hosts' entries.
+
+        Returns:
+            The fleet, and the times and hosts of registrations since then.
+        """
+        fleet, registered = self.start(clock, size)
         clock.sleep(6.0)
         entries = fleet.store.snapshots[store_cache.HOSTS].content
         fleet.store.write(store_cache.HOSTS, store_cache.encode_content(()))
@@ -367,6 +374,18 @@
                 clock.sleep(APPLY_SECONDS)
                 self.assert_followed(fleet, NEXT_NUMBER)
 
+    def test_hosts_register_once_at_the_start(self):
+        with virtual_time.virtual_time() as clock:
+            fleet, registered = self.start(clock, FLEET_HOSTS)
+            entries = fleet.store.snapshots[store_cache.HOSTS].content
+            nobody = store_cache.encode_content(())
+            fleet.store.write(store_cache.HOSTS, nobody)
+            clock.sleep(LISTED_SECONDS)
+            fleet.store.write(store_cache.HOSTS, entries)
+            clock.sleep(5.0)
+            names = sorted(name for _, name in registered)
+            self.assertEqual(names, sorted(fleet.hosts))
+
     # Guards against a storm of writes, or a second one of the same entry.
     def test_hosts_that_the_store_lost_write_their_entries_again_once(self):
         for size in FLEET_SIZES:
