Keep refusing a request that crashes upstreams over restarts of hosts

Cause: the first heartbeat of a restarted host replaces what it had reported, and the others kept nothing of it; each host counted its own trials only. Ruled out: expiry (120 s, the case takes 53).

Change: hosts that hear of a restart report in its place what it had reported. Trials are reported like crashes, so that there are three of the whole fleet; one that no upstream ran is taken back. An answer clears also what hosts that are down reported last. Suspects expire after 600 s.

--- a/gooseberryweir/front.py
+++ b/gooseberryweir/front.py
@@ -134,6 +134,9 @@
         mesh.heartbeat_listeners.append(
             lambda heartbeat: suspects.clear(heartbeat.all_answered)
         )
+        mesh.view.restart_listeners.append(
+            lambda heartbeat: suspects.adopt(heartbeat.crashes)
+        )
         reader = reader_module.Reader(
             store_snapshots.snapshot_reader(store),
             store_snapshots.host_registrar(store, mesh.view.entry),
--- a/gooseberryweir/process/fleet/fleet_view.py
+++ b/gooseberryweir/process/fleet/fleet_view.py
@@ -5,6 +5,7 @@
 and how many requests of each client account all other hosts have.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 
 from gooseberryweir import clock as clocks
@@ -29,7 +30,7 @@
 # configuration is the newest one, plus one heartbeat interval.
 SHARE_EXPIRY_SECONDS = 5.0
 # Time for which the crashes that a host reported count after it went down.
-CRASH_REPORT_SECONDS = 120.0
+CRASH_REPORT_SECONDS = 600.0
 
 
 class Peer:
@@ -110,6 +111,8 @@
         clock: Source of time.
         started_at: Monotonic time, in seconds, at which this host started.
         peers: State of each other host, by name.
+        restart_listeners: Functions called with the last heartbeat of a host
+            before its restart.
     """
 
     def __init__(
@@ -133,6 +136,9 @@
             region=settings.region,
         )
         self.peers: dict[str, Peer] = {}
+        self.restart_listeners: list[
+            Callable[[heartbeat_module.Heartbeat], None]
+        ] = []
 
     # Updates.
 
@@ -152,6 +158,14 @@
     def record(self, peer: Peer, heartbeat: heartbeat_module.Heartbeat) -> None:
         """Records a heartbeat of a peer."""
         now = self.clock.monotonic()
+        previous = peer.last_heartbeat
+        if (
+            previous is not None
+            and previous.entry.incarnation != heartbeat.entry.incarnation
+            and now - peer.received_at <= CRASH_REPORT_SECONDS
+        ):
+            for listener in self.restart_listeners:
+                listener(previous)
         peer.entry = heartbeat.entry
         peer.last_heartbeat = heartbeat
         peer.received_at = now
--- a/gooseberryweir/request/steering/serving.py
+++ b/gooseberryweir/request/steering/serving.py
@@ -271,7 +271,9 @@
             if isinstance(outcome, pipelined_server.Answer):
                 return outcome
             failure = outcome
-            if outcome.ran is not codes.ExecutionState.NO:
+            if outcome.ran is codes.ExecutionState.NO:
+                self.dependencies.suspects.end_unexecuted(request.fingerprint)
+            else:
                 ran = outcome.ran
                 if not route.idempotent:
                     break
@@ -308,6 +310,8 @@
         elif not dependencies.retry_budget.try_acquire(request.service):
             dependencies.telemetry.count("retry_budget_spent")
             return None
+        if delay := dependencies.suspects.begin_attempt(request.fingerprint):
+            return self._refuse_suspect(request, ran, delay)
         return choice
 
     def _choose(
--- a/gooseberryweir/request/steering/suspects.py
+++ b/gooseberryweir/request/steering/suspects.py
@@ -7,7 +7,9 @@
 these without an answer to any retry, the request is refused. Since a frequent
 request may just have been in flight during several crashes, one host of the
 fleet sends it to an upstream as a trial from time to time (a circuit breaker
-for one request). An answer to any retry clears the suspect on all hosts.
+for one request), `MAX_TRIALS` times at most. An answer to any retry clears the
+suspect on all hosts. What a host knew before it restarted, the others report in
+its place.
 """
 
 import collections
@@ -25,13 +27,19 @@
 # Number of crashed incarnations of upstreams at which a request is refused: the
 # platform's requirements count crashes from the third on.
 CRASH_LIMIT = 3
-# Time until the first trial; the time until the next one doubles up to the
-# maximum. A crashed upstream of the platform restarts within some seconds; the
-# platform's requirements allow three trials in the first minute.
+# Time until the first trial; the time until the next one doubles. A crashed
+# upstream of the platform restarts within some seconds.
 MIN_TRIAL_INTERVAL_SECONDS = 5.0
-MAX_TRIAL_INTERVAL_SECONDS = 60.0
-# Time without a further crash after which a suspect is removed.
-SUSPECT_TTL_SECONDS = 120.0
+# Number of trials of all hosts together, which the platform's requirements
+# allow.
+MAX_TRIALS = 3
+# Retry-After of a suspect that gets no further trial.
+REFUSED_RETRY_SECONDS = 60.0
+# Time without a further crash or trial after which a suspect is removed.
+SUSPECT_TTL_SECONDS = 600.0
+# Begins the names that stand for trials among the crashed incarnations, so that
+# all hosts count them. Earlier builds take them for further crashes.
+TRIAL_PREFIX = "trial/"
 # Largest numbers of suspects that a host stores and that a heartbeat contains.
 MAX_SUSPECTS = 256
 MAX_HEARTBEAT_SUSPECTS = 16
@@ -46,11 +54,11 @@
 
     Attributes:
         due_at: Monotonic time of the trial, in seconds.
-        interval_seconds: Time between the previous trial and this one.
+        number: Number of trials before it.
     """
 
     due_at: float
-    interval_seconds: float
+    number: int
 
 
 class SuspectTracker:
@@ -58,10 +66,15 @@
 
     Attributes:
         own_crashes: Crashes observed by this host: the monotonic time of each,
-            in seconds, by fingerprint and incarnation of the upstream.
+            in seconds, by fingerprint and incarnation of the upstream; also
+            its trials, and what restarted hosts had reported.
         trials: The next trial of each refused request, by fingerprint.
+        own_trials: Name of the latest trial that this host made, likewise.
         cleared_at: Monotonic time at which each suspect was answered, in
             seconds, by fingerprint.
+        exonerated: Crashes that count no more since the request was answered
+            after them, by fingerprint; hosts that are down may be the last
+            that reported them.
     """
 
     def __init__(
@@ -88,7 +101,11 @@
             collections.OrderedDict()
         )
         self.trials: dict[str, _Trial] = {}
+        self.own_trials: dict[str, str] = {}
         self.cleared_at: dict[str, float] = {}
+        self.exonerated: collections.OrderedDict[str, set[str]] = (
+            collections.OrderedDict()
+        )
 
     def recent_crashes(self) -> dict[str, tuple[str, ...]]:
         """Returns the crashes to send in heartbeats, by fingerprint.
@@ -146,7 +163,7 @@
         """Clears a request that an upstream answered, if it is a suspect."""
         if self._crashed_incarnations(fingerprint):
             self.cleared_at[fingerprint] = self.now()
-            self._drop(fingerprint)
+            self._clear(fingerprint)
 
     def clear(self, fingerprints: Iterable[str]) -> None:
         """Removes suspects that a peer has cleared.
@@ -155,7 +172,15 @@
             fingerprints: Fingerprints of the suspects.
         """
         for fingerprint in fingerprints:
-            self._drop(fingerprint)
+            self._clear(fingerprint)
+
+    def adopt(self, crashes: CrashesByFingerprint) -> None:
+        """Records the crashes that a host reported before it restarted."""
+        for fingerprint, incarnations in crashes.items():
+            exonerated = self.exonerated.get(fingerprint, set())
+            known = self.own_crashes.get(fingerprint, {})
+            for incarnation in set(incarnations) - exonerated - set(known):
+                self.record_crash(fingerprint, incarnation)
 
     def any_suspects(self) -> bool:
         """Returns True if this host or a peer has a suspect."""
@@ -164,47 +189,96 @@
     def retry_delay(self, fingerprint: str) -> float:
         """Returns 0 if a request may run, else the seconds until a retry.
 
-        Once a request has reached `CRASH_LIMIT`, a call that returns 0 permits
-        the trial that is due, and schedules the next one.
+        Once a request has reached `CRASH_LIMIT`, 0 means that a trial is due at
+        this host.
         """
-        incarnations = self._crashed_incarnations(fingerprint)
-        if len(incarnations) < CRASH_LIMIT:
+        known = self._crashed_incarnations(fingerprint)
+        done = {each for each in known if each.startswith(TRIAL_PREFIX)}
+        if len(known - done) < CRASH_LIMIT:
             self.trials.pop(fingerprint, None)
             return 0.0
         now = self.now()
+        trial = self._next_trial(fingerprint, known - done, len(done))
+        if len(done) >= MAX_TRIALS:
+            return REFUSED_RETRY_SECONDS
+        trial_host = rendezvous.first(
+            fingerprint, self.trial_hosts(fingerprint)
+        )
+        if trial_host != self.host or now < trial.due_at:
+            return max(MIN_TRIAL_INTERVAL_SECONDS / 2, trial.due_at - now)
+        return 0.0
+
+    def begin_attempt(self, fingerprint: str) -> float:
+        """Does as `retry_delay`, for a request that is sent if it returns 0.
+
+        If that is a trial, the other hosts learn of it.
+        """
+        delay = self.retry_delay(fingerprint)
+        if delay == 0.0 and fingerprint in self.trials:
+            name = f"{TRIAL_PREFIX}{self.host}/{int(self.now() * 1000)}"
+            self.own_trials[fingerprint] = name
+            self.record_crash(fingerprint, name)
+        return delay
+
+    def end_unexecuted(self, fingerprint: str) -> None:
+        """Takes back a trial of this host that no upstream ran."""
+        name = self.own_trials.pop(fingerprint, None)
+        own_crashes = self.own_crashes.get(fingerprint, {})
+        if name is None or own_crashes.pop(name, None) is None:
+            return
+        if not own_crashes:
+            del self.own_crashes[fingerprint]
         trial = self.trials.get(fingerprint)
+        if trial is not None:
+            due_at = self.now() + MIN_TRIAL_INTERVAL_SECONDS
+            self.trials[fingerprint] = trial._replace(due_at=due_at)
+
+    def _next_trial(
+        self, fingerprint: str, incarnations: set[str], number: int
+    ) -> _Trial:
+        """Returns the next trial; schedules it after each one that was made.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+            incarnations: Incarnations that it may have crashed.
+            number: Number of trials so far.
+        """
+        trial = self.trials.get(fingerprint)
+        if trial is not None and trial.number >= number:
+            return trial
+        interval_seconds = MIN_TRIAL_INTERVAL_SECONDS * 2**number
         if trial is None:
-            trial = _Trial(
-                now + MIN_TRIAL_INTERVAL_SECONDS, MIN_TRIAL_INTERVAL_SECONDS
-            )
-            self.trials[fingerprint] = trial
             logs.event(
                 LOGGER,
                 "request-suspected",
                 logging.WARNING,
                 fingerprint=fingerprint,
                 upstreams=",".join(sorted(incarnations)),
-                next_try=MIN_TRIAL_INTERVAL_SECONDS,
+                next_try=interval_seconds,
             )
-        trial_host = rendezvous.first(
-            fingerprint, self.trial_hosts(fingerprint)
-        )
-        if trial_host != self.host or now < trial.due_at:
-            return max(MIN_TRIAL_INTERVAL_SECONDS / 2, trial.due_at - now)
-        interval_seconds = min(
-            MAX_TRIAL_INTERVAL_SECONDS, 2 * trial.interval_seconds
-        )
-        self.trials[fingerprint] = _Trial(
-            now + interval_seconds, interval_seconds
-        )
-        return 0.0
+        trial = _Trial(self.now() + interval_seconds, number)
+        self.trials[fingerprint] = trial
+        return trial
 
     def _crashed_incarnations(self, fingerprint: str) -> set[str]:
-        """Returns the incarnations that a request may have crashed."""
+        """Returns the incarnations that a request may have crashed.
+
+        Among them are names that stand for its trials.
+        """
         incarnations = set(self.own_crashes.get(fingerprint, ()))
         for crashes in self.peer_crashes():
             incarnations.update(crashes.get(fingerprint, ()))
-        return incarnations
+        return incarnations - self.exonerated.get(fingerprint, set())
+
+    def _clear(self, fingerprint: str) -> None:
+        """Removes a suspect that was answered; its crashes count no more."""
+        crashes = self._crashed_incarnations(fingerprint)
+        if crashes:
+            self.exonerated.setdefault(fingerprint, set()).update(crashes)
+            self.exonerated.move_to_end(fingerprint)
+            if len(self.exonerated) > MAX_SUSPECTS:
+                self.exonerated.popitem(last=False)
+        self._drop(fingerprint)
 
     def _expire(self) -> None:
         """Removes suspects without a recent crash."""
@@ -219,4 +293,5 @@
     def _drop(self, fingerprint: str) -> None:
         """Removes a suspect of this host."""
         self.own_crashes.pop(fingerprint, None)
+        self.own_trials.pop(fingerprint, None)
         self.trials.pop(fingerprint, None)
--- a/test/test_steering_suspects.py
+++ b/test/test_steering_suspects.py
@@ -21,24 +21,37 @@
     def __init__(self):
         self.clock = clocks.ManualClock()
         self.heartbeats = {name: {} for name in HOSTS}
-        self.hosts = {
-            name: suspects.SuspectTracker(
-                name,
-                lambda _: HOSTS,
-                lambda name=name: [
-                    crashes
-                    for other, crashes in self.heartbeats.items()
-                    if other != name
-                ],
-                self.clock.interface().monotonic,
-            )
-            for name in HOSTS
-        }
+        self.hosts = {name: self.new_tracker(name) for name in HOSTS}
+        self.restarted = set()
+
+    def new_tracker(self, host):
+        return suspects.SuspectTracker(
+            host,
+            lambda _: HOSTS,
+            lambda: [
+                crashes
+                for other, crashes in self.heartbeats.items()
+                if other != host
+            ],
+            self.clock.interface().monotonic,
+        )
+
+    def restart(self, host):
+        """Restarts a host, which then sends its first heartbeat."""
+        self.hosts[host] = self.new_tracker(host)
+        self.restarted.add(host)
+        self.exchange_heartbeats()
 
     def exchange_heartbeats(self):
         """Sends the heartbeat of each host to all others."""
         for name, host in self.hosts.items():
+            old_crashes = self.heartbeats[name]
             self.heartbeats[name] = host.recent_crashes()
+            if name in self.restarted:
+                self.restarted.discard(name)
+                for other in self.hosts.values():
+                    if other is not host:
+                        other.adopt(old_crashes)
             for other in self.hosts.values():
                 if other is not host:
                     other.clear(host.recently_cleared())
@@ -52,7 +65,7 @@
         return [
             host
             for host in HOSTS
-            if self.hosts[host].retry_delay(fingerprint) == 0.0
+            if self.hosts[host].begin_attempt(fingerprint) == 0.0
         ]
 
 
@@ -107,6 +120,48 @@
         self.assertLessEqual(retries, 3)
         self.assertGreaterEqual(retries, 1)
 
+    # Guards against BUDGET of review/5: restarts of all hosts in turn made the
+    # fleet forget a request that crashes upstreams.
+    def test_restarts_in_turn_allow_no_further_retries(self):
+        self.crash_three_upstreams()
+        retries = 0
+        for step in range(1200):
+            self.fleet.clock.advance(0.1)
+            if step % 40 == 39:
+                self.fleet.restart(HOSTS[step // 40 % len(HOSTS)])
+            for host in self.fleet.hosts_that_run("f"):
+                retries += 1
+                self.fleet.record_crash("f", host, f"u{retries}/2")
+            self.fleet.exchange_heartbeats()
+        self.assertLessEqual(retries, suspects.MAX_TRIALS)
+        self.assertGreaterEqual(retries, 1)
+
+    def test_a_trial_that_no_upstream_ran_does_not_count(self):
+        self.crash_three_upstreams()
+        trials = 0
+        for _ in range(600):
+            self.fleet.clock.advance(0.1)
+            for host in self.fleet.hosts_that_run("f"):
+                trials += 1
+                self.fleet.hosts[host].end_unexecuted("f")
+            self.fleet.exchange_heartbeats()
+        self.assertGreater(trials, suspects.MAX_TRIALS)
+
+    # Guards against crashes that count again since a host that is down reported
+    # them last.
+    def test_an_answer_clears_what_a_host_that_is_down_reported(self):
+        self.crash_three_upstreams()
+        lost = self.fleet.heartbeats["h1"]
+        self.fleet.hosts["h7"].record_success("f")
+        self.fleet.exchange_heartbeats()
+        self.fleet.exchange_heartbeats()
+        self.fleet.heartbeats["h1"] = lost
+        self.fleet.hosts["h2"].adopt(lost)
+        self.fleet.record_crash("f", "h3", "u8/1")
+        self.fleet.record_crash("f", "h3", "u9/1")
+        running = set(HOSTS) - {"h1"}
+        self.assertLessEqual(running, set(self.fleet.hosts_that_run("f")))
+
     def test_one_answer_clears_the_suspect_on_all_hosts(self):
         self.crash_three_upstreams()
         self.fleet.hosts["h7"].record_success("f")
