--- a/gooseberryweir/process/fleet/store_cache.py
+++ b/gooseberryweir/process/fleet/store_cache.py
@@ -39,6 +39,7 @@
 # Time after an outage within which live upstreams register again; the platform
 # specifies about two seconds.
 REREGISTRATION_SECONDS = 2.2
+_DECODE_ERRORS = (ValueError, OverflowError, RecursionError)
 
 
 class Snapshot(NamedTuple):
@@ -79,6 +80,23 @@
     return msgspec.msgpack.decode(content, type=tuple[traffic.Upstream, ...])
 
 
+def _log_rejected(
+    kind: str,
+    version: store_version.StoreVersion,
+    source: str,
+    error: Exception,
+) -> None:
+    logs.event(
+        LOGGER,
+        "knowledge-rejected",
+        logging.ERROR,
+        part=kind,
+        version=version,
+        source=source,
+        reason=error,
+    )
+
+
 class StoreCache:
     """Latest content of the store that this host received, to serve callers.
 
@@ -176,7 +194,8 @@
         """
         if era <= self.era:
             return
-        if self.snapshots:
+        # Without an era the cache is from hosts of an earlier build.
+        if self.snapshots and self.era != store_version.NO_ERA:
             self.recovered_at = self.clock.monotonic()
             self.store_return.begin(
                 self.upstreams.values(), self.evacuated_zones
@@ -345,15 +364,15 @@
         Returns:
             True if the configuration was replaced.
         """
-        kept = self.configuration
-        kept_rank = self.rank(CONFIGURATION)
-        if not self._apply(CONFIGURATION, content, version, source):
+        try:
+            configuration = self.decode_configuration(content)
+        except _DECODE_ERRORS as error:
+            _log_rejected(CONFIGURATION, version, source, error)
             return False
-        new_rank = Rank(self.configuration_number, version)
-        if new_rank > kept_rank:
+        if Rank(configuration.version, version) > self.rank(CONFIGURATION):
+            self.configuration = configuration
             self._store(CONFIGURATION, version, content, source, changed=True)
             return True
-        self.configuration = kept
         if version > old.version:
             # The store has no newer configuration as of this version.
             self.snapshots[CONFIGURATION] = Snapshot(version, old.content)
@@ -362,8 +381,8 @@
                 "configuration-kept",
                 logging.WARNING,
                 version=version,
-                number=kept_rank.number,
-                stored_number=new_rank.number,
+                number=self.configuration_number,
+                stored_number=configuration.version,
                 source=source,
             )
         return False
@@ -398,16 +417,8 @@
                     content, type=tuple[traffic.HostEntry, ...]
                 )
                 self.hosts = {each.name: each for each in entries}
-        except (ValueError, OverflowError, RecursionError) as error:
-            logs.event(
-                LOGGER,
-                "knowledge-rejected",
-                logging.ERROR,
-                part=kind,
-                version=version,
-                source=source,
-                reason=error,
-            )
+        except _DECODE_ERRORS as error:
+            _log_rejected(kind, version, source, error)
             return False
         return True
 
--- a/test/test_store_return.py
+++ b/test/test_store_return.py
@@ -249,6 +249,24 @@
         self.assertEqual(self.cache.configuration.version, 6)
         self.assertEqual(self.cache.confirmed_age(), 0.0)
 
+    # Guards against a host that starts beside them and takes the first era that
+    # it hears of for a return.
+    def test_the_first_era_after_their_snapshots_is_no_return(self):
+        host = test_fleet_knowledge.Host()
+        sent = heartbeat_module.SentSnapshot(
+            7, store_cache.encode_content(("a",))
+        )
+        host.receive("h2", snapshots={store_cache.EVACUATIONS: sent})
+        cache = host.store_cache
+        self.assertEqual(cache.evacuated_zones, {"a"})
+        cache.accept(
+            store_cache.EVACUATIONS,
+            version(8, 1),
+            store_cache.encode_content(()),
+            "store",
+        )
+        self.assertEqual(cache.evacuated_zones, set())
+
     def test_they_change_and_confirm_nothing_after_a_return(self):
         self.accept(store_cache.CONFIGURATION, 510, 2, b"5")
         self.host.clock.advance(1.0)
