--- a/gooseberryweir/process/fleet/store_cache.py
+++ b/gooseberryweir/process/fleet/store_cache.py
@@ -243,7 +243,7 @@
             self._apply_again(EVACUATIONS)
 
     def _apply_again(self, kind: str) -> None:
-        """Applies a snapshot without what the time before a return adds."""
+        """Applies a snapshot again after `store_return` has expired for it."""
         snapshot = self.snapshots.get(kind)
         if snapshot is None:
             return
--- a/gooseberryweir/process/fleet/store_return.py
+++ b/gooseberryweir/process/fleet/store_return.py
@@ -1,4 +1,4 @@
-"""What a host still relies on after the store returned from an older copy.
+"""Knowledge that a host keeps when the store returns from an older copy.
 
 The copy lacks the latest changes, until operators and upstreams have written
 them again. It may list an upstream as ready that has left, and lack an
@@ -98,7 +98,7 @@
         return listed | self.zones
 
     def expire_upstreams(self) -> bool:
-        """Forgets upstreams that had left if the copy's entries are outdated.
+        """Forgets upstreams that had left, once the copy's entries expired.
 
         Returns:
             True if there were any.
--- a/gooseberryweir/request/steering/suspects.py
+++ b/gooseberryweir/request/steering/suspects.py
@@ -37,8 +37,9 @@
 REFUSED_RETRY_SECONDS = 60.0
 # Time without a further crash or trial after which a suspect is removed.
 SUSPECT_TTL_SECONDS = 600.0
-# Begins the names that stand for trials among the crashed incarnations, so that
-# all hosts count them. Earlier builds take them for further crashes.
+# Prefix of the names by which trials are reported among the crashed
+# incarnations, so that all hosts count them. Earlier builds count them as
+# crashes.
 TRIAL_PREFIX = "trial/"
 # Largest numbers of suspects that a host stores and that a heartbeat contains.
 MAX_SUSPECTS = 256
@@ -72,9 +73,9 @@
         own_trials: Name of the latest trial that this host made, likewise.
         cleared_at: Monotonic time at which each suspect was answered, in
             seconds, by fingerprint.
-        exonerated: Crashes that count no more since the request was answered
-            after them, by fingerprint; hosts that are down may be the last
-            that reported them.
+        cleared_crashes: Crashes before the latest answer to a suspect, by
+            fingerprint. They are ignored, since the last heartbeat of a host
+            that is down may still contain them.
     """
 
     def __init__(
@@ -103,7 +104,7 @@
         self.trials: dict[str, _Trial] = {}
         self.own_trials: dict[str, str] = {}
         self.cleared_at: dict[str, float] = {}
-        self.exonerated: collections.OrderedDict[str, set[str]] = (
+        self.cleared_crashes: collections.OrderedDict[str, set[str]] = (
             collections.OrderedDict()
         )
 
@@ -177,9 +178,9 @@
     def adopt(self, crashes: CrashesByFingerprint) -> None:
         """Records the crashes that a host reported before it restarted."""
         for fingerprint, incarnations in crashes.items():
-            exonerated = self.exonerated.get(fingerprint, set())
+            cleared = self.cleared_crashes.get(fingerprint, set())
             known = self.own_crashes.get(fingerprint, {})
-            for incarnation in set(incarnations) - exonerated - set(known):
+            for incarnation in set(incarnations) - cleared - set(known):
                 self.record_crash(fingerprint, incarnation)
 
     def any_suspects(self) -> bool:
@@ -209,9 +210,9 @@
         return 0.0
 
     def begin_attempt(self, fingerprint: str) -> float:
-        """Does as `retry_delay`, for a request that is sent if it returns 0.
+        """Returns `retry_delay`; the caller sends the request if it is 0.
 
-        If that is a trial, the other hosts learn of it.
+        Records the trial if the request is one, so that all hosts count it.
         """
         delay = self.retry_delay(fingerprint)
         if delay == 0.0 and fingerprint in self.trials:
@@ -221,7 +222,7 @@
         return delay
 
     def end_unexecuted(self, fingerprint: str) -> None:
-        """Takes back a trial of this host that no upstream ran."""
+        """Removes a trial of this host that no upstream ran."""
         name = self.own_trials.pop(fingerprint, None)
         own_crashes = self.own_crashes.get(fingerprint, {})
         if name is None or own_crashes.pop(name, None) is None:
@@ -268,16 +269,16 @@
         incarnations = set(self.own_crashes.get(fingerprint, ()))
         for crashes in self.peer_crashes():
             incarnations.update(crashes.get(fingerprint, ()))
-        return incarnations - self.exonerated.get(fingerprint, set())
+        return incarnations - self.cleared_crashes.get(fingerprint, set())
 
     def _clear(self, fingerprint: str) -> None:
-        """Removes a suspect that was answered; its crashes count no more."""
+        """Removes a suspect that was answered; ignores its crashes so far."""
         crashes = self._crashed_incarnations(fingerprint)
         if crashes:
-            self.exonerated.setdefault(fingerprint, set()).update(crashes)
-            self.exonerated.move_to_end(fingerprint)
-            if len(self.exonerated) > MAX_SUSPECTS:
-                self.exonerated.popitem(last=False)
+            self.cleared_crashes.setdefault(fingerprint, set()).update(crashes)
+            self.cleared_crashes.move_to_end(fingerprint)
+            if len(self.cleared_crashes) > MAX_SUSPECTS:
+                self.cleared_crashes.popitem(last=False)
         self._drop(fingerprint)
 
     def _expire(self) -> None:
--- a/test/_front.py
+++ b/test/_front.py
@@ -67,6 +67,28 @@
     }
 
 
+def configuration_with_route(name, version, service="work"):
+    """Returns a configuration with one more route, `/NAME/`, to a service."""
+    result = configuration(version)
+    result["services"][service] = result["services"]["work"]
+    result["routes"][name] = {
+        **result["routes"]["read"],
+        "pathPrefix": f"/{name}/",
+        "service": service,
+    }
+    return result
+
+
+def wait_until_served(hosts, path, timeout):
+    """Waits until all hosts serve a path, for `timeout` seconds each."""
+    for host in hosts:
+        _common.wait_until(
+            lambda host=host: call(host.address, path).status == 200,
+            timeout=timeout,
+            description=f"{host.name} serves {path}",
+        )
+
+
 class HostProcess:
     """A host in a separate process; a context manager.
 
--- a/test/test_foreign_entries.py
+++ b/test/test_foreign_entries.py
@@ -8,7 +8,6 @@
 import time
 import unittest
 
-from test import _common
 from test import _front
 from test.standins import threaded_upstream
 
@@ -35,26 +34,13 @@
 
     def assert_learns_of_a_new_service(self, zone="north-a"):
         """Checks that all hosts serve a route whose upstream is new."""
-        configuration = _front.configuration(2)
-        configuration["routes"]["new"] = {
-            **configuration["routes"]["read"],
-            "pathPrefix": "/new/",
-            "service": "new",
-        }
-        configuration["services"]["new"] = configuration["services"]["work"]
+        configuration = _front.configuration_with_route("new", 2, "new")
         self.store.put("config", "main", configuration)
         upstream = self.stack.enter_context(
             threaded_upstream.ThreadedUpstream("i-new", "new", zone)
         )
         self.store.put("servers", upstream.name, upstream.entry())
-        for host in self.system.hosts:
-            _common.wait_until(
-                lambda host=host: (
-                    _front.call(host.address, "/new/1").status == 200
-                ),
-                timeout=APPLY_SECONDS,
-                description=f"{host.name} serves the new route",
-            )
+        _front.wait_until_served(self.system.hosts, "/new/1", APPLY_SECONDS)
 
     # Guards against CONFIG of review/2: no host learned of upstreams any more
     # after an entry with such a number.
--- a/test/test_store_era.py
+++ b/test/test_store_era.py
@@ -23,16 +23,6 @@
 APPLY_SECONDS = 2.5 + 5.0
 
 
-def with_route(name, version):
-    """Returns a configuration with one more route, `/NAME/`."""
-    configuration = _front.configuration(version)
-    configuration["routes"][name] = {
-        **configuration["routes"]["read"],
-        "pathPrefix": f"/{name}/",
-    }
-    return configuration
-
-
 class StoreEraTest(unittest.TestCase):
     """Three hosts whose store returns from a copy."""
 
@@ -43,7 +33,8 @@
         self.store = self.system.store
         time.sleep(LOST_SECONDS)
         for number in range(LOST_CHANGES):
-            self.store.put("config", "main", with_route("lost", number + 2))
+            lost = _front.configuration_with_route("lost", number + 2)
+            self.store.put("config", "main", lost)
         # All hosts know the latest revision before it is lost.
         time.sleep(1.0)
         self.store.control(
@@ -53,15 +44,9 @@
     # Guards against hosts that keep what they had until the revisions of the
     # new era pass those of the old one.
     def test_configuration_written_after_the_return_is_in_force(self):
-        self.store.put("config", "main", with_route("new", LOST_CHANGES + 2))
-        for host in self.system.hosts:
-            _common.wait_until(
-                lambda host=host: (
-                    _front.call(host.address, "/new/1").status == 200
-                ),
-                timeout=APPLY_SECONDS,
-                description=f"{host.name} serves the new route",
-            )
+        new = _front.configuration_with_route("new", LOST_CHANGES + 2)
+        self.store.put("config", "main", new)
+        _front.wait_until_served(self.system.hosts, "/new/1", APPLY_SECONDS)
 
     # Guards against CONFIG of review/1: a key that is revoked after the return
     # stays accepted, since each poll confirms the configuration before it.
