List a test of hosts that go on polling after a start as known red

Cause, inferred from the code: a host stops only if it hears a heartbeat of a polling host, and a host that is no relay hears the relays of its own region alone. It costs calls to the store and breaks no rule that is known.

--- a/test/test_relays.py
+++ b/test/test_relays.py
@@ -7,6 +7,7 @@
 
 from gooseberryweir.process.fleet import fleet_demand
 from gooseberryweir.process.fleet import relays
+from gooseberryweir.process.fleet import store_cache
 from test import simulated_fleet
 from test import virtual_time
 
@@ -211,6 +212,24 @@
         self.assertLess(self.fleet.store.calls - calls, 12)
 
 
+class PollingTest(unittest.TestCase):
+    """Which hosts poll the store once a start is over."""
+
+    # Guards against hosts that are no relays and go on polling, since they hear
+    # only the relays of their region and the polling host is in another one.
+    def test_one_host_polls_after_all_hosts_were_listed_at_once(self):
+        with virtual_time.virtual_time() as clock:
+            fleet = simulated_fleet.Fleet(82, clock)
+            entries = fleet.store.snapshots[store_cache.HOSTS].content
+            nobody = store_cache.encode_content(())
+            fleet.store.write(store_cache.HOSTS, nobody)
+            clock.sleep(1.0)
+            fleet.store.write(store_cache.HOSTS, entries)
+            clock.sleep(SETTLE_SECONDS)
+            polling = [each for each in fleet.running() if each.reader.polling]
+            self.assertEqual(len(polling), 1)
+
+
 class DemandTest(unittest.TestCase):
     """The demand of client accounts that each host knows of the others."""
 
