Log and count answers that are cut off when a connection is closed

A host counted an answer as sent once the kernel had taken its bytes. If it then closed the connection or ended, nothing said whether the caller had them.

No logic changes.

--- a/gooseberryweir/connection/caller_http.py
+++ b/gooseberryweir/connection/caller_http.py
@@ -18,6 +18,7 @@
 
 from gooseberryweir import codes
 from gooseberryweir.connection import chunked_body
+from gooseberryweir.connection import delivery
 
 HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+\Z")
 REQUEST_LINE = re.compile(
@@ -250,6 +251,9 @@
             if not data:
                 return
             remaining -= len(data)
+    refusal_delivery = delivery.Delivery(connection, delivery.log_undelivered)
+    refusal_delivery.finished = True
+    refusal_delivery.record_close("linger")
 
 
 def ignore_refusal(_: codes.Refusal) -> None:
--- a/gooseberryweir/connection/pipelined_server.py
+++ b/gooseberryweir/connection/pipelined_server.py
@@ -23,6 +23,7 @@
 
 from gooseberryweir import logs
 from gooseberryweir import tasks
+from gooseberryweir.connection import delivery
 from gooseberryweir.connection import http_messages
 from gooseberryweir.version import traffic
 
@@ -96,6 +97,8 @@
             connection is then closed after its last open request.
         sent: Is called after each answer, with its request and timing.
         now: Returns the monotonic time in seconds.
+        undelivered: Is called when a connection is closed before its caller
+            has received all bytes of its answers.
     """
 
     handle: Callable[[http_messages.Message], Answer]
@@ -103,6 +106,9 @@
     shutting_down: Callable[[], bool]
     sent: Callable[[http_messages.Message, AnswerTiming], None] = _ignore_timing
     now: Callable[[], float] = time.monotonic
+    undelivered: Callable[[delivery.Undelivered], None] = (
+        delivery.log_undelivered
+    )
 
 
 class _OpenRequest(NamedTuple):
@@ -156,7 +162,7 @@
     def __exit__(self, *_: object) -> None:
         self.stop_accepting()
         for connection in list(self.connections):
-            connection.close()
+            connection.close("server-end")
 
     def stop_accepting(self) -> None:
         """Closes the listening socket; open connections are still served.
@@ -174,7 +180,7 @@
         """Closes the connections without a request."""
         for connection in list(self.connections):
             if not connection.has_request():
-                connection.close()
+                connection.close("idle")
 
     def has_requests(self) -> bool:
         """Returns True if a request is open, or may be in a connection."""
@@ -219,6 +225,7 @@
         socket: Green socket of the connection.
         limits: Limits of the connection, in bytes and seconds.
         reader: Parser of the requests.
+        delivery: Tells what the caller has not received yet.
         open_requests: Requests not yet answered, in the order received.
         writer_task: Task that sends the answers, or None if no request is open.
         closed: True once the connection has been shut down or closed.
@@ -235,6 +242,9 @@
         self.reader = http_messages.RequestReader(
             limits.max_header_bytes, limits.max_body_bytes
         )
+        self.delivery = delivery.Delivery(
+            accepted, server.callbacks.undelivered
+        )
         self.open_requests: collections.deque[_OpenRequest] = (
             collections.deque()
         )
@@ -281,6 +291,8 @@
 
     def _clean_up(self) -> None:
         """Closes the socket and kills the tasks of the connection."""
+        if not self.closed:
+            self.delivery.record_close("timeout")
         self.closed = True
         self.server.connections.discard(self)
         self.socket.close()
@@ -289,13 +301,17 @@
         if self.writer_task is not None:
             self.writer_task.kill()
 
-    def close(self) -> None:
+    def close(self, reason: str) -> None:
         """Shuts the connection down; the task that reads it closes the socket.
 
         Eventlet does not allow another task to close a socket while a task
         waits for input on it.
+
+        Args:
+            reason: Why, for the log.
         """
         if not self.closed:
+            self.delivery.record_close(reason)
             self.closed = True
             self._shut_down(socket.SHUT_RDWR)
 
@@ -303,7 +319,8 @@
         """Lets the caller read the last answer, then closes the connection."""
         self.closing = True
         self._shut_down(socket.SHUT_WR)
-        eventlet.spawn_after(LINGER_SECONDS, self.close)
+        self.delivery.finished = True
+        eventlet.spawn_after(LINGER_SECONDS, self.close, "linger")
 
     def _shut_down(self, how: int) -> None:
         """Shuts down one or both directions; `how` is a `SHUT_` constant."""
@@ -417,6 +434,7 @@
                 # A request that arrives while this answer is being sent would
                 # get no answer any more; its caller takes it as not read.
                 self.closing = self.closing or close
+                self.delivery.last_request = oldest.request
                 with eventlet.Timeout(SEND_TIMEOUT_SECONDS):
                     self.socket.sendall(
                         http_messages.encode_answer(
@@ -446,11 +464,11 @@
                 logging.DEBUG,
                 reason=type(error).__name__,
             )
-            self.close()
+            self.close("not-taken")
         except Exception as error:
             # The caller gets no answer to any open request of the connection.
             tasks.log_failure("send answers", error)
-            self.close()
+            self.close("failure")
         finally:
             self.writer_task = None
 
--- a/gooseberryweir/front.py
+++ b/gooseberryweir/front.py
@@ -255,6 +255,7 @@
                     shutdown.started,
                     request_handler.record_sent,
                     clock.monotonic,
+                    request_handler.record_undelivered,
                 ),
             )
         )
@@ -267,6 +268,7 @@
                         request_handler.serve_forwarded,
                         lambda: forwarding.limits(caller_limits()),
                         shutdown.refusing,
+                        undelivered=request_handler.record_undelivered,
                     ),
                 )
             )
--- a/gooseberryweir/request/steering/serving.py
+++ b/gooseberryweir/request/steering/serving.py
@@ -9,6 +9,7 @@
 from gooseberryweir import clock as clocks
 from gooseberryweir import codes
 from gooseberryweir import logs
+from gooseberryweir.connection import delivery
 from gooseberryweir.connection import http_messages
 from gooseberryweir.connection import pipelined_server
 from gooseberryweir.platform import headers as wire
@@ -219,6 +220,17 @@
             sending=timing.sending,
         )
 
+    def record_undelivered(self, undelivered: delivery.Undelivered) -> None:
+        """Logs and counts what a caller had not received at the close."""
+        self.dependencies.telemetry.record_undelivered(
+            undelivered.reason, undelivered.size
+        )
+        request = undelivered.request
+        delivery.log_undelivered(
+            undelivered,
+            wire.decode_request(request.headers).request_id if request else "",
+        )
+
     def _run(
         self, request: pending_request.PendingRequest
     ) -> pipelined_server.Answer:
--- a/gooseberryweir/request/steering/telemetry.py
+++ b/gooseberryweir/request/steering/telemetry.py
@@ -14,6 +14,8 @@
         registry: Registry of the metrics below.
         events: Counter of events by name.
         refusals: Counter of refused or failed requests by route and code.
+        undelivered: Counter of the bytes of answers that callers had not
+            received when their connection was closed, by reason.
         latency: Histogram of the time from a request to its upstream's answer,
             seconds, by route.
     """
@@ -32,6 +34,12 @@
             ["route", "code"],
             registry=self.registry,
         )
+        self.undelivered = prometheus_client.Counter(
+            "gooseberryweir_undelivered_bytes",
+            "Bytes not received when a caller's connection was closed.",
+            ["reason"],
+            registry=self.registry,
+        )
         self.latency = prometheus_client.Histogram(
             "gooseberryweir_request_seconds",
             "Time from a request to its upstream's answer.",
@@ -48,6 +56,11 @@
         """Counts a refused or failed request."""
         self.refusals.labels(route, str(code)).inc()
 
+    def record_undelivered(self, reason: str, size: int) -> None:
+        """Counts a connection closed with `size` bytes not delivered."""
+        self.count("answer_undelivered")
+        self.undelivered.labels(reason).inc(size)
+
     def record_served(self, route: str, seconds: float, attempts: int) -> None:
         """Records a served request.
 
--- a/gooseberryweir/side_servers.py
+++ b/gooseberryweir/side_servers.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 import contextlib
 
+from gooseberryweir.connection import delivery
 from gooseberryweir.connection import http_messages
 from gooseberryweir.connection import pipelined_server
 from gooseberryweir.platform import headers as wire
@@ -95,6 +96,10 @@
             200, (("Content-Type", "text/plain"),), telemetry.render()
         )
 
+    def record_undelivered(undelivered: delivery.Undelivered) -> None:
+        telemetry.record_undelivered(undelivered.reason, undelivered.size)
+        delivery.log_undelivered(undelivered)
+
     def open_server(
         address: str,
         handle: Callable[[http_messages.Message], pipelined_server.Answer],
@@ -106,6 +111,7 @@
                     handle,
                     lambda: CONNECTION_LIMITS,
                     lambda: False,
+                    undelivered=record_undelivered,
                 ),
             )
         )
