Reproduce answers that are cut off when a host closes a connection

Callers that read slowly and send on get a reset in the middle of an answer that had run: at the end of a planned stop, around it with two answers of 900 KB, and in calm behind an answer that closes its connection.

--- a/test/standins/threaded_upstream.py
+++ b/test/standins/threaded_upstream.py
@@ -5,6 +5,7 @@
 closes the connection after the request was read, `shed` answers that the
 request did not run, `wait` answers once `release` is set, and `crash` closes
 the connection and continues as a new instance at the same address.
+`body-MS-BYTES` answers with a body of that size after that time.
 `endless-head`, `endless-line` and `endless-body` send an answer without end.
 """
 
@@ -151,6 +152,11 @@
         if action.startswith("endless-"):
             self.send_without_end(action)
             return
+        if action.startswith("body-"):
+            milliseconds, size = map(int, action.split("-")[1:])
+            time.sleep(milliseconds / 1000)
+            self.answer(200, b"b" * size, {"Server-Stamp": server.name})
+            return
         if action == "slow":
             time.sleep(SLOW_SECONDS)
         if action == "wait":
