Count the grace period from the signal, not from its handling

Cause: the handler only schedules the shutdown. A process that waits for events notices it at its next timer, 0.00 to 0.17 s later in these stops, and the shutdown then took a start of its own.

Ruled out: an exit that the store or the peers delay.

Change: the shutdown uses the time that the handler recorded, which the refusal of new requests has used all along.

--- a/gooseberryweir/front.py
+++ b/gooseberryweir/front.py
@@ -299,7 +299,7 @@
             store=settings.store_address,
         )
         shutdown.start_event.wait()
-        _shut_down(host)
+        shut_down(host)
     logs.event(LOGGER, "host-stopped")
     # At its exit Python restores the default action of a signal with a handler.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
@@ -339,18 +339,17 @@
     hubs.get_hub().schedule_call_global(0, lambda: eventlet.spawn(check))
 
 
-def _shut_down(host: Host) -> None:
+def shut_down(host: Host) -> None:
     """Shuts down gracefully.
 
     Notifies the peers at once and accepts requests for a limited time. Then
     refuses new requests and waits until the open ones have ended or the grace
-    period is nearly over.
+    period, which began with the signal, is nearly over.
     """
-    started_at = host.clock.monotonic()
     logs.event(LOGGER, "host-leaving", open_requests=host.open_requests)
     host.mesh.send_now()
-    deadline = started_at + host.settings.bounds.grace - SHUTDOWN_MARGIN_SECONDS
-    while host.clock.monotonic() < deadline:
+    grace = host.settings.bounds.grace
+    while host.shutdown.seconds_until(grace - SHUTDOWN_MARGIN_SECONDS) > 0:
         if host.shutdown.refusing():
             host.front.stop_accepting()
             host.front.close_idle()
@@ -360,7 +359,7 @@
     logs.event(
         LOGGER,
         "host-drained",
-        seconds=host.clock.monotonic() - started_at,
+        seconds=grace - host.shutdown.seconds_until(grace),
         cut_off=host.open_requests,
     )
 
