--- a/gooseberryweir/front.py
+++ b/gooseberryweir/front.py
@@ -5,6 +5,7 @@
 as the process hold no reference to a request.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterator
 from collections.abc import Mapping
 import contextlib
@@ -284,13 +285,14 @@
 def run(environ: Mapping[str, str]) -> None:
     """Runs one host until SIGTERM or SIGINT has shut it down."""
     clock = clocks.boottime_clock()
+    # Set before the file is read, so that no change after that goes unnoticed.
+    signal.signal(signal.SIGHUP, lambda *_: _reload(environ, lambda: settings))
     settings = platform_settings.load_settings(environ)
     logs.configure_stdout("info", settings.host, clock)
     shutdown = shutdown_module.Shutdown(clock)
     signal.signal(signal.SIGTERM, shutdown.start)
     signal.signal(signal.SIGINT, shutdown.start)
     with open_host(settings, clock, shutdown) as host:
-        signal.signal(signal.SIGHUP, lambda *_: _reload(environ, settings))
         logs.event(
             LOGGER,
             "host-started",
@@ -299,16 +301,24 @@
             store=settings.store_address,
         )
         shutdown.start_event.wait()
-        _shut_down(host)
+        shut_down(host)
     logs.event(LOGGER, "host-stopped")
+    # At its exit Python restores the default action of a signal with a handler.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 
 def _reload(
-    environ: Mapping[str, str], settings: host_settings.HostSettings
+    environ: Mapping[str, str],
+    running_settings: Callable[[], host_settings.HostSettings],
 ) -> None:
     """Handles SIGHUP: checks the settings file and logs which settings changed.
 
     Changes take effect only at a restart.
+
+    Args:
+        environ: Environment variables of the process.
+        running_settings: Returns the settings with which the host runs; called
+            by the event loop, so only after they were read.
     """
 
     def check() -> None:
@@ -317,6 +327,7 @@
         except Exception as error:
             logs.event(LOGGER, "settings-rejected", logging.ERROR, reason=error)
             return
+        settings = running_settings()
         changed = [
             name
             for name in new_settings._fields
@@ -330,18 +341,17 @@
     hubs.get_hub().schedule_call_global(0, lambda: eventlet.spawn(check))
 
 
-def _shut_down(host: Host) -> None:
+def shut_down(host: Host) -> None:
     """Shuts down gracefully.
 
     Notifies the peers at once and accepts requests for a limited time. Then
     refuses new requests and waits until the open ones have ended or the grace
-    period is nearly over.
+    period, which began with the signal, is nearly over.
     """
-    started_at = host.clock.monotonic()
     logs.event(LOGGER, "host-leaving", open_requests=host.open_requests)
     host.mesh.send_now()
-    deadline = started_at + host.settings.bounds.grace - SHUTDOWN_MARGIN_SECONDS
-    while host.clock.monotonic() < deadline:
+    grace = host.settings.bounds.grace
+    while host.shutdown.seconds_until(grace - SHUTDOWN_MARGIN_SECONDS) > 0:
         if host.shutdown.refusing():
             host.front.stop_accepting()
             host.front.close_idle()
@@ -351,7 +361,7 @@
     logs.event(
         LOGGER,
         "host-drained",
-        seconds=host.clock.monotonic() - started_at,
+        seconds=grace - host.shutdown.seconds_until(grace),
         cut_off=host.open_requests,
     )
 
