Read the names of very deeply nested objects

What callers saw: nothing reported here; operators of similar systems had machines that stopped following the store after one odd entry of another writer.

Cause: the name of an object that the strict decoder refuses was read by the lenient one, which refuses more than about 1,000 levels of nesting, in fields that nobody uses too. Such an object had no name, so - an evacuation did not count, although only its name matters, - a page whose only object it is made the whole list unreadable, since the next page is asked for by name, - a configuration was taken for none, which confirmed the one in force as the newest: keys that it revokes would have been accepted.

Ruled out: a native stack overflow.

Change: the name is found by strings and brackets alone, as lists are split.

The stand-in of the store can hold an object as JSON that no encoder writes.

--- a/gooseberryweir/platform/pages.py
+++ b/gooseberryweir/platform/pages.py
@@ -11,9 +11,13 @@
 import msgspec
 
 # Strings and brackets; all other bytes don't matter for the structure.
-_TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[\]{}]', re.DOTALL)
+_TOKEN = re.compile(rb'"[^"\\]*+(?:\\.[^"\\]*+)*+"|[\[\]{}]', re.DOTALL)
 _ITEMS_START = re.compile(rb"\s*:\s*\[")
 _ITEMS_KEY = b'"items"'
+_METADATA_START = re.compile(rb"\s*:\s*\{")
+_METADATA_KEY = b'"metadata"'
+_NAME_START = re.compile(rb'\s*:\s*(?=")')
+_NAME_KEY = b'"name"'
 
 
 class _Metadata(msgspec.Struct):
@@ -84,22 +88,36 @@
     try:
         return msgspec.json.decode(item, type=_Named).metadata.name
     except (ValueError, RecursionError):
-        return _name_in_lenient_json(item)
+        return _find_name(bytes(item))
 
 
-def _name_in_lenient_json(item: msgspec.Raw) -> str | None:
+def _find_name(item: bytes) -> str | None:
     """Returns the name of an object that a strict decoder refuses, or None."""
+    depth = 0
+    in_metadata = False
+    for token in _TOKEN.finditer(item):
+        if token[0] in (b"{", b"["):
+            depth += 1
+        elif token[0] in (b"}", b"]"):
+            depth -= 1
+        elif depth == 1:
+            in_metadata = (
+                token[0] == _METADATA_KEY
+                and _METADATA_START.match(item, token.end()) is not None
+            )
+        elif depth == 2 and in_metadata and token[0] == _NAME_KEY:
+            start = _NAME_START.match(item, token.end())
+            value = start and _TOKEN.match(item, start.end())
+            return _decode_name(value[0]) if value else None
+    return None
+
+
+def _decode_name(value: bytes) -> str | None:
+    """Decodes a string; returns None if it is empty or no text."""
     try:
-        document = json.loads(bytes(item).decode("utf-8", "replace"))
-        name = document["metadata"]["name"]
+        name = str(json.loads(value.decode("utf-8", "replace"), strict=False))
         # A lone surrogate has no UTF-8 encoding.
-        return str(name) if name.encode("utf-8") else None
-    except (
-        ValueError,
-        RecursionError,
-        KeyError,
-        TypeError,
-        AttributeError,
-    ):
+        return name if name.encode("utf-8") else None
+    except ValueError:
         # The callers log what they skip.
         return None
--- a/test/_front.py
+++ b/test/_front.py
@@ -248,6 +248,11 @@
         document = {"kind": kind, "name": name, "spec": spec}
         self.control(self.port_names[0], put=document)
 
+    def put_raw(self, kind, name, text):
+        """Writes an object of another writer, given the JSON of all of it."""
+        document = {"kind": kind, "name": name, "text": text}
+        self.control(self.port_names[0], put_raw=document)
+
     def delete(self, kind, name):
         """Deletes an object."""
         self.put(kind, name, None)
--- a/test/standins/platform.py
+++ b/test/standins/platform.py
@@ -3,11 +3,12 @@
 The protocol is that of docs/design/platform.md. `GET /_control` returns
 counts; `POST /_control` sets switches, named in `Switches`, or runs one of the
 actions `put` (an unconditional write of an object; a deletion if `spec` is
-null), `compact` (deletes the history of changes) and `return_from_copy` (loses
-the changes of so many seconds and begins a new era). `/_control` also answers
-during an outage. The header `Store-Era` is in all answers. With
-`--port-count N` the process listens at N ports, which serve the same objects;
-each has its own switches.
+null), `put_raw` (writes an object whose JSON is `text`, also one that no JSON
+encoder writes), `compact` (deletes the history of changes) and
+`return_from_copy` (loses the changes of so many seconds and begins a new era).
+`/_control` also answers during an outage. The header `Store-Era` is in all
+answers. With `--port-count N` the process listens at N ports, which serve the
+same objects; each has its own switches.
 """
 
 import argparse
@@ -66,6 +67,17 @@
 }
 
 
+def _answer_objects(start_response: Any, document: Any) -> list[bytes]:
+    """Answers a read with a document that may contain raw objects."""
+    body = store.encode(document)
+    headers = [
+        ("Content-Type", "application/json"),
+        ("Content-Length", str(len(body))),
+    ]
+    start_response("200 OK", headers)
+    return [body]
+
+
 class RejectedError(Exception):
     """Raised to answer a call with an error; the text is the status line."""
 
@@ -92,7 +104,7 @@
         self.unanswered = 0
         self.open_watches = 0
         self.stale_version = 0
-        self.stale_objects: dict[tuple[str, str], dict[str, Any]] = {}
+        self.stale_objects: dict[tuple[str, str], Any] = {}
 
     def __call__(self, environ: serving.Environ, start_response: Any) -> Any:
         """Answers one request."""
@@ -143,15 +155,14 @@
             changes = self.watch(environ, kind, query)
             if changes is None:
                 return serving.drop_connection(environ)
-            return serving.json_answer(start_response, "200 OK", changes)
+            return _answer_objects(start_response, changes)
         if verb in WRITES.values():
             status, document = self.write(kind, name, verb, body)
             if self.switches.lose_answers > 0:
                 self.switches.lose_answers -= 1
                 return serving.drop_connection(environ)
             return serving.json_answer(start_response, status, document)
-        document = self.read(kind, name)
-        return serving.json_answer(start_response, "200 OK", document)
+        return _answer_objects(start_response, self.read(kind, name))
 
     def check_outage(self, environ: serving.Environ) -> bool:
         """Returns True if an outage drops this call; waits while it is "hang".
@@ -300,6 +311,10 @@
             for name, value in serving.json_body(environ).items():
                 if name == "put":
                     self.commit(value["kind"], value["name"], value["spec"])
+                elif name == "put_raw":
+                    self.store.commit_raw(
+                        value["kind"], value["name"], value["text"]
+                    )
                 elif name == "compact":
                     self.store.compact()
                 elif name == "return_from_copy":
--- a/test/standins/store.py
+++ b/test/standins/store.py
@@ -1,6 +1,7 @@
 """Objects of the platform's stand-in, in memory, and their changes."""
 
 import collections
+import json
 import time
 from typing import Any
 from typing import NamedTuple
@@ -24,6 +25,32 @@
     event: dict[str, Any]
 
 
+class RawObject:
+    """An object of another writer, which is answered as it was written.
+
+    Attributes:
+        text: JSON of the whole object.
+    """
+
+    def __init__(self, text: str) -> None:
+        self.text = text
+
+
+def encode(document: Any) -> bytes:
+    """Returns the JSON of a document that may contain raw objects."""
+    texts: dict[str, str] = {}
+
+    def reserve(value: RawObject) -> str:
+        mark = f"raw object {len(texts)}"
+        texts[json.dumps(mark)] = value.text
+        return mark
+
+    result = json.dumps(document, default=reserve)
+    for mark, text in texts.items():
+        result = result.replace(mark, text)
+    return result.encode()
+
+
 class Copy(NamedTuple):
     """A copy of the store.
 
@@ -35,7 +62,7 @@
 
     at: float
     version: int
-    objects: dict[tuple[str, str], dict[str, Any]]
+    objects: dict[tuple[str, str], Any]
 
 
 class Store:
@@ -57,7 +84,7 @@
             [Copy(time.monotonic(), 0, {})], MAX_COPIES
         )
         self.version = 0
-        self.objects: dict[tuple[str, str], dict[str, Any]] = {}
+        self.objects: dict[tuple[str, str], Any] = {}
         self.history: list[Change] = []
         self.oldest = 0
 
@@ -70,6 +97,8 @@
         self.version += 1
         previous = self.objects.pop((kind, name), None)
         deleted = spec is None
+        if deleted and isinstance(previous, dict):
+            spec = previous["spec"]
         stored = {
             "metadata": {
                 "name": name,
@@ -78,16 +107,33 @@
                 "finalizers": [],
                 "deletionPending": False,
             },
-            "spec": previous["spec"] if deleted and previous else spec,
+            "spec": spec,
             "status": None,
         }
+        self._record(kind, name, stored, deleted)
+        return stored
+
+    def commit_raw(self, kind: str, name: str, text: str) -> None:
+        """Writes an object whose JSON is answered as it is.
+
+        Args:
+            kind: Kind of the object.
+            name: Name of the object.
+            text: JSON of the whole object, in which `@revision@` stands for its
+                revision.
+        """
+        self.version += 1
+        text = text.replace("@revision@", str(self.version))
+        self._record(kind, name, RawObject(text), deleted=False)
+
+    def _record(self, kind: str, name: str, stored: Any, deleted: bool) -> None:
+        """Stores an object, or only its deletion, and the change."""
         if not deleted:
             self.objects[kind, name] = stored
         event = {"object": stored, "deleted": deleted}
         now = time.monotonic()
         self.history.append(Change(self.version, now, kind, event))
         self.copies.append(Copy(now, self.version, dict(self.objects)))
-        return stored
 
     def return_from_copy(self, seconds: float) -> None:
         """Loses all changes of the last seconds, as a return from a copy does.
