Let other tasks run while a list with a deep entry is split

What callers saw: nothing reported here; a host answered nobody while it read such a list, which it does after each change of the store.

Cause: a list that the decoder refuses is split token by token, in one go.

Change: after each 10,000 tokens other tasks get a turn.

--- a/gooseberryweir/platform/pages.py
+++ b/gooseberryweir/platform/pages.py
@@ -5,9 +5,12 @@
 object holds must not make the others unreadable.
 """
 
+from collections.abc import Iterator
+import itertools
 import json
 import re
 
+import eventlet
 import msgspec
 
 # Strings and brackets; all other bytes don't matter for the structure.
@@ -18,6 +21,8 @@
 _METADATA_KEY = b'"metadata"'
 _NAME_START = re.compile(rb'\s*:\s*(?=")')
 _NAME_KEY = b'"name"'
+# Number of tokens after which other tasks may run, a few milliseconds of work.
+_TOKENS_PER_TURN = 10_000
 
 
 class _Metadata(msgspec.Struct):
@@ -30,6 +35,22 @@
     metadata: _Metadata
 
 
+def _tokens(body: bytes, start: int = 0) -> Iterator[re.Match[bytes]]:
+    """Yields the tokens from a position on; lets other tasks run meanwhile."""
+    return itertools.chain.from_iterable(
+        _turns(_TOKEN.finditer(body, start), len(body))
+    )
+
+
+def _turns(
+    tokens: Iterator[re.Match[bytes]], max_tokens: int
+) -> Iterator[Iterator[re.Match[bytes]]]:
+    """Yields parts of the tokens; lets other tasks run after each."""
+    for _ in range(0, max_tokens, _TOKENS_PER_TURN):
+        yield itertools.islice(tokens, _TOKENS_PER_TURN)
+        eventlet.sleep(0)
+
+
 def split(body: bytes) -> tuple[bytes, list[msgspec.Raw]]:
     """Splits a list without decoding its objects.
 
@@ -46,7 +67,7 @@
     items: list[msgspec.Raw] = []
     depth = 0
     item_start = start
-    for token in _TOKEN.finditer(body, start):
+    for token in _tokens(body, start):
         if token[0] in (b"{", b"["):
             if depth == 0:
                 item_start = token.start()
@@ -67,7 +88,7 @@
         ValueError: There is no such field.
     """
     depth = 0
-    for token in _TOKEN.finditer(body):
+    for token in _tokens(body):
         if token[0] in (b"{", b"["):
             depth += 1
         elif token[0] in (b"}", b"]"):
@@ -95,7 +116,7 @@
     """Returns the name of an object that a strict decoder refuses, or None."""
     depth = 0
     in_metadata = False
-    for token in _TOKEN.finditer(item):
+    for token in _tokens(item):
         if token[0] in (b"{", b"["):
             depth += 1
         elif token[0] in (b"}", b"]"):
--- a/test/test_odd_entries.py
+++ b/test/test_odd_entries.py
@@ -93,6 +93,28 @@
                             _odd_entries.with_value(document, place, value),
                         )
 
+    # Guards against hosts that serve nobody while they read such a list.
+    def test_other_tasks_run_while_such_a_list_is_read(self):
+        turns = []
+
+        def run_others():
+            while True:
+                turns.append(1)
+                eventlet.sleep(0)
+
+        for description, value in _odd_entries.nested_values():
+            item = _odd_entries.with_value(
+                _odd_entries.stored("odd", UPSTREAM), ("spec", "other"), value
+            )
+            turns.clear()
+            others = eventlet.spawn(run_others)
+            self.addCleanup(others.kill)
+            self.read_names(store_cache.UPSTREAMS, item)
+            others.kill()
+            with self.subTest(description):
+                least = value.count("[") + value.count("{")
+                self.assertGreaterEqual(len(turns), least // 20_000)
+
     # Guards against a list that can't be read on from a page whose last object
     # is nested too deeply.
     def test_the_next_page_follows_a_page_of_one_such_object(self):
