--- a/gooseberryweir/platform/pages.py
+++ b/gooseberryweir/platform/pages.py
@@ -5,15 +5,24 @@
 object holds must not make the others unreadable.
 """
 
+from collections.abc import Iterator
+import itertools
 import json
 import re
 
+import eventlet
 import msgspec
 
 # Strings and brackets; all other bytes don't matter for the structure.
-_TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[\]{}]', re.DOTALL)
+_TOKEN = re.compile(rb'"[^"\\]*+(?:\\.[^"\\]*+)*+"|[\[\]{}]', re.DOTALL)
 _ITEMS_START = re.compile(rb"\s*:\s*\[")
 _ITEMS_KEY = b'"items"'
+_METADATA_START = re.compile(rb"\s*:\s*\{")
+_METADATA_KEY = b'"metadata"'
+_NAME_START = re.compile(rb'\s*:\s*(?=")')
+_NAME_KEY = b'"name"'
+# Number of tokens after which other tasks may run, a few milliseconds of work.
+_TOKENS_PER_TURN = 10_000
 
 
 class _Metadata(msgspec.Struct):
@@ -26,6 +35,22 @@
     metadata: _Metadata
 
 
+def _tokens(body: bytes, start: int = 0) -> Iterator[re.Match[bytes]]:
+    """Yields the tokens from a position on; lets other tasks run meanwhile."""
+    return itertools.chain.from_iterable(
+        _turns(_TOKEN.finditer(body, start), len(body))
+    )
+
+
+def _turns(
+    tokens: Iterator[re.Match[bytes]], max_tokens: int
+) -> Iterator[Iterator[re.Match[bytes]]]:
+    """Yields parts of the tokens; lets other tasks run after each."""
+    for _ in range(0, max_tokens, _TOKENS_PER_TURN):
+        yield itertools.islice(tokens, _TOKENS_PER_TURN)
+        eventlet.sleep(0)
+
+
 def split(body: bytes) -> tuple[bytes, list[msgspec.Raw]]:
     """Splits a list without decoding its objects.
 
@@ -42,7 +67,7 @@
     items: list[msgspec.Raw] = []
     depth = 0
     item_start = start
-    for token in _TOKEN.finditer(body, start):
+    for token in _tokens(body, start):
         if token[0] in (b"{", b"["):
             if depth == 0:
                 item_start = token.start()
@@ -63,7 +88,7 @@
         ValueError: There is no such field.
     """
     depth = 0
-    for token in _TOKEN.finditer(body):
+    for token in _tokens(body):
         if token[0] in (b"{", b"["):
             depth += 1
         elif token[0] in (b"}", b"]"):
@@ -84,22 +109,36 @@
     try:
         return msgspec.json.decode(item, type=_Named).metadata.name
     except (ValueError, RecursionError):
-        return _name_in_lenient_json(item)
+        return _find_name(bytes(item))
 
 
-def _name_in_lenient_json(item: msgspec.Raw) -> str | None:
+def _find_name(item: bytes) -> str | None:
     """Returns the name of an object that a strict decoder refuses, or None."""
+    depth = 0
+    in_metadata = False
+    for token in _tokens(item):
+        if token[0] in (b"{", b"["):
+            depth += 1
+        elif token[0] in (b"}", b"]"):
+            depth -= 1
+        elif depth == 1:
+            in_metadata = (
+                token[0] == _METADATA_KEY
+                and _METADATA_START.match(item, token.end()) is not None
+            )
+        elif depth == 2 and in_metadata and token[0] == _NAME_KEY:
+            start = _NAME_START.match(item, token.end())
+            value = start and _TOKEN.match(item, start.end())
+            return _decode_name(value[0]) if value else None
+    return None
+
+
+def _decode_name(value: bytes) -> str | None:
+    """Decodes a string; returns None if it is empty or no text."""
     try:
-        document = json.loads(bytes(item).decode("utf-8", "replace"))
-        name = document["metadata"]["name"]
+        name = str(json.loads(value.decode("utf-8", "replace"), strict=False))
         # A lone surrogate has no UTF-8 encoding.
-        return str(name) if name.encode("utf-8") else None
-    except (
-        ValueError,
-        RecursionError,
-        KeyError,
-        TypeError,
-        AttributeError,
-    ):
+        return name if name.encode("utf-8") else None
+    except ValueError:
         # The callers log what they skip.
         return None
