Handle sound requests before malformed input of the same segment

Cause: `RequestReader.feed` raised its error without the requests that the same call had completed. Limits depended on the cuts as well: headers were counted when the parser handed them over, which is later if a line is whole, and `check_incomplete_headers` counted whole segments. So input that is both too large and malformed gave 431 or 400. A trailer without end had no limit.

Ruled out: the order of the answers, which one task sends in the order of the requests.

Change: the error has the requests completed before it; they are handled and answered first. What follows an error or a request that closes the connection is ignored. The parser gets bytes of one message at a time, and one byte at a time where a limit could be exceeded, so that only the bytes decide. Headers without end end at 4 KB above the limit for callers (64 KB before); the limit of a complete head is counted as before. A request for an upgrade is an error itself and not a complete request.

--- a/gooseberryweir/connection/http_messages.py
+++ b/gooseberryweir/connection/http_messages.py
@@ -14,6 +14,11 @@
 
 # Largest number of bytes that connections read and feed to a parser at a time.
 MAX_FED_BYTES = 64 * 1024
+# Bytes of a head that do not count towards its limit, such as method, version
+# and spaces.
+MAX_UNCOUNTED_BYTES = 4096
+UPGRADE_ERROR = "protocol upgrades are not supported"
+END_OF_HEAD = b"\r\n\r\n"
 
 
 class Message(NamedTuple):
@@ -41,11 +46,14 @@
 
     Attributes:
         status: HTTP status code of the answer to a caller.
+        completed: Complete messages before the error that `feed` has not
+            returned.
     """
 
     def __init__(self, status: int, message: str) -> None:
         super().__init__(message)
         self.status = status
+        self.completed: list[Message] = []
 
 
 class _Collector:
@@ -54,22 +62,31 @@
     Attributes:
         max_header_bytes: Limit on the size of the target and the headers.
         max_body_bytes: Limit on the size of the body.
+        max_incomplete_bytes: Limit on `incomplete_size`.
         completed: Complete messages that `feed` has not returned yet.
         in_progress: True while a message has begun and is not complete.
         header_size: Bytes of target and headers so far.
-        incomplete_size: Bytes fed since the headers began, until they are
-            complete. The parser itself holds a line until it has all of it.
+        incomplete_size: Bytes fed since the message began or since the last
+            bytes of its body. The parser itself holds a line until it has all
+            of it.
         body_size: Bytes of the body so far.
         headers_complete: True once all headers of the message were parsed.
         error: Error raised in a callback, or None; kept here, since httptools
             raises an error of its own in its place.
     """
 
-    def __init__(self, max_header_bytes: int, max_body_bytes: int) -> None:
+    def __init__(
+        self,
+        max_header_bytes: int,
+        max_body_bytes: int,
+        max_incomplete_bytes: int,
+    ) -> None:
         self.max_header_bytes = max_header_bytes
         self.max_body_bytes = max_body_bytes
+        self.max_incomplete_bytes = max_incomplete_bytes
         self.completed: list[Message] = []
         self.in_progress = False
+        self.incomplete_size = 0
         self.reset()
 
     def reset(self) -> None:
@@ -77,7 +94,6 @@
         self.target = b""
         self.headers: list[tuple[str, str]] = []
         self.header_size = 0
-        self.incomplete_size = 0
         self.body_chunks: list[bytes] = []
         self.body_size = 0
         self.headers_complete = False
@@ -102,23 +118,25 @@
             self.error = MessageError(431, "the headers are too large")
             raise self.error
 
-    def check_incomplete_headers(self, size: int) -> None:
-        """Raises an error if headers that are not complete are too large.
-
-        Args:
-            size: Bytes that were fed last.
-        """
-        if not self.in_progress or self.headers_complete:
-            return
-        self.incomplete_size += size
-        # The bytes fed first may belong to an earlier message in part.
-        if self.incomplete_size > self.max_header_bytes + MAX_FED_BYTES:
+    def check_incomplete_size(self) -> None:
+        """Raises an error if incomplete headers or trailers are too large."""
+        if not self.in_progress:
+            self.incomplete_size = 0
+        elif self.incomplete_size > self.max_incomplete_bytes:
             raise MessageError(431, "the headers are too large")
 
     def on_headers_complete(self) -> None:
         self.headers_complete = True
+        self.incomplete_size = 0
+
+    def on_chunk_header(self) -> None:
+        self.incomplete_size = 0
+
+    def on_chunk_complete(self) -> None:
+        self.incomplete_size = 0
 
     def on_body(self, body: bytes) -> None:
+        self.incomplete_size = 0
         self.body_size += len(body)
         if self.body_size > self.max_body_bytes:
             self.error = MessageError(413, "the body is too large")
@@ -138,6 +156,12 @@
             )
         )
         self.in_progress = False
+        self.header_size = 0
+
+    def take_completed(self) -> list[Message]:
+        """Removes and returns the complete messages."""
+        completed, self.completed = self.completed, []
+        return completed
 
 
 class _RequestCollector(_Collector):
@@ -145,23 +169,53 @@
 
     parser: httptools.HttpRequestParser
 
+    @property
+    def body_length(self) -> int | None:
+        """Announced length of the body; None if it comes in chunks."""
+        for name, value in self.headers:
+            if name.lower() == "content-length":
+                return int(value)
+        return None
+
     def on_message_complete(self) -> None:
+        if self.parser.should_upgrade():
+            self.error = MessageError(400, UPGRADE_ERROR)
+            raise self.error
         method = self.parser.get_method().decode("latin1")
         self.complete(method, 0, self.parser.should_keep_alive())
 
 
 class RequestReader:
-    """Parses the requests on a caller's connection."""
+    """Parses the requests on a caller's connection.
+
+    What it returns does not depend on how the network cuts the bytes: the
+    parser gets bytes of one message at a time, and one byte at a time where a
+    limit on headers could be exceeded.
+
+    Attributes:
+        collector: Builds the requests.
+        parser: Parser of the bytes.
+        ended: True after a request that closes the connection, or an error;
+            what follows is ignored.
+        last_bytes: Last bytes of the request in progress, which may be the
+            beginning of `END_OF_HEAD`.
+    """
 
     def __init__(self, max_header_bytes: int, max_body_bytes: int) -> None:
-        self.collector = _RequestCollector(max_header_bytes, max_body_bytes)
+        self.collector = _RequestCollector(
+            max_header_bytes,
+            max_body_bytes,
+            max_header_bytes + MAX_UNCOUNTED_BYTES,
+        )
         self.parser = httptools.HttpRequestParser(self.collector)
         self.collector.parser = self.parser
+        self.ended = False
+        self.last_bytes = b""
 
     @property
     def in_progress(self) -> bool:
         """True while a request has begun and is not complete."""
-        return self.collector.in_progress
+        return self.collector.in_progress and not self.ended
 
     @property
     def awaits_continue(self) -> bool:
@@ -180,11 +234,65 @@
         """Parses received bytes and returns the requests completed by them.
 
         Raises:
-            MessageError: The request is malformed or too large.
+            MessageError: A request is malformed or too large; the error has
+                the requests completed before it.
         """
-        _feed(self.parser, self.collector, data)
-        completed, self.collector.completed = self.collector.completed, []
-        return completed
+        collector = self.collector
+        position = 0
+        while position < len(data) and not self.ended:
+            end = self._piece_end(data, position)
+            piece = data[position:end]
+            position = end
+            try:
+                _feed(self.parser, collector, piece)
+            except MessageError:
+                self.ended = True
+                raise
+            if collector.in_progress:
+                self.last_bytes = (self.last_bytes + piece[-3:])[-3:]
+            elif collector.completed:
+                self.ended = not collector.completed[-1].keep_alive
+        return collector.take_completed()
+
+    def _piece_end(self, data: bytes, position: int) -> int:
+        """Returns where the bytes end that the parser gets next.
+
+        Args:
+            data: Received bytes.
+            position: Number of them that the parser has already.
+        """
+        collector = self.collector
+        if not collector.in_progress:
+            self.last_bytes = b""
+            if data[position] in END_OF_HEAD:
+                # Empty lines before a request don't belong to it.
+                return len(data) - len(data[position:].lstrip(END_OF_HEAD))
+        headers_complete = collector.in_progress and collector.headers_complete
+        if headers_complete and (length := collector.body_length) is not None:
+            return position + length - collector.body_size
+        # A header has 4 bytes or more and may count as 5. Up to here, none can
+        # exceed the limit.
+        safe_size = (
+            collector.max_header_bytes - collector.header_size
+        ) * 4 // 5 - collector.incomplete_size
+        if safe_size <= 1:
+            return position + 1
+        if headers_complete:
+            end = data.find(b"\n", position) + 1 or len(data)
+        else:
+            end = self._head_end(data, position)
+        return min(end, position + safe_size)
+
+    def _head_end(self, data: bytes, position: int) -> int:
+        """Returns the end of the current head, or of the data."""
+        if self.last_bytes:
+            known = len(self.last_bytes)
+            overlap = self.last_bytes + data[position : position + 3]
+            index = overlap.find(END_OF_HEAD)
+            if index >= 0:
+                return position + index + len(END_OF_HEAD) - known
+        index = data.find(END_OF_HEAD, position)
+        return index + len(END_OF_HEAD) if index >= 0 else len(data)
 
 
 class _AnswerCollector(_Collector):
@@ -205,7 +313,10 @@
     """Parses the answers on a connection to an upstream."""
 
     def __init__(self, max_header_bytes: int, max_body_bytes: int) -> None:
-        self.collector = _AnswerCollector(max_header_bytes, max_body_bytes)
+        # The bytes fed first may belong to an earlier answer in part.
+        self.collector = _AnswerCollector(
+            max_header_bytes, max_body_bytes, max_header_bytes + MAX_FED_BYTES
+        )
         self.parser = httptools.HttpResponseParser(self.collector)
         self.collector.parser = self.parser
 
@@ -218,11 +329,11 @@
         """Parses received bytes and returns the answers completed by them.
 
         Raises:
-            MessageError: The answer is malformed or too large.
+            MessageError: An answer is malformed or too large; the error has
+                the answers completed before it.
         """
         _feed(self.parser, self.collector, data)
-        completed, self.collector.completed = self.collector.completed, []
-        return completed
+        return self.collector.take_completed()
 
     def feed_eof(self) -> Message | None:
         """Handles the end of the connection, which may complete an answer.
@@ -246,17 +357,22 @@
     data: bytes,
 ) -> None:
     """Feeds bytes to a parser and translates its errors to `MessageError`."""
+    collector.incomplete_size += len(data)
     try:
         parser.feed_data(data)
-        collector.check_incomplete_headers(len(data))
-    except httptools.HttpParserUpgrade as error:
-        raise MessageError(
-            400, "protocol upgrades are not supported"
-        ) from error
-    except httptools.HttpParserError as error:
-        if collector.error is not None:
-            raise collector.error from error
-        raise MessageError(400, str(error)) from error
+        collector.check_incomplete_size()
+    except MessageError as error:
+        error.completed = collector.take_completed()
+        raise
+    except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+        text = (
+            UPGRADE_ERROR
+            if isinstance(error, httptools.HttpParserUpgrade)
+            else str(error)
+        )
+        message_error = collector.error or MessageError(400, text)
+        message_error.completed = collector.take_completed()
+        raise message_error from error
 
 
 def encode_request(
--- a/gooseberryweir/connection/pipelined_server.py
+++ b/gooseberryweir/connection/pipelined_server.py
@@ -324,16 +324,21 @@
             self._process(data)
 
     def _process(self, data: bytes) -> None:
-        """Starts a task for each request that is completed by these bytes."""
+        """Starts a task for each request that is completed by these bytes.
+
+        Requests before malformed input are handled and answered first.
+        """
+        error_answer = None
         try:
             requests = self.reader.feed(data)
         except http_messages.MessageError as error:
+            requests = error.completed
             error_answer = Answer(error.status, (), b"", close=True)
-            self._enqueue(_placeholder_request(), lambda _: error_answer)
-            self.closing = True
-            return
         for request in requests:
             self._enqueue(request, self.server.callbacks.handle)
+        if error_answer is not None:
+            self._enqueue(_placeholder_request(), lambda _: error_answer)
+        self.closing = self.closing or self.reader.ended
         if self.reader.awaits_continue and not self.open_requests:
             self.socket.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
 
