Use a whole answer of an upstream whatever follows it

What callers saw: an upstream's complete answer was lost, and its request failed as one that may have run, if bytes that are no answer followed in the same segment. In two segments the answer counted.

Cause: the reader's error hid the answers completed before it.

Ruled out: the reuse of the connection (bytes that arrive later are found before it is used again), and additional bytes that are an answer themselves.

Change: answers before the error are looked at first; the connection is not used again. Without the answer to the request among them it fails as before.

--- a/gooseberryweir/connection/upstream_pool.py
+++ b/gooseberryweir/connection/upstream_pool.py
@@ -356,29 +356,45 @@
         try:
             data = _receive(connection)
             count_bytes(len(data))
-            answers = reader.feed(data) if data else []
-        except (
-            http_messages.MessageError,
-            receive_budget.TooManyBytesError,
-        ) as error:
-            raise BrokenAnswerError(
-                str(error) or type(error).__name__
-            ) from error
+        except receive_budget.TooManyBytesError as error:
+            raise BrokenAnswerError(str(error)) from error
         except OSError as error:
             error_type = BrokenAnswerError if answer_begun else NoAnswerError
             raise error_type(str(error) or type(error).__name__) from error
         answer_begun = answer_begun or bool(data)
-        if not data:
-            last = reader.feed_eof()
-            answers = [last] if last is not None else []
+        answers, malformed = _read_answers(reader, data)
         for index, answer in enumerate(answers):
             if is_reply(answer.headers):
                 is_last = index == len(answers) - 1 and not reader.in_progress
                 return answer, (
-                    answer.keep_alive and is_last and was_sent and not unmatched
+                    answer.keep_alive
+                    and is_last
+                    and was_sent
+                    and not unmatched
+                    and malformed is None
                 )
             unmatched += 1
+        if malformed is not None:
+            raise BrokenAnswerError(str(malformed)) from malformed
         if not answer_begun:
             raise NoAnswerError("no answer")
         if not data or unmatched > MAX_UNMATCHED_ANSWERS:
             raise BrokenAnswerError("incomplete answer")
+
+
+def _read_answers(
+    reader: http_messages.AnswerReader, data: bytes
+) -> tuple[list[http_messages.Message], http_messages.MessageError | None]:
+    """Returns the answers that bytes complete, and an error behind them.
+
+    Args:
+        reader: Parser of the connection.
+        data: Received bytes; empty at the end of the connection.
+    """
+    if not data:
+        last = reader.feed_eof()
+        return [last] if last is not None else [], None
+    try:
+        return reader.feed(data), None
+    except http_messages.MessageError as error:
+        return error.completed, error
--- a/test/test_upstream_pool.py
+++ b/test/test_upstream_pool.py
@@ -4,6 +4,7 @@
 """
 
 import contextlib
+import itertools
 import socket
 import struct
 import unittest
@@ -25,6 +26,21 @@
     b"Content-Length: 0\r\n\r\n"
 )
 ANSWER_WITHOUT_LENGTH = b"HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\nsome"
+CHUNKED_ANSWER = (
+    b"HTTP/1.1 200 OK\r\nRequest-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"2\r\nok\r\n0\r\n\r\n"
+)
+CLOSING_ANSWER = ANSWER.replace(b"OK\r\n", b"OK\r\nConnection: close\r\n")
+# Bytes after a complete answer, which belong to no request.
+ADDITIONAL_BYTES = (
+    b"zzz",
+    b"\0" * 100,
+    b"ok",
+    OTHER_ANSWER[:30],
+    OTHER_ANSWER[:-1],
+    OTHER_ANSWER + b"zzz",
+    b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
+)
 # SO_LINGER with a time of 0: closing the socket resets the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -150,6 +166,35 @@
             self.assertEqual(self.exchange(upstream, pool).message.body, b"ok")
         self.assertEqual(upstream.connections, 2)
 
+    # Guards against a whole answer that is lost, since additional bytes that
+    # are no answer follow it in the same segment.
+    def test_a_whole_answer_is_used_whatever_follows_it(self):
+        for before, after in itertools.product(
+            (b"", OTHER_ANSWER), ADDITIONAL_BYTES
+        ):
+            for answer in (ANSWER, CHUNKED_ANSWER, CLOSING_ANSWER):
+                with self.subTest(before=before, answer=answer, after=after):
+                    upstream, pool = self.start(
+                        answer_with(before + answer + after)
+                    )
+                    for _ in range(2):
+                        message = self.exchange(upstream, pool).message
+                        self.assertEqual(message.body, b"ok")
+                    self.assertEqual(upstream.connections, 2)
+
+    def test_additional_bytes_do_not_complete_an_answer(self):
+        for after in ADDITIONAL_BYTES:
+            for data in (OTHER_ANSWER + after, ANSWER[:-3] + after):
+                with self.subTest(data):
+
+                    def script(connection, data=data):
+                        connection.sendall(data)
+                        return False
+
+                    upstream, pool = self.start(script)
+                    with self.assertRaises(upstream_pool.BrokenAnswerError):
+                        self.exchange(upstream, pool)
+
     def test_bytes_received_while_idle_prevent_reuse(self):
         def script(connection):
             connection.sendall(ANSWER)
