Answer requests that outlast the grace period, so that those behind them are answered

What callers saw: a pipelining caller had sent a request that takes 8 s and two short ones when its host got SIGTERM.

Cause: answers leave in the order of the requests. The first one had none when the process ended at 5.7 s, and all behind it ended with it.

Ruled out: that the short requests had not run (all 10 had), and that they were taken too late (sent 0.5 s before the signal).

Change: 0.2 s before its exit a host ends the requests that are still being run with 502, outcome unknown, which closes their connections to upstreams.

--- a/gooseberryweir/front.py
+++ b/gooseberryweir/front.py
@@ -55,6 +55,9 @@
 # The process exits this long before the end of the grace period (from SIGTERM
 # to SIGKILL), even if requests are still open.
 SHUTDOWN_MARGIN_SECONDS = 0.3
+# Requests that are still open this long before its exit are given an answer, so
+# that answers that wait behind them on their connections are sent.
+LAST_ANSWERS_SECONDS = 0.2
 # Interval at which a host that shuts down checks for open requests.
 SHUTDOWN_POLL_SECONDS = 0.05
 # Limits of callers' connections until there is a configuration: largest headers
@@ -73,6 +76,7 @@
         mesh: Exchanges heartbeats with the peers (the other hosts).
         front: HTTP server for callers.
         forwarded: HTTP server for requests that other hosts forward, or None.
+        give_up_requests: Ends the open requests with answers of this host.
     """
 
     settings: host_settings.HostSettings
@@ -82,6 +86,7 @@
     mesh: mesh_module.Mesh
     front: pipelined_server.Server
     forwarded: pipelined_server.Server | None
+    give_up_requests: Callable[[], None]
 
     @property
     def open_requests(self) -> int:
@@ -276,7 +281,14 @@
         )
         stack.enter_context(reader)
         yield Host(
-            settings, clock, shutdown, store_cache, mesh, front, forwarded
+            settings,
+            clock,
+            shutdown,
+            store_cache,
+            mesh,
+            front,
+            forwarded,
+            request_handler.running.give_up,
         )
 
 
@@ -343,13 +355,17 @@
     """Shuts down gracefully.
 
     Notifies the peers at once and accepts requests for a limited time. Then
-    refuses new requests and waits until the open ones have ended or the grace
-    period, which began with the signal, is nearly over.
+    refuses new requests and waits until the open ones have ended. Gives up
+    those that are still open when the grace period, which began with the
+    signal, is nearly over.
     """
     logs.event(LOGGER, "host-leaving", open_requests=host.open_requests)
     host.mesh.send_now()
     grace = host.settings.bounds.grace
-    while host.shutdown.seconds_until(grace - SHUTDOWN_MARGIN_SECONDS) > 0:
+    exit_seconds = grace - SHUTDOWN_MARGIN_SECONDS
+    while (remaining := host.shutdown.seconds_until(exit_seconds)) > 0:
+        if remaining <= LAST_ANSWERS_SECONDS:
+            host.give_up_requests()
         if host.shutdown.refusing():
             host.front.stop_accepting()
             host.front.close_idle()
--- a/gooseberryweir/request/steering/serving.py
+++ b/gooseberryweir/request/steering/serving.py
@@ -21,6 +21,7 @@
 from gooseberryweir.request.steering import pending_request
 from gooseberryweir.request.steering import placement
 from gooseberryweir.request.steering import reachability as reachability_module
+from gooseberryweir.request.steering import running_requests
 from gooseberryweir.request.steering import selection as selection_module
 from gooseberryweir.request.steering import sending as sending_module
 from gooseberryweir.request.steering import suspects as suspects_module
@@ -105,10 +106,12 @@
         dependencies: Objects of the process that serving uses.
         round_robin: Distribution of each route's requests over its services.
         forwarded_count: Number of requests of other hosts being handled.
+        running: Requests that are being run.
     """
 
     def __init__(self, dependencies: ServingDependencies) -> None:
         self.dependencies = dependencies
+        self.running = running_requests.RunningRequests()
         self.round_robin = placement.WeightedRoundRobin()
         self.forwarded_count = 0
 
@@ -199,7 +202,18 @@
             ),
             is_forwarded,
         )
-        return self._run(request)
+        try:
+            with self.running.track():
+                return self._run(request)
+        except running_requests.GivenUpError:
+            refusal = codes.refuse(
+                codes.Code.OUTCOME_UNKNOWN,
+                detail="the host exits",
+                ran=codes.ExecutionState.UNKNOWN,
+            )
+            return self._refuse(
+                caller_headers, admitted.route.name, refusal, started_at
+            )
 
     def record_sent(
         self,
--- a/test/test_grace_period.py
+++ b/test/test_grace_period.py
@@ -34,6 +34,7 @@
             mesh=types.SimpleNamespace(send_now=lambda: None),
             front=server,
             open_requests=1,
+            give_up_requests=lambda: None,
         )
         started_at = clock.now
         shutdown.start()
