Send status 100 once all earlier requests are answered

Cause: status 100 was sent only in the moment at which the head arrived, if no request was open. It was sent again for each segment that had no byte of the body's content, such as half of a chunk's size line.

Ruled out: the end of the wait by a time limit of the host (the request stays in progress while others are open).

Change: after each answer without another open request, the connection looks whether a caller waits. The reader says so once for a request, and not if its body has begun to arrive. A connection that closes sends none.

--- a/gooseberryweir/connection/http_messages.py
+++ b/gooseberryweir/connection/http_messages.py
@@ -169,6 +169,11 @@
 
     parser: httptools.HttpRequestParser
 
+    @property
+    def in_body(self) -> bool:
+        """True while the head is complete and the body is not."""
+        return self.in_progress and self.headers_complete
+
     @property
     def body_length(self) -> int | None:
         """Announced length of the body; None if it comes in chunks."""
@@ -199,6 +204,8 @@
             what follows is ignored.
         last_bytes: Last bytes of the request in progress, which may be the
             beginning of `END_OF_HEAD`.
+        continue_settled: True once the body of the request in progress has
+            begun, or its caller was told to send it if it asked.
     """
 
     def __init__(self, max_header_bytes: int, max_body_bytes: int) -> None:
@@ -211,23 +218,25 @@
         self.collector.parser = self.parser
         self.ended = False
         self.last_bytes = b""
+        self.continue_settled = False
 
     @property
     def in_progress(self) -> bool:
         """True while a request has begun and is not complete."""
         return self.collector.in_progress and not self.ended
 
-    @property
-    def awaits_continue(self) -> bool:
-        """True if the caller waits for status 100 before it sends a body."""
-        return (
-            self.collector.in_progress
-            and self.collector.headers_complete
-            and not self.collector.body_chunks
-            and any(
-                name.lower() == "expect" and value.lower() == "100-continue"
-                for name, value in self.collector.headers
-            )
+    def take_continue(self) -> bool:
+        """Returns True if a caller waits for status 100 to send its body.
+
+        Only once for a request, and not if its body has begun.
+        """
+        collector = self.collector
+        if self.ended or not collector.in_body or self.continue_settled:
+            return False
+        self.continue_settled = True
+        return any(
+            name.lower() == "expect" and value.lower() == "100-continue"
+            for name, value in collector.headers
         )
 
     def feed(self, data: bytes) -> list[Message]:
@@ -240,6 +249,7 @@
         collector = self.collector
         position = 0
         while position < len(data) and not self.ended:
+            self.continue_settled = collector.in_body
             end = self._piece_end(data, position)
             piece = data[position:end]
             position = end
@@ -267,8 +277,8 @@
             if data[position] in END_OF_HEAD:
                 # Empty lines before a request don't belong to it.
                 return len(data) - len(data[position:].lstrip(END_OF_HEAD))
-        headers_complete = collector.in_progress and collector.headers_complete
-        if headers_complete and (length := collector.body_length) is not None:
+        in_body = collector.in_body
+        if in_body and (length := collector.body_length) is not None:
             return position + length - collector.body_size
         # A header has 4 bytes or more and may count as 5. Up to here, none can
         # exceed the limit.
@@ -277,7 +287,7 @@
         ) * 4 // 5 - collector.incomplete_size
         if safe_size <= 1:
             return position + 1
-        if headers_complete:
+        if in_body:
             end = data.find(b"\n", position) + 1 or len(data)
         else:
             end = self._head_end(data, position)
--- a/gooseberryweir/connection/pipelined_server.py
+++ b/gooseberryweir/connection/pipelined_server.py
@@ -45,6 +45,7 @@
 # Pause after a failed accept, and between checks while a connection has
 # MAX_PIPELINED open requests.
 RETRY_PAUSE_SECONDS = 0.05
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
 class Answer(NamedTuple):
@@ -339,8 +340,15 @@
         if error_answer is not None:
             self._enqueue(_placeholder_request(), lambda _: error_answer)
         self.closing = self.closing or self.reader.ended
-        if self.reader.awaits_continue and not self.open_requests:
-            self.socket.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self._send_continue()
+
+    def _send_continue(self) -> None:
+        """Sends status 100 if a caller waits for it and no answer is due."""
+        if self.open_requests or self.closing or self.closed:
+            return
+        if self.reader.take_continue():
+            with eventlet.Timeout(SEND_TIMEOUT_SECONDS):
+                self.socket.sendall(CONTINUE)
 
     def _receive(self) -> bytes:
         """Returns received bytes.
@@ -444,6 +452,7 @@
                 if close:
                     self._close_after_answer()
                     return
+                self._send_continue()
         except (OSError, eventlet.Timeout) as error:
             logs.event(
                 LOGGER,
--- a/test/test_request_reader.py
+++ b/test/test_request_reader.py
@@ -26,6 +26,8 @@
 ANSWER_TIMEOUT_SECONDS = 20.0
 # Pause between segments, in which the server reads the one sent before.
 SEGMENT_PAUSE_SECONDS = 0.002
+# Time in which an answer that must not come would have come.
+SETTLE_SECONDS = 0.02
 HANDLING_SECONDS = 0.004
 GET = b"GET / HTTP/1.1\r\n"
 POST = b"POST / HTTP/1.1\r\n"
@@ -33,6 +35,11 @@
 CHUNKS = b"Transfer-Encoding: chunked\r\n"
 CHUNKED_HEAD = POST + CHUNKS + b"\r\n"
 LONG = b"a" * 300
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+GET_WAIT = b"GET /wait HTTP/1.1\r\n\r\n"
+EXPECT = b"POST /b HTTP/1.1\r\nExpect: 100-continue\r\n"
+EXPECT_LENGTH = EXPECT + b"Content-Length: 5\r\n\r\n"
+EXPECT_CHUNKS = EXPECT + CHUNKS + b"\r\n"
 # Name of the case, malformed or too large input, status of its answer. Where
 # input is both, what comes first in it decides.
 ERRORS = (
@@ -225,18 +232,20 @@
         handled: Methods and targets of the requests handled, in order.
         cancelled: Targets of the requests whose handling was cancelled.
         release: Event that requests for `/wait` wait for.
+        stopping: True once the server is shutting down.
     """
 
     def setUp(self):
         self.stack = self.enterContext(contextlib.ExitStack())
         self.handled = []
         self.cancelled = []
+        self.stopping = False
         self.release = eventlet.Event()
         self.server = self.stack.enter_context(
             pipelined_server.Server(
                 "127.0.0.1:0",
                 pipelined_server.Callbacks(
-                    self.handle, lambda: LIMITS, lambda: False
+                    self.handle, lambda: LIMITS, lambda: self.stopping
                 ),
             )
         )
@@ -261,12 +270,19 @@
         caller.settimeout(ANSWER_TIMEOUT_SECONDS)
         return self.stack.enter_context(contextlib.closing(caller))
 
-    def exchange(self, segments):
-        """Returns what is received until the connection is closed."""
-        caller = self.connect()
+    def send(self, caller, segments):
+        """Sends segments one by one."""
         for segment in segments:
             caller.sendall(segment)
             eventlet.sleep(SEGMENT_PAUSE_SECONDS)
+            # The pause may be over before the server has looked for input.
+            for _ in range(10):
+                eventlet.sleep(0)
+
+    def exchange(self, segments):
+        """Returns what is received until the connection is closed."""
+        caller = self.connect()
+        self.send(caller, segments)
         return read_to_end(caller)
 
 
@@ -278,6 +294,24 @@
     return received
 
 
+def receive(caller, size):
+    """Returns the next bytes; fewer if the connection ends before."""
+    received = b""
+    while len(received) < size and (data := caller.recv(size - len(received))):
+        received += data
+    return received
+
+
+def has_received(caller):
+    """Returns True if bytes or the end of the connection have arrived."""
+    try:
+        # `fd` is the non-blocking socket inside the eventlet socket.
+        caller.fd.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    return True
+
+
 def answer(status, body, close=False, head_only=False):
     return http_messages.encode_answer(status, (), body, close, head_only)
 
@@ -334,5 +368,90 @@
                 )
 
 
+class ContinueTest(ServerTest):
+    """Status 100 for callers that wait for it before they send a body."""
+
+    # Guards against a caller that waits for status 100 until its time is over,
+    # since an earlier request was open when its own arrived.
+    def test_continue_follows_the_answers_to_earlier_requests(self):
+        for segments in (
+            [GET_WAIT + EXPECT_LENGTH],
+            [GET_WAIT, EXPECT_LENGTH],
+            [GET_WAIT + EXPECT_LENGTH[:30], EXPECT_LENGTH[30:]],
+            [GET_WAIT, GET_WAIT + EXPECT_CHUNKS],
+        ):
+            with self.subTest(segments):
+                self.release = eventlet.Event()
+                caller = self.connect()
+                self.send(caller, segments)
+                self.assertFalse(has_received(caller))
+                self.release.send()
+                earlier = sum(each.count(b"/wait") for each in segments)
+                expected = answer(200, b"/wait") * earlier + CONTINUE
+                self.assertEqual(receive(caller, len(expected)), expected)
+                chunks = EXPECT_CHUNKS in segments[-1]
+                self.send(caller, [chunked(b"hello") if chunks else b"hello"])
+                self.check_end(caller, answer(200, b"/bhello"))
+
+    def test_continue_is_sent_at_once_without_an_open_request(self):
+        caller = self.connect()
+        for _ in range(2):
+            caller.sendall(EXPECT_LENGTH)
+            self.assertEqual(receive(caller, len(CONTINUE)), CONTINUE)
+            caller.sendall(b"hello")
+            expected = answer(200, b"/bhello")
+            self.assertEqual(receive(caller, len(expected)), expected)
+
+    def test_continue_is_sent_once(self):
+        for earlier in (b"", GET_WAIT):
+            with self.subTest(earlier):
+                self.release = eventlet.Event()
+                caller = self.connect()
+                self.send(caller, [earlier + EXPECT_CHUNKS])
+                self.release.send()
+                expected = (
+                    answer(200, b"/wait") if earlier else b""
+                ) + CONTINUE
+                self.assertEqual(receive(caller, len(expected)), expected)
+                body = chunked(b"hello")
+                self.send(caller, cut(body, *range(1, len(body))))
+                self.check_end(caller, answer(200, b"/bhello"))
+
+    def test_no_continue_once_the_body_has_begun(self):
+        for head, body in (
+            (EXPECT_LENGTH, b"hello"),
+            (EXPECT_CHUNKS, chunked(b"hello")),
+        ):
+            for earlier in (b"", GET_WAIT):
+                for size in (1, 3):
+                    with self.subTest((head, earlier, size)):
+                        self.release = eventlet.Event()
+                        caller = self.connect()
+                        segments = [earlier + head + body[:size]]
+                        if earlier:
+                            segments = [earlier + head, body[:size]]
+                        self.send(caller, segments)
+                        self.release.send()
+                        self.send(caller, [body[size:]])
+                        self.check_end(
+                            caller,
+                            (answer(200, b"/wait") if earlier else b"")
+                            + answer(200, b"/bhello"),
+                        )
+
+    def test_no_continue_on_a_connection_that_closes(self):
+        caller = self.connect()
+        self.send(caller, [GET_WAIT + EXPECT_LENGTH])
+        self.stopping = True
+        self.release.send()
+        self.assertEqual(read_to_end(caller), answer(200, b"/wait", close=True))
+
+    def check_end(self, caller, expected):
+        """Checks that this and nothing else is received."""
+        self.assertEqual(receive(caller, len(expected)), expected)
+        eventlet.sleep(SETTLE_SECONDS)
+        self.assertFalse(has_received(caller))
+
+
 if __name__ == "__main__":
     unittest.main()
