State that a caller's end of input counts as its disconnect

By the users' pages it has left: GONE wants nothing to work on for callers that have closed, and a full close looks the same until the host sends something. LOST is about connections that the host ends, and no page knows callers that close one side. The code did so already and stays as it is.

Result: test_caller_that_ends_its_sending_side_has_left passes, and fails with a mutation that waits for open requests at the end of the input.

--- a/test/test_request_reader.py
+++ b/test/test_request_reader.py
@@ -453,5 +453,20 @@
         self.assertFalse(has_received(caller))
 
 
+class EndOfInputTest(ServerTest):
+    """Callers that end their sending side while a request is open."""
+
+    # Shows that the end of the input counts as the caller's disconnect.
+    def test_caller_that_ends_its_sending_side_has_left(self):
+        caller = self.connect()
+        self.send(caller, [GET_WAIT])
+        self.assertEqual(self.handled, [("GET", "/wait")])
+        caller.shutdown(socket.SHUT_WR)
+        self.assertEqual(read_to_end(caller), b"")
+        eventlet.sleep(SETTLE_SECONDS)
+        self.assertEqual(self.cancelled, ["/wait"])
+        self.assertEqual(self.server.connections, set())
+
+
 if __name__ == "__main__":
     unittest.main()
