Count the idle time of a connection from its last answer

What callers saw: a connection was closed up to the whole idle time too early, in the worst case just after an answer that took long, though callers may use it again within the idle time. A caller that had just got status 100 behind a long request could lose its connection in the same way.

Cause: the timeout began when the host began to wait for input, which is when it had read the request before; when it ran out, only open requests kept the connection.

Ruled out: the timeout while a request is open, which waits again.

Change: the time that has passed counts from the last answer, if that is later.

--- a/gooseberryweir/connection/pipelined_server.py
+++ b/gooseberryweir/connection/pipelined_server.py
@@ -226,6 +226,8 @@
         closing: True once the last answer was queued or sent; further input
             is discarded.
         accepted_at: Monotonic time, in seconds, at which it was accepted.
+        answered_at: Monotonic time, in seconds, at which the last answer was
+            sent.
     """
 
     def __init__(self, server: Server, accepted: Any) -> None:
@@ -243,6 +245,7 @@
         self.closed = False
         self.closing = False
         self.accepted_at = server.callbacks.now()
+        self.answered_at = self.accepted_at
 
     def has_request(self) -> bool:
         """Returns True if a request is open or partly received.
@@ -354,22 +357,26 @@
         """Returns received bytes.
 
         Empty at the end of the connection, or after a timeout while no request
-        is open.
+        is open; its time begins anew with each answer.
         """
-        if self.reader.in_progress:
-            self.socket.settimeout(
-                max(self.limits.header_timeout_seconds, 1.0) * 4
-            )
-        else:
-            self.socket.settimeout(
-                self.limits.idle_timeout_seconds + IDLE_MARGIN_SECONDS
-            )
+        now = self.server.callbacks.now
+        timeout = (
+            max(self.limits.header_timeout_seconds, 1.0) * 4
+            if self.reader.in_progress
+            else self.limits.idle_timeout_seconds + IDLE_MARGIN_SECONDS
+        )
+        self.socket.settimeout(timeout)
+        waiting_since = now()
         while True:
             try:
                 return self.socket.recv(READ_BYTES)
             except TimeoutError:
-                if not self.open_requests:
+                if self.open_requests:
+                    continue
+                waited = now() - max(waiting_since, self.answered_at)
+                if waited >= timeout:
                     return b""
+                self.socket.settimeout(timeout - waited)
 
     def _enqueue(
         self,
@@ -452,6 +459,7 @@
                 if close:
                     self._close_after_answer()
                     return
+                self.answered_at = callbacks.now()
                 self._send_continue()
         except (OSError, eventlet.Timeout) as error:
             logs.event(
--- a/test/test_request_reader.py
+++ b/test/test_request_reader.py
@@ -28,6 +28,8 @@
 SEGMENT_PAUSE_SECONDS = 0.002
 # Time in which an answer that must not come would have come.
 SETTLE_SECONDS = 0.02
+# Time within which callers may use a connection again.
+IDLE_SECONDS = 3.0
 HANDLING_SECONDS = 0.004
 GET = b"GET / HTTP/1.1\r\n"
 POST = b"POST / HTTP/1.1\r\n"
@@ -233,8 +235,11 @@
         cancelled: Targets of the requests whose handling was cancelled.
         release: Event that requests for `/wait` wait for.
         stopping: True once the server is shutting down.
+        limits: Limits of the connections.
     """
 
+    limits = LIMITS
+
     def setUp(self):
         self.stack = self.enterContext(contextlib.ExitStack())
         self.handled = []
@@ -245,7 +250,7 @@
             pipelined_server.Server(
                 "127.0.0.1:0",
                 pipelined_server.Callbacks(
-                    self.handle, lambda: LIMITS, lambda: self.stopping
+                    self.handle, lambda: self.limits, lambda: self.stopping
                 ),
             )
         )
@@ -468,5 +473,26 @@
         self.assertEqual(self.server.connections, set())
 
 
+class IdleTest(ServerTest):
+    """Connections that are kept open between requests."""
+
+    limits = LIMITS._replace(idle_timeout_seconds=IDLE_SECONDS)
+
+    # Guards against a connection that is closed just after an answer that took
+    # long, since its idle time was counted from the request.
+    def test_idle_time_begins_with_the_answer(self):
+        caller = self.connect()
+        self.send(caller, [GET_WAIT])
+        eventlet.sleep(IDLE_SECONDS)
+        self.release.send()
+        expected = answer(200, b"/wait")
+        self.assertEqual(receive(caller, len(expected)), expected)
+        # Longer than the rest of the idle time that began with the request.
+        eventlet.sleep(2 * pipelined_server.IDLE_MARGIN_SECONDS)
+        self.send(caller, [GET_WAIT])
+        self.assertEqual(receive(caller, len(expected)), expected)
+        self.assertEqual(read_to_end(caller), b"")
+
+
 if __name__ == "__main__":
     unittest.main()
