--- a/gooseberryweir/connection/pipelined_server.py
+++ b/gooseberryweir/connection/pipelined_server.py
@@ -46,6 +46,7 @@
 # Pause after a failed accept, and between checks while a connection has
 # MAX_PIPELINED open requests.
 RETRY_PAUSE_SECONDS = 0.05
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
 class Answer(NamedTuple):
@@ -232,6 +233,8 @@
         closing: True once the last answer was queued or sent; further input
             is discarded.
         accepted_at: Monotonic time, in seconds, at which it was accepted.
+        answered_at: Monotonic time, in seconds, at which the last answer was
+            sent.
     """
 
     def __init__(self, server: Server, accepted: Any) -> None:
@@ -252,6 +255,7 @@
         self.closed = False
         self.closing = False
         self.accepted_at = server.callbacks.now()
+        self.answered_at = self.accepted_at
 
     def has_request(self) -> bool:
         """Returns True if a request is open or partly received.
@@ -356,29 +360,40 @@
         if error_answer is not None:
             self._enqueue(_placeholder_request(), lambda _: error_answer)
         self.closing = self.closing or self.reader.ended
-        if self.reader.awaits_continue and not self.open_requests:
-            self.socket.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self._send_continue()
+
+    def _send_continue(self) -> None:
+        """Sends status 100 if a caller waits for it and no answer is due."""
+        if self.open_requests or self.closing or self.closed:
+            return
+        if self.reader.take_continue():
+            with eventlet.Timeout(SEND_TIMEOUT_SECONDS):
+                self.socket.sendall(CONTINUE)
 
     def _receive(self) -> bytes:
         """Returns received bytes.
 
         Empty at the end of the connection, or after a timeout while no request
-        is open.
+        is open; its time begins anew with each answer.
         """
-        if self.reader.in_progress:
-            self.socket.settimeout(
-                max(self.limits.header_timeout_seconds, 1.0) * 4
-            )
-        else:
-            self.socket.settimeout(
-                self.limits.idle_timeout_seconds + IDLE_MARGIN_SECONDS
-            )
+        now = self.server.callbacks.now
+        timeout = (
+            max(self.limits.header_timeout_seconds, 1.0) * 4
+            if self.reader.in_progress
+            else self.limits.idle_timeout_seconds + IDLE_MARGIN_SECONDS
+        )
+        self.socket.settimeout(timeout)
+        waiting_since = now()
         while True:
             try:
                 return self.socket.recv(READ_BYTES)
             except TimeoutError:
-                if not self.open_requests:
+                if self.open_requests:
+                    continue
+                waited = now() - max(waiting_since, self.answered_at)
+                if waited >= timeout:
                     return b""
+                self.socket.settimeout(timeout - waited)
 
     def _enqueue(
         self,
@@ -462,6 +477,8 @@
                 if close:
                     self._close_after_answer()
                     return
+                self.answered_at = callbacks.now()
+                self._send_continue()
         except (OSError, eventlet.Timeout) as error:
             logs.event(
                 LOGGER,
