Connect to addresses with ports out of range without an exception

What callers saw: nothing reported here. Requests to an upstream with such a port would end without an answer.

Cause: connect() raises OverflowError for a port above 65535 and int() ValueError for no number, neither of which is an OSError. Entries in the store are checked when they are decoded, but hosts of earlier builds pass theirs on unchecked, and the port for forwarded requests is one above that of heartbeats, which may be 65535.

Change: all links parse and connect by connection/addresses, where a malformed address is an OSError like any other failure to connect.

--- a/gooseberryweir/connection/peer_link.py
+++ b/gooseberryweir/connection/peer_link.py
@@ -14,6 +14,7 @@
 from eventlet import semaphore
 from eventlet.green import socket
 
+from gooseberryweir.connection import addresses
 from gooseberryweir.connection import messages
 
 RECEIVE_BYTES = 65536
@@ -30,18 +31,6 @@
     """
 
 
-def parse_address(address: str) -> tuple[str, int]:
-    """Returns the IP address and the port of `IP:PORT`.
-
-    Raises:
-        PeerError: The address has another form.
-    """
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdigit():
-        raise PeerError(f"not an IP:PORT address: {address}")
-    return host, int(port)
-
-
 class PeerLink:
     """Connection to a peer, opened by this host; a context manager.
 
@@ -207,7 +196,7 @@
     """
     try:
         with eventlet.Timeout(timeout, PeerTimeoutError("connect timed out")):
-            connection = eventlet.connect(parse_address(address))
+            connection = addresses.connect(address)
     except OSError as error:
         raise PeerError(f"{address}: {error}") from error
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/gooseberryweir/connection/peer_server.py
+++ b/gooseberryweir/connection/peer_server.py
@@ -16,6 +16,7 @@
 
 from gooseberryweir import logs
 from gooseberryweir import tasks
+from gooseberryweir.connection import addresses
 from gooseberryweir.connection import messages
 from gooseberryweir.connection import peer_link
 
@@ -52,7 +53,7 @@
         self.hello = hello
         self.handle = handle
         self.slow_types = slow_types
-        self._listener = eventlet.listen(peer_link.parse_address(address))
+        self._listener = eventlet.listen(addresses.parse(address))
         host, port = self._listener.getsockname()[:2]
         self.address = f"{host}:{port}"
         self.tasks: set[Any] = set()
--- a/gooseberryweir/connection/upstream_pool.py
+++ b/gooseberryweir/connection/upstream_pool.py
@@ -16,6 +16,7 @@
 from eventlet import hubs
 
 from gooseberryweir import clock as clocks
+from gooseberryweir.connection import addresses
 from gooseberryweir.connection import http_messages
 from gooseberryweir.connection import receive_budget
 
@@ -220,10 +221,9 @@
 
     def _connect(self, address: str, timeout: float) -> Any:
         """Opens a connection within a timeout in seconds."""
-        host, _, port = address.rpartition(":")
         try:
             with eventlet.Timeout(timeout):
-                connection = eventlet.connect((host, int(port)))
+                connection = addresses.connect(address)
         except (OSError, eventlet.Timeout) as error:
             raise ConnectError(type(error).__name__) from error
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/gooseberryweir/platform/units.py
+++ b/gooseberryweir/platform/units.py
@@ -3,13 +3,13 @@
 import ipaddress
 import re
 
+from gooseberryweir.connection import addresses
+
 _DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
 # Longest duration that is accepted, about ten years.
 MAX_DURATION_SECONDS = 3e8
 _SECONDS_BY_UNIT = {"ms": 0.001, "s": 1.0}
 _VERSION = re.compile(r"r([0-9]{1,18})")
-_PORT = re.compile(r"[0-9]{1,5}")
-MAX_PORT = 65535
 
 
 def parse_duration(text: str) -> float:
@@ -41,10 +41,13 @@
     Raises:
         ValueError: The text is not such an address.
     """
-    ip, _, port = text.rpartition(":")
-    ipaddress.IPv4Address(ip)
-    if not _PORT.fullmatch(port) or not 1 <= int(port) <= MAX_PORT:
-        raise ValueError(f"{text!r} should end with a port of 1 to {MAX_PORT}")
+    try:
+        ip, port = addresses.parse(text)
+        ipaddress.IPv4Address(ip)
+    except (addresses.AddressError, ValueError) as error:
+        raise ValueError(f"not an IPv4 address and a port: {error}") from error
+    if port == 0:
+        raise ValueError(f"{text!r} should have a port above 0")
 
 
 def parse_version(text: str) -> int:
--- a/gooseberryweir/process/fleet/host_settings.py
+++ b/gooseberryweir/process/fleet/host_settings.py
@@ -3,6 +3,8 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+from gooseberryweir.connection import addresses
+
 # Port on which each host serves its metrics; also set in deploy/system.toml.
 METRICS_PORT = 9464
 
@@ -85,6 +87,9 @@
 
     Args:
         peer_address: Address at which it takes heartbeats, `IP:PORT`.
+
+    Raises:
+        AddressError: The address has another form.
     """
-    ip, _, port = peer_address.rpartition(":")
-    return f"{ip}:{int(port) + 1}"
+    ip, port = addresses.parse(peer_address)
+    return f"{ip}:{port + 1}"
--- a/gooseberryweir/process/fleet/mesh.py
+++ b/gooseberryweir/process/fleet/mesh.py
@@ -29,6 +29,7 @@
 from gooseberryweir import clock as clocks
 from gooseberryweir import logs
 from gooseberryweir import tasks
+from gooseberryweir.connection import addresses
 from gooseberryweir.process.fleet import digests
 from gooseberryweir.process.fleet import fleet_traffic
 from gooseberryweir.process.fleet import fleet_view
@@ -298,9 +299,8 @@
             self.clock.sleep(HEARTBEAT_SECONDS)
 
     def _connect(self, peer: fleet_view.Peer) -> Any:
-        host, _, port = peer.entry.peer.rpartition(":")
         with eventlet.Timeout(SEND_TIMEOUT_SECONDS):
-            connection = eventlet.connect((host, int(port)))
+            connection = addresses.connect(peer.entry.peer)
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection.setsockopt(
             socket.IPPROTO_TCP,
--- a/gooseberryweir/request/dispatch.py
+++ b/gooseberryweir/request/dispatch.py
@@ -18,6 +18,7 @@
 
 from gooseberryweir import codes
 from gooseberryweir import logs
+from gooseberryweir.connection import addresses
 from gooseberryweir.connection import upstream_http
 from gooseberryweir.process import context as contexts
 from gooseberryweir.process.shares import slots as slots_module
@@ -181,10 +182,9 @@
 
 def refuses_connections(address: str) -> bool:
     """Returns True if an upstream's address refuses connections."""
-    host, _, port = address.rpartition(":")
     try:
         with eventlet.Timeout(DOWN_CHECK_TIMEOUT_SECONDS):
-            eventlet.connect((host, int(port))).close()
+            addresses.connect(address).close()
     except ConnectionRefusedError:
         return True
     except (OSError, eventlet.Timeout):
--- a/gooseberryweir/request/steering/forwarding.py
+++ b/gooseberryweir/request/steering/forwarding.py
@@ -15,6 +15,7 @@
 from gooseberryweir import clock as clocks
 from gooseberryweir import codes
 from gooseberryweir import logs
+from gooseberryweir.connection import addresses
 from gooseberryweir.connection import hop_headers
 from gooseberryweir.connection import http_messages
 from gooseberryweir.connection import pipelined_server
@@ -310,7 +311,7 @@
             leaving = dict(reply.message.headers).get(LEAVING_HEADER)
             if leaving is not None:
                 self.dependencies.notices.record_leaving(leaving, host.name)
-        except upstream_pool.ConnectError:
+        except (upstream_pool.ConnectError, addresses.AddressError):
             result = "no connection"
         except upstream_pool.BrokenAnswerError as error:
             result = f"broken answer: {error}"
--- a/test/test_peering.py
+++ b/test/test_peering.py
@@ -10,6 +10,7 @@
 from eventlet import event as events
 
 from gooseberryweir import clock as clocks
+from gooseberryweir.connection import addresses
 from gooseberryweir.connection import messages
 from gooseberryweir.connection import peer_link
 from gooseberryweir.connection import peer_server
@@ -241,7 +242,7 @@
     def test_invalid_data_closes_the_connection(self):
         first = self.start("c1")
         hello = messages.encode(HELLO, 1)
-        address = peer_link.parse_address(first.peering.address)
+        address = addresses.parse(first.peering.address)
         for data in (b"GET / HTTP/1.1\r\n", hello + b"\xc1", hello + b"\x91a"):
             connection = eventlet.connect(address)
             connection.sendall(data)
