Keep connections open until callers have their answers

Callers that read slowly got a reset in the middle of an answer that had run: at the end of a planned stop, around it, and in calm behind an answer that closes its connection.

Cause: an answer counted as sent once the kernel had taken its bytes. A host that stopped then ended, closed connections as idle, or ended a lingering one after one second. If the caller sends more then, or had sent what was not read, the kernel resets the connection and drops what it has not delivered. The same held for forwarded requests, whose idle connections and unread requests did not count either, for look-ups and metrics, for the idle timeout of a kept connection, for an answer larger than the kernel's buffers (sending stopped after the idle timeout of the input), and for every closing answer of `serve`.

Ruled out: callers that do not send on, and answers that fit into the caller's window, got everything before as well.

A connection has a request as long as its caller's kernel has not acknowledged all bytes (ioctl SIOCOUTQ; unless the connection was reset). A stop waits for that until the grace period is nearly over. A closing connection discards its input until the caller closes it, or nothing was undelivered for 1 s, or for MAX_DELIVERY_SECONDS (30 s), which also bounds sending one answer; then answer-undelivered and its counters have the bytes. If the kernel does not know the call, only what it has not taken counts, and the fixed linger of 1 s holds. A caller that closes its sending side gets the answers that are decided by then; other requests are dropped as before. Unread input is discarded right before a close. Lingering connections with nothing undelivered delay no stop.

--- a/gooseberryweir/connection/caller_http.py
+++ b/gooseberryweir/connection/caller_http.py
@@ -9,7 +9,7 @@
 import contextlib
 import json
 import re
-import socket
+import time
 from typing import Any
 from typing import NamedTuple
 
@@ -35,11 +35,11 @@
 # An idle or stalled connection is closed after this time.
 IDLE_TIMEOUT_SECONDS = 75.0
 MAX_REQUEST_LINE_BYTES = 16384
-# Limits on the time and the bytes for which input is read and discarded after a
-# refusal, so that a caller that is still sending its request can read the
-# refusal.
-LINGER_SECONDS = 1.0
+# Limit on the input that is read and discarded after the last answer of a
+# connection was delivered, for a caller that is still sending.
 LINGER_BYTES = 1024 * 1024
+# Interval of the checks whether it was delivered while the host shuts down.
+SHUTDOWN_CHECK_SECONDS = 0.02
 
 
 def refusal_headers(refusal: codes.Refusal) -> list[tuple[str, str]]:
@@ -131,10 +131,12 @@
     Attributes:
         options: Options of the server.
         rfile: File object from which the connection is read.
+        input_ended: True if the connection ended where a request could begin.
     """
 
     options: ServerOptions
     rfile: Any
+    input_ended = False
 
     def refuse(self, code: codes.Code) -> bool:
         """Sends a refusal and closes the connection; always returns False."""
@@ -152,13 +154,22 @@
         with contextlib.suppress(OSError):
             self.wfile.write(head.encode() + body)
             self.wfile.flush()
-            lingering_close(self.connection)
         self.close_connection = True
         return False
 
+    def finish(self) -> None:
+        """Closes the connection once the caller has received the answers."""
+        with contextlib.suppress(OSError):
+            # The caller may have disconnected already.
+            self.wfile.flush()
+        if not self.input_ended:
+            lingering_close(self.connection, self.options.shutting_down)
+        super().finish()
+
     def _read_request_line(self) -> bytes:
         """Returns the request line; empty if it was refused as too long."""
         line: bytes = super()._read_request_line() or b""
+        self.input_ended = not line
         if len(line) < MAX_REQUEST_LINE_BYTES:
             return line
         self.raw_requestline = line
@@ -235,25 +246,37 @@
     return BoundProtocol
 
 
-def lingering_close(connection: Any) -> None:
+def lingering_close(connection: Any, shutting_down: Callable[[], bool]) -> None:
     """Shuts down the sending side, then reads and discards input.
 
-    Ends at the end of the input, after `LINGER_BYTES` or `LINGER_SECONDS`.
+    Ends once the caller has received the answer and has closed its sending
+    side, `LINGER_BYTES` or `delivery.LINGER_SECONDS` are over or the host shuts
+    down, in any case after `delivery.MAX_DELIVERY_SECONDS`.
+
+    Args:
+        connection: The connection, after its last answer.
+        shutting_down: Returns True once the host is shutting down.
     """
-    connection.shutdown(socket.SHUT_WR)
+    answer = delivery.Delivery(
+        connection, time.monotonic, delivery.log_undelivered
+    )
+    answer.finish()
     remaining = LINGER_BYTES
-    with (
-        contextlib.suppress(eventlet.Timeout),
-        eventlet.Timeout(LINGER_SECONDS),
-    ):
-        while remaining > 0:
-            data = connection.recv(min(remaining, 64 * 1024))
-            if not data:
-                return
+    ended = False
+    while not ended and (seconds := answer.seconds_until_check()) > 0:
+        hurried = shutting_down()
+        if (hurried or remaining <= 0) and not answer.undelivered():
+            break
+        if hurried:
+            seconds = SHUTDOWN_CHECK_SECONDS
+        with eventlet.Timeout(seconds, False):
+            data = connection.recv(64 * 1024)
             remaining -= len(data)
-    refusal_delivery = delivery.Delivery(connection, delivery.log_undelivered)
-    refusal_delivery.finished = True
-    refusal_delivery.record_close("linger")
+            ended = not data
+    if ended:
+        answer.wait()
+    answer.record_close("time-over")
+    answer.discard_input()
 
 
 def ignore_refusal(_: codes.Refusal) -> None:
--- a/gooseberryweir/connection/delivery.py
+++ b/gooseberryweir/connection/delivery.py
@@ -1,6 +1,12 @@
-"""Tells how much of its answers a caller has not received yet."""
+"""Delivers answers to a caller until it has received all of them.
+
+The kernel takes an answer long before a caller behind a slow link has received
+it. If a connection is closed then and the caller sends more, or has sent what
+was not read, the kernel resets the connection and drops what is left.
+"""
 
 from collections.abc import Callable
+import contextlib
 import fcntl
 import logging
 import socket
@@ -9,11 +15,26 @@
 from typing import Any
 from typing import NamedTuple
 
+import eventlet
+from eventlet import hubs
+
 from gooseberryweir import logs
 from gooseberryweir.connection import http_messages
 
 LOGGER = logging.getLogger(__name__)
 
+# Longest time for which one answer is handed to the kernel, and for which a
+# connection stays open after its last answer until the caller has received it.
+MAX_DELIVERY_SECONDS = 30.0
+# Time for which input is discarded after the last answer was delivered, unless
+# the caller closes the connection before.
+LINGER_SECONDS = 1.0
+# Interval at which a connection is checked whose last answer is not delivered.
+CHECK_SECONDS = 0.25
+DISCARD_BYTES = 64 * 1024
+# Limit on the unread input that is discarded at once.
+MAX_DISCARDED_BYTES = 1024 * 1024
+
 
 class Undelivered(NamedTuple):
     """What a caller had not received when its connection was closed.
@@ -46,46 +67,114 @@
 
     Attributes:
         socket: Green socket of the connection.
+        now: Returns the monotonic time in seconds.
         record: Is called if the connection is closed too early.
         last_request: Request whose answer is being sent or was sent last, or
             None.
-        finished: True once the sending side has been shut down.
+        unsent: Bytes of an answer that the kernel has not taken yet.
+        finished_at: Monotonic time, in seconds, at which the sending side was
+            shut down, or None.
+        pending_at: Monotonic time, in seconds, at which the kernel last held
+            undelivered bytes after that.
     """
 
     def __init__(
-        self, connection: Any, record: Callable[[Undelivered], None]
+        self,
+        connection: Any,
+        now: Callable[[], float],
+        record: Callable[[Undelivered], None],
     ) -> None:
         self.socket = connection
+        self.now = now
         self.record = record
         self.last_request: http_messages.Message | None = None
-        self.finished = False
+        self.unsent = 0
+        self.finished_at: float | None = None
+        self.pending_at = 0.0
+
+    def send(self, data: bytes) -> None:
+        """Hands an answer to the kernel.
+
+        Raises:
+            OSError: The connection is broken.
+            eventlet.Timeout: The kernel did not take it within
+                `MAX_DELIVERY_SECONDS`.
+        """
+        remaining = memoryview(data)
+        self.unsent = len(remaining)
+        with eventlet.Timeout(MAX_DELIVERY_SECONDS):
+            while remaining:
+                try:
+                    # `fd` is the non-blocking socket inside the eventlet
+                    # socket, whose timeout is that of the input.
+                    remaining = remaining[self.socket.fd.send(remaining) :]
+                except BlockingIOError:
+                    hubs.trampoline(self.socket.fd, write=True)
+                self.unsent = len(remaining)
 
     def undelivered(self) -> int:
-        """Returns the bytes that the caller's kernel has not acknowledged.
+        """Returns the bytes of answers that the caller has not received.
 
-        The end of the connection may count as one byte. Returns 0 if the kernel
-        can't tell.
+        These are bytes that the caller's kernel has not acknowledged; the end
+        of the connection may count as one byte. If the kernel can't tell, only
+        bytes count that it has not taken, and a closing connection stays open
+        for `LINGER_SECONDS`.
         """
-        try:
+        size = self.unsent
+        with contextlib.suppress(OSError):
             # SIOCOUTQ of tcp(7).
-            size = fcntl.ioctl(self.socket.fileno(), termios.TIOCOUTQ, bytes(4))
-        except OSError:
-            return 0
-        return int(struct.unpack("i", size)[0])
-
-    def caller_left(self) -> bool:
-        """Returns True if the caller has closed or reset the connection."""
-        try:
-            # `fd` is the non-blocking socket inside the eventlet socket.
-            return not self.socket.fd.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
+            held = fcntl.ioctl(self.socket.fileno(), termios.TIOCOUTQ, bytes(4))
+            size += int(struct.unpack("i", held)[0])
+        if size:
+            try:
+                # After a reset the kernel still reports what it has dropped.
+                self.socket.getpeername()
+            except OSError:
+                return 0
+        return size
+
+    def finish(self) -> None:
+        """Shuts the sending side down, after the last answer."""
+        with contextlib.suppress(OSError):
+            # The caller may have disconnected already.
+            self.socket.shutdown(socket.SHUT_WR)
+        self.finished_at = self.pending_at = self.now()
+
+    def seconds_until_check(self) -> float:
+        """Returns the seconds to wait once more before the connection ends.
+
+        0 if it may end now, since the caller has all answers or has had
+        `MAX_DELIVERY_SECONDS` for them.
+        """
+        now = self.now()
+        if now >= (self.finished_at or 0.0) + MAX_DELIVERY_SECONDS:
+            return 0.0
+        if self.undelivered():
+            self.pending_at = now
+            return CHECK_SECONDS
+        return max(0.0, self.pending_at + LINGER_SECONDS - now)
+
+    def wait(self) -> None:
+        """Waits until the caller has all answers, for a limited time.
+
+        For a caller that sends no more but may still receive.
+        """
+        deadline = self.now() + MAX_DELIVERY_SECONDS
+        while self.undelivered() and self.now() < deadline:
+            eventlet.sleep(CHECK_SECONDS)
 
     def record_close(self, reason: str) -> None:
         """Records bytes that the caller may lose, just before the close."""
-        end_size = 1 if self.finished else 0
+        end_size = 0 if self.finished_at is None else 1
         size = self.undelivered() - end_size
-        if size > 0 and not self.caller_left():
+        if size > 0:
             self.record(Undelivered(self.last_request, size, reason))
+
+    def discard_input(self) -> None:
+        """Discards what has arrived; the kernel resets on unread input."""
+        with contextlib.suppress(OSError):
+            # Nothing more has arrived, or the connection is broken.
+            for _ in range(MAX_DISCARDED_BYTES // DISCARD_BYTES):
+                # `fd` is the non-blocking socket inside the eventlet socket.
+                if not self.socket.fd.recv(DISCARD_BYTES):
+                    return
--- a/gooseberryweir/connection/pipelined_server.py
+++ b/gooseberryweir/connection/pipelined_server.py
@@ -10,6 +10,7 @@
 import collections
 from collections.abc import Callable
 import contextlib
+import itertools
 import logging
 import socket
 import time
@@ -33,13 +34,9 @@
 MAX_PIPELINED = 32
 READ_BYTES = 64 * 1024
 LISTEN_BACKLOG = 1024
-# Timeout of sending one answer to a caller.
-SEND_TIMEOUT_SECONDS = 30.0
 # Added to the idle timeout, so that a connection is closed a little after the
 # time within which callers may reuse it.
 IDLE_MARGIN_SECONDS = 0.5
-# Time that a caller has to read the last answer of a connection.
-LINGER_SECONDS = 1.0
 # Time after the accept within which the first request of a connection is
 # expected; a server that stops does not close the connection before.
 FIRST_REQUEST_SECONDS = 0.25
@@ -177,15 +174,25 @@
             self.listener.close()
 
     def close_idle(self) -> None:
-        """Closes the connections without a request."""
+        """Closes the connections without a request.
+
+        Those that are closing anyway end by themselves.
+        """
         for connection in list(self.connections):
-            if not connection.has_request():
+            if not connection.closing and not connection.has_request():
                 connection.close("idle")
 
     def has_requests(self) -> bool:
-        """Returns True if a request is open, or may be in a connection."""
+        """Returns True if a request is open, or may be in a connection.
+
+        A request is open until its caller has received the answer.
+        """
         return any(each.has_request() for each in self.connections)
 
+    def has_answers(self) -> bool:
+        """Returns True if an answer is not decided or not delivered yet."""
+        return any(each.has_answer() for each in self.connections)
+
     def _accept_pending(self) -> None:
         """Accepts the connections that wait in the listening socket."""
         while True:
@@ -225,7 +232,7 @@
         socket: Green socket of the connection.
         limits: Limits of the connection, in bytes and seconds.
         reader: Parser of the requests.
-        delivery: Tells what the caller has not received yet.
+        delivery: Delivers the answers.
         open_requests: Requests not yet answered, in the order received.
         writer_task: Task that sends the answers, or None if no request is open.
         closed: True once the connection has been shut down or closed.
@@ -243,7 +250,7 @@
             limits.max_header_bytes, limits.max_body_bytes
         )
         self.delivery = delivery.Delivery(
-            accepted, server.callbacks.undelivered
+            accepted, server.callbacks.now, server.callbacks.undelivered
         )
         self.open_requests: collections.deque[_OpenRequest] = (
             collections.deque()
@@ -256,16 +263,23 @@
     def has_request(self) -> bool:
         """Returns True if a request is open or partly received.
 
-        Also if one may be on its way, since the connection is new.
+        Also if the caller has not received an answer, or a request may be on
+        its way, since the connection is new.
         """
         age = self.server.callbacks.now() - self.accepted_at
-        return bool(
-            self.open_requests
-            or self.reader.in_progress
-            or (not self.closing and self._has_unread_bytes())
-            or (not self.closing and age < FIRST_REQUEST_SECONDS)
+        return self.has_answer() or (
+            not self.closing
+            and (
+                self.reader.in_progress
+                or self._has_unread_bytes()
+                or age < FIRST_REQUEST_SECONDS
+            )
         )
 
+    def has_answer(self) -> bool:
+        """Returns True if an answer is not decided or not delivered yet."""
+        return bool(self.open_requests) or self.delivery.undelivered() > 0
+
     def _has_unread_bytes(self) -> bool:
         """Returns True if bytes have arrived that were not read yet."""
         try:
@@ -279,6 +293,7 @@
         try:
             self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self._read_requests()
+            self._deliver_decided()
         except (OSError, eventlet.Timeout) as error:
             logs.event(
                 LOGGER,
@@ -291,8 +306,10 @@
 
     def _clean_up(self) -> None:
         """Closes the socket and kills the tasks of the connection."""
-        if not self.closed:
-            self.delivery.record_close("timeout")
+        if self.closed:
+            self.delivery.discard_input()
+        else:
+            self.delivery.record_close("time-over")
         self.closed = True
         self.server.connections.discard(self)
         self.socket.close()
@@ -313,20 +330,52 @@
         if not self.closed:
             self.delivery.record_close(reason)
             self.closed = True
-            self._shut_down(socket.SHUT_RDWR)
+            self.delivery.discard_input()
+            with contextlib.suppress(OSError):
+                # The caller may have disconnected already.
+                self.socket.shutdown(socket.SHUT_RDWR)
 
     def _close_after_answer(self) -> None:
         """Lets the caller read the last answer, then closes the connection."""
         self.closing = True
-        self._shut_down(socket.SHUT_WR)
-        self.delivery.finished = True
-        eventlet.spawn_after(LINGER_SECONDS, self.close, "linger")
+        self.delivery.finish()
+        eventlet.spawn_after(
+            delivery.LINGER_SECONDS, self._close_when_delivered
+        )
+
+    def _close_when_delivered(self) -> None:
+        """Closes the connection now or after a later check."""
+        if self.closed:
+            return
+        seconds = self.delivery.seconds_until_check()
+        if seconds > 0:
+            eventlet.spawn_after(seconds, self._close_when_delivered)
+        else:
+            self.close("time-over")
 
-    def _shut_down(self, how: int) -> None:
-        """Shuts down one or both directions; `how` is a `SHUT_` constant."""
-        with contextlib.suppress(OSError):
-            # The caller may have disconnected already.
-            self.socket.shutdown(how)
+    def _deliver_decided(self) -> None:
+        """Delivers decided answers to a caller that sends no more.
+
+        Requests without an answer are dropped, as if the caller had left.
+        """
+        if self.closed:
+            return
+        self.closing = True
+        decided = [
+            *itertools.takewhile(
+                lambda each: each.answer.ready(), self.open_requests
+            )
+        ]
+        dropped = list(self.open_requests)[len(decided) :]
+        if not decided and self.writer_task is not None:
+            self.writer_task.kill()
+        self.open_requests = collections.deque(decided)
+        for each in dropped:
+            each.task.kill()
+        if decided and self.writer_task is not None:
+            self.writer_task.wait()
+        if not self.closed:
+            self.delivery.wait()
 
     def _read_requests(self) -> None:
         """Reads requests until the connection ends or times out."""
@@ -372,8 +421,11 @@
             try:
                 return self.socket.recv(READ_BYTES)
             except TimeoutError:
-                if not self.open_requests:
+                if self.open_requests or self.closing:
+                    continue
+                if not self.delivery.undelivered():
                     return b""
+                self._close_after_answer()
 
     def _enqueue(
         self,
@@ -435,16 +487,15 @@
                 # get no answer any more; its caller takes it as not read.
                 self.closing = self.closing or close
                 self.delivery.last_request = oldest.request
-                with eventlet.Timeout(SEND_TIMEOUT_SECONDS):
-                    self.socket.sendall(
-                        http_messages.encode_answer(
-                            answer.status,
-                            answer.headers,
-                            answer.body,
-                            close,
-                            oldest.request.method == "HEAD",
-                        )
+                self.delivery.send(
+                    http_messages.encode_answer(
+                        answer.status,
+                        answer.headers,
+                        answer.body,
+                        close,
+                        oldest.request.method == "HEAD",
                     )
+                )
                 self.open_requests.popleft()
                 callbacks.sent(
                     oldest.request,
--- a/gooseberryweir/front.py
+++ b/gooseberryweir/front.py
@@ -72,6 +72,7 @@
         mesh: Exchanges heartbeats with the peers (the other hosts).
         front: HTTP server for callers.
         forwarded: HTTP server for requests that other hosts forward, or None.
+        side_servers: HTTP servers of look-ups, readiness checks and metrics.
     """
 
     settings: host_settings.HostSettings
@@ -81,12 +82,17 @@
     mesh: mesh_module.Mesh
     front: pipelined_server.Server
     forwarded: pipelined_server.Server | None
+    side_servers: tuple[pipelined_server.Server, ...]
+
+    @property
+    def request_servers(self) -> list[pipelined_server.Server]:
+        """Servers of requests that go to upstreams."""
+        return [self.front, *([self.forwarded] if self.forwarded else [])]
 
     @property
     def open_requests(self) -> int:
         """Number of requests whose answers have not been sent yet."""
-        forwarded = self.forwarded.open_requests if self.forwarded else 0
-        return self.front.open_requests + forwarded
+        return sum(each.open_requests for each in self.request_servers)
 
 
 @contextlib.contextmanager
@@ -272,12 +278,19 @@
                     ),
                 )
             )
-        side_servers.open_side_servers(
+        others = side_servers.open_side_servers(
             stack, settings, store_cache, mesh, shutdown, telemetry
         )
         stack.enter_context(reader)
         yield Host(
-            settings, clock, shutdown, store_cache, mesh, front, forwarded
+            settings,
+            clock,
+            shutdown,
+            store_cache,
+            mesh,
+            front,
+            forwarded,
+            others,
         )
 
 
@@ -334,8 +347,8 @@
     """Shuts down gracefully.
 
     Notifies the peers at once and accepts requests for a limited time. Then
-    refuses new requests and waits until the open ones have ended or the grace
-    period is nearly over.
+    refuses new requests and waits until the callers of the open ones have their
+    answers or the grace period is nearly over.
     """
     started_at = host.clock.monotonic()
     logs.event(LOGGER, "host-leaving", open_requests=host.open_requests)
@@ -343,11 +356,19 @@
     deadline = started_at + host.settings.bounds.grace - SHUTDOWN_MARGIN_SECONDS
     while host.clock.monotonic() < deadline:
         if host.shutdown.refusing():
-            host.front.stop_accepting()
-            host.front.close_idle()
-            if host.open_requests == 0 and not host.front.has_requests():
+            for server in host.request_servers:
+                server.stop_accepting()
+                server.close_idle()
+            if not any(each.has_requests() for each in host.request_servers):
                 break
         host.clock.sleep(SHUTDOWN_POLL_SECONDS)
+    while any(each.has_answers() for each in host.side_servers):
+        if host.clock.monotonic() >= deadline:
+            break
+        for server in host.side_servers:
+            server.stop_accepting()
+            server.close_idle()
+        host.clock.sleep(SHUTDOWN_POLL_SECONDS)
     logs.event(
         LOGGER,
         "host-drained",
--- a/gooseberryweir/side_servers.py
+++ b/gooseberryweir/side_servers.py
@@ -49,8 +49,8 @@
     mesh: mesh_module.Mesh,
     shutdown: shutdown_module.Shutdown,
     telemetry: telemetry_module.Telemetry,
-) -> None:
-    """Starts the servers of look-ups, readiness checks and metrics.
+) -> tuple[pipelined_server.Server, ...]:
+    """Starts and returns the servers of look-ups, readiness and metrics.
 
     Args:
         stack: Owns the servers and closes them.
@@ -103,8 +103,8 @@
     def open_server(
         address: str,
         handle: Callable[[http_messages.Message], pipelined_server.Answer],
-    ) -> None:
-        stack.enter_context(
+    ) -> pipelined_server.Server:
+        return stack.enter_context(
             pipelined_server.Server(
                 address,
                 pipelined_server.Callbacks(
@@ -116,6 +116,8 @@
             )
         )
 
-    open_server(settings.ready_address, handle_readiness)
-    open_server(settings.directory_address, handle_look_up)
-    open_server(settings.metrics_address, handle_metrics)
+    return (
+        open_server(settings.ready_address, handle_readiness),
+        open_server(settings.directory_address, handle_look_up),
+        open_server(settings.metrics_address, handle_metrics),
+    )
--- /dev/null
+++ b/test/test_delivery.py
@@ -0,0 +1,221 @@
+"""Tests of answers that a caller receives later than the kernel takes them.
+
+The server runs in the test's process. The callers' sockets block, so no task of
+the server runs between their calls.
+"""
+
+import contextlib
+import socket
+import time
+import unittest
+from unittest import mock
+
+import eventlet
+
+from gooseberryweir.connection import caller_http
+from gooseberryweir.connection import delivery
+from gooseberryweir.connection import pipelined_server
+from gooseberryweir.version import traffic
+
+# Largest headers and body in bytes, header timeout and idle timeout in seconds.
+LIMITS = traffic.CallerLimits(8192, 8192, 3.0, 0.2)
+IDLE_SECONDS = (
+    LIMITS.idle_timeout_seconds + pipelined_server.IDLE_MARGIN_SECONDS
+)
+REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+CLOSING_REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+# Less than the host's kernel takes at once, more than the caller's does.
+BODY_BYTES = 300_000
+# More than the kernel's buffers of a connection hold.
+LARGE_BODY_BYTES = 16_000_000
+BUFFER_BYTES = 4096
+STEP_SECONDS = 0.01
+STEPS = 500
+
+
+class DeliveryTest(unittest.TestCase):
+    """A server whose callers read late."""
+
+    def setUp(self):
+        self.stack = self.enterContext(contextlib.ExitStack())
+        self.records = []
+        self.passed_seconds = 0.0
+        self.address = ("127.0.0.1", self.free_port())
+        self.server = self.stack.enter_context(
+            pipelined_server.Server(
+                f"127.0.0.1:{self.address[1]}",
+                pipelined_server.Callbacks(
+                    self.handle,
+                    lambda: LIMITS,
+                    lambda: False,
+                    now=lambda: time.monotonic() + self.passed_seconds,
+                    undelivered=self.records.append,
+                ),
+            )
+        )
+
+    def free_port(self):
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            return probe.getsockname()[1]
+
+    def handle(self, message):
+        if message.target == "/wait":
+            eventlet.sleep(60.0)
+        size = LARGE_BODY_BYTES if message.target == "/large" else BODY_BYTES
+        return pipelined_server.Answer(200, (), bytes(size))
+
+    def connect_only(self, request):
+        caller = self.stack.enter_context(socket.socket())
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
+        caller.settimeout(STEP_SECONDS)
+        caller.connect(self.address)
+        caller.sendall(request)
+        return caller
+
+    def connect(self, request):
+        """Returns a caller whose answer the kernel has taken."""
+        caller = self.connect_only(request)
+        self.wait_until(lambda: self.server.has_answers())
+        self.wait_until(lambda: not self.server.open_requests)
+        return caller
+
+    def wait_until(self, condition):
+        """Lets the server run until a condition holds."""
+        for _ in range(STEPS):
+            if condition():
+                return
+            eventlet.sleep(STEP_SECONDS)
+        raise AssertionError("not true in time")
+
+    def read(self, caller, size=BODY_BYTES):
+        """Reads more than `size` bytes and returns how many."""
+        received = 0
+        for _ in range(STEPS):
+            if received > size:
+                break
+            eventlet.sleep(0.001)
+            with contextlib.suppress(TimeoutError):
+                data = caller.recv(65536)
+                if not data:
+                    break
+                received += len(data)
+        return received
+
+    def test_request_is_open_until_its_caller_has_the_answer(self):
+        caller = self.connect(CLOSING_REQUEST)
+        self.assertTrue(self.server.has_requests())
+        self.server.close_idle()
+        caller.sendall(REQUEST)
+        self.assertGreater(self.read(caller), BODY_BYTES)
+        # The connection lingers, but delays no stop.
+        self.wait_until(lambda: not self.server.has_requests())
+        self.assertEqual(len(self.server.connections), 1)
+        self.wait_until(lambda: not self.server.connections)
+        self.assertEqual(self.records, [])
+
+    # Guards against LOST of issue 35: a closing connection was ended by the
+    # idle timeout or a fixed time, before its caller had the answer.
+    def test_closing_connection_outlives_the_idle_timeout(self):
+        caller = self.connect(CLOSING_REQUEST)
+        for _ in range(4):
+            eventlet.sleep(max(IDLE_SECONDS, delivery.LINGER_SECONDS) / 2)
+            caller.sendall(REQUEST)
+        self.assertGreater(self.read(caller), BODY_BYTES)
+        self.assertEqual(self.records, [])
+
+    # Guards against the same where the connection is kept.
+    def test_idle_connection_is_kept_until_its_answer_is_delivered(self):
+        caller = self.connect(REQUEST)
+        eventlet.sleep(IDLE_SECONDS + 0.2)
+        caller.sendall(REQUEST)
+        eventlet.sleep(STEP_SECONDS)
+        self.assertGreater(self.read(caller), BODY_BYTES)
+        self.assertEqual(self.records, [])
+
+    # Guards against the same while the kernel can't take the whole answer.
+    def test_sending_outlives_the_idle_timeout(self):
+        caller = self.connect_only(b"GET /large HTTP/1.1\r\nHost: h\r\n\r\n")
+        eventlet.sleep(IDLE_SECONDS + 0.2)
+        self.assertEqual(self.server.open_requests, 1)
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)
+        self.assertGreater(
+            self.read(caller, LARGE_BODY_BYTES), LARGE_BODY_BYTES
+        )
+        self.assertEqual(self.records, [])
+
+    def test_caller_that_never_reads_is_left_at_the_bound(self):
+        self.connect(CLOSING_REQUEST)
+        eventlet.sleep(delivery.LINGER_SECONDS + delivery.CHECK_SECONDS)
+        self.assertEqual(len(self.server.connections), 1)
+        self.passed_seconds = delivery.MAX_DELIVERY_SECONDS
+        self.wait_until(lambda: not self.server.connections)
+        (record,) = self.records
+        self.assertEqual(record.reason, "time-over")
+        self.assertEqual(record.request.target, "/a")
+        self.assertGreater(record.size, BODY_BYTES // 2)
+
+    def test_end_of_the_server_records_what_is_cut_off(self):
+        self.connect(REQUEST)
+        self.server.__exit__()
+        (record,) = self.records
+        self.assertEqual(record.reason, "server-end")
+        self.assertGreater(record.size, BODY_BYTES // 2)
+
+    def test_caller_that_resets_the_connection_is_left_at_once(self):
+        caller = self.connect(CLOSING_REQUEST)
+        caller.close()
+        eventlet.sleep(STEP_SECONDS)
+        self.assertFalse(self.server.has_requests())
+        self.wait_until(lambda: not self.server.connections)
+        self.assertEqual(self.records, [])
+
+    def test_decided_answer_reaches_a_caller_that_sends_no_more(self):
+        caller = self.connect(REQUEST)
+        caller.sendall(REQUEST + b"GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
+        self.wait_until(lambda: self.server.open_requests == 1)
+        caller.shutdown(socket.SHUT_WR)
+        # What is not decided is dropped, as if the caller had left.
+        self.wait_until(lambda: self.server.open_requests == 0)
+        self.assertGreater(self.read(caller, 2 * BODY_BYTES), 2 * BODY_BYTES)
+        self.wait_until(lambda: not self.server.connections)
+        self.assertEqual(self.records, [])
+
+    def test_unknown_state_of_the_kernel_means_the_fixed_time(self):
+        with mock.patch.object(
+            delivery.fcntl, "ioctl", side_effect=OSError("not known")
+        ):
+            self.connect_only(CLOSING_REQUEST)
+            self.wait_until(lambda: self.server.connections)
+            self.wait_until(lambda: not self.server.has_requests())
+            self.assertEqual(len(self.server.connections), 1)
+            self.wait_until(lambda: not self.server.connections)
+        self.assertEqual(self.records, [])
+
+    # Guards against the same for the answers of `serve`.
+    def test_answer_of_serve_reaches_a_caller_that_sends_on(self):
+        listener = eventlet.listen(("127.0.0.1", 0))
+        self.address = listener.getsockname()
+
+        def application(_environ, start_response):
+            start_response("200 OK", [("Content-Length", str(BODY_BYTES))])
+            return [bytes(BODY_BYTES)]
+
+        task = eventlet.spawn(
+            caller_http.serve,
+            listener,
+            application,
+            eventlet.GreenPool(4),
+            8192,
+            lambda: False,
+        )
+        self.stack.callback(task.kill)
+        caller = self.connect_only(CLOSING_REQUEST)
+        for _ in range(4):
+            eventlet.sleep(delivery.LINGER_SECONDS / 2)
+            caller.sendall(REQUEST)
+        self.assertGreater(self.read(caller), BODY_BYTES)
+
+
+if __name__ == "__main__":
+    unittest.main()
