--- a/gooseberryweir/front.py
+++ b/gooseberryweir/front.py
@@ -76,6 +76,7 @@
         mesh: Exchanges heartbeats with the peers (the other hosts).
         front: HTTP server for callers.
         forwarded: HTTP server for requests that other hosts forward, or None.
+        side_servers: HTTP servers of look-ups, readiness checks and metrics.
         give_up_requests: Ends the open requests with answers of this host.
     """
 
@@ -86,13 +87,18 @@
     mesh: mesh_module.Mesh
     front: pipelined_server.Server
     forwarded: pipelined_server.Server | None
+    side_servers: tuple[pipelined_server.Server, ...]
     give_up_requests: Callable[[], None]
 
+    @property
+    def request_servers(self) -> list[pipelined_server.Server]:
+        """Servers of requests that go to upstreams."""
+        return [self.front, *([self.forwarded] if self.forwarded else [])]
+
     @property
     def open_requests(self) -> int:
         """Number of requests whose answers have not been sent yet."""
-        forwarded = self.forwarded.open_requests if self.forwarded else 0
-        return self.front.open_requests + forwarded
+        return sum(each.open_requests for each in self.request_servers)
 
 
 @contextlib.contextmanager
@@ -278,7 +284,7 @@
                     ),
                 )
             )
-        side_servers.open_side_servers(
+        others = side_servers.open_side_servers(
             stack, settings, store_cache, mesh, shutdown, telemetry
         )
         stack.enter_context(reader)
@@ -290,6 +296,7 @@
             mesh,
             front,
             forwarded,
+            others,
             request_handler.running.give_up,
         )
 
@@ -357,9 +364,9 @@
     """Shuts down gracefully.
 
     Notifies the peers at once and accepts requests for a limited time. Then
-    refuses new requests and waits until the open ones have ended. Gives up
-    those that are still open when the grace period, which began with the
-    signal, is nearly over.
+    refuses new requests and waits until the callers of the open ones have their
+    answers. Gives up those that are still open when the grace period, which
+    began with the signal, is nearly over.
     """
     logs.event(LOGGER, "host-leaving", open_requests=host.open_requests)
     host.mesh.send_now()
@@ -369,11 +376,19 @@
         if remaining <= LAST_ANSWERS_SECONDS:
             host.give_up_requests()
         if host.shutdown.refusing():
-            host.front.stop_accepting()
-            host.front.close_idle()
-            if host.open_requests == 0 and not host.front.has_requests():
+            for server in host.request_servers:
+                server.stop_accepting()
+                server.close_idle()
+            if not any(each.has_requests() for each in host.request_servers):
                 break
         host.clock.sleep(SHUTDOWN_POLL_SECONDS)
+    while any(each.has_answers() for each in host.side_servers):
+        if host.shutdown.seconds_until(exit_seconds) <= 0:
+            break
+        for server in host.side_servers:
+            server.stop_accepting()
+            server.close_idle()
+        host.clock.sleep(SHUTDOWN_POLL_SECONDS)
     logs.event(
         LOGGER,
         "host-drained",
