Limit the open requests of a connection whatever the segments

What callers saw: nothing.

Cause: the limit was looked at before input was received and not before each request of it.

Ruled out: the pause of reading itself, which holds.

Change: the reader stops at the number of requests that may still be opened and keeps the bytes behind them for its next call. Like unread input, they delay a stop until the last answer of the connection is decided, and not after that.

--- a/gooseberryweir/connection/http_messages.py
+++ b/gooseberryweir/connection/http_messages.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Iterable
 import http
+import sys
 from typing import NamedTuple
 
 import httptools
@@ -202,6 +203,8 @@
         parser: Parser of the bytes.
         ended: True after a request that closes the connection, or an error;
             what follows is ignored.
+        unread: Bytes behind the requests that `feed` returned, which the next
+            call reads.
         last_bytes: Last bytes of the request in progress, which may be the
             beginning of `END_OF_HEAD`.
         continue_settled: True once the body of the request in progress has
@@ -217,13 +220,16 @@
         self.parser = httptools.HttpRequestParser(self.collector)
         self.collector.parser = self.parser
         self.ended = False
+        self.unread = b""
         self.last_bytes = b""
         self.continue_settled = False
 
     @property
     def in_progress(self) -> bool:
-        """True while a request has begun and is not complete."""
-        return self.collector.in_progress and not self.ended
+        """True if a request has begun and was not returned."""
+        return not self.ended and bool(
+            self.unread or self.collector.in_progress
+        )
 
     def take_continue(self) -> bool:
         """Returns True if a caller waits for status 100 to send its body.
@@ -239,16 +245,29 @@
             for name, value in collector.headers
         )
 
-    def feed(self, data: bytes) -> list[Message]:
+    def feed(
+        self, data: bytes, max_requests: int = sys.maxsize
+    ) -> list[Message]:
         """Parses received bytes and returns the requests completed by them.
 
+        Args:
+            data: Received bytes.
+            max_requests: Number of requests at which reading pauses; the bytes
+                behind them are kept for the next call.
+
         Raises:
             MessageError: A request is malformed or too large; the error has
                 the requests completed before it.
         """
         collector = self.collector
+        data = self.unread + data
+        self.unread = b""
         position = 0
-        while position < len(data) and not self.ended:
+        while (
+            position < len(data)
+            and not self.ended
+            and len(collector.completed) < max_requests
+        ):
             self.continue_settled = collector.in_body
             end = self._piece_end(data, position)
             piece = data[position:end]
@@ -262,6 +281,8 @@
                 self.last_bytes = (self.last_bytes + piece[-3:])[-3:]
             elif collector.completed:
                 self.ended = not collector.completed[-1].keep_alive
+        if not self.ended:
+            self.unread = data[position:]
         return collector.take_completed()
 
     def _piece_end(self, data: bytes, position: int) -> int:
--- a/gooseberryweir/connection/pipelined_server.py
+++ b/gooseberryweir/connection/pipelined_server.py
@@ -320,12 +320,16 @@
         while not self.closed:
             while len(self.open_requests) >= MAX_PIPELINED and not self.closed:
                 eventlet.sleep(RETRY_PAUSE_SECONDS)
+            if self.closing:
+                self.reader.ended = True
+            elif self.reader.unread:
+                self._process(b"")
+                continue
             data = self._receive()
             if not data:
                 return
-            if self.closing:
-                continue
-            self._process(data)
+            if not self.closing:
+                self._process(data)
 
     def _process(self, data: bytes) -> None:
         """Starts a task for each request that is completed by these bytes.
@@ -334,7 +338,9 @@
         """
         error_answer = None
         try:
-            requests = self.reader.feed(data)
+            requests = self.reader.feed(
+                data, MAX_PIPELINED - len(self.open_requests)
+            )
         except http_messages.MessageError as error:
             requests = error.completed
             error_answer = Answer(error.status, (), b"", close=True)
--- a/test/test_request_reader.py
+++ b/test/test_request_reader.py
@@ -178,6 +178,28 @@
                     ([expected, other_expected], status),
                 )
 
+    def test_requests_beyond_a_number_are_kept_for_later(self):
+        first, expected = request("POST", "/a", b"ab\r\n\r\nc", "chunks", False)
+        for behind, status in ((first[:20], None), ERRORS[0][1:]):
+            data = first * 5 + behind
+            for position in range(1, len(data)):
+                reader = http_messages.RequestReader(
+                    MAX_HEADER_BYTES, MAX_BODY_BYTES
+                )
+                count, error_status = 0, None
+                for segment in cut(data, position):
+                    while segment or reader.unread:
+                        try:
+                            completed = reader.feed(segment, 2)
+                        except http_messages.MessageError as error:
+                            completed = error.completed
+                            error_status = error.status
+                        self.assertLessEqual(len(completed), 2)
+                        count += len(completed)
+                        segment = b""
+                self.assertEqual((count, error_status), (5, status))
+                self.assertEqual(reader.in_progress, status is None)
+
     def test_the_limit_on_headers_is_exact(self):
         first, expected = request("GET", "/a", b"", "none", False)
         start = GET + b"a:\r\n" * 20 + b"X: "
@@ -373,6 +395,49 @@
                 )
 
 
+class ManyRequestsTest(ServerTest):
+    """Callers that send many requests without waiting for their answers."""
+
+    # Guards against requests of one segment that are all started at once.
+    def test_number_of_open_requests_does_not_depend_on_the_segments(self):
+        count = 5 * pipelined_server.MAX_PIPELINED
+        last = request("GET", "/a", b"", "none", True)[0]
+        for segments in (
+            [GET_WAIT * count + last],
+            cut(GET_WAIT * count + last, 1000, 1001, 2500),
+            [*[GET_WAIT] * count, last],
+        ):
+            with self.subTest(len(segments)):
+                self.handled.clear()
+                self.release = eventlet.Event()
+                caller = self.connect()
+                self.send(caller, segments)
+                eventlet.sleep(SETTLE_SECONDS)
+                self.assertEqual(
+                    len(self.handled), pipelined_server.MAX_PIPELINED
+                )
+                self.release.send()
+                self.assertEqual(
+                    read_to_end(caller),
+                    answer(200, b"/wait") * count
+                    + answer(200, b"/a", close=True),
+                )
+                self.assertEqual(len(self.handled), count + 1)
+
+    def test_requests_behind_the_last_answer_do_not_delay_a_stop(self):
+        caller = self.connect()
+        self.send(caller, [GET_WAIT * 2 * pipelined_server.MAX_PIPELINED])
+        self.assertTrue(self.server.has_requests())
+        self.stopping = True
+        self.release.send()
+        received = b""
+        while b"Connection: close" not in received:
+            received += caller.recv(65536)
+        eventlet.sleep(2 * pipelined_server.RETRY_PAUSE_SECONDS)
+        self.assertFalse(self.server.has_requests())
+        self.assertEqual(len(self.handled), received.count(b"/wait"))
+
+
 class ContinueTest(ServerTest):
     """Status 100 for callers that wait for it before they send a body."""
 
