Follow the platform's lists beside an odd entry, in serve too

What callers saw: nothing reported here.

Cause, at hosts of the operators' own interface (serve), which copy the platform's objects: - one object that can't be read failed its whole list, so that no upstream and no host of the list was followed while it was there; - an event of such an object was asked for again and again; - an object with an integer beyond 64 bits, or nested more than about 500 levels, was stored but no message to other hosts can hold it: every answer and push with it failed with OverflowError, so other hosts got no objects at all.

Change: the readable objects of a list are stored. Of the others the earlier state stays and counts as listed; if the name can't be read either, nothing counts as deleted. A list of steering objects with such an object still confirms nothing, so a key whose withdrawal can't be read is not accepted for longer. An object that no message can hold is skipped likewise. After an event that can't be read the kind is listed again.

--- a/gooseberryweir/connection/messages.py
+++ b/gooseberryweir/connection/messages.py
@@ -372,6 +372,19 @@
     return msgpack.packb(fields, use_bin_type=True)
 
 
+def check_content(content: Any) -> None:
+    """Checks that a message can hold the content of an object.
+
+    Raises:
+        ValueError: It is nested too deeply, or holds a number that is too
+            large.
+    """
+    try:
+        encode(StateObjects((("", 0, content),)))
+    except OverflowError as error:
+        raise ValueError(str(error)) from error
+
+
 def decode(fields: Any) -> tuple[int, Any]:
     """Returns the correlation ID and the message in an unpacked array.
 
--- a/gooseberryweir/platform/store.py
+++ b/gooseberryweir/platform/store.py
@@ -79,6 +79,25 @@
         """
         return tuple(_decode_object(item) for item in self.items)
 
+    def readable_objects(
+        self,
+    ) -> tuple[tuple[StoredObject, ...], tuple[str | None, ...]]:
+        """Decodes the objects that can be read.
+
+        Returns:
+            These objects, and the names of the other ones; None for each whose
+            name can't be read either.
+        """
+        readable = []
+        unreadable = []
+        for item in self.items:
+            try:
+                readable.append(_decode_object(item))
+            except MalformedError:
+                # The caller logs what it skips.
+                unreadable.append(pages.object_name(item))
+        return tuple(readable), tuple(unreadable)
+
 
 class Change(NamedTuple):
     """One change of an object that a watch returned.
--- a/gooseberryweir/process/upkeep/watcher.py
+++ b/gooseberryweir/process/upkeep/watcher.py
@@ -13,7 +13,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
-from collections.abc import Sequence
+from collections.abc import Set
 import contextlib
 import logging
 import random
@@ -24,6 +24,7 @@
 from gooseberryweir import clock as clocks
 from gooseberryweir import logs
 from gooseberryweir import tasks
+from gooseberryweir.connection import messages
 from gooseberryweir.platform import store as platform_store
 from gooseberryweir.version import objects
 
@@ -101,7 +102,10 @@
                     version = self.list_kind(kind)
                 version = self.watch_once(kind, version)
             except Exception as error:  # The task must keep running.
-                if getattr(error, "status", 0) == 410:
+                # An event that can't be read would be returned again.
+                if getattr(error, "status", 0) == 410 or isinstance(
+                    error, platform_store.MalformedError
+                ):
                     version = None
                 logs.event(
                     LOGGER, "watch-failed", kind=kind, reason=repr(error)
@@ -150,10 +154,18 @@
         """Stores the objects of a full list and returns its revision."""
         min_fresh_revision = self.min_fresh_revision(kind)
         listing = self.api.list(kind)
-        listed_objects = listing.objects()
-        for stored in listed_objects:
-            self._store_current(kind, stored)
-        self._finish_list(kind, listing, listed_objects, min_fresh_revision)
+        readable, unreadable = listing.readable_objects()
+        for name in unreadable:
+            _log_skipped(kind, name or "unknown", "unreadable")
+        usable = [self._store_current(kind, stored) for stored in readable]
+        names = {each.name for each in readable}.union(unreadable)
+        self._finish_list(
+            kind,
+            listing,
+            names,
+            min_fresh_revision,
+            complete=not unreadable and all(usable),
+        )
         return listing.revision
 
     def watch_once(self, kind: str, version: int) -> int:
@@ -183,12 +195,21 @@
         self,
         kind: str,
         listing: platform_store.Listing,
-        listed_objects: Sequence[platform_store.StoredObject],
+        names: Set[str | None],
         min_fresh_revision: int,
+        complete: bool,
     ) -> None:
         """Marks unlisted objects as deleted, unless the list is stale.
 
         Also calls `on_current_list` if it is a list of the steering objects.
+
+        Args:
+            kind: Kind of the objects.
+            listing: The list.
+            names: Names of the listed objects; with None if one is not known,
+                so that no object is known to be missing.
+            min_fresh_revision: Revision below which the list is stale.
+            complete: True if all objects of the list could be used.
         """
         if listing.revision < min_fresh_revision:
             logs.event(
@@ -202,14 +223,13 @@
         self.newest_listed[kind] = max(
             self.newest_listed[kind], listing.revision
         )
-        self._mark_unlisted_deleted(
-            kind, listing.revision, {stored.name for stored in listed_objects}
-        )
-        if kind == objects.STEERING_OBJECTS:
+        if None not in names:
+            self._mark_unlisted_deleted(kind, listing.revision, names)
+        if complete and kind == objects.STEERING_OBJECTS:
             self.on_current_list(listing.requested_at)
 
     def _mark_unlisted_deleted(
-        self, kind: str, revision: int, listed_names: set[str]
+        self, kind: str, revision: int, listed_names: Set[str | None]
     ) -> None:
         """Marks the objects that are missing from a list as deleted."""
         listed = {f"{kind}/{name}" for name in listed_names}
@@ -222,10 +242,20 @@
 
     def _store_current(
         self, kind: str, stored: platform_store.StoredObject
-    ) -> None:
-        """Stores an object that exists; a missing spec is stored as empty."""
+    ) -> bool:
+        """Stores an object that exists; a missing spec is stored as empty.
+
+        Returns:
+            False if it can't be sent to other hosts; the earlier one stays.
+        """
         content = {} if stored.spec is None else stored.spec
+        try:
+            messages.check_content(content)
+        except ValueError as error:
+            _log_skipped(kind, stored.name, error)
+            return False
         self._store_object(f"{kind}/{stored.name}", stored.version, content)
+        return True
 
     def _store_object(self, name: str, version: int, content: Any) -> None:
         if self.store.apply(name, version, content):
@@ -254,3 +284,14 @@
             self.platform_reachable = reachable
             name = "platform-answers" if reachable else "platform-silent"
             logs.event(LOGGER, name, logging.WARNING, reason=reason)
+
+
+def _log_skipped(kind: str, name: str, reason: Any) -> None:
+    logs.event(
+        LOGGER,
+        "object-skipped",
+        logging.WARNING,
+        kind=kind,
+        object=name,
+        reason=reason,
+    )
--- a/test/test_watcher.py
+++ b/test/test_watcher.py
@@ -6,10 +6,12 @@
 
 import unittest.mock
 
+from gooseberryweir.connection import messages
 from gooseberryweir.platform import store as platform_store
 from gooseberryweir.process.upkeep import watcher as watcher_module
 from gooseberryweir.version import objects
 from test import _common
+from test import _odd_entries
 from test import test_platform_client
 
 KIND = objects.STEERING_OBJECTS
@@ -117,6 +119,50 @@
             self.watcher.poll_once()
         self.assertEqual((self.config_value(), len(self.confirmed_at)), (1, 1))
 
+    # Guards against hosts that stop following the upstreams after an odd entry
+    # of another writer, and hosts that can't send their objects to others.
+    def test_odd_entries_do_not_hide_the_others(self):
+        values = {
+            **dict(_odd_entries.nested_values()),
+            **_odd_entries.NUMBERS,
+            "600 lists": _odd_entries.nested_lists(600),
+        }
+        for number, (description, value) in enumerate(values.items()):
+            document = _odd_entries.stored("odd", {}, 2 + 2 * number)
+            text = _odd_entries.with_value(document, ("spec", "a"), value)
+            self.control(put_raw={"kind": SLICES, "name": "odd", "text": text})
+            self.put(f"new-{number}", {"endpoints": []}, SLICES)
+            with self.subTest(description):
+                self.watcher.poll_once()
+                self.assertIsNotNone(self.store.get(f"{SLICES}/new-{number}"))
+                self.assertEqual(len(self.confirmed_at), number + 1)
+                messages.encode(
+                    messages.StateObjects(self.store.newer_than({}))
+                )
+        _common.request("DELETE", self.server.url(f"/-/objects/{SLICES}/new-0"))
+        self.watcher.list_kind(SLICES)
+        self.assertIsNone(self.store.get(f"{SLICES}/new-0"))
+
+    # Guards against a key that a host accepts since it could not read that the
+    # key is withdrawn.
+    def test_a_list_with_an_odd_object_confirms_nothing(self):
+        self.watcher.list_kind(KIND)
+        for value in ("1e400", str(2**64), _odd_entries.nested_lists(100_000)):
+            document = _odd_entries.stored("config", {}, 9)
+            text = _odd_entries.with_value(document, ("spec", "a"), value)
+            self.control(put_raw={"kind": KIND, "name": "config", "text": text})
+            self.watcher.poll_once()
+            self.assertEqual(
+                (self.config_value(), len(self.confirmed_at)), (1, 1)
+            )
+
+    def test_a_list_follows_a_watch_with_an_odd_event(self):
+        error = platform_store.MalformedError("odd")
+        outcomes = unittest.mock.Mock(side_effect=[error, StopLoop()])
+        with unittest.mock.patch.object(self.watcher, "watch_once", outcomes):
+            self.assertRaises(StopLoop, self.watcher.watch_kind, KIND)
+        self.assertEqual(self.call_count("list"), 2)
+
     def test_a_list_applies_a_missed_deletion_and_a_later_creation(self):
         self.watcher.list_kind(KIND)
         _common.request(
