Test the grace period with the fields of a host as it is

The stand-in of a host in test_grace_period lacked the servers that a stop closes since answers are delivered. It is the type itself now; the check is the same.

--- a/test/test_grace_period.py
+++ b/test/test_grace_period.py
@@ -24,16 +24,19 @@
             stop_accepting=lambda: None,
             close_idle=lambda: None,
             has_requests=lambda: True,
+            open_requests=1,
         )
-        host = types.SimpleNamespace(
-            clock=clock.interface(),
-            shutdown=shutdown,
+        host = front.Host(
             settings=types.SimpleNamespace(
                 bounds=types.SimpleNamespace(grace=_front.GRACE_SECONDS)
             ),
+            clock=clock.interface(),
+            shutdown=shutdown,
+            store_cache=None,
             mesh=types.SimpleNamespace(send_now=lambda: None),
             front=server,
-            open_requests=1,
+            forwarded=None,
+            side_servers=(),
             give_up_requests=lambda: None,
         )
         started_at = clock.now
