--- a/test/test_odd_entries.py
+++ b/test/test_odd_entries.py
@@ -10,10 +10,13 @@
 import eventlet
 import msgspec
 
+from gooseberryweir import clock as clocks
 from gooseberryweir.platform import records
 from gooseberryweir.platform import store as platform_store
+from gooseberryweir.process.fleet import heartbeat
 from gooseberryweir.process.fleet import reader as reader_module
 from gooseberryweir.process.fleet import store_cache
+from gooseberryweir.version import store_version
 from test import _odd_entries
 from test import test_platform_pages
 from test import test_platform_records
@@ -288,5 +291,40 @@
                     self.assertEqual(names, ["h1", "h3"])
 
 
+class HeartbeatsTest(unittest.TestCase):
+    """Messages between hosts that hold such values."""
+
+    # Guards against an exception that nobody foresaw for garbage.
+    def test_deep_garbage_is_no_heartbeat(self):
+        for levels in _odd_entries.LEVELS:
+            deep = b"\x91" * levels + b"\x90"
+            # The first of these is an array of as many fields as a heartbeat
+            # of a later build may have.
+            for content in (b"\xdc\x00\x20" + deep * 32, deep):
+                with self.subTest(levels), self.assertRaises(ValueError):
+                    heartbeat.decode(content)
+
+    # Guards against a snapshot that ends the task that receives it.
+    def test_an_odd_snapshot_is_rejected_and_the_next_one_accepted(self):
+        deep = b"\x91" * 100_000 + b"\x90"
+        clock = clocks.ManualClock().interface()
+        cache = store_cache.StoreCache(records.decode_configuration, clock)
+        contents = {
+            store_cache.CONFIGURATION: msgspec.json.encode(
+                test_platform_records.CONFIGURATION
+            ),
+            store_cache.UPSTREAMS: store_cache.encode_content(()),
+            store_cache.EVACUATIONS: store_cache.encode_content(()),
+            store_cache.HOSTS: store_cache.encode_content(()),
+        }
+        deep_json = _odd_entries.nested_lists(100_000).encode()
+        for kind, valid in contents.items():
+            for content in (deep, deep_json, b"", b"\xc1", b"\xff" * 9):
+                version = store_version.StoreVersion(1, 5)
+                self.assertFalse(cache.accept(kind, version, content, "h2"))
+            version = store_version.StoreVersion(1, 6)
+            self.assertTrue(cache.accept(kind, version, valid, "h2"))
+
+
 if __name__ == "__main__":
     unittest.main()
