Tell the era of the store in the result of a watch

A watch's changes were not ordered against a return of the store: its result named a revision alone. Only `serve` watches; lists named the era already. The test of the client failed without the field.

--- a/gooseberryweir/platform/store.py
+++ b/gooseberryweir/platform/store.py
@@ -98,10 +98,12 @@
     Attributes:
         changes: The changes; they can be late, duplicated or out of order.
         revision: Revision to pass to the next watch.
+        era: Era of the store.
     """
 
     changes: tuple[Change, ...]
     revision: int
+    era: int = store_version.NO_ERA
 
 
 _Revision = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
@@ -283,6 +285,7 @@
                 for each in batch.events
             ),
             batch.current_rev,
+            answer.era,
         )
 
     def create(self, kind: str, name: str, spec: Any) -> StoredObject:
--- a/test/test_platform_client.py
+++ b/test/test_platform_client.py
@@ -10,6 +10,7 @@
 from gooseberryweir.platform import store as platform_store
 from gooseberryweir.process.upkeep import idempotent_writes
 from gooseberryweir.version import objects
+from gooseberryweir.version import store_version
 from test import _common
 
 KIND = objects.STEERING_OBJECTS
@@ -187,9 +188,13 @@
         changes = self.api.watch(KIND, 0, 1.0)
         self.assertEqual(
             changes,
-            ((platform_store.Change(False, created_object),), listing.revision),
+            (
+                (platform_store.Change(False, created_object),),
+                listing.revision,
+                store_version.FIRST_ERA,
+            ),
         )
-        self.assertEqual(self.api.watch(KIND, 1, 0.05), ((), 1))
+        self.assertEqual(self.api.watch(KIND, 1, 0.05), ((), 1, listing.era))
         self.assertEqual(list(self.control()["callers"]), ["gooseberryweir/c1"])
 
     def test_an_unanswered_write_has_an_unknown_outcome(self):
