Write log lines without waiting for the reader of the pipe

What callers saw: nothing, until their time was over. During a planned stop the shutdown itself would wait, until the process is killed.

Cause: the handler omits lines that would block, but it writes with `os.write`, which eventlet replaces: its version waits until the pipe can be written to, on each call, and goes on waiting if the reader has gone. The tests of the handler run in a process without eventlet's patches.

Ruled out: loss with a pipe that is read at once.

Change: the handler uses the original `os.write`.

--- a/gooseberryweir/logs.py
+++ b/gooseberryweir/logs.py
@@ -10,8 +10,13 @@
 import sys
 from typing import Any
 
+from eventlet import patcher
+
 from gooseberryweir import clock as clocks
 
+# The patched `os.write` waits while a pipe is full or its reader is gone.
+_unpatched_os = patcher.original("os")
+
 # Rate limit on the lines of one event name.
 MAX_LINES_PER_SECOND = 200.0
 MAX_BURST_LINES = 400.0
@@ -147,7 +152,7 @@
             text += f" lines_omitted={self.omitted}"
         line = self.unwritten + (text + "\n").encode()
         try:
-            written = os.write(self.descriptor, line)
+            written = _unpatched_os.write(self.descriptor, line)
         except OSError:
             # The reader is slow or has closed the pipe; waiting would delay
             # requests.
--- a/test/_front.py
+++ b/test/_front.py
@@ -149,14 +149,19 @@
         self.root = root
         self.process = None
 
-    def start(self):
-        """Starts the process."""
+    def start(self, output=None):
+        """Starts the process.
+
+        Args:
+            output: Descriptor for its standard output and error, in place of
+                the file.
+        """
         with open(self.log_path, "ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "gooseberryweir", "front"],
                 cwd=self.root,
                 env=self.environment,
-                stdout=log,
+                stdout=log if output is None else output,
                 stderr=subprocess.STDOUT,
             )
 
