--- a/test/test_declarations.py
+++ b/test/test_declarations.py
@@ -13,6 +13,7 @@
 from gooseberryweir.commands import check
 from gooseberryweir.version import declarations
 from gooseberryweir.version import validation
+from test import _odd_entries
 
 _ROOT = pathlib.Path(__file__).parent.parent
 _EXAMPLES = sorted(str(path) for path in (_ROOT / "examples").glob("*.yaml"))
@@ -216,3 +217,31 @@
             with self.subTest(path):
                 route = declarations.match_route(changed, path)
                 self.assertEqual(route and route.path, expected)
+
+
+class OddValuesTest(unittest.TestCase):
+    """Declarations with huge numbers or very deep nesting."""
+
+    # Guards against an operator who gets a stack trace, and against values that
+    # no message between hosts can hold.
+    def test_odd_values_are_errors_of_the_declaration(self):
+        paths = {
+            tuple(key for key in path if isinstance(key, str)): path
+            for path in _odd_entries.number_paths(VALID_DOCUMENT)
+        }
+        numbers = (str(2**63), str(2**64), "9" * 400, "9" * 5000, ".inf")
+        texts = [
+            _odd_entries.with_value(VALID_DOCUMENT, path, number)
+            for path in paths.values()
+            for number in numbers
+        ]
+        texts += [
+            _odd_entries.with_value(VALID_DOCUMENT, ("other",), nested(levels))
+            for levels in (600, 1_000, 20_000)
+            for nested in (
+                _odd_entries.nested_lists,
+                _odd_entries.nested_objects,
+            )
+        ]
+        for text in texts:
+            self.assertTrue(_file_error_text(text.encode()))
