Free the pieces of a body once a message is complete

A parser and its collector refer to each other, so the pieces of a complete body stayed in memory beside the joined body until the next garbage collection. They are released when the message is complete.

--- a/gooseberryweir/connection/http_messages.py
+++ b/gooseberryweir/connection/http_messages.py
@@ -137,6 +137,9 @@
                 keep_alive,
             )
         )
+        # The parser and its collector refer to each other, so the pieces would
+        # stay until the next garbage collection.
+        self.body_chunks = []
         self.in_progress = False
 
 
