Limit the connections and bytes that slow callers hold

A connection stays open until its caller has the last answer. Callers that do not read could hold any number of such connections, and any number of answers that the kernel had not taken.

A server keeps at most 1,000 closing connections; the one that has waited longest is closed first. The answers that wait to be sent in a process share a budget of 48 MB; the connection with most is given up. Both write answer-undelivered and count. The budget is the class that already limits answers being received; it is now byte_budget.ByteBudget. A large body is no longer copied to be sent with its head, and the answers of a connection are freed when it ends.

The bytes that are being received have a budget of their own, and joining an answer needs its size once more.

--- a/gooseberryweir/connection/delivery.py
+++ b/gooseberryweir/connection/delivery.py
@@ -31,6 +31,8 @@
 LINGER_SECONDS = 1.0
 # Interval at which a connection is checked whose last answer is not delivered.
 CHECK_SECONDS = 0.25
+# Bytes of a body that are sent together with the head.
+JOINED_BYTES = 64 * 1024
 DISCARD_BYTES = 64 * 1024
 # Limit on the unread input that is discarded at once.
 MAX_DISCARDED_BYTES = 1024 * 1024
@@ -71,6 +73,7 @@
         record: Is called if the connection is closed too early.
         last_request: Request whose answer is being sent or was sent last, or
             None.
+        queued: Bytes of the bodies of answers that wait for an earlier one.
         unsent: Bytes of an answer that the kernel has not taken yet.
         finished_at: Monotonic time, in seconds, at which the sending side was
             shut down, or None.
@@ -88,11 +91,12 @@
         self.now = now
         self.record = record
         self.last_request: http_messages.Message | None = None
+        self.queued = 0
         self.unsent = 0
         self.finished_at: float | None = None
         self.pending_at = 0.0
 
-    def send(self, data: bytes) -> None:
+    def send(self, head: bytes, body: bytes) -> None:
         """Hands an answer to the kernel.
 
         Raises:
@@ -100,17 +104,24 @@
             eventlet.Timeout: The kernel did not take it within
                 `MAX_DELIVERY_SECONDS`.
         """
-        remaining = memoryview(data)
-        self.unsent = len(remaining)
+        self.unsent = len(head) + len(body)
         with eventlet.Timeout(MAX_DELIVERY_SECONDS):
-            while remaining:
-                try:
-                    # `fd` is the non-blocking socket inside the eventlet
-                    # socket, whose timeout is that of the input.
-                    remaining = remaining[self.socket.fd.send(remaining) :]
-                except BlockingIOError:
-                    hubs.trampoline(self.socket.fd, write=True)
-                self.unsent = len(remaining)
+            # A large body is not copied.
+            self._send_piece(memoryview(head + body[:JOINED_BYTES]))
+            self._send_piece(memoryview(body)[JOINED_BYTES:])
+
+    def _send_piece(self, remaining: memoryview) -> None:
+        """Hands bytes to the kernel."""
+        while remaining:
+            try:
+                # `fd` is the non-blocking socket inside the eventlet socket,
+                # whose timeout is that of the input.
+                sent = self.socket.fd.send(remaining)
+            except BlockingIOError:
+                hubs.trampoline(self.socket.fd, write=True)
+                continue
+            self.unsent -= sent
+            remaining = remaining[sent:]
 
     def undelivered(self) -> int:
         """Returns the bytes of answers that the caller has not received.
@@ -120,7 +131,7 @@
         bytes count that it has not taken, and a closing connection stays open
         for `LINGER_SECONDS`.
         """
-        size = self.unsent
+        size = self.queued + self.unsent
         with contextlib.suppress(OSError):
             # SIOCOUTQ of tcp(7).
             held = fcntl.ioctl(self.socket.fileno(), termios.TIOCOUTQ, bytes(4))
--- a/gooseberryweir/connection/pipelined_server.py
+++ b/gooseberryweir/connection/pipelined_server.py
@@ -24,6 +24,7 @@
 
 from gooseberryweir import logs
 from gooseberryweir import tasks
+from gooseberryweir.connection import byte_budget
 from gooseberryweir.connection import delivery
 from gooseberryweir.connection import http_messages
 from gooseberryweir.version import traffic
@@ -34,6 +35,9 @@
 MAX_PIPELINED = 32
 READ_BYTES = 64 * 1024
 LISTEN_BACKLOG = 1024
+# Limit on the connections of a server that are open only until their callers
+# have the last answer; beyond it the one that has waited longest is closed.
+MAX_CLOSING_CONNECTIONS = 1000
 # Added to the idle timeout, so that a connection is closed a little after the
 # time within which callers may reuse it.
 IDLE_MARGIN_SECONDS = 0.5
@@ -131,15 +135,24 @@
     Attributes:
         address: Address to listen on, `IP:PORT`.
         callbacks: Functions that the server calls.
+        budget: Limits the bytes of answers that wait to be sent.
         connections: Connections that are being served.
+        closing: Those that have their last answer, the earliest first.
         listener: Listening socket, or None before the context is entered.
         accept_task: Task that accepts connections, or None if not accepting.
     """
 
-    def __init__(self, address: str, callbacks: Callbacks) -> None:
+    def __init__(
+        self,
+        address: str,
+        callbacks: Callbacks,
+        budget: byte_budget.ByteBudget | None = None,
+    ) -> None:
         self.address = address
         self.callbacks = callbacks
+        self.budget = budget or byte_budget.sending_budget()
         self.connections: set[_Connection] = set()
+        self.closing: dict[_Connection, None] = {}
         self.listener: Any = None
         self.accept_task: Any = None
 
@@ -193,6 +206,14 @@
         """Returns True if an answer is not decided or not delivered yet."""
         return any(each.has_answer() for each in self.connections)
 
+    def add_closing(self, connection: "_Connection") -> None:
+        """Adds a connection that stays open only for its last answer."""
+        self.closing[connection] = None
+        if len(self.closing) > MAX_CLOSING_CONNECTIONS:
+            earliest = next(iter(self.closing))
+            del self.closing[earliest]
+            earliest.close("too-many-closing")
+
     def _accept_pending(self) -> None:
         """Accepts the connections that wait in the listening socket."""
         while True:
@@ -235,6 +256,7 @@
         delivery: Delivers the answers.
         open_requests: Requests not yet answered, in the order received.
         writer_task: Task that sends the answers, or None if no request is open.
+        share: Bytes of answers that wait to be sent, or None before `serve`.
         closed: True once the connection has been shut down or closed.
         closing: True once the last answer was queued or sent; further input
             is discarded.
@@ -256,6 +278,7 @@
             collections.deque()
         )
         self.writer_task: Any = None
+        self.share: byte_budget.Share | None = None
         self.closed = False
         self.closing = False
         self.accepted_at = server.callbacks.now()
@@ -290,10 +313,13 @@
 
     def serve(self) -> None:
         """Reads requests until the caller or the server ends the connection."""
+        budget = self.server.budget
         try:
             self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self._read_requests()
-            self._deliver_decided()
+            with budget.open(lambda: self.close("too-many-bytes")) as share:
+                self.share = share
+                self._read_requests()
+                self._deliver_decided()
         except (OSError, eventlet.Timeout) as error:
             logs.event(
                 LOGGER,
@@ -312,9 +338,12 @@
             self.delivery.record_close("time-over")
         self.closed = True
         self.server.connections.discard(self)
+        self.server.closing.pop(self, None)
         self.socket.close()
         for each in self.open_requests:
             each.task.kill()
+        # The answers are freed now, not when a cycle of references is found.
+        self.open_requests.clear()
         if self.writer_task is not None:
             self.writer_task.kill()
 
@@ -339,6 +368,7 @@
         """Lets the caller read the last answer, then closes the connection."""
         self.closing = True
         self.delivery.finish()
+        self.server.add_closing(self)
         eventlet.spawn_after(
             delivery.LINGER_SECONDS, self._close_when_delivered
         )
@@ -375,6 +405,7 @@
         if decided and self.writer_task is not None:
             self.writer_task.wait()
         if not self.closed:
+            self.server.add_closing(self)
             self.delivery.wait()
 
     def _read_requests(self) -> None:
@@ -465,8 +496,19 @@
                 target=request.target,
             )
         finally:
+            self._count_waiting(len(answer.body))
             answer_event.send((answer, self.server.callbacks.now()))
 
+    def _count_waiting(self, size: int) -> None:
+        """Counts the body of an answer that now waits to be sent."""
+        self.delivery.queued += size
+        if self.share is None or self.closed:
+            return
+        try:
+            self.server.budget.add(self.share, size)
+        except byte_budget.TooManyBytesError:
+            self.close("too-many-bytes")
+
     def _write_answers(self) -> None:
         """Sends answers in the order of their requests."""
         callbacks = self.server.callbacks
@@ -487,16 +529,22 @@
                 # get no answer any more; its caller takes it as not read.
                 self.closing = self.closing or close
                 self.delivery.last_request = oldest.request
+                head = http_messages.encode_answer(
+                    answer.status,
+                    answer.headers,
+                    answer.body,
+                    close,
+                    head_only=True,
+                )
+                size = len(answer.body)
+                self.delivery.queued -= size
                 self.delivery.send(
-                    http_messages.encode_answer(
-                        answer.status,
-                        answer.headers,
-                        answer.body,
-                        close,
-                        oldest.request.method == "HEAD",
-                    )
+                    head,
+                    b"" if oldest.request.method == "HEAD" else answer.body,
                 )
                 self.open_requests.popleft()
+                if self.share is not None:
+                    self.server.budget.remove(self.share, size)
                 callbacks.sent(
                     oldest.request,
                     AnswerTiming(
--- a/gooseberryweir/connection/upstream_pool.py
+++ b/gooseberryweir/connection/upstream_pool.py
@@ -16,8 +16,8 @@
 from eventlet import hubs
 
 from gooseberryweir import clock as clocks
+from gooseberryweir.connection import byte_budget
 from gooseberryweir.connection import http_messages
-from gooseberryweir.connection import receive_budget
 
 # A TCP handshake takes one round trip plus a millisecond. A lost SYN is sent
 # again only after a second, so the timeout ends before that and another
@@ -122,10 +122,10 @@
     def __init__(
         self,
         clock: clocks.Clock,
-        budget: receive_budget.ReceiveBudget | None = None,
+        budget: byte_budget.ByteBudget | None = None,
     ) -> None:
         self.clock = clock
-        self.budget = budget or receive_budget.ReceiveBudget()
+        self.budget = budget or byte_budget.receiving_budget()
         self.idle: dict[str, collections.deque[_IdleConnection]] = {}
         self.in_use: collections.Counter[str] = collections.Counter()
 
@@ -294,7 +294,7 @@
     connection: Any,
     request: bytes,
     is_reply: Callable[[http_messages.Headers], bool],
-    budget: receive_budget.ReceiveBudget,
+    budget: byte_budget.ByteBudget,
 ) -> tuple[http_messages.Message, bool]:
     """Sends a request and receives its answer.
 
@@ -310,11 +310,11 @@
     except OSError as error:
         # The upstream may have answered before it closed the connection.
         send_error = error
-    with budget.open(lambda: _shut_down(connection)) as reception:
+    with budget.open(lambda: _shut_down(connection)) as share:
         return _receive_answer(
             connection,
             is_reply,
-            lambda size: budget.add(reception, size),
+            lambda size: budget.add(share, size),
             send_error is None,
         )
 
@@ -349,7 +349,7 @@
     """
     answer_begun = False
     reader = http_messages.AnswerReader(
-        receive_budget.MAX_ANSWER_HEADER_BYTES, receive_budget.MAX_ANSWER_BYTES
+        byte_budget.MAX_ANSWER_HEADER_BYTES, byte_budget.MAX_ANSWER_BYTES
     )
     unmatched = 0
     while True:
@@ -359,7 +359,7 @@
             answers = reader.feed(data) if data else []
         except (
             http_messages.MessageError,
-            receive_budget.TooManyBytesError,
+            byte_budget.TooManyBytesError,
         ) as error:
             raise BrokenAnswerError(
                 str(error) or type(error).__name__
--- a/gooseberryweir/front.py
+++ b/gooseberryweir/front.py
@@ -25,8 +25,8 @@
 from gooseberryweir import side_servers
 from gooseberryweir import store_snapshots
 from gooseberryweir.commands import exit_codes
+from gooseberryweir.connection import byte_budget
 from gooseberryweir.connection import pipelined_server
-from gooseberryweir.connection import receive_budget
 from gooseberryweir.connection import upstream_pool
 from gooseberryweir.platform import records
 from gooseberryweir.platform import settings as platform_settings
@@ -152,7 +152,8 @@
         )
         reader.mesh = mesh
         stack.enter_context(mesh)
-        budget = receive_budget.ReceiveBudget()
+        budget = byte_budget.receiving_budget()
+        sending_budget = byte_budget.sending_budget()
         pool = stack.enter_context(upstream_pool.UpstreamPool(clock, budget))
         states = upstream_state.UpstreamStates(clock.monotonic)
         bounds = settings.bounds
@@ -263,6 +264,7 @@
                     clock.monotonic,
                     request_handler.record_undelivered,
                 ),
+                sending_budget,
             )
         )
         forwarded = None
@@ -276,10 +278,17 @@
                         shutdown.refusing,
                         undelivered=request_handler.record_undelivered,
                     ),
+                    sending_budget,
                 )
             )
         others = side_servers.open_side_servers(
-            stack, settings, store_cache, mesh, shutdown, telemetry
+            stack,
+            settings,
+            store_cache,
+            mesh,
+            shutdown,
+            telemetry,
+            sending_budget,
         )
         stack.enter_context(reader)
         yield Host(
--- a/gooseberryweir/side_servers.py
+++ b/gooseberryweir/side_servers.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 import contextlib
 
+from gooseberryweir.connection import byte_budget
 from gooseberryweir.connection import delivery
 from gooseberryweir.connection import http_messages
 from gooseberryweir.connection import pipelined_server
@@ -49,6 +50,7 @@
     mesh: mesh_module.Mesh,
     shutdown: shutdown_module.Shutdown,
     telemetry: telemetry_module.Telemetry,
+    budget: byte_budget.ByteBudget,
 ) -> tuple[pipelined_server.Server, ...]:
     """Starts and returns the servers of look-ups, readiness and metrics.
 
@@ -59,6 +61,7 @@
         mesh: Provides the peers that are ready to serve callers.
         shutdown: State of the host's shutdown.
         telemetry: Metrics to serve.
+        budget: Limits the bytes of answers that wait to be sent.
     """
 
     def handle_readiness(
@@ -113,6 +116,7 @@
                     lambda: False,
                     undelivered=record_undelivered,
                 ),
+                budget,
             )
         )
 
--- a/test/test_delivery.py
+++ b/test/test_delivery.py
@@ -144,6 +144,33 @@
         )
         self.assertEqual(self.records, [])
 
+    # Guards against a host whose memory is held by callers that do not read.
+    def test_most_waiting_bytes_are_given_up_for_other_callers(self):
+        budget = self.server.budget
+        budget.max_total_bytes = LARGE_BODY_BYTES + BODY_BYTES // 2
+        self.connect_only(b"GET /large HTTP/1.1\r\nHost: h\r\n\r\n")
+        self.wait_until(lambda: budget.total == LARGE_BODY_BYTES)
+        caller = self.connect_only(REQUEST)
+        self.assertGreater(self.read(caller), BODY_BYTES)
+        (record,) = self.records
+        self.assertEqual(record.reason, "too-many-bytes")
+        self.assertGreater(record.size, LARGE_BODY_BYTES // 2)
+        self.wait_until(lambda: len(self.server.connections) == 1)
+        self.assertEqual(budget.total, 0)
+
+    # Guards against a host whose connections are held by such callers.
+    def test_closing_connections_are_limited(self):
+        self.enterContext(
+            mock.patch.object(pipelined_server, "MAX_CLOSING_CONNECTIONS", 2)
+        )
+        callers = [self.connect(CLOSING_REQUEST) for _ in range(3)]
+        self.wait_until(lambda: len(self.server.connections) == 2)
+        (record,) = self.records
+        self.assertEqual(record.reason, "too-many-closing")
+        for caller in callers[1:]:
+            self.assertGreater(self.read(caller), BODY_BYTES)
+        self.assertEqual(len(self.records), 1)
+
     def test_caller_that_never_reads_is_left_at_the_bound(self):
         self.connect(CLOSING_REQUEST)
         eventlet.sleep(delivery.LINGER_SECONDS + delivery.CHECK_SECONDS)
--- a/test/test_endless_answers.py
+++ b/test/test_endless_answers.py
@@ -9,8 +9,8 @@
 import time
 import unittest
 
+from gooseberryweir.connection import byte_budget
 from gooseberryweir.connection import http_messages
-from gooseberryweir.connection import receive_budget
 from test import _common
 from test import _front
 
@@ -85,11 +85,11 @@
         )
 
 
-class ReceiveBudgetTest(unittest.TestCase):
+class ByteBudgetTest(unittest.TestCase):
     """Which answer is given up if too many bytes are being received."""
 
     def test_largest_answer_is_given_up_for_the_others(self):
-        budget = receive_budget.ReceiveBudget(100, 150)
+        budget = byte_budget.ByteBudget(100, 150)
         aborted = []
         with contextlib.ExitStack() as stack:
             small, large = (
@@ -100,11 +100,11 @@
             budget.add(large, 80)
             budget.add(small, 15)
             self.assertEqual(aborted, ["large"])
-            with self.assertRaises(receive_budget.TooManyBytesError):
+            with self.assertRaises(byte_budget.TooManyBytesError):
                 budget.add(large, 1)
-            with self.assertRaises(receive_budget.TooManyBytesError):
+            with self.assertRaises(byte_budget.TooManyBytesError):
                 budget.add(small, 30)
-        self.assertEqual((budget.total, budget.receptions), (0, set()))
+        self.assertEqual((budget.total, budget.shares), (0, set()))
 
     def test_line_without_end_in_a_head_is_refused(self):
         for reader in (
