--- a/test/test_addresses.py
+++ b/test/test_addresses.py
@@ -7,9 +7,9 @@
 
 from gooseberryweir import clock as clocks
 from gooseberryweir.connection import addresses
+from gooseberryweir.connection import byte_budget
 from gooseberryweir.connection import messages
 from gooseberryweir.connection import peer_link
-from gooseberryweir.connection import receive_budget
 from gooseberryweir.connection import upstream_pool
 from gooseberryweir.process.fleet import fleet_view
 from gooseberryweir.process.fleet import host_settings
@@ -42,7 +42,7 @@
     def test_a_request_to_an_upstream_is_not_sent(self):
         clock = clocks.ManualClock().interface()
         with upstream_pool.UpstreamPool(
-            clock, receive_budget.ReceiveBudget()
+            clock, byte_budget.receiving_budget()
         ) as pool:
             self.assert_all(
                 upstream_pool.ConnectError,
