Split the server of callers' connections from the connections

What accepts connections and closes them in a stop is now caller_server.Server; a connection names what it uses of it (Owner). No change of logic.

--- a/gooseberryweir/connection/pipelined_server.py
+++ b/gooseberryweir/connection/pipelined_server.py
@@ -1,4 +1,4 @@
-"""HTTP server with pipelining: handles requests of a connection concurrently.
+"""Connections of callers that pipeline: handles their requests concurrently.
 
 Eventlet's WSGI server reads the next request of a connection only after it has
 answered the previous one, which delays callers that pipeline. Here one task
@@ -16,10 +16,10 @@
 import time
 from typing import Any
 from typing import NamedTuple
+from typing import Protocol
 
 import eventlet
 from eventlet import event
-from eventlet import greenio
 import greenlet
 
 from gooseberryweir import logs
@@ -34,18 +34,13 @@
 # Number of open requests of one connection at which reading pauses.
 MAX_PIPELINED = 32
 READ_BYTES = 64 * 1024
-LISTEN_BACKLOG = 1024
-# Limit on the connections of a server that are open only until their callers
-# have the last answer; beyond it the one that has waited longest is closed.
-MAX_CLOSING_CONNECTIONS = 1000
 # Added to the idle timeout, so that a connection is closed a little after the
 # time within which callers may reuse it.
 IDLE_MARGIN_SECONDS = 0.5
 # Time after the accept within which the first request of a connection is
 # expected; a server that stops does not close the connection before.
 FIRST_REQUEST_SECONDS = 0.25
-# Pause after a failed accept, and between checks while a connection has
-# MAX_PIPELINED open requests.
+# Pause between checks while a connection has MAX_PIPELINED open requests.
 RETRY_PAUSE_SECONDS = 0.05
 
 
@@ -129,123 +124,26 @@
     received_at: float
 
 
-class Server:
-    """HTTP server on one address; a context manager.
+class Owner(Protocol):
+    """What a connection uses of its server.
 
     Attributes:
-        address: Address to listen on, `IP:PORT`.
         callbacks: Functions that the server calls.
         budget: Limits the bytes of answers that wait to be sent.
         connections: Connections that are being served.
         closing: Those that have their last answer, the earliest first.
-        listener: Listening socket, or None before the context is entered.
-        accept_task: Task that accepts connections, or None if not accepting.
     """
 
-    def __init__(
-        self,
-        address: str,
-        callbacks: Callbacks,
-        budget: byte_budget.ByteBudget | None = None,
-    ) -> None:
-        self.address = address
-        self.callbacks = callbacks
-        self.budget = budget or byte_budget.sending_budget()
-        self.connections: set[_Connection] = set()
-        self.closing: dict[_Connection, None] = {}
-        self.listener: Any = None
-        self.accept_task: Any = None
-
-    @property
-    def open_requests(self) -> int:
-        """Number of requests whose answers have not been sent yet."""
-        return sum(len(each.open_requests) for each in self.connections)
-
-    def __enter__(self) -> "Server":
-        host, _, port = self.address.rpartition(":")
-        self.listener = eventlet.listen(
-            (host, int(port)), backlog=LISTEN_BACKLOG
-        )
-        self.accept_task = tasks.spawn("accept", self._accept)
-        return self
-
-    def __exit__(self, *_: object) -> None:
-        self.stop_accepting()
-        for connection in list(self.connections):
-            connection.close("server-end")
-
-    def stop_accepting(self) -> None:
-        """Closes the listening socket; open connections are still served.
-
-        Connections that callers have opened already are accepted first, since
-        the kernel would reset them.
-        """
-        if self.accept_task is not None:
-            self.accept_task.kill()
-            self.accept_task = None
-            self._accept_pending()
-            self.listener.close()
-
-    def close_idle(self) -> None:
-        """Closes the connections without a request.
-
-        Those that are closing anyway end by themselves.
-        """
-        for connection in list(self.connections):
-            if not connection.closing and not connection.has_request():
-                connection.close("idle")
-
-    def has_requests(self) -> bool:
-        """Returns True if a request is open, or may be in a connection.
-
-        A request is open until its caller has received the answer.
-        """
-        return any(each.has_request() for each in self.connections)
+    callbacks: Callbacks
+    budget: byte_budget.ByteBudget
+    connections: "set[Connection]"
+    closing: "dict[Connection, None]"
 
-    def has_answers(self) -> bool:
-        """Returns True if an answer is not decided or not delivered yet."""
-        return any(each.has_answer() for each in self.connections)
-
-    def add_closing(self, connection: "_Connection") -> None:
+    def add_closing(self, connection: "Connection") -> None:
         """Adds a connection that stays open only for its last answer."""
-        self.closing[connection] = None
-        if len(self.closing) > MAX_CLOSING_CONNECTIONS:
-            earliest = next(iter(self.closing))
-            del self.closing[earliest]
-            earliest.close("too-many-closing")
-
-    def _accept_pending(self) -> None:
-        """Accepts the connections that wait in the listening socket."""
-        while True:
-            try:
-                # `fd` is the non-blocking socket inside the eventlet socket.
-                accepted, _ = self.listener.fd.accept()
-            except OSError:
-                # No connection waits any more.
-                return
-            self._start(greenio.GreenSocket(accepted))
-
-    def _start(self, accepted: Any) -> None:
-        """Starts the task of an accepted connection."""
-        connection = _Connection(self, accepted)
-        self.connections.add(connection)
-        eventlet.spawn(connection.serve)
-
-    def _accept(self) -> None:
-        """Accepts connections and starts a task for each."""
-        while True:
-            try:
-                accepted, _ = self.listener.accept()
-            except OSError as error:
-                logs.event(
-                    LOGGER, "accept-failed", logging.WARNING, reason=error
-                )
-                eventlet.sleep(RETRY_PAUSE_SECONDS)
-                continue
-            self._start(accepted)
 
 
-class _Connection:
+class Connection:
     """One caller's connection.
 
     Attributes:
@@ -263,7 +161,7 @@
         accepted_at: Monotonic time, in seconds, at which it was accepted.
     """
 
-    def __init__(self, server: Server, accepted: Any) -> None:
+    def __init__(self, server: Owner, accepted: Any) -> None:
         limits = server.callbacks.limits()
         self.server = server
         self.socket = accepted
--- a/gooseberryweir/front.py
+++ b/gooseberryweir/front.py
@@ -26,6 +26,7 @@
 from gooseberryweir import store_snapshots
 from gooseberryweir.commands import exit_codes
 from gooseberryweir.connection import byte_budget
+from gooseberryweir.connection import caller_server
 from gooseberryweir.connection import pipelined_server
 from gooseberryweir.connection import upstream_pool
 from gooseberryweir.platform import records
@@ -80,12 +81,12 @@
     shutdown: shutdown_module.Shutdown
     store_cache: store_cache_module.StoreCache
     mesh: mesh_module.Mesh
-    front: pipelined_server.Server
-    forwarded: pipelined_server.Server | None
-    side_servers: tuple[pipelined_server.Server, ...]
+    front: caller_server.Server
+    forwarded: caller_server.Server | None
+    side_servers: tuple[caller_server.Server, ...]
 
     @property
-    def request_servers(self) -> list[pipelined_server.Server]:
+    def request_servers(self) -> list[caller_server.Server]:
         """Servers of requests that go to upstreams."""
         return [self.front, *([self.forwarded] if self.forwarded else [])]
 
@@ -254,7 +255,7 @@
             return configuration.limits if configuration else DEFAULT_LIMITS
 
         front = stack.enter_context(
-            pipelined_server.Server(
+            caller_server.Server(
                 settings.front_address,
                 pipelined_server.Callbacks(
                     request_handler.serve,
@@ -270,7 +271,7 @@
         forwarded = None
         if settings.forward_address:
             forwarded = stack.enter_context(
-                pipelined_server.Server(
+                caller_server.Server(
                     settings.forward_address,
                     pipelined_server.Callbacks(
                         request_handler.serve_forwarded,
--- a/gooseberryweir/side_servers.py
+++ b/gooseberryweir/side_servers.py
@@ -7,6 +7,7 @@
 import contextlib
 
 from gooseberryweir.connection import byte_budget
+from gooseberryweir.connection import caller_server
 from gooseberryweir.connection import delivery
 from gooseberryweir.connection import http_messages
 from gooseberryweir.connection import pipelined_server
@@ -51,7 +52,7 @@
     shutdown: shutdown_module.Shutdown,
     telemetry: telemetry_module.Telemetry,
     budget: byte_budget.ByteBudget,
-) -> tuple[pipelined_server.Server, ...]:
+) -> tuple[caller_server.Server, ...]:
     """Starts and returns the servers of look-ups, readiness and metrics.
 
     Args:
@@ -106,9 +107,9 @@
     def open_server(
         address: str,
         handle: Callable[[http_messages.Message], pipelined_server.Answer],
-    ) -> pipelined_server.Server:
+    ) -> caller_server.Server:
         return stack.enter_context(
-            pipelined_server.Server(
+            caller_server.Server(
                 address,
                 pipelined_server.Callbacks(
                     handle,
--- a/test/test_delivery.py
+++ b/test/test_delivery.py
@@ -13,6 +13,7 @@
 import eventlet
 
 from gooseberryweir.connection import caller_http
+from gooseberryweir.connection import caller_server
 from gooseberryweir.connection import delivery
 from gooseberryweir.connection import pipelined_server
 from gooseberryweir.version import traffic
@@ -42,7 +43,7 @@
         self.passed_seconds = 0.0
         self.address = ("127.0.0.1", self.free_port())
         self.server = self.stack.enter_context(
-            pipelined_server.Server(
+            caller_server.Server(
                 f"127.0.0.1:{self.address[1]}",
                 pipelined_server.Callbacks(
                     self.handle,
@@ -161,7 +162,7 @@
     # Guards against a host whose connections are held by such callers.
     def test_closing_connections_are_limited(self):
         self.enterContext(
-            mock.patch.object(pipelined_server, "MAX_CLOSING_CONNECTIONS", 2)
+            mock.patch.object(caller_server, "MAX_CLOSING_CONNECTIONS", 2)
         )
         callers = [self.connect(CLOSING_REQUEST) for _ in range(3)]
         self.wait_until(lambda: len(self.server.connections) == 2)
--- a/test/test_planned_stop.py
+++ b/test/test_planned_stop.py
@@ -9,6 +9,7 @@
 
 import eventlet
 
+from gooseberryweir.connection import caller_server
 from gooseberryweir.connection import pipelined_server
 from gooseberryweir.version import traffic
 
@@ -31,7 +32,7 @@
             self.port = probe.getsockname()[1]
         self.stack = stack
         self.server = stack.enter_context(
-            pipelined_server.Server(
+            caller_server.Server(
                 f"127.0.0.1:{self.port}",
                 pipelined_server.Callbacks(
                     self.handle,
