--- a/test/test_request_reader.py
+++ b/test/test_request_reader.py
@@ -14,6 +14,7 @@
 import hypothesis
 from hypothesis import strategies
 
+from gooseberryweir.connection import caller_server
 from gooseberryweir.connection import http_messages
 from gooseberryweir.connection import pipelined_server
 from gooseberryweir.version import traffic
@@ -269,7 +270,7 @@
         self.stopping = False
         self.release = eventlet.Event()
         self.server = self.stack.enter_context(
-            pipelined_server.Server(
+            caller_server.Server(
                 "127.0.0.1:0",
                 pipelined_server.Callbacks(
                     self.handle, lambda: self.limits, lambda: self.stopping
