Read the era of the store in `serve`

After a return of the store from an older copy, hosts under `serve` kept what they had, and confirmed nothing, until its revisions passed the earlier ones; then objects of both eras were mixed.

Cause: the watcher and the exchange of objects between hosts ordered by the revision alone. A version is now an integer that orders by the era and then by the revision; it is the revision in the first era, so messages between hosts are as they were. A list or watch of an earlier era, and an object of it from a peer, changes and confirms nothing; a watch of another era is begun again with a list. Revisions of 2^48 and above are refused. Commands compare the revision with that which a host has in force.

Not changed: what the copy has is in force until operators write again.

--- a/gooseberryweir/commands/operator_client.py
+++ b/gooseberryweir/commands/operator_client.py
@@ -249,6 +249,8 @@
         active_version = answer.get("config_version", 0)
     elif name in answer.get("malformed", {}):
         return "reports it as malformed"
+    # Hosts order versions by the era of the store first.
+    active_version = objects.decode_version(active_version).revision
     return "" if active_version >= version else f"at version {active_version}"
 
 
--- a/gooseberryweir/process/upkeep/watcher.py
+++ b/gooseberryweir/process/upkeep/watcher.py
@@ -8,7 +8,8 @@
 confirms that this host's objects are current, contains the changes that a watch
 missed, and shows deletions. Versions only increase: an object that is older
 than the one that this host has is ignored, and a list that is older than the
-objects of this host confirms nothing.
+objects of this host confirms nothing. They order by the era of the platform's
+store first (see `version.objects`), and what is of an earlier era is ignored.
 """
 
 from collections.abc import Callable
@@ -26,6 +27,7 @@
 from gooseberryweir import tasks
 from gooseberryweir.platform import store as platform_store
 from gooseberryweir.version import objects
+from gooseberryweir.version import store_version
 
 POLL_INTERVAL_SECONDS = 1.0
 WATCH_DURATION_SECONDS = 20.0
@@ -34,9 +36,22 @@
 BACKOFF_RESET_SECONDS = 1.0
 MAX_CONCURRENT_POLLS = 4
 KINDS = (objects.ENDPOINT_SLICES, objects.STEERING_OBJECTS)
+# Status of a watch from a state that the store no longer has.
+HTTP_GONE = 410
 LOGGER = logging.getLogger(__name__)
 
 
+def _encode_version(era: int, revision: int) -> int:
+    """Returns the version of an object at a revision of an era."""
+    return objects.encode_version(store_version.StoreVersion(era, revision))
+
+
+def _log_stale_list(kind: str, version: int, known_version: int) -> None:
+    logs.event(
+        LOGGER, "stale-list", kind=kind, listed=version, known=known_version
+    )
+
+
 class Watcher:
     """Copies the platform's objects; a context manager of the tasks that do it.
 
@@ -49,7 +64,7 @@
         is_relay: Returns True while this host watches the platform itself.
         clock: Source of time.
         jitter: Returns a random number from 0 to 1.
-        newest_listed: Newest revision of the platform in any list, by kind.
+        newest_listed: Newest version of the platform in any list, by kind.
         watch_seconds: Mean duration of one watch, in seconds.
         running_polls: Number of polls without an answer yet.
         platform_reachable: True if the latest poll to end succeeded.
@@ -101,7 +116,7 @@
                     version = self.list_kind(kind)
                 version = self.watch_once(kind, version)
             except Exception as error:  # The task must keep running.
-                if getattr(error, "status", 0) == 410:
+                if getattr(error, "status", 0) == HTTP_GONE:
                     version = None
                 logs.event(
                     LOGGER, "watch-failed", kind=kind, reason=repr(error)
@@ -137,9 +152,9 @@
         """
         with self._count_poll():
             try:
-                revision = self.list_kind(objects.STEERING_OBJECTS)
+                version = self.list_kind(objects.STEERING_OBJECTS)
                 for kind in KINDS:
-                    if self.newest_listed[kind] < revision:
+                    if self.newest_listed[kind] < version:
                         self.list_kind(kind)
             except Exception as error:  # The task must keep running.
                 self._set_platform_reachable(False, repr(error))
@@ -147,31 +162,49 @@
                 self._set_platform_reachable(True)
 
     def list_kind(self, kind: str) -> int:
-        """Stores the objects of a full list and returns its revision."""
-        min_fresh_revision = self.min_fresh_revision(kind)
+        """Stores the objects of a full list and returns its version."""
+        min_fresh_version = self.min_fresh_version(kind)
         listing = self.api.list(kind)
+        version = objects.encode_version(listing.version)
         listed_objects = listing.objects()
+        if objects.decode_version(version).era < self.store.era:
+            _log_stale_list(kind, version, self.min_fresh_version(kind))
+            return version
         for stored in listed_objects:
-            self._store_current(kind, stored)
-        self._finish_list(kind, listing, listed_objects, min_fresh_revision)
-        return listing.revision
+            self._store_current(kind, stored, listing.era)
+        self._finish_list(
+            kind, listing, version, listed_objects, min_fresh_version
+        )
+        return version
 
     def watch_once(self, kind: str, version: int) -> int:
-        """Stores the changes of one watch and returns its newest revision."""
+        """Stores the changes of one watch and returns its newest version.
+
+        Raises:
+            platform_store.StoreError: The watch failed; status 410 if the store
+                has returned from an older copy, so that a full list is needed.
+        """
         seconds = self.watch_seconds * (0.75 + 0.5 * self.jitter())
-        watch = self.api.watch(kind, version, seconds)
+        era, revision = objects.decode_version(version)
+        watch = self.api.watch(kind, revision, seconds)
+        if max(watch.era, store_version.FIRST_ERA) != era:
+            raise platform_store.StoreError(
+                HTTP_GONE, f"the watch is of era {watch.era}, not {era}"
+            )
         for change in watch.changes:
             stored = change.stored_object
             if change.deleted:
                 self._store_object(
-                    f"{kind}/{stored.name}", stored.version, None
+                    f"{kind}/{stored.name}",
+                    _encode_version(era, stored.version),
+                    None,
                 )
             else:
-                self._store_current(kind, stored)
-        return max(version, watch.revision)
+                self._store_current(kind, stored, era)
+        return max(version, _encode_version(era, watch.revision))
 
-    def min_fresh_revision(self, kind: str) -> int:
-        """Returns the revision below which a list of a kind is stale."""
+    def min_fresh_version(self, kind: str) -> int:
+        """Returns the version below which a list of a kind is stale."""
         stored_versions = (
             version
             for name, version in self.store.versions().items()
@@ -183,49 +216,43 @@
         self,
         kind: str,
         listing: platform_store.Listing,
+        version: int,
         listed_objects: Sequence[platform_store.StoredObject],
-        min_fresh_revision: int,
+        min_fresh_version: int,
     ) -> None:
         """Marks unlisted objects as deleted, unless the list is stale.
 
         Also calls `on_current_list` if it is a list of the steering objects.
         """
-        if listing.revision < min_fresh_revision:
-            logs.event(
-                LOGGER,
-                "stale-list",
-                kind=kind,
-                listed=listing.revision,
-                known=min_fresh_revision,
-            )
+        if version < min_fresh_version:
+            _log_stale_list(kind, version, min_fresh_version)
             return
-        self.newest_listed[kind] = max(
-            self.newest_listed[kind], listing.revision
-        )
+        self.newest_listed[kind] = max(self.newest_listed[kind], version)
         self._mark_unlisted_deleted(
-            kind, listing.revision, {stored.name for stored in listed_objects}
+            kind, version, {stored.name for stored in listed_objects}
         )
         if kind == objects.STEERING_OBJECTS:
             self.on_current_list(listing.requested_at)
 
     def _mark_unlisted_deleted(
-        self, kind: str, revision: int, listed_names: set[str]
+        self, kind: str, listed_version: int, listed_names: set[str]
     ) -> None:
         """Marks the objects that are missing from a list as deleted."""
         listed = {f"{kind}/{name}" for name in listed_names}
         for name, version in list(self.store.versions().items()):
             is_unlisted = name.startswith(f"{kind}/") and name not in listed
-            if not is_unlisted or version >= revision:
+            if not is_unlisted or version >= listed_version:
                 continue
             if self.store.get(name) is not None:
-                self._store_object(name, revision, None)
+                self._store_object(name, listed_version, None)
 
     def _store_current(
-        self, kind: str, stored: platform_store.StoredObject
+        self, kind: str, stored: platform_store.StoredObject, era: int
     ) -> None:
         """Stores an object that exists; a missing spec is stored as empty."""
         content = {} if stored.spec is None else stored.spec
-        self._store_object(f"{kind}/{stored.name}", stored.version, content)
+        version = _encode_version(era, stored.version)
+        self._store_object(f"{kind}/{stored.name}", version, content)
 
     def _store_object(self, name: str, version: int, content: Any) -> None:
         if self.store.apply(name, version, content):
--- a/gooseberryweir/version/objects.py
+++ b/gooseberryweir/version/objects.py
@@ -1,11 +1,21 @@
-"""In-memory store of the platform's objects, each at its newest version."""
+"""In-memory store of the platform's objects, each at its newest version.
+
+The version of an object is an integer that orders by the era of the platform's
+store, which rises when the store returns from an older copy, and then by the
+revision. In the first era it is the revision.
+"""
 
 from collections.abc import Callable
 from collections.abc import Mapping
+import logging
 from typing import Any
 
 import xxhash
 
+from gooseberryweir import logs
+from gooseberryweir.version import store_version
+
+LOGGER = logging.getLogger(__name__)
 # Kind of the objects with declarations, drains, keys, sites and address blocks.
 STEERING_OBJECTS = "steeringobjects"
 # Kind of the objects that list hosts and upstreams.
@@ -19,6 +29,32 @@
 BLOCKS_PREFIX = f"{STEERING_OBJECTS}/blocks."
 HOSTS = f"{ENDPOINT_SLICES}/hosts"
 SERVICE_PREFIX = f"{ENDPOINT_SLICES}/service."
+# Difference between the versions of the same revision in two eras; greater than
+# all revisions.
+_ERA_STEP = 2**48
+# Versions are sent as signed 64-bit integers.
+_MAX_ERA = 2**15
+
+
+def encode_version(version: store_version.StoreVersion) -> int:
+    """Returns the integer of a version; a store without an era is in its first.
+
+    Raises:
+        ValueError: The era or the revision is too large to be ordered.
+    """
+    era = max(version.era, store_version.FIRST_ERA)
+    later_eras = era - store_version.FIRST_ERA
+    if version.revision >= _ERA_STEP or era > _MAX_ERA:
+        raise ValueError(f"the store's version {version} is too large")
+    return later_eras * _ERA_STEP + version.revision
+
+
+def decode_version(version: int) -> store_version.StoreVersion:
+    """Returns the era and the revision of the integer of a version."""
+    later_eras, revision = divmod(version, _ERA_STEP)
+    return store_version.StoreVersion(
+        store_version.FIRST_ERA + later_eras, revision
+    )
 
 
 def object_digest(name: str, version: int) -> int:
@@ -29,10 +65,12 @@
 class ObjectStore:
     """Newest version of each object, by full name.
 
-    An older version never replaces a newer one. A deleted object remains as a
-    tombstone: its version, with None as content.
+    An older version never replaces a newer one, and one of an earlier era
+    changes nothing. A deleted object remains as a tombstone: its version, with
+    None as content.
 
     Attributes:
+        era: Newest era of any version.
         objects: Version and content of each object, by full name.
         digest: XOR of the `object_digest` of all objects, tombstones included;
             stores with equal digests hold the same versions.
@@ -40,12 +78,13 @@
     """
 
     def __init__(self) -> None:
+        self.era = store_version.FIRST_ERA
         self.objects: dict[str, tuple[int, Any]] = {}
         self.digest = 0
         self.listeners: list[Callable[[str], None]] = []
 
     def apply(self, name: str, version: int, content: Any | None) -> bool:
-        """Stores an object unless the stored version is the same or newer.
+        """Stores an object unless a newer version or era is known.
 
         Args:
             name: Full name, `KIND/NAME`.
@@ -58,6 +97,11 @@
         stored = self.objects.get(name)
         if stored is not None and version <= stored[0]:
             return False
+        era = decode_version(version).era
+        if era < self.era:
+            return False
+        if era > self.era:
+            self._enter_era(era)
         if stored is not None:
             self.digest ^= object_digest(name, stored[0])
         self.digest ^= object_digest(name, version)
@@ -66,6 +110,18 @@
             listener(name)
         return True
 
+    def _enter_era(self, era: int) -> None:
+        """Records a return of the platform's store from an older copy."""
+        logs.event(
+            LOGGER,
+            "platform-returned",
+            logging.WARNING,
+            era=era,
+            previous_era=self.era,
+            objects=len(self.objects),
+        )
+        self.era = era
+
     def get(self, name: str) -> Any | None:
         """Returns the content of an object, or None if absent or deleted."""
         stored = self.objects.get(name)
--- a/test/test_watcher.py
+++ b/test/test_watcher.py
@@ -4,28 +4,30 @@
 are current unless it is older than they are.
 """
 
+import time
+import unittest
 import unittest.mock
 
 from gooseberryweir.platform import store as platform_store
 from gooseberryweir.process.upkeep import watcher as watcher_module
 from gooseberryweir.version import objects
+from gooseberryweir.version import store_version
 from test import _common
 from test import test_platform_client
 
 KIND = objects.STEERING_OBJECTS
 SLICES = objects.ENDPOINT_SLICES
 CONFIG = f"{KIND}/config"
+# Age of the copy from which the store returns.
+LOST_SECONDS = 0.5
 
 
 class StopLoop(BaseException):
     """Raised by a test to stop the endless loop of a task."""
 
 
-class WatcherTest(test_platform_client.PlatformCase):
-    """Lists, watches and polls with late, repeated, stale or missing changes.
-
-    They are called one by one, without the tasks of the watcher.
-    """
+class WatcherCase(test_platform_client.PlatformCase):
+    """A watcher whose calls are made one by one, without its tasks."""
 
     def setUp(self):
         super().setUp()
@@ -48,6 +50,10 @@
     def call_count(self, verb):
         return self.control()["calls"].get(f"{KIND} {verb}", 0)
 
+
+class WatcherTest(WatcherCase):
+    """Lists, watches and polls with late, stale or missing changes."""
+
     def test_a_list_confirms_the_objects_as_of_its_request(self):
         requested_at = self.clock.now
         self.assertEqual(self.watcher.list_kind(KIND), 1)
@@ -171,3 +177,134 @@
             return self.store.get("endpointslices/hosts") is not None
 
         _common.wait_until(arrived)
+
+
+class VersionTest(unittest.TestCase):
+    """Integers of versions."""
+
+    def test_they_order_by_era_and_then_by_revision(self):
+        versions = [
+            store_version.StoreVersion(era, revision)
+            for era in (1, 2, 3, 2**15)
+            for revision in (0, 1, 50, 2**48 - 1)
+        ]
+        encoded = [objects.encode_version(each) for each in versions]
+        self.assertEqual(encoded, sorted(set(encoded)))
+        self.assertLess(encoded[-1], 2**63)
+        self.assertEqual(
+            [objects.decode_version(each) for each in encoded], versions
+        )
+
+    def test_the_first_era_and_none_are_the_revision(self):
+        for era in (store_version.NO_ERA, store_version.FIRST_ERA):
+            version = store_version.StoreVersion(era, 7)
+            self.assertEqual(objects.encode_version(version), 7)
+
+    def test_versions_that_cannot_be_ordered_are_refused(self):
+        for era, revision in ((1, 2**48), (2**15 + 1, 1)):
+            with self.subTest(era), self.assertRaises(ValueError):
+                objects.encode_version(
+                    store_version.StoreVersion(era, revision)
+                )
+
+
+class StoreReturnTest(WatcherCase):
+    """The platform's store returns from an older copy, in a new era."""
+
+    def setUp(self):
+        super().setUp()
+        time.sleep(LOST_SECONDS)
+        self.put("lost", {})
+        for value in range(2, 6):
+            self.put("config", {"value": value})
+        self.watcher.list_kind(KIND)
+        self.old_listing = self.api.list(KIND)
+        self.old_version = self.store.version(CONFIG)
+        self.control(return_from_copy=LOST_SECONDS)
+        self.confirmed_at.clear()
+
+    # Guards against hosts that ignore the store until its revisions pass those
+    # of the earlier era, and are refused meanwhile.
+    def test_a_list_of_the_new_era_is_taken(self):
+        self.put("config", {"value": 6})
+        self.watcher.poll_once()
+        self.assertEqual(self.config_value(), 6)
+        self.assertIsNone(self.store.get(f"{KIND}/lost"))
+        self.assertEqual(len(self.confirmed_at), 1)
+
+    def test_a_watch_of_the_new_era_goes_on_after_its_list(self):
+        version = self.watcher.list_kind(KIND)
+        self.put("config", {"value": 6})
+        self.watcher.watch_once(KIND, version)
+        self.assertEqual(self.config_value(), 6)
+
+    def test_a_late_list_of_the_earlier_era_changes_and_confirms_nothing(self):
+        self.put("config", {"value": 6})
+        self.watcher.poll_once()
+        self.confirmed_at.clear()
+        listed = dict(self.watcher.newest_listed)
+        with unittest.mock.patch.object(
+            self.api, "list", return_value=self.old_listing
+        ):
+            self.watcher.list_kind(KIND)
+        self.assertEqual(self.config_value(), 6)
+        self.assertIsNone(self.store.get(f"{KIND}/lost"))
+        self.assertEqual(self.confirmed_at, [])
+        self.assertEqual(self.watcher.newest_listed, listed)
+
+    # Guards against changes of another era that are taken as the next ones
+    # after a revision that was given out again.
+    def test_a_watch_of_another_era_changes_nothing_and_is_begun_again(self):
+        version = self.watcher.list_kind(KIND)
+        value = self.config_value()
+        for era in (1, 3):
+            late = platform_store.Changes(
+                tuple(
+                    platform_store.Change(
+                        False,
+                        platform_store.StoredObject(name, 50, {"value": 9}),
+                    )
+                    for name in ("config", "other")
+                ),
+                50,
+                era,
+            )
+            with (
+                self.subTest(era),
+                unittest.mock.patch.object(
+                    self.api, "watch", return_value=late
+                ),
+            ):
+                with self.assertRaises(platform_store.StoreError) as caught:
+                    self.watcher.watch_once(KIND, version)
+                self.assertEqual(caught.exception.status, 410)
+                self.assertEqual(self.config_value(), value)
+                self.assertIsNone(self.store.get(f"{KIND}/other"))
+
+    # Guards against a peer that has not heard of the return.
+    def test_objects_of_the_earlier_era_from_a_peer_change_nothing(self):
+        self.watcher.poll_once()
+        value = self.config_value()
+        for name in (CONFIG, f"{KIND}/lost", f"{KIND}/never-seen"):
+            applied = self.store.apply(
+                name, self.old_version + 50, {"value": 9}
+            )
+            self.assertFalse(applied, name)
+        self.assertEqual(self.config_value(), value)
+
+    def test_a_host_that_hears_of_the_return_from_a_peer_follows_it(self):
+        self.watcher.poll_once()
+        other = objects.ObjectStore()
+        for name, version, content in self.old_objects():
+            other.apply(name, version, content)
+        for name, version, content in self.store.newer_than(other.versions()):
+            other.apply(name, version, content)
+        self.assertEqual(other.objects, self.store.objects)
+        self.assertEqual(other.digest, self.store.digest)
+
+    def old_objects(self):
+        """Returns the objects before the return, as a peer has them."""
+        return [
+            (f"{KIND}/{each.name}", each.version, each.spec)
+            for each in self.old_listing.objects()
+        ]
