Keep withdrawn keys withdrawn over a return of the store in `serve`

The copy lists a key as issued whose withdrawal it lacks, so hosts would accept it until operators withdraw it once more. Hosts drop the fact of a withdrawal once the platform has it.

Each host now remembers the era in which a key was withdrawn; if a later era lists it as issued, the withdrawal becomes a fact again, which all hosts get and the home writes to the platform. Within an era nothing changes.

--- a/gooseberryweir/process/serve.py
+++ b/gooseberryweir/process/serve.py
@@ -114,6 +114,7 @@
     tables = tables_module.Tables(store)
     facts = facts_module.Facts()
     facts.is_obsolete = fact_expiry.obsolete_predicate(tables, clock)
+    store.listeners.append(withdrawals.restorer(store, tables, facts))
     incarnation = int(clock.wall() * 1000)
     membership = membership_module.Membership(
         settings.host, incarnation, clock, tables, facts, store
--- a/gooseberryweir/process/upkeep/withdrawals.py
+++ b/gooseberryweir/process/upkeep/withdrawals.py
@@ -7,6 +7,7 @@
 once are harmless.
 """
 
+from collections.abc import Callable
 from collections.abc import Mapping
 import logging
 
@@ -17,6 +18,7 @@
 from gooseberryweir.process.membership import facts as facts_module
 from gooseberryweir.process.membership import membership as membership_module
 from gooseberryweir.process.upkeep import key_objects
+from gooseberryweir.version import objects
 from gooseberryweir.version import tables as tables_module
 
 # Resource whose home writes the key withdrawals.
@@ -51,6 +53,57 @@
     return digests_by_account
 
 
+def restorer(
+    store: objects.ObjectStore,
+    tables: tables_module.Tables,
+    facts: facts_module.Facts,
+) -> Callable[[str], None]:
+    """Returns a listener of `store` that keeps withdrawn keys withdrawn.
+
+    A platform whose store returned from an older copy may list a withdrawn key
+    as issued. Its withdrawal becomes a fact again, so that all hosts refuse the
+    key and its home writes it again.
+
+    Args:
+        store: Objects of the platform.
+        tables: Tables of the same objects, rebuilt before the listener runs.
+        facts: Facts of this host.
+    """
+    eras: dict[str, int] = {}
+
+    def on_change(name: str) -> None:
+        content = store.get(name)
+        if not name.startswith(objects.KEYS_PREFIX) or content is None:
+            return
+        if name in tables.malformed:
+            return
+        era = objects.decode_version(store.version(name)).era
+        for digest in content["digests"]:
+            if tables.keys[digest].withdrawn:
+                eras[digest] = era
+            elif eras.get(digest, era) < era:
+                _restore(facts, digest, tables.keys[digest].account, era)
+            else:
+                eras.pop(digest, None)
+
+    return on_change
+
+
+def _restore(
+    facts: facts_module.Facts, digest: str, account: str, era: int
+) -> None:
+    """Adds the withdrawal of a key as a fact again."""
+    if facts.add(f"{FACT_PREFIX}{digest}", 1):
+        logs.event(
+            LOGGER,
+            "withdrawal-restored",
+            logging.WARNING,
+            account=account,
+            digest=digest,
+            era=era,
+        )
+
+
 def write_withdrawals(
     api: platform_store.Store,
     facts: facts_module.Facts,
--- a/test/test_facts.py
+++ b/test/test_facts.py
@@ -11,7 +11,9 @@
 from gooseberryweir.process.membership import fact_expiry
 from gooseberryweir.process.membership import facts as facts_module
 from gooseberryweir.process.shares import suspects
+from gooseberryweir.process.upkeep import withdrawals
 from gooseberryweir.version import objects
+from gooseberryweir.version import store_version
 from gooseberryweir.version import tables as tables_module
 
 
@@ -84,3 +86,68 @@
         self.assertEqual(self.facts.drop_obsolete(), 0)
         self.clock.advance(fact_expiry.CRASH_RETENTION_HOURS * 3600)
         self.assertEqual(self.facts.drop_obsolete(), 1)
+
+
+class ReturnedKeysTest(unittest.TestCase):
+    """Withdrawn keys that an older copy of the store has as issued."""
+
+    def setUp(self):
+        self.store = objects.ObjectStore()
+        self.tables = tables_module.Tables(self.store)
+        self.facts = facts_module.Facts()
+        self.facts.is_obsolete = fact_expiry.obsolete_predicate(
+            self.tables, clocks.ManualClock().interface()
+        )
+        self.store.listeners.append(
+            withdrawals.restorer(self.store, self.tables, self.facts)
+        )
+        self.digest = hashlib.sha256(b"key").hexdigest()
+        self.fact = f"withdrawn/{self.digest}"
+        self.write_keys(1, 5, "issued")
+        self.write_keys(1, 7, "withdrawn")
+
+    def write_keys(self, era, revision, state):
+        spec = {"id": "x", "digests": {self.digest: state}}
+        version = store_version.StoreVersion(era, revision)
+        self.store.apply(
+            "steeringobjects/keys.ada",
+            objects.encode_version(version),
+            None if state is None else spec,
+        )
+        self.facts.drop_obsolete()
+
+    # Guards against a withdrawn key that is accepted again, and against its
+    # withdrawal that nobody writes again.
+    def test_a_key_stays_withdrawn_over_a_return(self):
+        self.write_keys(2, 5, "issued")
+        self.assertEqual(self.facts.get(self.fact), 1)
+        self.assertEqual(
+            withdrawals.unwritten_withdrawals(
+                self.facts.snapshot(), self.tables.keys
+            ),
+            {"ada": {self.digest}},
+        )
+        self.write_keys(2, 6, "withdrawn")
+        self.assertEqual(self.facts.snapshot(), {})
+
+    def test_a_key_stays_withdrawn_if_the_copy_lacks_it_at_first(self):
+        self.write_keys(2, 4, None)
+        self.assertNotIn(self.digest, self.tables.keys)
+        self.write_keys(2, 5, "issued")
+        self.assertEqual(self.facts.get(self.fact), 1)
+
+    # Guards against an era that is taken from another client account.
+    def test_other_accounts_may_follow_the_return_first(self):
+        other = {"id": "y", "digests": {"0" * 64: "issued"}}
+        version = store_version.StoreVersion(2, 4)
+        self.store.apply(
+            "steeringobjects/keys.ben", objects.encode_version(version), other
+        )
+        self.write_keys(2, 5, "issued")
+        self.assertEqual(self.facts.snapshot(), {self.fact: 1})
+
+    def test_a_change_in_the_same_era_counts(self):
+        self.write_keys(1, 8, "issued")
+        self.assertEqual(self.facts.snapshot(), {})
+        self.write_keys(2, 5, "issued")
+        self.assertEqual(self.facts.snapshot(), {})
