End in time beside callers that go on with look-ups

Cause: a stop waits for the answers under way at the ports of look-ups, readiness and metrics. Their connections stayed open for further requests, so a busy caller always had one.

Ruled out: idle kept connections, which delay nothing.

Change: at the end of a stop these servers ignore further input; from the moment on at which requests are refused, their answers close their connections.

--- a/gooseberryweir/connection/caller_server.py
+++ b/gooseberryweir/connection/caller_server.py
@@ -87,6 +87,11 @@
             if not connection.closing and not connection.has_request():
                 connection.close("idle")
 
+    def stop_reading(self) -> None:
+        """Ignores further input; the requests received are still answered."""
+        for connection in self.connections:
+            connection.closing = True
+
     def has_requests(self) -> bool:
         """Returns True if a request is open, or may be in a connection.
 
--- a/gooseberryweir/front.py
+++ b/gooseberryweir/front.py
@@ -397,7 +397,7 @@
             break
         for server in host.side_servers:
             server.stop_accepting()
-            server.close_idle()
+            server.stop_reading()
         host.clock.sleep(SHUTDOWN_POLL_SECONDS)
     logs.event(
         LOGGER,
--- a/gooseberryweir/side_servers.py
+++ b/gooseberryweir/side_servers.py
@@ -114,7 +114,7 @@
                 pipelined_server.Callbacks(
                     handle,
                     lambda: CONNECTION_LIMITS,
-                    lambda: False,
+                    shutdown.refusing,
                     undelivered=record_undelivered,
                 ),
                 budget,
--- a/test/test_delivery.py
+++ b/test/test_delivery.py
@@ -63,6 +63,9 @@
     def handle(self, message):
         if message.target == "/wait":
             eventlet.sleep(60.0)
+        if message.target == "/small":
+            eventlet.sleep(2 * STEP_SECONDS)
+            return pipelined_server.Answer(200, (), b"")
         size = LARGE_BODY_BYTES if message.target == "/large" else BODY_BYTES
         return pipelined_server.Answer(200, (), bytes(size))
 
@@ -220,6 +223,20 @@
             self.wait_until(lambda: not self.server.connections)
         self.assertEqual(self.records, [])
 
+    # Guards against a stop that lasts as long as callers go on: one that sends
+    # its next request before the answer always had one open.
+    def test_busy_callers_do_not_delay_the_end(self):
+        request = b"GET /small HTTP/1.1\r\nHost: h\r\n\r\n"
+        caller = self.connect_only(request)
+        self.wait_until(lambda: self.server.open_requests)
+        self.server.stop_reading()
+
+        def ended():
+            caller.sendall(request)
+            return not self.server.has_answers()
+
+        self.wait_until(ended)
+
     # Guards against the same for the answers of `serve`.
     def test_answer_of_serve_reaches_a_caller_that_sends_on(self):
         listener = eventlet.listen(("127.0.0.1", 0))
