Limit the input of closing connections that is discarded

What was seen: nothing by callers.

Cause: a closing connection discards its input until its answer is delivered.

Result: test_input_of_a_closing_connection_is_limited fails before (500 MB where 50 MB are the limit) and passes.

--- a/gooseberryweir/connection/pipelined_server.py
+++ b/gooseberryweir/connection/pipelined_server.py
@@ -159,6 +159,7 @@
         closed: True once the connection has been shut down or closed.
         closing: True once the last answer was queued or sent; further input
             is discarded.
+        discarded: Bytes of input discarded so far.
         accepted_at: Monotonic time, in seconds, at which it was accepted.
         answered_at: Monotonic time, in seconds, at which the last answer was
             sent.
@@ -182,6 +183,7 @@
         self.share: byte_budget.Share | None = None
         self.closed = False
         self.closing = False
+        self.discarded = 0
         self.accepted_at = server.callbacks.now()
         self.answered_at = self.accepted_at
 
@@ -323,9 +325,17 @@
             data = self._receive()
             if not data:
                 return
-            if not self.closing:
+            if self.closing:
+                self._discard(len(data))
+            else:
                 self._process(data)
 
+    def _discard(self, size: int) -> None:
+        """Counts discarded input; reads no more once it is too much."""
+        self.discarded += size
+        while self.discarded > delivery.MAX_DISCARDED_BYTES and not self.closed:
+            eventlet.sleep(delivery.CHECK_SECONDS)
+
     def _process(self, data: bytes) -> None:
         """Starts a task for each request that is completed by these bytes.
 
--- a/test/test_delivery.py
+++ b/test/test_delivery.py
@@ -30,6 +30,8 @@
 # More than the kernel's buffers of a connection hold.
 LARGE_BODY_BYTES = 16_000_000
 BUFFER_BYTES = 4096
+# What a caller sends at a time; all of it is more than the kernel's buffers.
+FLOOD_BYTES = 1_000_000
 STEP_SECONDS = 0.01
 STEPS = 500
 
@@ -237,6 +239,17 @@
 
         self.wait_until(ended)
 
+    # Guards against a core spent on a caller that floods a closing connection.
+    def test_input_of_a_closing_connection_is_limited(self):
+        caller = self.connect(CLOSING_REQUEST)
+        caller.setblocking(False)
+        sent = 0
+        for _ in range(STEPS):
+            with contextlib.suppress(BlockingIOError):
+                sent += caller.send(bytes(FLOOD_BYTES))
+            eventlet.sleep(STEP_SECONDS / 10)
+        self.assertLess(sent, STEPS * FLOOD_BYTES / 10)
+
     # Guards against the same for the answers of `serve`.
     def test_answer_of_serve_reaches_a_caller_that_sends_on(self):
         listener = eventlet.listen(("127.0.0.1", 0))
