--- a/test/test_delivery.py
+++ b/test/test_delivery.py
@@ -251,8 +251,8 @@
             eventlet.sleep(STEP_SECONDS / 10)
         self.assertLess(sent, STEPS * FLOOD_BYTES / 10)
 
-    # Guards against the same for the answers of `serve`.
-    def test_answer_of_serve_reaches_a_caller_that_sends_on(self):
+    def start_serve(self):
+        """Starts a server as in `serve` and returns its task."""
         listener = eventlet.listen(("127.0.0.1", 0))
         self.address = listener.getsockname()
 
@@ -269,12 +269,28 @@
             lambda: False,
         )
         self.stack.callback(task.kill)
+        return task
+
+    # Guards against the same for the answers of `serve`.
+    def test_answer_of_serve_reaches_a_caller_that_sends_on(self):
+        self.start_serve()
         caller = self.connect_only(CLOSING_REQUEST)
         for _ in range(4):
             eventlet.sleep(delivery.LINGER_SECONDS / 2)
             caller.sendall(REQUEST)
         self.assertGreater(self.read(caller), BODY_BYTES)
 
+    # Guards against the same where `serve` stops and takes the connection for
+    # idle.
+    def test_answer_of_serve_is_delivered_when_it_stops(self):
+        task = self.start_serve()
+        caller = self.connect_only(REQUEST)
+        eventlet.sleep(10 * STEP_SECONDS)
+        eventlet.spawn(task.kill)
+        eventlet.sleep(10 * STEP_SECONDS)
+        caller.sendall(REQUEST)
+        self.assertGreater(self.read(caller), BODY_BYTES)
+
 
 if __name__ == "__main__":
     unittest.main()
