Keep declarations and drains over a return of the store in `serve`

The copy's declarations and drains were in force until operators wrote again. Each write names the ones before it: an object of a later era that the one in force names so is not used, and neither is the lack of drains. An operator's next write is in force at once. A host that starts in the return uses what the copy has.

--- a/gooseberryweir/version/tables.py
+++ b/gooseberryweir/version/tables.py
@@ -116,6 +116,18 @@
     return by_name
 
 
+class _Written(NamedTuple):
+    """An object in force that operators wrote.
+
+    Attributes:
+        version: Its version.
+        content: Its content.
+    """
+
+    version: int
+    content: dict[str, Any]
+
+
 class Tables:
     """Look-up tables built from the newest well-formed version of each object.
 
@@ -152,6 +164,7 @@
         self.block_shards: dict[int, steering_table.SteeringTable] = {}
         self.sites: dict[int, steering_table.Site] = {}
         self.malformed: dict[str, int] = {}
+        self._written: dict[str, _Written] = {}
         self._keys_by_account: dict[str, dict[str, KeyEntry]] = {}
         for name in store.versions():
             self.rebuild(name)
@@ -176,9 +189,18 @@
         build = self._builder_for(name)
         if build is None:
             return
-        version = self.store.version(name)
+        version, content = self.store.version(name), self.store.get(name)
+        if self._is_earlier(name, version, content):
+            logs.event(
+                LOGGER,
+                "object-kept",
+                logging.WARNING,
+                object=name,
+                version=version,
+            )
+            return
         try:
-            build(self.store.get(name))
+            build(content)
         except (ValueError, ArithmeticError, RecursionError) as error:
             self.malformed[name] = version
             logs.event(
@@ -191,8 +213,32 @@
             )
             return
         self.malformed.pop(name, None)
+        if name in (objects.CONFIG, objects.DRAINS):
+            self._written[name] = _Written(version, content or {})
         logs.event(LOGGER, "object-in-force", object=name, version=version)
 
+    def _is_earlier(self, name: str, version: int, content: Any | None) -> bool:
+        """Returns True if what is in force was written later.
+
+        So it is if the platform's store has returned from an older copy, whose
+        object lacks the last writes of operators; each write names those before
+        it (see `idempotent_writes`).
+        """
+        written = self._written.get(name)
+        if written is None or (
+            objects.decode_version(version).era
+            <= objects.decode_version(written.version).era
+        ):
+            return False
+        if content is None:
+            return True
+        earlier = written.content.get("earlier")
+        return (
+            isinstance(content, dict)
+            and isinstance(earlier, (list, tuple))
+            and content.get("id") in earlier
+        )
+
     def _builder_for(self, name: str) -> Callable[[Any], None] | None:
         """Returns the function that builds tables from an object, or None."""
         builders: Mapping[str, Callable[[Any], None]] = {
--- a/test/test_tables.py
+++ b/test/test_tables.py
@@ -1,11 +1,13 @@
 """Tests of the object store and of the look-up tables built from it."""
 
+import copy
 import logging
 import random
 import unittest
 
 from gooseberryweir.version import declarations
 from gooseberryweir.version import objects
+from gooseberryweir.version import store_version
 from gooseberryweir.version import tables
 from test import test_declarations
 
@@ -176,3 +178,58 @@
         self.assertEqual(
             self.tables.keys[_DIGEST_1], tables.KeyEntry("televalle", False)
         )
+
+
+class StoreReturnTest(unittest.TestCase):
+    """The platform's store returns with earlier declarations and drains."""
+
+    def setUp(self):
+        self.store = objects.ObjectStore()
+        self.tables = tables.Tables(self.store)
+        self.apply(1, 5, "one", (), 100.0)
+        self.apply(1, 7, "two", ("one",), 200.0)
+
+    def apply(self, era, revision, write_id, earlier, latency):
+        """Stores declarations and drains that name the value `latency`."""
+        document = copy.deepcopy(test_declarations.VALID_DOCUMENT)
+        document["links"][0]["latency_ms"] = latency
+        written = {"id": write_id, "earlier": list(earlier)}
+        version = objects.encode_version(
+            store_version.StoreVersion(era, revision)
+        )
+        self.store.apply(
+            objects.CONFIG, version, {**written, "declarations": document}
+        )
+        drains = {f"upstream/{latency:.0f}": True}
+        self.store.apply(objects.DRAINS, version, {**written, "drains": drains})
+
+    def assert_in_force(self, latency):
+        declared = self.tables.declarations
+        self.assertEqual(declared.links[0].latency_ms, latency)
+        self.assertEqual(self.tables.drains, {f"upstream/{latency:.0f}"})
+
+    # Guards against declarations and drains that go back with the store.
+    def test_what_came_before_does_not_replace_what_is_in_force(self):
+        self.apply(2, 5, "one", (), 100.0)
+        self.assert_in_force(200.0)
+        self.apply(3, 5, "one", (), 100.0)
+        self.assert_in_force(200.0)
+
+    def test_what_operators_write_after_the_return_is_in_force(self):
+        self.apply(2, 5, "one", (), 100.0)
+        self.apply(2, 6, "three", ("one",), 300.0)
+        self.assert_in_force(300.0)
+        self.apply(2, 7, "four", ("one", "three"), 400.0)
+        self.assert_in_force(400.0)
+
+    def test_the_same_once_more_is_in_force(self):
+        self.apply(2, 7, "two", ("one",), 200.0)
+        self.assert_in_force(200.0)
+        self.assertEqual(
+            self.tables.config_version, self.store.version(objects.CONFIG)
+        )
+
+    def test_drains_that_the_copy_lacks_stand(self):
+        version = objects.encode_version(store_version.StoreVersion(2, 5))
+        self.store.apply(objects.DRAINS, version, None)
+        self.assert_in_force(200.0)
