--- a/test/_faults.py
+++ b/test/_faults.py
@@ -30,7 +30,11 @@
 
 
 def draw_schedule(
-    seed: int, hosts: list[str], upstreams: list[str], seconds: float
+    seed: int,
+    hosts: list[str],
+    upstreams: list[str],
+    seconds: float,
+    returns: int = 0,
 ) -> list[_schedule_runner.Event]:
     """Draws a schedule from a seed.
 
@@ -39,6 +43,8 @@
         hosts: Names of hosts.
         upstreams: Names of upstreams.
         seconds: Duration of the schedule, seconds.
+        returns: Number of returns of the platform from an older copy; the
+            other events do not depend on it.
 
     Returns:
         Events in the order of their times.
@@ -78,6 +84,14 @@
             rng.uniform(1.0, MAX_FAULT_SECONDS),
         )
         for kind in operation_kinds + fault_kinds
+    ] + [
+        _schedule_runner.Event(
+            rng.uniform(0.5, seconds),
+            "return-from-copy",
+            "platform",
+            rng.uniform(1.0, MAX_FAULT_SECONDS),
+        )
+        for _ in range(returns)
     ]
     return sorted(events)
 
@@ -99,7 +113,9 @@
     directory: str
 
 
-def run(seed: int, seconds: float = 12.0, hosts: int = 6) -> ScheduleResult:
+def run(
+    seed: int, seconds: float = 12.0, hosts: int = 6, returns: int = 0
+) -> ScheduleResult:
     """Runs the schedule of a seed, then checks what clients and upstreams saw.
 
     The conditions are those of `_invariants` and `_operation_checks`.
@@ -108,6 +124,7 @@
         seed: Seed of the schedule and of the upstreams' work times.
         seconds: Duration of the schedule, seconds.
         hosts: Number of hosts.
+        returns: Number of returns of the platform from an older copy.
     """
     document = _deployments.declarations(ACCOUNTS, SHIFT_CAP)
     upstreams = _fleet.place_upstreams(
@@ -129,7 +146,7 @@
         runner = _schedule_runner.ScheduleRunner(running)
         host_names = list(running.host_specs)
         events = draw_schedule(
-            seed, host_names, list(running.upstream_specs), seconds
+            seed, host_names, list(running.upstream_specs), seconds, returns
         )
         perform_schedule(runner, events, host_names)
         checker = _invariants.InvariantChecker(
--- a/test/_schedule_runner.py
+++ b/test/_schedule_runner.py
@@ -20,6 +20,9 @@
 MARGIN_SECONDS = 2.0
 PROBE_INTERVAL_SECONDS = 0.25
 STOP_TIMEOUT_SECONDS = 30.0
+# Time from a return of the platform from a copy until what it lost is written
+# again.
+REWRITE_SECONDS = 1.0
 
 
 class Event(NamedTuple):
@@ -300,6 +303,37 @@
         """Makes the platform answer reads from an old state."""
         self.set_switches(seconds, stale_reads=True)
 
+    def return_from_copy(self, _: str, seconds: float) -> None:
+        """Makes the platform lose the changes of so many seconds.
+
+        They are written again a little later, unless there is a newer change.
+        No operator's command runs meanwhile.
+        """
+        with contextlib.ExitStack() as stack:
+            for name in ("race", "withdraw", "drain"):
+                stack.enter_context(self.lock(name))
+            stack.enter_context(self.lists_lock)
+            before = self.read_objects()
+            self.running.control(return_from_copy=seconds)
+            returned = self.read_objects()
+            time.sleep(REWRITE_SECONDS)
+            now = self.read_objects()
+            for key in before.keys() | returned.keys():
+                is_unchanged = now.get(key) == returned.get(key)
+                if before.get(key) != returned.get(key) and is_unchanged:
+                    spec = before[key]["spec"] if key in before else None
+                    self.running.put(*key, spec)
+
+    def read_objects(self) -> dict[tuple[str, str], Any]:
+        """Returns the platform's objects by kind and name."""
+        return {
+            (kind, item["metadata"]["name"]): item
+            for kind in ("steeringobjects", "endpointslices")
+            for item in _common.fetch_json(
+                self.running.platform.url(f"/-/objects/{kind}")
+            )["items"]
+        }
+
     # Commands that operators run.
 
     def race(self, _: str, seconds: float) -> None:
--- a/test/test_faults.py
+++ b/test/test_faults.py
@@ -17,8 +17,8 @@
     upstreams, the network and the platform, and operators' commands.
     """
 
-    def check_schedule(self, seed):
-        result = _faults.run(seed, SCHEDULE_SECONDS)
+    def check_schedule(self, seed, returns=0):
+        result = _faults.run(seed, SCHEDULE_SECONDS, returns=returns)
         self.assertEqual(result.violations, [], result.spans)
         self.assertGreater(result.counts["signed"], 0)
         self.assertGreater(result.counts["accepted"], 0)
@@ -28,3 +28,8 @@
 
     def test_conditions_hold_with_seed_4(self):
         self.check_schedule(4)
+
+    # Guards against hosts under `serve` that do not follow a return of the
+    # platform's store from an older copy.
+    def test_conditions_hold_with_seed_3_and_two_returns_from_a_copy(self):
+        self.check_schedule(3, returns=2)
