Answer the look-ups that a stopping host has received

What callers saw: of many look-ups in one segment the first 32 were answered at the end of a stop, the others not, though the host had received them.

Cause: a connection was closing as soon as its host ignored further input, which drops what the reader keeps for later; and from the refusing of requests on, each last answer closed it.

Ruled out: the limit of 32 open requests itself, which the test passed with.

Change: ignoring input is a state of its own; what the reader has kept is still answered and counts as not answered until then.

--- a/gooseberryweir/connection/caller_server.py
+++ b/gooseberryweir/connection/caller_server.py
@@ -90,7 +90,7 @@
     def stop_reading(self) -> None:
         """Ignores further input; the requests received are still answered."""
         for connection in self.connections:
-            connection.closing = True
+            connection.ignores_input = True
 
     def has_requests(self) -> bool:
         """Returns True if a request is open, or may be in a connection.
--- a/gooseberryweir/connection/pipelined_server.py
+++ b/gooseberryweir/connection/pipelined_server.py
@@ -159,6 +159,8 @@
         closed: True once the connection has been shut down or closed.
         closing: True once the last answer was queued or sent; further input
             is discarded.
+        ignores_input: True once only the requests received by then are
+            answered.
         discarded: Bytes of input discarded so far.
         accepted_at: Monotonic time, in seconds, at which it was accepted.
         answered_at: Monotonic time, in seconds, at which the last answer was
@@ -183,6 +185,7 @@
         self.share: byte_budget.Share | None = None
         self.closed = False
         self.closing = False
+        self.ignores_input = False
         self.discarded = 0
         self.accepted_at = server.callbacks.now()
         self.answered_at = self.accepted_at
@@ -205,7 +208,11 @@
 
     def has_answer(self) -> bool:
         """Returns True if an answer is not decided or not delivered yet."""
-        return bool(self.open_requests) or self.delivery.undelivered() > 0
+        return (
+            bool(self.open_requests)
+            or (bool(self.reader.unread) and not self.closing)
+            or self.delivery.undelivered() > 0
+        )
 
     def _has_unread_bytes(self) -> bool:
         """Returns True if bytes have arrived that were not read yet."""
@@ -325,7 +332,7 @@
             data = self._receive()
             if not data:
                 return
-            if self.closing:
+            if self.closing or self.ignores_input:
                 self._discard(len(data))
             else:
                 self._process(data)
--- a/gooseberryweir/side_servers.py
+++ b/gooseberryweir/side_servers.py
@@ -114,7 +114,7 @@
                 pipelined_server.Callbacks(
                     handle,
                     lambda: CONNECTION_LIMITS,
-                    shutdown.refusing,
+                    lambda: False,
                     undelivered=record_undelivered,
                 ),
                 budget,
