Cancel the requests of a caller that left before anything else

Cause: since a connection at the end of its input killed the task that sends answers first, and the tasks of its requests after it. Each kill lets all other ready tasks run, which takes long on an overloaded host, and the request could be passed on meanwhile.

Ruled out: a pause of reading (32 open requests, discarded input), which these connections do not reach.

Change: the requests are cancelled at once, as before; the sending task ends by itself when it finds that its request was dropped.

Result: test_request_of_a_caller_that_left_is_cancelled_at_once failed before (another task ran first) and passes.

--- a/gooseberryweir/connection/pipelined_server.py
+++ b/gooseberryweir/connection/pipelined_server.py
@@ -308,9 +308,9 @@
             )
         ]
         dropped = list(self.open_requests)[len(decided) :]
-        if not decided and self.writer_task is not None:
-            self.writer_task.kill()
         self.open_requests = collections.deque(decided)
+        # Other tasks run between two calls of `kill`, and on a busy host for
+        # long, so nothing else comes first.
         for each in dropped:
             each.task.kill()
         if decided and self.writer_task is not None:
@@ -457,7 +457,8 @@
             while self.open_requests and not self.closed:
                 oldest = self.open_requests[0]
                 answer, ready_at = oldest.answer.wait()
-                if self.closed:
+                if self.closed or oldest not in self.open_requests:
+                    # The connection has ended, or the request was dropped.
                     return
                 send_started_at = callbacks.now()
                 is_last = len(self.open_requests) == 1
--- a/test/test_delivery.py
+++ b/test/test_delivery.py
@@ -214,6 +214,50 @@
         self.wait_until(lambda: not self.server.connections)
         self.assertEqual(self.records, [])
 
+    # Guards against GONE: the requests of a caller that had left went on while
+    # other tasks of a busy host ran.
+    def test_request_of_a_caller_that_left_is_cancelled_at_once(self):
+        order = []
+        receive = pipelined_server.Connection._receive
+
+        def receive_and_record(connection):
+            data = receive(connection)
+            order.append("received" if data else "left")
+            return data
+
+        def run_others():
+            while True:
+                order.append("other task")
+                eventlet.sleep(0)
+
+        def handle_and_record(_message):
+            try:
+                eventlet.sleep(60.0)
+            finally:
+                order.append("cancelled")
+
+        self.stack.enter_context(
+            mock.patch.object(
+                pipelined_server.Connection, "_receive", receive_and_record
+            )
+        )
+        self.stack.enter_context(
+            mock.patch.object(
+                self.server,
+                "callbacks",
+                self.server.callbacks._replace(handle=handle_and_record),
+            )
+        )
+        caller = self.connect_only(REQUEST)
+        self.wait_until(lambda: self.server.open_requests)
+        eventlet.sleep(STEP_SECONDS)
+        others = eventlet.spawn(run_others)
+        self.stack.callback(others.kill)
+        caller.close()
+        self.wait_until(lambda: "cancelled" in order)
+        self.assertEqual(order[order.index("left") + 1], "cancelled")
+        self.wait_until(lambda: not self.server.connections)
+
     def test_unknown_state_of_the_kernel_means_the_fixed_time(self):
         with mock.patch.object(
             delivery.fcntl, "ioctl", side_effect=OSError("not known")
