Record connections that end while their callers still send

answer-undelivered now also has connections that the host ends within 0.5 s of input behind the last answer, with bytes=0 and the bytes discarded.

--- a/gooseberryweir/connection/delivery.py
+++ b/gooseberryweir/connection/delivery.py
@@ -38,20 +38,27 @@
 # Limit on the input of a closing connection that is discarded; the rest stays
 # in the kernel. The same for unread input just before a connection is closed.
 MAX_DISCARDED_BYTES = 1024 * 1024
+# Time for which input behind the last answer shows that the caller has not
+# read the end of the connection.
+SENDING_ON_SECONDS = 0.5
 
 
 class Undelivered(NamedTuple):
-    """What a caller had not received when its connection was closed.
+    """What a caller may not have received when its connection was closed.
 
     Attributes:
         request: Request whose answer was sent last, or None.
-        size: Bytes that were not delivered.
+        size: Bytes that its kernel had not acknowledged.
         reason: Why the connection was closed.
+        discarded: Bytes that it sent behind its last answer, if it did until
+            shortly before the close, else 0. It may not have read the answers
+            that the next kernel has acknowledged.
     """
 
     request: http_messages.Message | None
     size: int
     reason: str
+    discarded: int = 0
 
 
 def log_undelivered(undelivered: Undelivered, request_id: str = "") -> None:
@@ -63,6 +70,7 @@
         request=request_id or "unknown",
         bytes=undelivered.size,
         reason=undelivered.reason,
+        discarded=undelivered.discarded,
     )
 
 
@@ -83,6 +91,9 @@
             shut down, or None.
         pending_at: Monotonic time, in seconds, at which the kernel last held
             undelivered bytes after that.
+        discarded: Bytes of input discarded behind the last answer.
+        discarded_at: Monotonic time, in seconds, at which the last of them
+            were read.
     """
 
     def __init__(
@@ -100,6 +111,8 @@
         self.sent_at = -math.inf
         self.finished_at: float | None = None
         self.pending_at = 0.0
+        self.discarded = 0
+        self.discarded_at = -math.inf
 
     def send(self, head: bytes, body: bytes) -> None:
         """Hands an answer to the kernel.
@@ -190,15 +203,27 @@
         while self.undelivered() and self.now() < deadline:
             eventlet.sleep(CHECK_SECONDS)
 
-    def record_close(self, reason: str) -> None:
-        """Records bytes that the caller may lose, just before the close."""
+    def record_close(self, reason: str, caller_closed: bool = False) -> None:
+        """Records what the caller may lose, just before the close.
+
+        Args:
+            reason: Why the connection is closed.
+            caller_closed: True if the caller has closed its side.
+        """
         end_size = 0 if self.finished_at is None else 1
         known_size = self._known_size()
         if known_size is None:
             known_size = self.queued + self.unsent
-        size = known_size - end_size
-        if size > 0:
-            self.record(Undelivered(self.last_request, size, reason))
+        size = max(0, known_size - end_size)
+        sends_on = self.now() - self.discarded_at < SENDING_ON_SECONDS
+        discarded = self.discarded if sends_on and not caller_closed else 0
+        if size or discarded:
+            self.record(Undelivered(self.last_request, size, reason, discarded))
+
+    def count_discarded(self, size: int) -> None:
+        """Counts input that was read behind the last answer."""
+        self.discarded += size
+        self.discarded_at = self.now()
 
     def discard_input(self) -> None:
         """Discards what has arrived; the kernel resets on unread input."""
--- a/gooseberryweir/connection/pipelined_server.py
+++ b/gooseberryweir/connection/pipelined_server.py
@@ -161,7 +161,6 @@
             is discarded.
         ignores_input: True once only the requests received by then are
             answered.
-        discarded: Bytes of input discarded so far.
         accepted_at: Monotonic time, in seconds, at which it was accepted.
         answered_at: Monotonic time, in seconds, at which the last answer was
             sent.
@@ -186,7 +185,6 @@
         self.closed = False
         self.closing = False
         self.ignores_input = False
-        self.discarded = 0
         self.accepted_at = server.callbacks.now()
         self.answered_at = self.accepted_at
 
@@ -246,7 +244,7 @@
         if self.closed:
             self.delivery.discard_input()
         else:
-            self.delivery.record_close("time-over")
+            self.delivery.record_close("time-over", caller_closed=True)
         self.closed = True
         self.server.connections.discard(self)
         self.server.closing.pop(self, None)
@@ -339,8 +337,11 @@
 
     def _discard(self, size: int) -> None:
         """Counts discarded input; reads no more once it is too much."""
-        self.discarded += size
-        while self.discarded > delivery.MAX_DISCARDED_BYTES and not self.closed:
+        self.delivery.count_discarded(size)
+        while (
+            self.delivery.discarded > delivery.MAX_DISCARDED_BYTES
+            and not self.closed
+        ):
             eventlet.sleep(delivery.CHECK_SECONDS)
 
     def _process(self, data: bytes) -> None:
