--- /dev/null
+++ b/test/test_relayed_answers.py
@@ -0,0 +1,155 @@
+"""Tests of answers that a relay between host and caller holds.
+
+The hosts are real processes. The relay (`test.standins.fault_proxy`)
+acknowledges bytes at once, passes them on after a delay, and gives up both
+directions of a connection when the host resets it.
+"""
+
+import contextlib
+import itertools
+import pathlib
+import signal
+import tempfile
+import threading
+import time
+import unittest
+
+from gooseberryweir.connection import delivery
+from gooseberryweir.process.fleet import shutdown
+from test import _common
+from test import _front
+from test import _slow_caller
+
+CALLERS = 4
+BODY_BYTES = 5_000
+# Delay of a relay in each direction.
+TRIP_SECONDS = 0.25
+LONG_TRIP_SECONDS = delivery.LINGER_SECONDS + 0.25
+# Interval at which callers send on, whether they have answers or not.
+SEND_SECONDS = 0.05
+# From SIGTERM to the requests, which the host still accepts.
+REQUEST_SECONDS = 0.5
+# From SIGTERM to the answers; the host ends with the last one.
+ANSWER_SECONDS = shutdown.SERVE_AFTER_SIGTERM_SECONDS + 0.5
+READ_PACE = _slow_caller.Pace(65536, 0.0, 262144, None)
+
+
+class PipeliningCaller(_slow_caller.SlowCaller):
+    """A caller that sends on from another thread until its connection ends."""
+
+    def __init__(self, address, requests):
+        super().__init__(address, requests, READ_PACE)
+        self.over = threading.Event()
+
+    def read_on(self, connection, begun_at):
+        """Reads until the host ends the connection."""
+        while self.read(connection):
+            pass
+        return "end"
+
+    def read(self, connection):
+        """Reads once; begins to send on before the first time."""
+        if not self.received and not self.over.is_set():
+            sender = threading.Thread(target=self.send_on, args=(connection,))
+            sender.start()
+        try:
+            more = super().read(connection)
+        except OSError:
+            self.over.set()
+            raise
+        if not more:
+            self.over.set()
+        return more
+
+    def send_on(self, connection):
+        """Sends a request at each interval."""
+        for number in itertools.count():
+            if self.over.wait(SEND_SECONDS):
+                return
+            name = f"{self.sent_ids[0]}-{number}"
+            with contextlib.suppress(OSError):
+                connection.sendall(_slow_caller.request(0, BODY_BYTES, name))
+                self.sent_ids.append(name)
+
+
+class RelayedAnswersTest(unittest.TestCase):
+    """A host, and callers that pipeline through a relay."""
+
+    def setUp(self):
+        stack = self.enterContext(contextlib.ExitStack())
+        self.system = _front.System(stack, hosts=1)
+        self.host = self.system.hosts[0]
+        directory = stack.enter_context(tempfile.TemporaryDirectory())
+        self.relay = stack.enter_context(
+            _common.Process(
+                pathlib.Path(directory), "relay", "test.standins.fault_proxy"
+            )
+        ).wait_ready()
+        ports = _common.fetch_json(
+            self.relay.url("/_links"), {"host": self.host.address}
+        )
+        self.address = f"127.0.0.1:{ports['host']}"
+
+    def set_trip(self, seconds):
+        """Sets the delay of the relay in each direction."""
+        _common.fetch_json(
+            self.relay.url("/_rules"),
+            [{"match": "*", "delay_ms": seconds * 1000}],
+        )
+
+    def assert_all_answered(self, callers):
+        """Checks that each request that ran has a whole answer."""
+        ran = {run.request_id for run in self.system.runs()}
+        for caller in callers:
+            answered = {each.request_id for each in caller.whole_answers}
+            self.assertIn(caller.sent_ids[0], ran)
+            self.assertEqual(
+                [
+                    each
+                    for each in caller.sent_ids
+                    if each in ran and each not in answered
+                ],
+                [],
+                (caller.end, len(caller.received)),
+            )
+
+    # Guards against LOST of issue 38: at the end of a planned stop the process
+    # ended while a relay still held the last answers, and reset the connection
+    # when the caller's next request arrived.
+    def test_last_answers_of_a_stop_pass_a_relay(self):
+        self.set_trip(TRIP_SECONDS)
+        self.host.process.send_signal(signal.SIGTERM)
+        time.sleep(REQUEST_SECONDS)
+        milliseconds = int((ANSWER_SECONDS - REQUEST_SECONDS) * 1000)
+        with contextlib.ExitStack() as stack:
+            callers = [
+                stack.enter_context(
+                    PipeliningCaller(
+                        self.address,
+                        [
+                            _slow_caller.request(
+                                milliseconds, BODY_BYTES, f"last-{number}"
+                            )
+                        ],
+                    )
+                )
+                for number in range(CALLERS)
+            ]
+        self.assert_all_answered(callers)
+        self.assertEqual(self.host.process.wait(_front.GRACE_SECONDS), 0)
+
+    # Guards against the same without a stop: a connection that an answer
+    # closes was ended after a fixed time.
+    def test_answers_before_a_close_pass_a_relay(self):
+        self.set_trip(LONG_TRIP_SECONDS)
+        requests = [
+            _slow_caller.request(0, BODY_BYTES, "first"),
+            _slow_caller.request(0, BODY_BYTES, "last", Connection="close"),
+        ]
+        with PipeliningCaller(self.address, requests) as caller:
+            pass
+        self.assert_all_answered([caller])
+
+
+if __name__ == "__main__":
+    unittest.main()
