Let connections linger until their callers have read the end

Cause: an answer counted as received once the next kernel had acknowledged it. Behind the last answer of a connection the host waited a fixed second, in a stop not at all. A caller that has not read the end sends on; the kernel resets the closed socket, and the reset overtakes what the relay holds.

Ruled out: requests on connections closed as idle (none in the trace), answers that were not acknowledged (undelivered=0 in every traced case), hosts that ended late.

Change: input behind the last answer shows that its caller has not read the end, and starts the linger anew, within the bounds that exist (30 s, the end of the grace period). A stop waits for lingering connections. The test that a lingering connection delays no stop was wrong, as the trace shows; in its place three ask that a stop waits until the caller closes, for the linger if it is silent, and no longer than the bound if it only sends.

--- a/gooseberryweir/connection/delivery.py
+++ b/gooseberryweir/connection/delivery.py
@@ -3,6 +3,11 @@
 The kernel takes an answer long before a caller behind a slow link has received
 it. If a connection is closed then and the caller sends more, or has sent what
 was not read, the kernel resets the connection and drops what is left.
+
+An acknowledgement may come from a relay that still holds the bytes, and a reset
+overtakes them. Only a caller that closes the connection is known to have read
+the end, so a connection lingers after its last answer: until its caller closes
+it, or has sent nothing for some time.
 """
 
 from collections.abc import Callable
@@ -27,8 +32,8 @@
 # Longest time for which one answer is handed to the kernel, and for which a
 # connection stays open after its last answer until the caller has received it.
 MAX_DELIVERY_SECONDS = 30.0
-# Time for which input is discarded after the last answer was delivered, unless
-# the caller closes the connection before.
+# A connection lingers for this time after its last answer was acknowledged or
+# its caller has sent more, unless the caller closes it before.
 LINGER_SECONDS = 1.0
 # Interval at which a connection is checked whose last answer is not delivered.
 CHECK_SECONDS = 0.25
@@ -89,8 +94,9 @@
             last answer.
         finished_at: Monotonic time, in seconds, at which the sending side was
             shut down, or None.
-        pending_at: Monotonic time, in seconds, at which the kernel last held
-            undelivered bytes after that.
+        pending_at: Monotonic time, in seconds, of the last sign after that
+            that the caller has not read the end: undelivered bytes in the
+            kernel, or input.
         discarded: Bytes of input discarded behind the last answer.
         discarded_at: Monotonic time, in seconds, at which the last of them
             were read.
@@ -182,8 +188,8 @@
     def seconds_until_check(self) -> float:
         """Returns the seconds to wait once more before the connection ends.
 
-        0 if it may end now, since the caller has all answers or has had
-        `MAX_DELIVERY_SECONDS` for them.
+        0 if it may end now, since nothing has shown for `LINGER_SECONDS` that
+        the caller lacks answers, or it has had `MAX_DELIVERY_SECONDS` for them.
         """
         now = self.now()
         if now >= (self.finished_at or 0.0) + MAX_DELIVERY_SECONDS:
@@ -192,8 +198,13 @@
         if self.queued + self.unsent if size is None else size:
             self.pending_at = now
             return CHECK_SECONDS
+        self.pending_at = max(self.pending_at, self.discarded_at)
         return max(0.0, self.pending_at + LINGER_SECONDS - now)
 
+    def lingers(self) -> bool:
+        """Returns True if the caller may not have read the last answer."""
+        return self.finished_at is not None and self.seconds_until_check() > 0
+
     def wait(self) -> None:
         """Waits until the caller has all answers, for a limited time.
 
--- a/gooseberryweir/connection/pipelined_server.py
+++ b/gooseberryweir/connection/pipelined_server.py
@@ -191,17 +191,16 @@
     def has_request(self) -> bool:
         """Returns True if a request is open or partly received.
 
-        Also if the caller has not received an answer, or a request may be on
-        its way, since the connection is new.
+        Also if the caller may not have received an answer, or a request may be
+        on its way, since the connection is new.
         """
         age = self.server.callbacks.now() - self.accepted_at
-        return self.has_answer() or (
-            not self.closing
-            and (
-                self.reader.in_progress
-                or self._has_unread_bytes()
-                or age < FIRST_REQUEST_SECONDS
-            )
+        if self.has_answer() or (not self.closed and self.delivery.lingers()):
+            return True
+        return not self.closing and (
+            self.reader.in_progress
+            or self._has_unread_bytes()
+            or age < FIRST_REQUEST_SECONDS
         )
 
     def has_answer(self) -> bool:
--- a/test/test_delivery.py
+++ b/test/test_delivery.py
@@ -108,18 +108,52 @@
                 received += len(data)
         return received
 
-    def test_request_is_open_until_its_caller_has_the_answer(self):
+    # Guards against LOST of issue 38: a relay acknowledges what its caller has
+    # not read, so only the caller's close ends a request before its time.
+    def test_request_is_open_until_its_caller_closes_the_connection(self):
         caller = self.connect(CLOSING_REQUEST)
         self.assertTrue(self.server.has_requests())
         self.server.close_idle()
         caller.sendall(REQUEST)
         self.assertGreater(self.read(caller), BODY_BYTES)
-        # The connection lingers, but delays no stop.
-        self.wait_until(lambda: not self.server.has_requests())
+        self.wait_until(lambda: not self.undelivered())
+        self.assertTrue(self.server.has_requests())
+        self.server.close_idle()
         self.assertEqual(len(self.server.connections), 1)
+        caller.close()
+        eventlet.sleep(STEP_SECONDS)
+        self.assertFalse(self.server.has_requests())
         self.wait_until(lambda: not self.server.connections)
         self.assertEqual(self.records, [])
 
+    def undelivered(self):
+        return sum(
+            each.delivery.undelivered() for each in self.server.connections
+        )
+
+    def test_caller_that_keeps_its_connection_delays_a_stop_for_the_linger(
+        self,
+    ):
+        caller = self.connect(CLOSING_REQUEST)
+        self.assertGreater(self.read(caller), BODY_BYTES)
+        self.wait_until(lambda: not self.undelivered())
+        self.assertTrue(self.server.has_requests())
+        self.passed_seconds += delivery.LINGER_SECONDS
+        self.assertFalse(self.server.has_requests())
+        self.wait_until(lambda: not self.server.connections)
+        self.assertEqual(self.records, [])
+
+    def test_caller_that_only_sends_on_is_left_at_the_bound(self):
+        caller = self.connect(CLOSING_REQUEST)
+        self.assertGreater(self.read(caller), BODY_BYTES)
+        for _ in range(4):
+            eventlet.sleep(delivery.LINGER_SECONDS / 2)
+            caller.sendall(REQUEST)
+            self.assertTrue(self.server.has_requests())
+        self.passed_seconds += delivery.MAX_DELIVERY_SECONDS
+        self.assertFalse(self.server.has_requests())
+        self.wait_until(lambda: not self.server.connections)
+
     # Guards against LOST of issue 35: a closing connection was ended by the
     # idle timeout or a fixed time, before its caller had the answer.
     def test_closing_connection_outlives_the_idle_timeout(self):
