--- a/gooseberryweir/connection/caller_http.py
+++ b/gooseberryweir/connection/caller_http.py
@@ -38,8 +38,6 @@
 # Limit on the input that is read and discarded after the last answer of a
 # connection was delivered, for a caller that is still sending.
 LINGER_BYTES = 1024 * 1024
-# Interval of the checks whether it was delivered while the host shuts down.
-SHUTDOWN_CHECK_SECONDS = 0.02
 
 
 def refusal_headers(refusal: codes.Refusal) -> list[tuple[str, str]]:
@@ -163,7 +161,7 @@
             # The caller may have disconnected already.
             self.wfile.flush()
         if not self.input_ended:
-            lingering_close(self.connection, self.options.shutting_down)
+            lingering_close(self.connection)
         super().finish()
 
     def _read_request_line(self) -> bytes:
@@ -246,16 +244,16 @@
     return BoundProtocol
 
 
-def lingering_close(connection: Any, shutting_down: Callable[[], bool]) -> None:
+def lingering_close(connection: Any) -> None:
     """Shuts down the sending side, then reads and discards input.
 
     Ends once the caller has received the answer and has closed its sending
-    side, `LINGER_BYTES` or `delivery.LINGER_SECONDS` are over or the host shuts
-    down, in any case after `delivery.MAX_DELIVERY_SECONDS`.
+    side, has sent `LINGER_BYTES`, or has sent nothing for
+    `delivery.LINGER_SECONDS`, in any case after
+    `delivery.MAX_DELIVERY_SECONDS`.
 
     Args:
         connection: The connection, after its last answer.
-        shutting_down: Returns True once the host is shutting down.
     """
     answer = delivery.Delivery(
         connection, time.monotonic, delivery.log_undelivered
@@ -264,18 +262,16 @@
     remaining = LINGER_BYTES
     ended = False
     while not ended and (seconds := answer.seconds_until_check()) > 0:
-        hurried = shutting_down()
-        if (hurried or remaining <= 0) and not answer.undelivered():
+        if remaining <= 0 and not answer.undelivered():
             break
-        if hurried:
-            seconds = SHUTDOWN_CHECK_SECONDS
         with eventlet.Timeout(seconds, False):
             data = connection.recv(64 * 1024)
+            answer.count_discarded(len(data))
             remaining -= len(data)
             ended = not data
     if ended:
         answer.wait()
-    answer.record_close("time-over")
+    answer.record_close("time-over", caller_closed=ended)
     answer.discard_input()
 
 
