--- a/test/test_upgrade.py
+++ b/test/test_upgrade.py
@@ -19,7 +19,7 @@
 from test import _common
 from test import _front
 
-EARLIER_BUILDS = ("0e7e896", "9d4ded2", "89fa984")
+EARLIER_BUILDS = ("9d4ded2", "89fa984", "106b4a1")
 # The last one that knows no era of the store and checks entries less.
 BUILD_WITHOUT_ERAS = "9d4ded2"
 HOSTS = 4
