Serve requests that arrive before a connection is closed as idle

What callers saw: a reset in place of an answer, where the next request on a kept connection had reached the kernel before the idle timeout but a busy host had not read it yet.

Cause: the event loop runs the timers that are due before it asks for input, so the timeout ended a connection with unread input, and the kernel reset it.

Change: when the idle timeout fires, input that has arrived is read first.

--- a/gooseberryweir/connection/pipelined_server.py
+++ b/gooseberryweir/connection/pipelined_server.py
@@ -392,6 +392,9 @@
                     self.socket.settimeout(timeout)
                     continue
                 waited = now() - max(waiting_since, self.answered_at)
+                if self._has_unread_bytes():
+                    # On a busy host they may have arrived long ago.
+                    continue
                 if waited < timeout:
                     self.socket.settimeout(timeout - waited)
                 elif self.delivery.undelivered():
--- a/test/test_delivery.py
+++ b/test/test_delivery.py
@@ -11,6 +11,7 @@
 from unittest import mock
 
 import eventlet
+from eventlet import greenio
 
 from gooseberryweir.connection import caller_http
 from gooseberryweir.connection import caller_server
@@ -25,6 +26,7 @@
 )
 REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
 CLOSING_REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+SMALL_REQUEST = b"GET /small HTTP/1.1\r\nHost: h\r\n\r\n"
 # Less than the host's kernel takes at once, more than the caller's does.
 BODY_BYTES = 300_000
 # More than the kernel's buffers of a connection hold.
@@ -173,6 +175,38 @@
         self.assertGreater(self.read(caller), BODY_BYTES)
         self.assertEqual(self.records, [])
 
+    def keep_busy(self, seconds, begin):
+        """Blocks the server from a task that input wakes.
+
+        What arrives meanwhile is read after the timers that are due.
+
+        Args:
+            seconds: Time for which no other task runs.
+            begin: Called before that.
+        """
+        ends = [self.stack.enter_context(each) for each in socket.socketpair()]
+
+        def block():
+            greenio.GreenSocket(ends[0]).recv(1)
+            begin()
+            time.sleep(seconds)
+
+        task = eventlet.spawn(block)
+        eventlet.sleep(STEP_SECONDS)
+        ends[1].send(b"-")
+        task.wait()
+
+    # Guards against a reset in place of an answer: a busy host closed a
+    # connection as idle although the next request had arrived.
+    def test_request_that_arrived_in_time_is_served_by_a_busy_host(self):
+        caller = self.connect_only(SMALL_REQUEST)
+        eventlet.sleep(10 * STEP_SECONDS)
+        self.assertIn(b"200", caller.recv(1000))
+        eventlet.sleep(IDLE_SECONDS / 2)
+        self.keep_busy(IDLE_SECONDS, lambda: caller.sendall(SMALL_REQUEST))
+        eventlet.sleep(10 * STEP_SECONDS)
+        self.assertIn(b"200", caller.recv(1000))
+
     # Guards against the same while the kernel can't take the whole answer.
     def test_sending_outlives_the_idle_timeout(self):
         caller = self.connect_only(b"GET /large HTTP/1.1\r\nHost: h\r\n\r\n")
@@ -307,13 +341,12 @@
     # Guards against a stop that lasts as long as callers go on: one that sends
     # its next request before the answer always had one open.
     def test_busy_callers_do_not_delay_the_end(self):
-        request = b"GET /small HTTP/1.1\r\nHost: h\r\n\r\n"
-        caller = self.connect_only(request)
+        caller = self.connect_only(SMALL_REQUEST)
         self.wait_until(lambda: self.server.open_requests)
         self.server.stop_reading()
 
         def ended():
-            caller.sendall(request)
+            caller.sendall(SMALL_REQUEST)
             return not self.server.has_answers()
 
         self.wait_until(ended)
