Read on from callers that send much behind their last answer

What callers saw: a reset 1 s after their last answer, if they had sent more than 1 MB behind it, also where a relay still held the answer.

Cause: no more input was discarded then, so nothing showed that the caller sent on, and the kernel reset the connection since input was unread.

Change: beyond 1 MB input is read at 64 KB each 0.25 s, so the linger starts anew while the caller sends. The bounds (30 s, the end of the grace period) stay.

--- a/gooseberryweir/connection/delivery.py
+++ b/gooseberryweir/connection/delivery.py
@@ -40,8 +40,10 @@
 # Bytes of a body that are sent together with the head.
 JOINED_BYTES = 64 * 1024
 DISCARD_BYTES = 64 * 1024
-# Limit on the input of a closing connection that is discarded; the rest stays
-# in the kernel. The same for unread input just before a connection is closed.
+# Input of a closing connection that is discarded as fast as it arrives; what
+# follows is read with a pause of `CHECK_SECONDS` behind each piece.
+MAX_UNPACED_BYTES = 1024 * 1024
+# Limit on unread input that is discarded just before a connection is closed.
 MAX_DISCARDED_BYTES = 1024 * 1024
 # Time for which input behind the last answer shows that the caller has not
 # read the end of the connection.
--- a/gooseberryweir/connection/pipelined_server.py
+++ b/gooseberryweir/connection/pipelined_server.py
@@ -335,12 +335,9 @@
                 self._process(data)
 
     def _discard(self, size: int) -> None:
-        """Counts discarded input; reads no more once it is too much."""
+        """Counts discarded input; pauses if there is much of it."""
         self.delivery.count_discarded(size)
-        while (
-            self.delivery.discarded > delivery.MAX_DISCARDED_BYTES
-            and not self.closed
-        ):
+        if self.delivery.discarded > delivery.MAX_UNPACED_BYTES:
             eventlet.sleep(delivery.CHECK_SECONDS)
 
     def _process(self, data: bytes) -> None:
--- a/test/test_delivery.py
+++ b/test/test_delivery.py
@@ -34,6 +34,7 @@
 BUFFER_BYTES = 4096
 # What a caller sends at a time; all of it is more than the kernel's buffers.
 FLOOD_BYTES = 1_000_000
+PIECE_BYTES = 64 * 1024
 STEP_SECONDS = 0.01
 STEPS = 500
 
@@ -351,6 +352,19 @@
 
         self.wait_until(ended)
 
+    # Guards against LOST of issue 38: of a caller that had sent much behind the
+    # last answer no more was read, and the unread input reset the connection.
+    def test_caller_that_sends_much_behind_the_end_is_not_reset(self):
+        caller = self.connect(CLOSING_REQUEST)
+        self.assertGreater(self.read(caller), BODY_BYTES)
+        for _ in range(2 * delivery.MAX_UNPACED_BYTES // PIECE_BYTES):
+            caller.sendall(bytes(PIECE_BYTES))
+            eventlet.sleep(STEP_SECONDS)
+        for _ in range(5):
+            eventlet.sleep(delivery.LINGER_SECONDS / 2)
+            caller.sendall(REQUEST)
+        self.assertEqual(len(self.server.connections), 1)
+
     # Guards against a core spent on a caller that floods a closing connection.
     def test_input_of_a_closing_connection_is_limited(self):
         caller = self.connect(CLOSING_REQUEST)
