Count unread input as a sign that a caller sends on

What callers saw: a connection that had its last answer was reset although its caller had sent on within the linger, where the host was too busy to read.

Cause: the timer that ends the linger runs before the input that has arrived, and only input that was read started the linger anew. The event answer-undelivered did not show it either.

Change: unread input in the kernel counts like input that was read.

--- a/gooseberryweir/connection/delivery.py
+++ b/gooseberryweir/connection/delivery.py
@@ -200,6 +200,9 @@
         if self.queued + self.unsent if size is None else size:
             self.pending_at = now
             return CHECK_SECONDS
+        if self.has_unread_input():
+            # A busy host may have read nothing for some time.
+            self.pending_at = now
         self.pending_at = max(self.pending_at, self.discarded_at)
         return max(0.0, self.pending_at + LINGER_SECONDS - now)
 
@@ -233,6 +236,15 @@
         if size or discarded:
             self.record(Undelivered(self.last_request, size, reason, discarded))
 
+    def has_unread_input(self) -> bool:
+        """Returns True if input has arrived that was not read yet."""
+        try:
+            # `fd` is the non-blocking socket inside the eventlet socket.
+            return bool(self.socket.fd.recv(1, socket.MSG_PEEK))
+        except OSError:
+            # Nothing has arrived, or the connection is broken.
+            return False
+
     def count_discarded(self, size: int) -> None:
         """Counts input that was read behind the last answer."""
         self.discarded += size
--- a/gooseberryweir/connection/pipelined_server.py
+++ b/gooseberryweir/connection/pipelined_server.py
@@ -199,7 +199,7 @@
             return True
         return not self.closing and (
             self.reader.in_progress
-            or self._has_unread_bytes()
+            or self.delivery.has_unread_input()
             or age < FIRST_REQUEST_SECONDS
         )
 
@@ -211,14 +211,6 @@
             or self.delivery.undelivered() > 0
         )
 
-    def _has_unread_bytes(self) -> bool:
-        """Returns True if bytes have arrived that were not read yet."""
-        try:
-            return bool(self.socket.fd.recv(1, socket.MSG_PEEK))
-        except OSError:
-            # Nothing has arrived, or the connection is broken.
-            return False
-
     def serve(self) -> None:
         """Reads requests until the caller or the server ends the connection."""
         budget = self.server.budget
@@ -389,7 +381,7 @@
                     self.socket.settimeout(timeout)
                     continue
                 waited = now() - max(waiting_since, self.answered_at)
-                if self._has_unread_bytes():
+                if self.delivery.has_unread_input():
                     # On a busy host they may have arrived long ago.
                     continue
                 if waited < timeout:
--- a/test/test_delivery.py
+++ b/test/test_delivery.py
@@ -157,6 +157,24 @@
         self.assertFalse(self.server.has_requests())
         self.wait_until(lambda: not self.server.connections)
 
+    # Guards against the same on a busy host, which had not read what its caller
+    # sent on.
+    def test_input_that_a_busy_host_has_not_read_starts_the_linger_anew(self):
+        limits = LIMITS._replace(idle_timeout_seconds=15.0)
+        self.server.callbacks = self.server.callbacks._replace(
+            limits=lambda: limits
+        )
+        caller = self.connect(CLOSING_REQUEST)
+        self.assertGreater(self.read(caller), BODY_BYTES)
+        self.wait_until(lambda: not self.undelivered())
+        self.keep_busy(
+            delivery.LINGER_SECONDS + delivery.CHECK_SECONDS,
+            lambda: caller.sendall(REQUEST),
+        )
+        self.assertTrue(self.server.has_requests())
+        eventlet.sleep(STEP_SECONDS)
+        self.assertEqual(len(self.server.connections), 1)
+
     # Guards against LOST of issue 35: a closing connection was ended by the
     # idle timeout or a fixed time, before its caller had the answer.
     def test_closing_connection_outlives_the_idle_timeout(self):
