--- a/test/test_delivery.py
+++ b/test/test_delivery.py
@@ -394,7 +394,7 @@
             eventlet.sleep(STEP_SECONDS / 10)
         self.assertLess(sent, STEPS * FLOOD_BYTES / 10)
 
-    def start_serve(self):
+    def start_serve(self, shutting_down=False):
         """Starts a server as in `serve` and returns its task."""
         listener = eventlet.listen(("127.0.0.1", 0))
         self.address = listener.getsockname()
@@ -409,7 +409,7 @@
             application,
             eventlet.GreenPool(4),
             8192,
-            lambda: False,
+            lambda: shutting_down,
         )
         self.stack.callback(task.kill)
         return task
@@ -423,6 +423,16 @@
             caller.sendall(REQUEST)
         self.assertGreater(self.read(caller), BODY_BYTES)
 
+    # Guards against LOST of issue 38 in `serve`: in a stop, a connection ended
+    # once the next kernel had the answer, and a caller that sent on was reset.
+    def test_caller_of_serve_may_send_on_in_a_stop(self):
+        self.start_serve(shutting_down=True)
+        caller = self.connect_only(REQUEST)
+        self.assertGreater(self.read(caller), BODY_BYTES)
+        for _ in range(4):
+            eventlet.sleep(delivery.LINGER_SECONDS / 2)
+            caller.sendall(REQUEST)
+
     # Guards against the same where `serve` stops and takes the connection for
     # idle.
     def test_answer_of_serve_is_delivered_when_it_stops(self):
