End answers to HEAD with their head

Callers of HEAD got 504 after their route's time: an upstream's answer names the length of the body of a GET and has none, and the host waited for it. The time-out also counted against the upstream. Hosts that pass requests on waited for each other in the same way, and callers got `Content-Length: 0`.

Cause: the reader of answers was not told the request's method, and its parser can't be: it takes any answer with a length for one with a body.

Ruled out: the status (204 and 304 with a length ended in time) and the cuts of the bytes.

Change: the reader knows the method and feeds the parser no bytes behind the head of an answer to HEAD. Whether an answer has a body is decided by `may_have_body`, also towards callers. An answer to HEAD keeps the upstream's Content-Length, also over a forwarding host, and has none if the upstream named none.

--- a/gooseberryweir/connection/http_messages.py
+++ b/gooseberryweir/connection/http_messages.py
@@ -398,13 +398,26 @@
 
 
 class AnswerReader:
-    """Parses the answers on a connection to an upstream."""
+    """Parses the answers on a connection to an upstream.
 
-    def __init__(self, max_header_bytes: int, max_body_bytes: int) -> None:
+    Attributes:
+        collector: Builds the answers.
+        parser: Parser of the bytes.
+        method: Method of the request.
+    """
+
+    def __init__(
+        self, max_header_bytes: int, max_body_bytes: int, method: str
+    ) -> None:
         # The bytes fed first may belong to an earlier answer in part.
         self.collector = _AnswerCollector(
             max_header_bytes, max_body_bytes, max_header_bytes + MAX_FED_BYTES
         )
+        self.method = method
+        self._reset_parser()
+
+    def _reset_parser(self) -> None:
+        """Begins to parse a new answer."""
         self.parser = httptools.HttpResponseParser(self.collector)
         self.collector.parser = self.parser
 
@@ -420,8 +433,18 @@
             MessageError: An answer is malformed or too large; the error has
                 the answers completed before it.
         """
-        _feed(self.parser, self.collector, data)
-        return self.collector.take_completed()
+        collector = self.collector
+        if self.method != "HEAD":
+            _feed(self.parser, collector, data)
+            return collector.take_completed()
+        # The parser knows statuses without a body, but not the method, so it
+        # gets no bytes behind a head.
+        for line in data.splitlines(keepends=True):
+            _feed(self.parser, collector, line)
+            if collector.in_progress and collector.headers_complete:
+                collector.on_message_complete()
+                self._reset_parser()
+        return collector.take_completed()
 
     def feed_eof(self) -> Message | None:
         """Handles the end of the connection, which may complete an answer.
@@ -463,6 +486,16 @@
         raise message_error from error
 
 
+def may_have_body(method: str, status: int) -> bool:
+    """Returns True if an answer may have a body (RFC 9112, 6.3).
+
+    Args:
+        method: Method of the request, other than CONNECT.
+        status: HTTP status code of the answer.
+    """
+    return method != "HEAD" and status >= 200 and status not in (204, 304)
+
+
 def encode_request(
     method: str, target: str, headers: Iterable[tuple[str, str]], body: bytes
 ) -> bytes:
@@ -487,19 +520,21 @@
     body: bytes,
     close: bool,
     head_only: bool,
+    length_known: bool = True,
 ) -> bytes:
     """Returns the bytes of an answer.
 
     Args:
         status: HTTP status code.
-        headers: Header names and values, without Content-Length.
+        headers: Header names and values, without Content-Length if it is known.
         body: Complete body.
         close: True to tell the caller that the connection will be closed.
         head_only: True for an answer to HEAD, which has no body.
+        length_known: True if Content-Length is the size of the body.
     """
     lines = [f"HTTP/1.1 {status} {reason_phrase(status)}"]
     lines += [f"{name}: {value}" for name, value in headers]
-    if status not in (204, 304):
+    if length_known and may_have_body("", status):
         lines.append(f"Content-Length: {len(body)}")
     if close:
         lines.append("Connection: close")
--- a/gooseberryweir/connection/pipelined_server.py
+++ b/gooseberryweir/connection/pipelined_server.py
@@ -50,17 +50,40 @@
 
     Attributes:
         status: HTTP status code.
-        headers: Header names and values, without Connection and
-            Content-Length.
+        headers: Header names and values, without Connection, and without
+            Content-Length if the length is known.
         body: Complete body.
         close: True to close the connection after this answer, unless further
             requests on it are open.
+        length_known: True if Content-Length is the size of the body; False for
+            an answer to HEAD that another server gave.
     """
 
     status: int
     headers: http_messages.Headers
     body: bytes
     close: bool = False
+    length_known: bool = True
+
+
+def relayed_answer(
+    method: str,
+    answer: http_messages.Message,
+    forwarded: http_messages.Headers,
+) -> Answer:
+    """Returns the answer to a caller for the answer of another server.
+
+    Args:
+        method: Method of the request.
+        answer: Answer of the other server.
+        forwarded: Its headers for the caller, without Content-Length.
+    """
+    if method != "HEAD":
+        return Answer(answer.status, forwarded, answer.body)
+    lengths = tuple(
+        each for each in answer.headers if each[0].lower() == "content-length"
+    )
+    return Answer(answer.status, forwarded + lengths, b"", length_known=False)
 
 
 class AnswerTiming(NamedTuple):
@@ -477,13 +500,14 @@
                     answer.body,
                     close,
                     head_only=True,
+                    length_known=answer.length_known,
                 )
                 size = len(answer.body)
                 self.delivery.queued -= size
-                self.delivery.send(
-                    head,
-                    b"" if oldest.request.method == "HEAD" else answer.body,
+                has_body = http_messages.may_have_body(
+                    oldest.request.method, answer.status
                 )
+                self.delivery.send(head, answer.body if has_body else b"")
                 self.open_requests.popleft()
                 if self.share is not None:
                     self.server.budget.remove(self.share, size)
--- a/gooseberryweir/connection/upstream_pool.py
+++ b/gooseberryweir/connection/upstream_pool.py
@@ -313,6 +313,7 @@
     with budget.open(lambda: _shut_down(connection)) as share:
         return _receive_answer(
             connection,
+            request[: request.find(b" ")].decode("latin1"),
             is_reply,
             lambda size: budget.add(share, size),
             send_error is None,
@@ -328,6 +329,7 @@
 
 def _receive_answer(
     connection: Any,
+    method: str,
     is_reply: Callable[[http_messages.Headers], bool],
     count_bytes: Callable[[int], None],
     was_sent: bool,
@@ -336,6 +338,7 @@
 
     Args:
         connection: Connection over which the request was sent.
+        method: Method of the request.
         is_reply: Returns True if an answer with these headers is the answer to
             the request.
         count_bytes: Counts received bytes; raises `TooManyBytesError`.
@@ -349,7 +352,9 @@
     """
     answer_begun = False
     reader = http_messages.AnswerReader(
-        byte_budget.MAX_ANSWER_HEADER_BYTES, byte_budget.MAX_ANSWER_BYTES
+        byte_budget.MAX_ANSWER_HEADER_BYTES,
+        byte_budget.MAX_ANSWER_BYTES,
+        method,
     )
     unmatched = 0
     while True:
--- a/gooseberryweir/request/steering/forwarding.py
+++ b/gooseberryweir/request/steering/forwarding.py
@@ -125,9 +125,14 @@
 
 
 def _decode_answer(
-    message: http_messages.Message,
+    method: str, message: http_messages.Message
 ) -> pipelined_server.Answer | None:
-    """Returns the answer of another host, or None if it declined."""
+    """Returns the answer of another host, or None if it declined.
+
+    Args:
+        method: Method of the request.
+        message: The answer.
+    """
     headers = wire.decode_response(message.status, message.headers).forwarded
     # Only a refusal has a code: hosts remove this header from the answers of
     # upstreams.
@@ -136,7 +141,7 @@
         return None
     if code is not None:
         headers += ((CODE_HEADER, code),)
-    return pipelined_server.Answer(message.status, headers, message.body)
+    return pipelined_server.relayed_answer(method, message, headers)
 
 
 class ForwardingDependencies(NamedTuple):
@@ -305,7 +310,7 @@
         outcome, result = None, "declined"
         try:
             reply = self._exchange(request, host, remaining)
-            outcome = _decode_answer(reply.message)
+            outcome = _decode_answer(request.message.method, reply.message)
             if outcome is not None:
                 result = str(outcome.status)
             leaving = dict(reply.message.headers).get(LEAVING_HEADER)
--- a/gooseberryweir/request/steering/sending.py
+++ b/gooseberryweir/request/steering/sending.py
@@ -273,7 +273,9 @@
             headers += (
                 (forwarding.LEAVING_HEADER, choice.upstream.incarnation),
             )
-        answer = pipelined_server.Answer(status, headers, reply.message.body)
+        answer = pipelined_server.relayed_answer(
+            request.message.method, reply.message, headers
+        )
         if status >= 500:
             state.record_failure(now, f"status {status}", 0)
             return pending_request.AttemptFailure(
--- a/test/standins/threaded_upstream.py
+++ b/test/standins/threaded_upstream.py
@@ -163,7 +163,7 @@
             self.wait_for_release()
         self.answer(200, b"done", {"Server-Stamp": server.name})
 
-    do_POST = do_GET  # noqa: N815
+    do_HEAD = do_POST = do_GET  # noqa: N815
 
     def send_without_end(self, action):
         """Sends bytes until the host closes the connection."""
@@ -204,4 +204,5 @@
         for name, value in self.server.answer_headers:
             self.send_header(name, value)
         self.end_headers()
-        self.wfile.write(body)
+        if self.command != "HEAD":
+            self.wfile.write(body)
--- a/test/test_endless_answers.py
+++ b/test/test_endless_answers.py
@@ -108,7 +108,7 @@
 
     def test_line_without_end_in_a_head_is_refused(self):
         for reader in (
-            http_messages.AnswerReader(1000, 1000),
+            http_messages.AnswerReader(1000, 1000, "GET"),
             http_messages.RequestReader(1000, 1000),
         ):
             start = (
