Read an early answer while its request is being sent

Callers got 504 for requests that no upstream ever saw: they were sent over a connection behind the body of an earlier request, which its upstream had answered (413) and went on reading, or never read. A caller whose own body was not read got 504 too, though its answer was there.

Cause: the host sent a whole request before it read a byte, and took the bytes that its kernel had taken for received by the upstream.

Ruled out: the answer itself (a whole 413 with a length, kept connection) and bytes behind it (there are none).

Change: the answer is read while the rest of the request is being sent, and a whole final answer ends the sending. The connection is used again only if the upstream's kernel has acknowledged the whole request (SIOCOUTQ, the same function as for answers to callers). The segment with the answer acknowledges all that the upstream had received, so no time is added.

The stand-in of SlowConnectTest now waits in `recv`, since nothing calls `sendall` any more.

--- a/gooseberryweir/connection/delivery.py
+++ b/gooseberryweir/connection/delivery.py
@@ -79,6 +79,23 @@
     )
 
 
+def unacknowledged_bytes(connection: Any) -> int | None:
+    """Returns the sent bytes that the other side's kernel has not acknowledged.
+
+    None if this kernel can't tell.
+
+    Args:
+        connection: Socket of the connection.
+    """
+    try:
+        # SIOCOUTQ of tcp(7).
+        held = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(4))
+    except OSError as error:
+        logs.event(LOGGER, "delivery-unknown", logging.DEBUG, reason=error)
+        return None
+    return int(struct.unpack("i", held)[0])
+
+
 class Delivery:
     """The delivery of answers over one connection.
 
@@ -163,13 +180,10 @@
 
     def _known_size(self) -> int | None:
         """Returns the bytes of `undelivered`; None if the kernel can't tell."""
-        try:
-            # SIOCOUTQ of tcp(7).
-            held = fcntl.ioctl(self.socket.fileno(), termios.TIOCOUTQ, bytes(4))
-        except OSError as error:
-            logs.event(LOGGER, "delivery-unknown", logging.DEBUG, reason=error)
+        held = unacknowledged_bytes(self.socket)
+        if held is None:
             return None
-        size = self.queued + self.unsent + int(struct.unpack("i", held)[0])
+        size = self.queued + self.unsent + held
         if size:
             try:
                 # After a reset the kernel still reports what it has dropped.
--- a/gooseberryweir/connection/upstream_pool.py
+++ b/gooseberryweir/connection/upstream_pool.py
@@ -1,25 +1,33 @@
 """Pool of connections to upstreams, with one request at a time on each.
 
-A connection is reused only if its last answer was complete and no bytes
-followed it. An answer whose request id differs from that of the request is a
-late answer to another request; it is dropped and the next answer is read.
+A connection is reused only if its last answer was complete, no bytes followed
+it, and the upstream's kernel has acknowledged the whole request. An answer is
+read while the rest of its request is being sent, and ends the sending. An
+answer whose request id differs from that of the request is a late answer to
+another request; it is dropped and the next answer is read.
 """
 
 import collections
 from collections.abc import Callable
 import contextlib
+import logging
 import socket
 from typing import Any
 from typing import NamedTuple
 
 import eventlet
 from eventlet import hubs
+import greenlet
 
 from gooseberryweir import clock as clocks
+from gooseberryweir import logs
 from gooseberryweir.connection import addresses
 from gooseberryweir.connection import byte_budget
+from gooseberryweir.connection import delivery
 from gooseberryweir.connection import http_messages
 
+LOGGER = logging.getLogger(__name__)
+
 # A TCP handshake takes one round trip plus a millisecond. A lost SYN is sent
 # again only after a second, so the timeout ends before that and another
 # upstream is tried.
@@ -185,13 +193,19 @@
             connection = self._connect(
                 endpoint.address, min(timeout, CONNECT_TIMEOUT_SECONDS)
             )
+        exchange = _Exchange(connection, request)
         reusable = False
         started_at = self.clock.monotonic()
         self.in_use[name] += 1
         try:
-            with eventlet.Timeout(max(0.0, deadline - started_at)):
-                message, reusable = _send_and_receive(
-                    connection, request, is_reply, self.budget
+            with (
+                eventlet.Timeout(max(0.0, deadline - started_at)),
+                self.budget.open(lambda: _shut_down(connection)) as share,
+            ):
+                message, reusable = _receive_answer(
+                    exchange,
+                    is_reply,
+                    lambda size: self.budget.add(share, size),
                 )
         except eventlet.Timeout as error:
             raise DeadlineError(endpoint.address) from error
@@ -274,50 +288,89 @@
     return False
 
 
-def _receive(connection: Any) -> bytes:
-    """Returns received bytes; empty if the upstream closed the connection.
-
-    Eventlet's own `recv` returns nothing after a reset as well, which would
-    make an answer without a length look complete.
+class _Exchange:
+    """A request that is being sent and the input of its connection.
 
-    Raises:
-        OSError: The connection was reset.
+    Attributes:
+        connection: Green socket of the connection.
+        request: Encoded request.
+        unsent: Bytes of it that the kernel has not taken yet.
+        send_failed: True once the connection was found broken in sending.
     """
-    while True:
-        try:
-            return connection.fd.recv(READ_BYTES)
-        except BlockingIOError:
-            hubs.trampoline(connection.fd, read=True)
 
+    def __init__(self, connection: Any, request: bytes) -> None:
+        self.connection = connection
+        self.request = request
+        self.unsent = memoryview(request)
+        self.send_failed = False
 
-def _send_and_receive(
-    connection: Any,
-    request: bytes,
-    is_reply: Callable[[http_messages.Headers], bool],
-    budget: byte_budget.ByteBudget,
-) -> tuple[http_messages.Message, bool]:
-    """Sends a request and receives its answer.
+    @property
+    def method(self) -> str:
+        """Method of the request."""
+        return self.request[: self.request.find(b" ")].decode("latin1")
 
-    Returns:
-        The answer, and True if the connection may be reused.
+    def unacknowledged(self) -> int:
+        """Returns the bytes that the upstream's kernel may not have."""
+        held = delivery.unacknowledged_bytes(self.connection)
+        return len(self.request) if held is None else len(self.unsent) + held
 
-    Raises:
-        BrokenAnswerError: The answer is missing, truncated or malformed.
-    """
-    send_error: OSError | None = None
+    def receive(self) -> bytes:
+        """Returns received bytes; empty if the upstream closed the connection.
+
+        Goes on sending the request meanwhile. Eventlet's own `recv` returns
+        nothing after a reset as well, which would make an answer without a
+        length look complete.
+
+        Raises:
+            OSError: The connection was reset.
+        """
+        # `fd` is the non-blocking socket inside the eventlet socket.
+        raw = self.connection.fd
+        while True:
+            self._send()
+            try:
+                return raw.recv(READ_BYTES)
+            except BlockingIOError:
+                if self.unsent and not self.send_failed:
+                    _wait_for_any(raw)
+                else:
+                    hubs.trampoline(raw, read=True)
+
+    def _send(self) -> None:
+        """Hands as much of the request to the kernel as it takes."""
+        try:
+            while self.unsent and not self.send_failed:
+                sent = self.connection.fd.send(self.unsent)
+                self.unsent = self.unsent[sent:]
+        except BlockingIOError:
+            return
+        except OSError as error:
+            # The upstream may have answered before it closed the connection.
+            self.send_failed = True
+            logs.event(
+                LOGGER,
+                "request-not-taken",
+                logging.DEBUG,
+                reason=type(error).__name__,
+            )
+
+
+def _wait_for_any(raw: socket.socket) -> None:
+    """Waits until a socket has input or takes output."""
+    hub = hubs.get_hub()
+    current = greenlet.getcurrent()
+    listeners = []
     try:
-        connection.sendall(request)
-    except OSError as error:
-        # The upstream may have answered before it closed the connection.
-        send_error = error
-    with budget.open(lambda: _shut_down(connection)) as share:
-        return _receive_answer(
-            connection,
-            request[: request.find(b" ")].decode("latin1"),
-            is_reply,
-            lambda size: budget.add(share, size),
-            send_error is None,
-        )
+        for kind in (hub.READ, hub.WRITE):
+            listeners.append(
+                hub.add(kind, raw.fileno(), current.switch, current.throw, None)
+            )
+        hub.switch()
+    finally:
+        for each in listeners:
+            hub.remove(each)
+            # One event may be both; the hub then calls the other one too.
+            each.defang()
 
 
 def _shut_down(connection: Any) -> None:
@@ -328,21 +381,17 @@
 
 
 def _receive_answer(
-    connection: Any,
-    method: str,
+    exchange: _Exchange,
     is_reply: Callable[[http_messages.Headers], bool],
     count_bytes: Callable[[int], None],
-    was_sent: bool,
 ) -> tuple[http_messages.Message, bool]:
-    """Receives the answer to a request.
+    """Sends a request and receives its answer, which may come before its end.
 
     Args:
-        connection: Connection over which the request was sent.
-        method: Method of the request.
+        exchange: The request and its connection.
         is_reply: Returns True if an answer with these headers is the answer to
             the request.
         count_bytes: Counts received bytes; raises `TooManyBytesError`.
-        was_sent: True if the whole request was sent.
 
     Returns:
         The answer, and True if the connection may be reused.
@@ -354,12 +403,12 @@
     reader = http_messages.AnswerReader(
         byte_budget.MAX_ANSWER_HEADER_BYTES,
         byte_budget.MAX_ANSWER_BYTES,
-        method,
+        exchange.method,
     )
     unmatched = 0
     while True:
         try:
-            data = _receive(connection)
+            data = exchange.receive()
             count_bytes(len(data))
         except byte_budget.TooManyBytesError as error:
             raise BrokenAnswerError(str(error)) from error
@@ -374,9 +423,9 @@
                 return answer, (
                     answer.keep_alive
                     and is_last
-                    and was_sent
                     and not unmatched
                     and malformed is None
+                    and not exchange.unacknowledged()
                 )
             unmatched += 1
         if malformed is not None:
--- a/test/test_upstream_pool.py
+++ b/test/test_upstream_pool.py
@@ -7,9 +7,11 @@
 import itertools
 import socket
 import struct
+import time
 import unittest
 
 import eventlet
+from eventlet import event
 
 from gooseberryweir import clock as clocks
 from gooseberryweir.connection import upstream_pool
@@ -41,6 +43,14 @@
     OTHER_ANSWER + b"zzz",
     b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
 )
+EARLY_ANSWER = (
+    b"HTTP/1.1 413 Too Large\r\nRequest-Id: a\r\nContent-Length: 3\r\n\r\nbig"
+)
+# Sizes of a request that the kernels hold only in part, and of one that the
+# sender's holds as a whole.
+LARGE_BYTES = 16 * 1024 * 1024
+MIDDLE_BYTES = 99_000
+SMALL_BUFFER_BYTES = 4096
 # SO_LINGER with a time of 0: closing the socket resets the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -52,11 +62,13 @@
         script: Called with the connection for each request; returns False to
             close the connection.
         connections: Number of connections accepted so far.
+        received: Bytes received so far, without those that the script reads.
     """
 
     def __init__(self, script):
         self.script = script
         self.connections = 0
+        self.received = 0
         self.listener = eventlet.listen(("127.0.0.1", 0))
         self.task = eventlet.spawn(self.accept)
 
@@ -79,7 +91,8 @@
 
     def serve(self, connection):
         with contextlib.closing(connection):
-            while connection.recv(65536):
+            while data := connection.recv(65536):
+                self.received += len(data)
                 if not self.script(connection):
                     return
 
@@ -344,6 +357,148 @@
         self.assertEqual(len(pool.idle["u1"]), 2)
 
 
+class EarlyAnswerTest(unittest.TestCase):
+    """Answers that come before the upstream has read the whole request.
+
+    Attributes:
+        request: Sent to the upstream; the kernels hold no more than part of it.
+        upstream: The upstream, or None before its start.
+        ended: True once the upstream has seen the end of a connection.
+    """
+
+    def setUp(self):
+        self.request = b"POST /a/ HTTP/1.1\r\n\r\n" + b"b" * LARGE_BYTES
+        self.upstream = None
+        self.ended = False
+
+    def start(self, script):
+        """Returns an upstream with small buffers, and a pool."""
+        upstream = self.upstream = self.enterContext(ScriptedUpstream(script))
+        upstream.listener.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES
+        )
+        pool = self.enterContext(
+            upstream_pool.UpstreamPool(clocks.system_clock())
+        )
+        return upstream, pool
+
+    def exchange(self, upstream, pool, timeout=2.0):
+        return pool.exchange(
+            upstream_pool.Endpoint("u1", upstream.address),
+            self.request,
+            timeout,
+            lambda headers: wire.response_request_id(headers) == "a",
+            wire.keep_alive_seconds,
+        )
+
+    def read_on(self, connection):
+        """Reads to the end of a request; False if the connection ends."""
+        while self.upstream.received % len(self.request):
+            try:
+                data = connection.recv(65536)
+            except ConnectionResetError:
+                data = b""
+            if not data:
+                self.ended = True
+                return False
+            self.upstream.received += len(data)
+        return True
+
+    def wait_for_end(self):
+        """Waits until the upstream has seen the end of a connection."""
+        with eventlet.Timeout(2.0):
+            while not self.ended:
+                eventlet.sleep(0.01)
+
+    # Guards against an answer that waits for a body which nobody reads
+    # (issue 40): the host sent all of it before it read the answer.
+    def test_answer_is_read_while_the_request_is_being_sent(self):
+        def script(connection):
+            connection.sendall(EARLY_ANSWER)
+            answered.wait()
+            return False
+
+        answered = event.Event()
+        upstream, pool = self.start(script)
+        self.assertEqual(self.exchange(upstream, pool).message.status, 413)
+        answered.send()
+
+    # The same for an answer in pieces, and then the sending ends.
+    def test_whole_answer_ends_the_sending(self):
+        def script(connection):
+            for each in (EARLY_ANSWER[:20], EARLY_ANSWER[20:]):
+                connection.sendall(each)
+                eventlet.sleep(0.05)
+            return self.read_on(connection)
+
+        upstream, pool = self.start(script)
+        self.assertEqual(self.exchange(upstream, pool).message.status, 413)
+        self.wait_for_end()
+        self.assertLess(upstream.received, len(self.request))
+
+    # Guards against a request behind the unread body of another one
+    # (issue 40): 504, and no upstream ever ran it.
+    def test_connection_with_an_unread_request_is_not_used_again(self):
+        self.request = self.request[:MIDDLE_BYTES]
+
+        def script(connection):
+            connection.sendall(EARLY_ANSWER)
+            eventlet.sleep(0.2)
+            return self.read_on(connection)
+
+        upstream, pool = self.start(script)
+        for _ in range(3):
+            reply = self.exchange(upstream, pool)
+            self.assertEqual(reply.message.status, 413)
+            self.assertTrue(reply.new_connection)
+        self.assertEqual(upstream.connections, 3)
+
+    def test_interim_answers_do_not_end_the_sending(self):
+        def script(connection):
+            connection.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+            eventlet.sleep(0.05)
+            connection.sendall(b"HTTP/1.1 102 Processing\r\n\r\n")
+            if self.read_on(connection):
+                connection.sendall(ANSWER)
+            return True
+
+        upstream, pool = self.start(script)
+        for _ in range(2):
+            reply = self.exchange(upstream, pool)
+            self.assertEqual(reply.message.body, b"ok")
+        self.assertEqual(upstream.connections, 1)
+
+    def test_killed_task_closes_the_connection_in_the_midst_of_sending(self):
+        begun = event.Event()
+
+        def script(connection):
+            begun.send()
+            eventlet.sleep(0.1)
+            return self.read_on(connection)
+
+        upstream, pool = self.start(script)
+        task = eventlet.spawn(self.exchange, upstream, pool)
+        begun.wait()
+        eventlet.sleep(0.05)
+        task.kill()
+        self.wait_for_end()
+        self.assertLess(upstream.received, len(self.request))
+        self.assertEqual(pool.in_use["u1"], 0)
+
+    # The hub reports input and room for output at once; the second report must
+    # not wake the task from what it waits for next.
+    def test_input_and_room_at_once_wake_a_task_once(self):
+        ends = socket.socketpair()
+        for each in ends:
+            self.enterContext(each)
+            each.setblocking(False)
+        ends[1].send(b"x")
+        upstream_pool._wait_for_any(ends[0])
+        started_at = time.monotonic()
+        event.Event().wait(0.1)
+        self.assertGreaterEqual(time.monotonic() - started_at, 0.09)
+
+
 class SlowConnectTest(unittest.TestCase):
     """An exchange whose connection takes long to open, in virtual time."""
 
@@ -359,7 +514,11 @@
             class SilentConnection:
                 """A connection over which no answer comes."""
 
-                def sendall(self, data):
+                @property
+                def fd(self):
+                    return self
+
+                def recv(self, size):
                     clock.sleep(60.0)
 
                 def close(self):
