Don't count an unread request as a wait for a slot

After one upload that its upstream did not read, callers of other requests got refusals (302, no headroom) for some seconds, though the upstream answered them.

Cause: a time-out without an answer counts as a full queue by Little's law. A request whose body the upstream did not read has waited for no slot.

Ruled out: the ejection of the upstream (one time-out does not eject it).

Change: a time-out says whether the upstream's kernel has acknowledged the request in part only; then it implies no load. It still counts as silence of an upstream that answers no request at all, so two such requests eject a frozen one. Requests that were acknowledged in full, or not at all as over a cut link, count as before.

Measured: test_requests_are_served_after_an_unread_upload failed before (302 in place of 200 for requests behind a 504) and passes, as do test_placement and the rest of test_upstream_answers.

--- a/gooseberryweir/connection/upstream_pool.py
+++ b/gooseberryweir/connection/upstream_pool.py
@@ -65,7 +65,14 @@
 
 
 class DeadlineError(Exception):
-    """The request was sent and no complete answer came within the timeout."""
+    """The request was sent and no complete answer came within the timeout.
+
+    Attributes:
+        held_up: True if the upstream's kernel has acknowledged a part of the
+            request only, since the upstream does not read it.
+    """
+
+    held_up = False
 
 
 class Reply(NamedTuple):
@@ -208,7 +215,11 @@
                     lambda size: self.budget.add(share, size),
                 )
         except eventlet.Timeout as error:
-            raise DeadlineError(endpoint.address) from error
+            deadline_error = DeadlineError(endpoint.address)
+            deadline_error.held_up = (
+                0 < exchange.unacknowledged() < len(request)
+            )
+            raise deadline_error from error
         except NoAnswerError as error:
             error.new_connection = new_connection
             raise
--- a/gooseberryweir/request/steering/sending.py
+++ b/gooseberryweir/request/steering/sending.py
@@ -163,12 +163,14 @@
                 codes.ExecutionState.UNKNOWN,
                 f"broken answer: {error}",
             )
-        except upstream_pool.DeadlineError:
+        except upstream_pool.DeadlineError as error:
             times = dependencies.selection.processing_times.estimate(
                 request.admitted.route, request.service
             )
             ended_at = dependencies.clock.monotonic()
-            state.record_timeout(ended_at, ended_at - sent_at, times.mean)
+            state.record_timeout(
+                ended_at, ended_at - sent_at, times.mean, error.held_up
+            )
             return pending_request.AttemptFailure(
                 codes.Code.UPSTREAM_TIMEOUT,
                 codes.ExecutionState.UNKNOWN,
--- a/gooseberryweir/request/steering/upstream_state.py
+++ b/gooseberryweir/request/steering/upstream_state.py
@@ -223,21 +223,29 @@
             self.slowness += SAMPLE_WEIGHT * (clamped - self.slowness)
 
     def record_timeout(
-        self, now: float, elapsed_seconds: float, mean_seconds: float
+        self,
+        now: float,
+        elapsed_seconds: float,
+        mean_seconds: float,
+        held_up: bool = False,
     ) -> None:
         """Records a request without an answer before its deadline.
 
         As no answer reports the load, it is estimated from the elapsed time:
         the upstream could process slots * elapsed_seconds / mean_seconds
-        requests in it, so at least as many were ahead (Little's law).
+        requests in it, so at least as many were ahead (Little's law). A
+        request that the upstream did not read in full waited for no slot.
 
         Args:
             now: Monotonic time in seconds.
             elapsed_seconds: Time since the request was sent.
             mean_seconds: Mean processing time of the service's requests.
+            held_up: True if the upstream did not read the whole request.
         """
         if now - self.last_answer_at > UNRESPONSIVE_SECONDS:
             self.record_failure(now, "timeout", 1)
+        if held_up:
+            return
         implied_load = self.slots * elapsed_seconds / mean_seconds
         if implied_load > self.estimate(now).outstanding:
             self.record_load(int(implied_load), self.slots, now)
--- a/test/standins/threaded_upstream.py
+++ b/test/standins/threaded_upstream.py
@@ -7,6 +7,8 @@
 the connection and continues as a new instance at the same address.
 `body-MS-BYTES` answers with a body of that size after that time.
 `endless-head`, `endless-line` and `endless-body` send an answer without end.
+`early` answers with status 413 and reads the body 1.5 s later, `unread` reads
+no body and answers nothing until `release` is set.
 """
 
 import contextlib
@@ -16,6 +18,7 @@
 from typing import NamedTuple
 
 SLOW_SECONDS = 1.0
+EARLY_SECONDS = 1.5
 CHUNK_BYTES = 64 * 1024
 
 
@@ -117,8 +120,8 @@
 
     def do_GET(self):
         server = self.server
-        length = int(self.headers.get("Content-Length") or 0)
-        self.rfile.read(length)
+        if not self.read_body():
+            return
         if self.headers.get("Expect-Instance") != server.name:
             server.refused += 1
             self.answer(421, b"", {"Instance-Id": server.name})
@@ -157,13 +160,28 @@
             time.sleep(milliseconds / 1000)
             self.answer(200, b"b" * size, {"Server-Stamp": server.name})
             return
+        self.delay(action)
+        self.answer(200, b"done", {"Server-Stamp": server.name})
+
+    do_HEAD = do_POST = do_GET  # noqa: N815
+
+    def read_body(self):
+        """Reads the body; returns False if the request was answered before."""
+        action = self.path.rpartition("/")[2]
+        if action == "early":
+            self.answer(413, b"", {})
+            time.sleep(EARLY_SECONDS)
+        if action == "unread":
+            self.server.release.wait()
+        self.rfile.read(int(self.headers.get("Content-Length") or 0))
+        return action != "early"
+
+    def delay(self, action):
+        """Waits for as long as the action says."""
         if action == "slow":
             time.sleep(SLOW_SECONDS)
         if action == "wait":
             self.wait_for_release()
-        self.answer(200, b"done", {"Server-Stamp": server.name})
-
-    do_HEAD = do_POST = do_GET  # noqa: N815
 
     def send_without_end(self, action):
         """Sends bytes until the host closes the connection."""
--- a/test/test_placement.py
+++ b/test/test_placement.py
@@ -332,6 +332,18 @@
             state.record_timeout(7.0, 0.8, 0.1)
         self.assertFalse(state.is_usable(7.0))
 
+    # Guards against a host that refuses requests of others, since its upstreams
+    # do not read an upload (issue 40).
+    def test_an_upstream_that_does_not_read_a_request_is_not_full(self):
+        state = self.state()
+        state.record_success(1.0, None)
+        state.record_timeout(1.5, 0.8, 0.1, held_up=True)
+        self.assertEqual(state.estimate(1.5).outstanding, 0)
+        # It still counts as silent if it answers no request at all.
+        for _ in range(2):
+            state.record_timeout(7.0, 0.8, 0.1, held_up=True)
+        self.assertFalse(state.is_usable(7.0))
+
     def test_an_upstream_whose_requests_time_out_counts_as_full(self):
         state = self.state()
         state.record_success(1.0, None)
--- a/test/test_upstream_answers.py
+++ b/test/test_upstream_answers.py
@@ -1,6 +1,7 @@
 """Tests of where answers of upstreams end, with hosts as real processes."""
 
 import contextlib
+import socket
 import unittest
 
 from test import _common
@@ -8,6 +9,8 @@
 from test import _raw
 
 BODY_BYTES = 5000
+UPLOAD_BYTES = 99_000
+SMALL_BUFFER_BYTES = 4096
 
 
 class HeadTest(unittest.TestCase):
@@ -68,5 +71,45 @@
         self.assertTrue(any("result=200" in each for each in forwarded))
 
 
+class UnreadRequestTest(unittest.TestCase):
+    """Upstreams that do not read the whole body of a request."""
+
+    def start(self, upstreams):
+        """Returns a system whose upstreams have small buffers, and a host."""
+        stack = self.enterContext(contextlib.ExitStack())
+        system = _front.System(stack, upstreams=upstreams)
+        for upstream in system.upstreams:
+            upstream.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES
+            )
+            stack.callback(upstream.release.set)
+        return system, system.hosts[0]
+
+    def upload(self, host, path):
+        return _front.call(
+            host.address, path, method="POST", body=b"b" * UPLOAD_BYTES
+        )
+
+    # Guards against a request behind the unread body of another one
+    # (issue 40): 504 after the route's time, and no upstream ever ran it.
+    def test_request_after_an_early_answer_is_served(self):
+        system, host = self.start(upstreams=1)
+        for _ in range(3):
+            self.assertEqual(self.upload(host, "/write/early").status, 413)
+            self.assertEqual(_front.call(host.address, "/read/x").status, 200)
+        self.assertEqual(len(system.runs()), 3)
+
+    # Guards against a host that refuses all requests, since its upstream does
+    # not read an upload (issue 40): the upload counted as a wait for a slot.
+    def test_requests_are_served_after_an_unread_upload(self):
+        _, host = self.start(upstreams=1)
+        for path in ("/write/unread", "/read/unread"):
+            self.assertEqual(self.upload(host, path).status, 504)
+            statuses = [
+                _front.call(host.address, "/read/x").status for _ in range(14)
+            ]
+            self.assertEqual(set(statuses), {200}, statuses)
+
+
 if __name__ == "__main__":
     unittest.main()
