Give the stand-in of a silent connection no descriptor

Since an exchange that times out asks the kernel what was acknowledged. The stand-in has no socket, which the code takes as unknown; what the test asks is unchanged.

--- a/test/test_upstream_pool.py
+++ b/test/test_upstream_pool.py
@@ -521,6 +521,9 @@
                 def recv(self, size):
                     clock.sleep(60.0)
 
+                def fileno(self):
+                    raise OSError("no socket of the kernel")
+
                 def close(self):
                     pass
 
