Ask of a stop that only the linger waits behind the last answer

The test asked that a connection whose caller has not closed it delays no stop, which gave up for callers behind relays. It now asks that nothing is open or undelivered behind the last answer, and that the caller's close ends the wait. With the fault that it guards against put back (unread requests of a closing connection count), it fails.

--- a/test/test_request_reader.py
+++ b/test/test_request_reader.py
@@ -465,8 +465,13 @@
         while b"Connection: close" not in received:
             received += caller.recv(65536)
         eventlet.sleep(2 * pipelined_server.RETRY_PAUSE_SECONDS)
-        self.assertFalse(self.server.has_requests())
+        self.assertFalse(self.server.has_answers())
         self.assertEqual(len(self.handled), received.count(b"/wait"))
+        # The connection lingers until its caller closes it.
+        self.assertTrue(self.server.has_requests())
+        caller.close()
+        eventlet.sleep(2 * pipelined_server.RETRY_PAUSE_SECONDS)
+        self.assertFalse(self.server.has_requests())
 
 
 class ContinueTest(ServerTest):
