--- a/test/test_upstream_pool.py
+++ b/test/test_upstream_pool.py
@@ -521,6 +521,9 @@
                 def recv(self, size):
                     clock.sleep(60.0)
 
+                def fileno(self):
+                    raise OSError("not a socket")
+
                 def close(self):
                     pass
 
