--- a/test/_front.py
+++ b/test/_front.py
@@ -362,6 +362,16 @@
             [{"match": f"{host.name}>*", **faults} for host in hosts],
         )
 
+    def cut_off(self, host):
+        """Cuts a host off from all upstreams, so that it forwards requests."""
+        self.set_faults([host], cut=True)
+        _common.wait_until(
+            lambda: (
+                call(host.address, "/read/x").status == 200
+                and host.log_lines("event=upstreams-unreachable")
+            )
+        )
+
     def wait_for_heartbeats(self):
         """Waits until each host knows the others.
 
--- a/test/standins/threaded_upstream.py
+++ b/test/standins/threaded_upstream.py
@@ -8,17 +8,20 @@
 `body-MS-BYTES` answers with a body of that size after that time.
 `endless-head`, `endless-line` and `endless-body` send an answer without end.
 `early` answers with status 413 and reads the body 1.5 s later, `unread` reads
-no body and answers nothing until `release` is set.
+no body and answers nothing until `release` is set, `raw` answers with the bytes
+of `raw_answer`.
 """
 
 import contextlib
 import http.server
+import socket
 import threading
 import time
 from typing import NamedTuple
 
 SLOW_SECONDS = 1.0
 EARLY_SECONDS = 1.5
+PIECE_PAUSE_SECONDS = 0.001
 CHUNK_BYTES = 64 * 1024
 
 
@@ -56,6 +59,8 @@
             and value.
         pause_seconds: While above 0, each request is turned away and the answer
             names this time in Retry-After.
+        raw_answer: Pieces of the answer to `raw`, each sent by itself.
+        raw_closes: True if the connection is closed after them.
         turned_away: Id and monotonic time of each request turned away so.
     """
 
@@ -76,6 +81,8 @@
         self.release = threading.Event()
         self.answer_headers = ()
         self.pause_seconds = 0.0
+        self.raw_answer = ()
+        self.raw_closes = False
         self.turned_away = []
         self.endless_bytes = 0
         threading.Thread(target=self.serve_forever, daemon=True).start()
@@ -152,6 +159,9 @@
         if action in ("break", "crash"):
             self.close_connection = True
             return
+        if action == "raw":
+            self.send_raw()
+            return
         if action.startswith("endless-"):
             self.send_without_end(action)
             return
@@ -176,6 +186,14 @@
         self.rfile.read(int(self.headers.get("Content-Length") or 0))
         return action != "early"
 
+    def send_raw(self):
+        """Sends the pieces of `raw_answer`."""
+        self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.close_connection = self.server.raw_closes
+        for each in self.server.raw_answer:
+            self.wfile.write(each)
+            time.sleep(PIECE_PAUSE_SECONDS)
+
     def delay(self, action):
         """Waits for as long as the action says."""
         if action == "slow":
--- a/test/test_unreachable_upstreams.py
+++ b/test/test_unreachable_upstreams.py
@@ -247,14 +247,7 @@
         """Returns a system whose first host forwards requests to the second."""
         system = _front.System(stack, hosts=3, proxied=True)
         # The first two are in one region.
-        cut = system.hosts[0]
-        system.set_faults([cut], cut=True)
-        _common.wait_until(
-            lambda: (
-                _front.call(cut.address, "/read/x").status == 200
-                and cut.log_lines("event=upstreams-unreachable")
-            )
-        )
+        system.cut_off(system.hosts[0])
         return system
 
     def send_and_wait_for_run(self, stack, system, path, **options):
--- a/test/test_upstream_answers.py
+++ b/test/test_upstream_answers.py
@@ -4,7 +4,6 @@
 import socket
 import unittest
 
-from test import _common
 from test import _front
 from test import _raw
 
@@ -57,13 +56,7 @@
     def test_answer_to_head_ends_over_a_forwarding_host(self):
         system = _front.System(self.stack, hosts=3, proxied=True)
         cut = system.hosts[0]
-        system.set_faults([cut], cut=True)
-        _common.wait_until(
-            lambda: (
-                _front.call(cut.address, "/read/x").status == 200
-                and cut.log_lines("event=upstreams-unreachable")
-            )
-        )
+        system.cut_off(cut)
         for methods in (["HEAD"], ["GET", "HEAD", "GET"]):
             with self.subTest(methods):
                 self.check(self.exchange(cut, *methods), methods)
