--- a/test/test_delivery.py
+++ b/test/test_delivery.py
@@ -282,6 +282,21 @@
         self.assertEqual(record.reason, "server-end")
         self.assertGreater(record.size, BODY_BYTES // 2)
 
+    # Guards against lost answers that no log shows: the kernel has an
+    # acknowledgement of all bytes, and the caller sends on.
+    def test_end_of_the_server_records_a_caller_that_sends_on(self):
+        caller = self.connect(CLOSING_REQUEST)
+        self.assertGreater(self.read(caller), BODY_BYTES)
+        self.wait_until(lambda: not self.undelivered())
+        caller.sendall(REQUEST)
+        eventlet.sleep(STEP_SECONDS)
+        self.server.__exit__()
+        (record,) = self.records
+        self.assertEqual(
+            (record.size, record.reason, record.discarded),
+            (0, "server-end", len(REQUEST)),
+        )
+
     def test_caller_that_resets_the_connection_is_left_at_once(self):
         caller = self.connect(CLOSING_REQUEST)
         caller.close()
