Refuse requests whose bodies have no room

What callers saw: nothing yet. In the fault soak (crowds of 800 uploads of 90 KB at a host) a host took 429 MB where 300 are allowed; the platform would kill it, and all its callers would lose their requests.

Cause: answers had limits on their bytes, bodies of requests only one for each.

Not ruled out: that other memory of such connections adds to it; not measured.

Change: 48 MB for the bodies of all requests of a process that are being sent or are open. Room is reserved for the announced size at the head, and for chunks as they come; without it the request is refused at once as not run.

--- a/gooseberryweir/connection/byte_budget.py
+++ b/gooseberryweir/connection/byte_budget.py
@@ -1,9 +1,13 @@
-"""Limits the memory of answers: those received and those waiting to be sent.
+"""Limits the memory of answers and of the bodies of requests.
 
 A faulty upstream may send bytes without end, and a caller may not read what it
 asked for. Each connection is limited by itself; all of them share a budget. If
 it is exceeded, the connection with most bytes is given up, so that those with
 small answers are not affected.
+
+Bodies of callers' requests are different: their sizes are mostly announced, and
+a request that was not read may be refused, so there is room for a body or its
+request is refused.
 """
 
 from collections.abc import Callable
@@ -19,6 +23,9 @@
 # Limit on the bytes of all answers that the kernel has not taken from a process
 # yet, since their callers do not read or wait for earlier answers.
 MAX_SENDING_BYTES = 48 * 1024 * 1024
+# Limit on the bytes of the bodies of all requests that callers are sending or
+# that are open.
+MAX_REQUEST_BYTES = 48 * 1024 * 1024
 
 
 class TooManyBytesError(Exception):
@@ -106,6 +113,30 @@
             self.total -= size
 
 
+class RequestBudget:
+    """The bytes of the bodies of requests.
+
+    Attributes:
+        total: Bytes reserved.
+        max_total_bytes: Limit on them.
+    """
+
+    def __init__(self, max_total_bytes: int = MAX_REQUEST_BYTES) -> None:
+        self.total = 0
+        self.max_total_bytes = max_total_bytes
+
+    def reserve(self, size: int) -> bool:
+        """Reserves bytes; returns False if there is no room."""
+        if self.total + size > self.max_total_bytes:
+            return False
+        self.total += size
+        return True
+
+    def release(self, size: int) -> None:
+        """Frees reserved bytes."""
+        self.total -= size
+
+
 def receiving_budget() -> ByteBudget:
     """Returns a budget of answers that are being received from upstreams."""
     return ByteBudget(MAX_ANSWER_BYTES, MAX_RECEIVING_BYTES)
--- a/gooseberryweir/connection/caller_server.py
+++ b/gooseberryweir/connection/caller_server.py
@@ -28,6 +28,7 @@
         address: Address to listen on, `IP:PORT`.
         callbacks: Functions that the server calls.
         budget: Limits the bytes of answers that wait to be sent.
+        request_budget: Limits the bytes of the bodies of requests.
         connections: Connections that are being served.
         closing: Those that have their last answer, the earliest first.
         listener: Listening socket, or None before the context is entered.
@@ -39,10 +40,12 @@
         address: str,
         callbacks: pipelined_server.Callbacks,
         budget: byte_budget.ByteBudget | None = None,
+        request_budget: byte_budget.RequestBudget | None = None,
     ) -> None:
         self.address = address
         self.callbacks = callbacks
         self.budget = budget or byte_budget.sending_budget()
+        self.request_budget = request_budget or byte_budget.RequestBudget()
         self.connections: set[pipelined_server.Connection] = set()
         self.closing: dict[pipelined_server.Connection, None] = {}
         self.listener: Any = None
--- a/gooseberryweir/connection/http_messages.py
+++ b/gooseberryweir/connection/http_messages.py
@@ -255,6 +255,21 @@
             self.unread or self.collector.in_progress
         )
 
+    @property
+    def body_bytes(self) -> int:
+        """Size of the body in progress: announced, or of its chunks so far."""
+        collector = self.collector
+        if self.ended or not collector.in_body:
+            return 0
+        length = collector.body_length
+        return collector.body_size if length is None else length
+
+    def give_up(self) -> None:
+        """Ignores the request in progress and what follows it."""
+        self.ended = True
+        self.unread = b""
+        self.collector.body_chunks = []
+
     def take_continue(self) -> bool:
         """Returns True if a caller waits for status 100 to send its body.
 
--- a/gooseberryweir/connection/pipelined_server.py
+++ b/gooseberryweir/connection/pipelined_server.py
@@ -43,6 +43,8 @@
 # Pause between checks while a connection has MAX_PIPELINED open requests.
 RETRY_PAUSE_SECONDS = 0.05
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+# When a caller may come back whose body had no room, seconds.
+NO_ROOM_RETRY_SECONDS = 1
 
 
 class Answer(NamedTuple):
@@ -140,12 +142,14 @@
             seconds, at which it was ready.
         task: Task that handles the request.
         received_at: Monotonic time, in seconds, at which it was received.
+        reserved: Bytes reserved for its body.
     """
 
     request: http_messages.Message
     answer: event.Event
     task: Any
     received_at: float
+    reserved: int
 
 
 class Owner(Protocol):
@@ -154,12 +158,14 @@
     Attributes:
         callbacks: Functions that the server calls.
         budget: Limits the bytes of answers that wait to be sent.
+        request_budget: Limits the bytes of the bodies of requests.
         connections: Connections that are being served.
         closing: Those that have their last answer, the earliest first.
     """
 
     callbacks: Callbacks
     budget: byte_budget.ByteBudget
+    request_budget: byte_budget.RequestBudget
     connections: "set[Connection]"
     closing: "dict[Connection, None]"
 
@@ -179,6 +185,7 @@
         open_requests: Requests not yet answered, in the order received.
         writer_task: Task that sends the answers, or None if no request is open.
         share: Bytes of answers that wait to be sent, or None before `serve`.
+        reserved: Bytes reserved for the body of the request in progress.
         closed: True once the connection has been shut down or closed.
         closing: True once the last answer was queued or sent; further input
             is discarded.
@@ -205,6 +212,7 @@
         )
         self.writer_task: Any = None
         self.share: byte_budget.Share | None = None
+        self.reserved = 0
         self.closed = False
         self.closing = False
         self.ignores_input = False
@@ -263,6 +271,10 @@
         self.server.connections.discard(self)
         self.server.closing.pop(self, None)
         self.socket.close()
+        self.server.request_budget.release(
+            self.reserved + sum(each.reserved for each in self.open_requests)
+        )
+        self.reserved = 0
         for each in self.open_requests:
             each.task.kill()
         # The answers are freed now, not when a cycle of references is found.
@@ -325,6 +337,9 @@
         # long, so nothing else comes first.
         for each in dropped:
             each.task.kill()
+        self.server.request_budget.release(
+            sum(each.reserved for each in dropped)
+        )
         if decided and self.writer_task is not None:
             self.writer_task.wait()
         if not self.closed:
@@ -369,12 +384,49 @@
             requests = error.completed
             error_answer = Answer(error.status, (), b"", close=True)
         for request in requests:
-            self._enqueue(request, self.server.callbacks.handle)
+            if self._reserve(len(request.body)):
+                self._enqueue(request, self.server.callbacks.handle)
+            else:
+                self._refuse(request._replace(body=b""))
         if error_answer is not None:
             self._enqueue(_placeholder_request(), lambda _: error_answer)
+        elif not self._reserve(self.reader.body_bytes):
+            self.reader.give_up()
+            self._refuse(_placeholder_request())
         self.closing = self.closing or self.reader.ended
         self._send_continue()
 
+    def _reserve(self, size: int) -> bool:
+        """Reserves the bytes of the body in progress, or of one just read.
+
+        Returns False if there is no room.
+        """
+        if size > self.reserved:
+            budget = self.server.request_budget
+            if not budget.reserve(size - self.reserved):
+                logs.event(
+                    LOGGER,
+                    "body-refused",
+                    logging.WARNING,
+                    bytes=size,
+                    reserved=budget.total,
+                )
+                return False
+            self.reserved = size
+        return True
+
+    def _refuse(self, request: http_messages.Message) -> None:
+        """Refuses a request whose body has no room; it is not run."""
+        self.server.request_budget.release(self.reserved)
+        self.reserved = 0
+        answer = Answer(
+            503,
+            (("Retry-After", str(NO_ROOM_RETRY_SECONDS)),),
+            b"",
+            close=self.reader.ended,
+        )
+        self._enqueue(request, lambda _: answer)
+
     def _send_continue(self) -> None:
         """Sends status 100 if a caller waits for it and no answer is due."""
         if self.open_requests or self.closing or self.closed:
@@ -424,9 +476,14 @@
         task = eventlet.spawn(self._handle, request, handle, answer_event)
         self.open_requests.append(
             _OpenRequest(
-                request, answer_event, task, self.server.callbacks.now()
+                request,
+                answer_event,
+                task,
+                self.server.callbacks.now(),
+                self.reserved,
             )
         )
+        self.reserved = 0
         if self.writer_task is None:
             self.writer_task = eventlet.spawn(self._write_answers)
 
@@ -501,6 +558,7 @@
                 )
                 self.delivery.send(head, answer.body if has_body else b"")
                 self.open_requests.popleft()
+                self.server.request_budget.release(oldest.reserved)
                 if self.share is not None:
                     self.server.budget.remove(self.share, size)
                 callbacks.sent(
--- a/gooseberryweir/front.py
+++ b/gooseberryweir/front.py
@@ -161,6 +161,7 @@
         stack.enter_context(mesh)
         budget = byte_budget.receiving_budget()
         sending_budget = byte_budget.sending_budget()
+        request_budget = byte_budget.RequestBudget()
         pool = stack.enter_context(upstream_pool.UpstreamPool(clock, budget))
         states = upstream_state.UpstreamStates(clock.monotonic)
         bounds = settings.bounds
@@ -272,6 +273,7 @@
                     request_handler.record_undelivered,
                 ),
                 sending_budget,
+                request_budget,
             )
         )
         forwarded = None
@@ -286,6 +288,7 @@
                         undelivered=request_handler.record_undelivered,
                     ),
                     sending_budget,
+                    request_budget,
                 )
             )
         others = side_servers.open_side_servers(
