Limit the time of sending only while the kernel takes nothing

Cause: one of several. Each answer set up and cancelled a timer of 30 s, which stays in the heap of the hub until half of the timers there are cancelled, although the kernel takes nearly all answers at once.

Change: the first attempt to send has no timer; what is left is sent within the same limit as before. A test of that limit, which had none; it passes on the code before and fails if the limit is left out.

--- a/gooseberryweir/connection/delivery.py
+++ b/gooseberryweir/connection/delivery.py
@@ -129,24 +129,33 @@
                 `MAX_DELIVERY_SECONDS`.
         """
         self.unsent = len(head) + len(body)
-        with eventlet.Timeout(MAX_DELIVERY_SECONDS):
-            # A large body is not copied.
-            self._send_piece(memoryview(head + body[:JOINED_BYTES]))
-            self._send_piece(memoryview(body)[JOINED_BYTES:])
+        # A large body is not copied.
+        joined = memoryview(head + body[:JOINED_BYTES])
+        remaining = self._send_some(joined)
+        if self.unsent:
+            with eventlet.Timeout(MAX_DELIVERY_SECONDS):
+                self._send_all(remaining)
+                self._send_all(memoryview(body)[JOINED_BYTES:])
         self.sent_at = self.now()
 
-    def _send_piece(self, remaining: memoryview) -> None:
-        """Hands bytes to the kernel."""
+    def _send_all(self, remaining: memoryview) -> None:
+        """Hands bytes to the kernel; waits while it takes none."""
         while remaining:
-            try:
-                # `fd` is the non-blocking socket inside the eventlet socket,
-                # whose timeout is that of the input.
-                sent = self.socket.fd.send(remaining)
-            except BlockingIOError:
+            size = len(remaining)
+            remaining = self._send_some(remaining)
+            if len(remaining) == size:
                 hubs.trampoline(self.socket.fd, write=True)
-                continue
-            self.unsent -= sent
-            remaining = remaining[sent:]
+
+    def _send_some(self, data: memoryview) -> memoryview:
+        """Hands bytes to the kernel and returns those that it did not take."""
+        try:
+            # `fd` is the non-blocking socket inside the eventlet socket, whose
+            # timeout is that of the input.
+            sent = self.socket.fd.send(data)
+        except BlockingIOError:
+            return data
+        self.unsent -= sent
+        return data[sent:]
 
     def undelivered(self) -> int:
         """Returns the bytes of answers that the caller has not received.
--- a/test/test_delivery.py
+++ b/test/test_delivery.py
@@ -154,6 +154,17 @@
         self.assertFalse(self.server.has_requests())
         self.wait_until(lambda: not self.server.connections)
 
+    # Guards against an answer whose sending waits without end for a caller that
+    # does not read.
+    def test_answer_that_the_kernel_does_not_take_ends_the_connection(self):
+        seconds = 5 * STEP_SECONDS
+        with mock.patch.object(delivery, "MAX_DELIVERY_SECONDS", seconds):
+            self.connect_only(b"GET /large HTTP/1.1\r\nHost: h\r\n\r\n")
+            self.wait_until(lambda: self.records)
+        self.wait_until(lambda: not self.server.connections)
+        self.assertEqual([each.reason for each in self.records], ["not-taken"])
+        self.assertGreater(self.records[0].size, 0)
+
     # Guards against LOST of issue 35: a closing connection was ended by the
     # idle timeout or a fixed time, before its caller had the answer.
     def test_closing_connection_outlives_the_idle_timeout(self):
