Free a connection as soon as it is closed

What callers saw: nothing by itself; hosts that accept many connections had more to do in garbage collections and kept the buffers of closed connections longer.

Cause: a connection refers to its share of the byte budget, whose function to give it up refers to the connection. So each connection, with its last request and its socket, stayed until a garbage collection.

Change: the connection drops its share when it ends.

--- a/gooseberryweir/connection/pipelined_server.py
+++ b/gooseberryweir/connection/pipelined_server.py
@@ -155,7 +155,8 @@
         delivery: Delivers the answers.
         open_requests: Requests not yet answered, in the order received.
         writer_task: Task that sends the answers, or None if no request is open.
-        share: Bytes of answers that wait to be sent, or None before `serve`.
+        share: Bytes of answers that wait to be sent, or None before and after
+            `serve`.
         closed: True once the connection has been shut down or closed.
         closing: True once the last answer was queued or sent; further input
             is discarded.
@@ -250,8 +251,10 @@
         self.socket.close()
         for each in self.open_requests:
             each.task.kill()
-        # The answers are freed now, not when a cycle of references is found.
+        # The answers and the connection are freed now, not when a cycle of
+        # references is found.
         self.open_requests.clear()
+        self.share = None
         if self.writer_task is not None:
             self.writer_task.kill()
 
