Start no task for the end of a linger that the caller ends

What callers saw: on hosts short of processor time, connections with "Connection: close" cost more than needed; each one stayed in memory for the linger of 1 s.

Cause: a task was created with each last answer, and run after the linger, also if the caller had closed the connection long before.

Change: a timer starts the task when it is due, and is cancelled when the connection ends.

--- a/gooseberryweir/connection/pipelined_server.py
+++ b/gooseberryweir/connection/pipelined_server.py
@@ -20,6 +20,7 @@
 
 import eventlet
 from eventlet import event
+from eventlet import hubs
 import greenlet
 
 from gooseberryweir import logs
@@ -155,6 +156,8 @@
         delivery: Delivers the answers.
         open_requests: Requests not yet answered, in the order received.
         writer_task: Task that sends the answers, or None if no request is open.
+        close_timer: Timer of the next check whether to close the connection
+            after its last answer, or None before that answer.
         share: Bytes of answers that wait to be sent, or None before and after
             `serve`.
         closed: True once the connection has been shut down or closed.
@@ -182,6 +185,7 @@
             collections.deque()
         )
         self.writer_task: Any = None
+        self.close_timer: Any = None
         self.share: byte_budget.Share | None = None
         self.closed = False
         self.closing = False
@@ -255,6 +259,8 @@
         # references is found.
         self.open_requests.clear()
         self.share = None
+        if self.close_timer is not None:
+            self.close_timer.cancel()
         if self.writer_task is not None:
             self.writer_task.kill()
 
@@ -280,8 +286,13 @@
         self.closing = True
         self.delivery.finish()
         self.server.add_closing(self)
-        eventlet.spawn_after(
-            delivery.LINGER_SECONDS, self._close_when_delivered
+        self._schedule_close(delivery.LINGER_SECONDS)
+
+    def _schedule_close(self, seconds: float) -> None:
+        """Closes the connection after this time, unless its caller does."""
+        # A task is started only then; most callers close before.
+        self.close_timer = hubs.get_hub().schedule_call_global(
+            seconds, eventlet.spawn, self._close_when_delivered
         )
 
     def _close_when_delivered(self) -> None:
@@ -290,7 +301,7 @@
             return
         seconds = self.delivery.seconds_until_check()
         if seconds > 0:
-            eventlet.spawn_after(seconds, self._close_when_delivered)
+            self._schedule_close(seconds)
         else:
             self.close("time-over")
 
--- a/test/test_delivery.py
+++ b/test/test_delivery.py
@@ -5,10 +5,12 @@
 """
 
 import contextlib
+import gc
 import socket
 import time
 import unittest
 from unittest import mock
+import weakref
 
 import eventlet
 
@@ -165,6 +167,21 @@
         self.assertEqual([each.reason for each in self.records], ["not-taken"])
         self.assertGreater(self.records[0].size, 0)
 
+    # Guards against closed connections that stay in memory until a garbage
+    # collection or the end of the linger, and cost processor time then.
+    def test_connection_is_freed_once_its_caller_has_closed_it(self):
+        gc.disable()
+        self.addCleanup(gc.enable)
+        for request in (REQUEST, CLOSING_REQUEST):
+            with self.subTest(request):
+                caller = self.connect(request)
+                freed = weakref.ref(next(iter(self.server.connections)))
+                self.assertGreater(self.read(caller), BODY_BYTES)
+                caller.close()
+                self.wait_until(lambda: not self.server.connections)
+                eventlet.sleep(STEP_SECONDS)
+                self.assertIsNone(freed())
+
     # Guards against LOST of issue 35: a closing connection was ended by the
     # idle timeout or a fixed time, before its caller had the answer.
     def test_closing_connection_outlives_the_idle_timeout(self):
