Spend less time on the end of a connection without open requests

Cause: in part, work at the end of each connection that most don't need: lists of open requests although there are none, a place among the closing connections although all is delivered, a generator for the share of the byte budget, and an unpacked structure for one number.

Change: these are left out, or done only if needed. A connection with nothing undelivered no longer counts as closing, so it can't push out another one.

--- a/gooseberryweir/connection/byte_budget.py
+++ b/gooseberryweir/connection/byte_budget.py
@@ -7,8 +7,6 @@
 """
 
 from collections.abc import Callable
-from collections.abc import Iterator
-import contextlib
 
 # Limit on the bytes of one answer, and on its headers alone.
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
@@ -26,19 +24,29 @@
 
 
 class Share:
-    """The bytes of one connection.
+    """The bytes of one connection; a context manager, in which they count.
 
     Attributes:
+        budget: Budget of all connections.
         size: Bytes counted.
         abort: Ends the connection.
         aborted: True once the connection was given up.
     """
 
-    def __init__(self, abort: Callable[[], None]) -> None:
+    def __init__(self, budget: "ByteBudget", abort: Callable[[], None]) -> None:
+        self.budget = budget
         self.size = 0
         self.abort = abort
         self.aborted = False
 
+    def __enter__(self) -> "Share":
+        self.budget.shares.add(self)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.budget.shares.discard(self)
+        self.budget.total -= self.size
+
 
 class ByteBudget:
     """The bytes of all connections.
@@ -56,20 +64,13 @@
         self.max_share_bytes = max_share_bytes
         self.max_total_bytes = max_total_bytes
 
-    @contextlib.contextmanager
-    def open(self, abort: Callable[[], None]) -> Iterator[Share]:
-        """Yields a share, whose bytes count until the context ends.
+    def open(self, abort: Callable[[], None]) -> Share:
+        """Returns a share, whose bytes count until its context ends.
 
         Args:
             abort: Ends the connection.
         """
-        share = Share(abort)
-        self.shares.add(share)
-        try:
-            yield share
-        finally:
-            self.shares.discard(share)
-            self.total -= share.size
+        return Share(self, abort)
 
     def add(self, share: Share, size: int) -> None:
         """Counts bytes.
--- a/gooseberryweir/connection/delivery.py
+++ b/gooseberryweir/connection/delivery.py
@@ -16,7 +16,7 @@
 import logging
 import math
 import socket
-import struct
+import sys
 import termios
 from typing import Any
 from typing import NamedTuple
@@ -46,6 +46,8 @@
 # Time for which input behind the last answer shows that the caller has not
 # read the end of the connection.
 SENDING_ON_SECONDS = 0.5
+# Buffer for the number that the kernel returns.
+_NO_BYTES = bytes(4)
 
 
 class Undelivered(NamedTuple):
@@ -174,11 +176,11 @@
         """Returns the bytes of `undelivered`; None if the kernel can't tell."""
         try:
             # SIOCOUTQ of tcp(7).
-            held = fcntl.ioctl(self.socket.fileno(), termios.TIOCOUTQ, bytes(4))
+            held = fcntl.ioctl(self.socket.fd, termios.TIOCOUTQ, _NO_BYTES)
         except OSError as error:
             logs.event(LOGGER, "delivery-unknown", logging.DEBUG, reason=error)
             return None
-        size = self.queued + self.unsent + int(struct.unpack("i", held)[0])
+        size = self.queued + self.unsent + int.from_bytes(held, sys.byteorder)
         if size:
             try:
                 # After a reset the kernel still reports what it has dropped.
--- a/gooseberryweir/connection/pipelined_server.py
+++ b/gooseberryweir/connection/pipelined_server.py
@@ -313,6 +313,14 @@
         if self.closed:
             return
         self.closing = True
+        if self.open_requests:
+            self._drop_undecided()
+        if not self.closed and self.delivery.undelivered():
+            self.server.add_closing(self)
+            self.delivery.wait()
+
+    def _drop_undecided(self) -> None:
+        """Drops the requests without an answer and sends the other answers."""
         decided = [
             *itertools.takewhile(
                 lambda each: each.answer.ready(), self.open_requests
@@ -326,9 +334,6 @@
             each.task.kill()
         if decided and self.writer_task is not None:
             self.writer_task.wait()
-        if not self.closed:
-            self.server.add_closing(self)
-            self.delivery.wait()
 
     def _read_requests(self) -> None:
         """Reads requests until the connection ends or times out."""
