--- a/gooseberryweir/connection/pipelined_server.py
+++ b/gooseberryweir/connection/pipelined_server.py
@@ -20,6 +20,7 @@
 
 import eventlet
 from eventlet import event
+from eventlet import hubs
 import greenlet
 
 from gooseberryweir import logs
@@ -184,7 +185,10 @@
         delivery: Delivers the answers.
         open_requests: Requests not yet answered, in the order received.
         writer_task: Task that sends the answers, or None if no request is open.
-        share: Bytes of answers that wait to be sent, or None before `serve`.
+        close_timer: Timer of the next check whether to close the connection
+            after its last answer, or None before that answer.
+        share: Bytes of answers that wait to be sent, or None before and after
+            `serve`.
         reserved: Bytes reserved for the body of the request in progress.
         closed: True once the connection has been shut down or closed.
         closing: True once the last answer was queued or sent; further input
@@ -211,6 +215,7 @@
             collections.deque()
         )
         self.writer_task: Any = None
+        self.close_timer: Any = None
         self.share: byte_budget.Share | None = None
         self.reserved = 0
         self.closed = False
@@ -271,14 +276,19 @@
         self.server.connections.discard(self)
         self.server.closing.pop(self, None)
         self.socket.close()
+        # The answers and the connection are freed now, not when a cycle of
+        # references is found.
+        dropped = list(self.open_requests)
+        self.open_requests.clear()
+        self.share = None
         self.server.request_budget.release(
-            self.reserved + sum(each.reserved for each in self.open_requests)
+            self.reserved + sum(each.reserved for each in dropped)
         )
         self.reserved = 0
-        for each in self.open_requests:
+        for each in dropped:
             each.task.kill()
-        # The answers are freed now, not when a cycle of references is found.
-        self.open_requests.clear()
+        if self.close_timer is not None:
+            self.close_timer.cancel()
         if self.writer_task is not None:
             self.writer_task.kill()
 
@@ -304,8 +314,13 @@
         self.closing = True
         self.delivery.finish()
         self.server.add_closing(self)
-        eventlet.spawn_after(
-            delivery.LINGER_SECONDS, self._close_when_delivered
+        self._schedule_close(delivery.LINGER_SECONDS)
+
+    def _schedule_close(self, seconds: float) -> None:
+        """Closes the connection after this time, unless its caller does."""
+        # A task is started only then; most callers close before.
+        self.close_timer = hubs.get_hub().schedule_call_global(
+            seconds, eventlet.spawn, self._close_when_delivered
         )
 
     def _close_when_delivered(self) -> None:
@@ -314,7 +329,7 @@
             return
         seconds = self.delivery.seconds_until_check()
         if seconds > 0:
-            eventlet.spawn_after(seconds, self._close_when_delivered)
+            self._schedule_close(seconds)
         else:
             self.close("time-over")
 
@@ -326,6 +341,14 @@
         if self.closed:
             return
         self.closing = True
+        if self.open_requests:
+            self._drop_undecided()
+        if not self.closed and self.delivery.undelivered():
+            self.server.add_closing(self)
+            self.delivery.wait()
+
+    def _drop_undecided(self) -> None:
+        """Drops the requests without an answer and sends the other answers."""
         decided = [
             *itertools.takewhile(
                 lambda each: each.answer.ready(), self.open_requests
@@ -342,9 +365,6 @@
         )
         if decided and self.writer_task is not None:
             self.writer_task.wait()
-        if not self.closed:
-            self.server.add_closing(self)
-            self.delivery.wait()
 
     def _read_requests(self) -> None:
         """Reads requests until the connection ends or times out."""
@@ -557,6 +577,9 @@
                     oldest.request.method, answer.status
                 )
                 self.delivery.send(head, answer.body if has_body else b"")
+                if oldest not in self.open_requests:
+                    # The connection has ended meanwhile.
+                    return
                 self.open_requests.popleft()
                 self.server.request_budget.release(oldest.reserved)
                 if self.share is not None:
