End busy connections in a planned stop

Cause: the last answer of a connection closes it, and an answer is the last one only if no other request is open. Callers that pipeline on always have one open, and a host that was short of processor time kept answering refusals.

Ruled out: the linger (no request was open behind it), slow upstreams (answers within milliseconds).

Change: once the host refuses new requests, it ignores what comes behind the open requests of a connection. Behind the last answer of a connection it counts as not read, and callers may send it again.

The new test fails if the input is not ignored.

--- a/gooseberryweir/connection/caller_server.py
+++ b/gooseberryweir/connection/caller_server.py
@@ -90,6 +90,16 @@
             if not connection.closing and not connection.has_request():
                 connection.close("idle")
 
+    def end_busy(self) -> None:
+        """Ends connections with open requests after the answers to these.
+
+        What their callers send from now on is ignored: behind the last answer
+        of a connection it counts as not read.
+        """
+        for connection in self.connections:
+            if connection.open_requests:
+                connection.ignores_input = True
+
     def stop_reading(self) -> None:
         """Ignores further input; the requests received are still answered."""
         for connection in self.connections:
--- a/gooseberryweir/front.py
+++ b/gooseberryweir/front.py
@@ -391,6 +391,7 @@
         if host.shutdown.refusing():
             for server in host.request_servers:
                 server.stop_accepting()
+                server.end_busy()
                 server.close_idle()
             if not any(each.has_requests() for each in host.request_servers):
                 break
--- a/test/test_delivery.py
+++ b/test/test_delivery.py
@@ -29,6 +29,7 @@
 REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
 CLOSING_REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
 SMALL_REQUEST = b"GET /small HTTP/1.1\r\nHost: h\r\n\r\n"
+SLOW_REQUEST = b"GET /slow HTTP/1.1\r\nHost: h\r\n\r\n"
 # Less than the host's kernel takes at once, more than the caller's does.
 BODY_BYTES = 300_000
 # More than the kernel's buffers of a connection hold.
@@ -70,6 +71,9 @@
     def handle(self, message):
         if message.target == "/wait":
             eventlet.sleep(60.0)
+        if message.target == "/slow":
+            eventlet.sleep(20 * STEP_SECONDS)
+            return pipelined_server.Answer(200, (), b"")
         if message.target == "/small":
             eventlet.sleep(2 * STEP_SECONDS)
             return pipelined_server.Answer(200, (), b"")
@@ -429,6 +433,34 @@
             eventlet.sleep(delivery.LINGER_SECONDS / 2)
             caller.sendall(REQUEST)
 
+    # Guards against LOST of issue 38: callers that always had a request open
+    # got no answer that closes, and held a stop until the process was killed.
+    def test_busy_connections_end_after_the_requests_received(self):
+        self.server.callbacks = self.server.callbacks._replace(
+            shutting_down=lambda: True
+        )
+        caller = self.connect_only(SLOW_REQUEST)
+        self.wait_until(lambda: self.server.open_requests)
+        (connection,) = self.server.connections
+        for _ in range(20):
+            caller.sendall(SLOW_REQUEST)
+            eventlet.sleep(STEP_SECONDS)
+        self.assertFalse(connection.closing)
+        self.server.end_busy()
+
+        def closing():
+            caller.sendall(SLOW_REQUEST)
+            return connection.closing
+
+        self.wait_until(closing)
+        answers = b""
+        while b"Connection: close" not in answers:
+            eventlet.sleep(STEP_SECONDS)
+            answers += caller.recv(65536)
+        self.assertEqual(answers.count(b"Connection: close"), 1)
+        caller.close()
+        self.wait_until(lambda: not self.server.has_requests())
+
     # Guards against a core spent on a caller that floods a closing connection.
     def test_input_of_a_closing_connection_is_limited(self):
         caller = self.connect(CLOSING_REQUEST)
--- a/test/test_grace_period.py
+++ b/test/test_grace_period.py
@@ -22,6 +22,7 @@
         shutdown = shutdown_module.Shutdown(clock.interface())
         server = types.SimpleNamespace(
             stop_accepting=lambda: None,
+            end_busy=lambda: None,
             close_idle=lambda: None,
             has_requests=lambda: True,
             open_requests=1,
