--- /dev/null
+++ b/test/_soak_records.py
@@ -0,0 +1,228 @@
+"""What a soak of host processes records, and what its rules conclude.
+
+All times are monotonic seconds of the test's process.
+"""
+
+import collections
+from typing import Any
+from typing import NamedTuple
+
+# Kinds of spans. The target of the first group is a host.
+STOP = "stop"  # SIGTERM until the exit.
+STOP_AGAIN = "stop-again"  # A further SIGTERM of a host that stops.
+RELOAD = "reload"  # SIGHUP.
+KILL = "kill"  # SIGKILL until the host is ready again.
+FREEZE = "freeze"  # SIGSTOP until SIGCONT.
+START = "start"  # Start until the host is ready.
+# The target is a pattern of links, `SOURCE>LINK`, as the fault proxy's.
+LINK = "link"  # The detail names the rule; resets and cuts are among them.
+# The target is a host, or `*` for all.
+STORE = "store"  # The detail names the fault.
+# The target is an upstream.
+DRAIN = "drain"  # Acknowledged `draining` or removal until it serves again.
+UPSTREAM = "upstream"  # Crash, replacement, lateness; the detail names it.
+# The target is an API key or a version.
+REVOKE = "revoke"  # Acknowledged withdrawal until the end or its return.
+CONFIGURE = "configure"  # Sending until the acknowledgement.
+
+# Values of `Attempt.end`.
+ANSWER = "answer"
+RESET = "reset"
+END = "end"
+TIMEOUT = "timeout"
+LEFT = "left"
+
+# Values of `Run.outcome`.
+ANSWERED = "answered"
+BROKEN = "broken"
+CANCELLED = "cancelled"
+
+
+class Span(NamedTuple):
+    """An event that was performed.
+
+    Attributes:
+        kind: One of the kinds above.
+        target: What it was done to.
+        started_at: Time of its beginning.
+        ended_at: Time of its end; the beginning for an instant.
+        detail: What was done, for people.
+    """
+
+    kind: str
+    target: str
+    started_at: float
+    ended_at: float
+    detail: str = ""
+
+
+class Attempt(NamedTuple):
+    """One request that a caller sent.
+
+    Attributes:
+        request_id: Value of its Request-Id.
+        host: Name of the host that it was sent to.
+        connection: Number of the connection.
+        position: Number of the requests before it on the connection.
+        idempotent: Whether it may run more than once.
+        path: Path of the request.
+        key: API key, or empty.
+        sent_at: Time at which its last byte was sent.
+        ended_at: Time at which its answer was complete or the connection ended.
+        status: HTTP status of its complete answer, 0 without one.
+        server_stamp: Server-Stamp of the answer, or empty.
+        body_ok: Whether a 2xx is the upstream's whole answer to this request.
+        end: How it ended: `answer`, `reset`, `end`, `timeout` or `left`.
+        left_at: Time at which the caller closed the connection, or None.
+        deadline_seconds: Value of its Deadline-Ms, in seconds.
+    """
+
+    request_id: str
+    host: str
+    connection: int
+    position: int
+    idempotent: bool
+    path: str
+    key: str
+    sent_at: float
+    ended_at: float
+    status: int
+    server_stamp: str
+    body_ok: bool
+    end: str
+    left_at: float | None
+    deadline_seconds: float
+
+
+class Run(NamedTuple):
+    """A request that an upstream began to process.
+
+    Attributes:
+        request_id: Value of its Request-Id, or empty.
+        upstream: Name of the upstream's instance.
+        service: Service of the upstream.
+        at: Time of the beginning.
+        ended_at: Time of the end, or None.
+        outcome: `answered` (the answer was written whole), `broken` (the
+            upstream broke it off), `cancelled` (the host closed the
+            connection first), or empty while it runs.
+        key_seen: Whether the host passed an API key on.
+        deadline_seconds: Value of Deadline-Ms that it received, or None.
+    """
+
+    request_id: str
+    upstream: str
+    service: str
+    at: float
+    ended_at: float | None
+    outcome: str
+    key_seen: bool
+    deadline_seconds: float | None = None
+
+
+class Process(NamedTuple):
+    """One process of a host.
+
+    Attributes:
+        host: Name of the host.
+        pid: Process id.
+        started_at: Time of its start.
+        ended_at: Time of its end, or None while it runs.
+        exit_code: Exit code, negative for a signal, or None.
+        root: Directory with the package that it runs.
+    """
+
+    host: str
+    pid: int
+    started_at: float
+    ended_at: float | None
+    exit_code: int | None
+    root: str
+
+
+class Sample(NamedTuple):
+    """What a process of a host used at a time.
+
+    Attributes:
+        host: Name of the host.
+        pid: Process id.
+        at: Time of the sample.
+        memory_kb: Resident memory in KiB.
+        descriptors: Number of open descriptors.
+    """
+
+    host: str
+    pid: int
+    at: float
+    memory_kb: int
+    descriptors: int
+
+
+class Configuration(NamedTuple):
+    """A configuration that the operator wrote.
+
+    Attributes:
+        version: Number of the version.
+        document: The whole configuration.
+        sent_at: Time of its sending.
+        acknowledged_at: Time of the store's answer, or None without one.
+    """
+
+    version: int
+    document: dict[str, Any]
+    sent_at: float
+    acknowledged_at: float | None
+
+
+class Records(NamedTuple):
+    """Everything that callers, upstreams and the driver saw in a soak.
+
+    Attributes:
+        started_at: Time at which callers began.
+        ended_at: Time at which callers ended.
+        spans: Performed events.
+        attempts: Requests of all callers.
+        runs: Runs at all upstreams.
+        processes: Processes of all hosts.
+        samples: Samples of all processes.
+        configurations: Configurations in the order of their sending.
+    """
+
+    started_at: float
+    ended_at: float
+    spans: list[Span]
+    attempts: list[Attempt]
+    runs: list[Run]
+    processes: list[Process]
+    samples: list[Sample]
+    configurations: list[Configuration]
+
+
+class Violation(NamedTuple):
+    """A broken rule.
+
+    Attributes:
+        rule: Name of the rule.
+        request_id: Id of the request, or empty.
+        host: Name of the host, or empty.
+        at: Time of the violation.
+        text: What was seen.
+    """
+
+    rule: str
+    request_id: str
+    host: str
+    at: float
+    text: str
+
+
+class Verdict(NamedTuple):
+    """What the rules found.
+
+    Attributes:
+        violations: Broken rules.
+        excused: Number of cases that the pages excuse, by rule and reason.
+    """
+
+    violations: list[Violation]
+    excused: collections.Counter[str]
