--- a/test/_soak_records.py
+++ b/test/_soak_records.py
@@ -75,6 +75,7 @@
         end: How it ended: `answer`, `reset`, `end`, `timeout` or `left`.
         left_at: Time at which the caller closed the connection, or None.
         deadline_seconds: Value of its Deadline-Ms, in seconds.
+        kind: Kind of the caller.
     """
 
     request_id: str
@@ -92,6 +93,7 @@
     end: str
     left_at: float | None
     deadline_seconds: float
+    kind: str = ""
 
 
 class Run(NamedTuple):
