--- a/test/_soak_callers.py
+++ b/test/_soak_callers.py
@@ -18,6 +18,7 @@
 from typing import NamedTuple
 
 from test import _front
+from test import _raw
 from test import _slow_caller
 from test import _soak_records
 from test.standins import fault_proxy
@@ -43,6 +44,7 @@
 # Number of pieces in which a slow sender sends a body, and its size in bytes.
 PIECES = 6
 UPLOAD_BYTES = 6_000
+CHUNKED_SHARE = 0.5
 # Window of slow readers in bytes, and the longest pause between their reads.
 SMALL_BUFFER_BYTES = 4_096
 SLOW_READ_SECONDS = 0.05
@@ -72,7 +74,12 @@
     Route("/long/", True),
     Route("/open/", True, True),
     Route("/write/", False),
+    Route("/other/", True),
+    Route("/changing/", True),
 )
+# Actions of upstreams (`test.standins.threaded_upstream`) and their weights. An
+# answer of the last one is never whole.
+ACTIONS = {"body": 90, "early": 4, "nolength": 4, "short": 2}
 
 
 class Answer(NamedTuple):
@@ -143,9 +150,13 @@
         body += data[line_end + 2 : line_end + 2 + size]
 
 
-def expected_body(path: str) -> bytes:
-    """Returns the body that an upstream gives for a path `.../X-MS-BYTES`."""
-    return b"b" * int(path.rpartition("-")[2])
+def expected_body(path: str) -> bytes | None:
+    """Returns the body that an upstream gives for a path `.../X-MS-BYTES`.
+
+    None if it breaks its answer off.
+    """
+    action, _, size = path.rpartition("/")[2].split("-")
+    return None if action == "short" else b"b" * int(size)
 
 
 class Sent(NamedTuple):
@@ -296,25 +307,34 @@
         rng, callers = self.rng, self.callers
         route = rng.choice(routes)
         size = min(LIMIT_BYTES, int(rng.lognormvariate(0, 1) * MEDIAN_BYTES))
+        action = rng.choices(list(ACTIONS), list(ACTIONS.values()))[0]
         key = "" if route.public else rng.choice(callers.keys)
         sent = Sent(
             request_id=f"{callers.prefix}{next(callers.request_numbers)}",
             position=self.sent,
             route=route,
-            path=f"{route.prefix}body-{milliseconds}-{size}",
+            path=f"{route.prefix}{action}-{milliseconds}-{size}",
             key=key,
             begun_at=time.monotonic(),
             deadline_seconds=rng.choice(DEADLINES_SECONDS),
         )
-        body = b"u" * UPLOAD_BYTES if pieces > 1 else b""
+        body, headers = b"", {}
+        if pieces > 1:
+            body = b"u" * UPLOAD_BYTES
+            if rng.random() < CHUNKED_SHARE:
+                body = _raw.chunked(body, UPLOAD_BYTES // pieces)
+                headers = {"transfer_encoding": "chunked"}
         data = _front.request_bytes(
             sent.path,
             key,
             "GET" if route.idempotent else "POST",
-            body,
+            b"" if headers else body,
             request_id=sent.request_id,
             deadline_ms=int(sent.deadline_seconds * 1000),
+            **headers,
         )
+        if headers:
+            data += body
         self.sent += 1
         loop = asyncio.get_running_loop()
         step = -(-len(data) // pieces)
--- /dev/null
+++ b/test/_soak_rules.py
@@ -0,0 +1,841 @@
+"""Judges a soak of host processes from what callers and upstreams saw.
+
+Each rule is a function that takes the evidence and yields its findings: a
+violation, or a case that the users' rules excuse, with the reason. The rules
+and the bounds are theirs; `MACHINE_SECONDS` allows for a busy machine.
+"""
+
+import bisect
+import collections
+from collections.abc import Callable
+from collections.abc import Iterator
+from collections.abc import Sequence
+import math
+import statistics
+from typing import Any
+from typing import NamedTuple
+
+from test import _front
+from test import _soak_records
+
+# Bounds of the rules, seconds.
+STABLE_WINDOW_SECONDS = 4.0
+LOSS_SLACK_SECONDS = 0.2
+CONFIG_APPLY_SECONDS = 2.5
+ROLLBACK_SLACK_SECONDS = 0.25
+AFTER_GRACE_SECONDS = 1.0
+AT_WORK_SECONDS = 0.5
+LATE_ANSWER_SECONDS = 0.5
+# A request that is sent later after SIGTERM is owed its answer in any case.
+SENT_IN_STOP_SECONDS = 3.0
+BUDGET_WINDOW_SECONDS = 10.0
+BUDGET_RATIO = 0.2
+BUDGET_MARGIN = 58
+# Cases of a rule that only counts them when there are more.
+TOLERATED = 3
+# Share of its time after which a request counts as late beside a configuration.
+USED_SHARE = 0.7
+MEMORY_KB = 300 * 1024
+DESCRIPTORS = 4000
+# Shortest record of a process in which growth counts, and the growth.
+GROWTH_SECONDS = 60.0
+GROWTH_FACTOR = 1.3
+GROWTH_MEMORY_KB = 20 * 1024
+GROWTH_DESCRIPTORS = 50
+# Delay of callers, upstreams and stand-ins that share a busy machine.
+MACHINE_SECONDS = 0.4
+# Longest trip through a relay that delays bytes, both ways.
+RELAY_SECONDS = 0.9
+# Time from the start of an interpreter until it can handle signals.
+INTERPRETER_SECONDS = 0.5
+# The caller of readiness checks and look-ups in tests.
+PROBE_IDS = frozenset(("", "id-1"))
+PROMISES = frozenset((408, 421, 429, 503))
+# Faults of links that only delay bytes by less than half a second.
+DELAYS = ("delay-", "jitter-")
+# Faults of upstreams that end their requests.
+ENDING_FAULTS = frozenset(("crash", "replace"))
+
+
+class Excuse(NamedTuple):
+    """A case that the users' rules excuse.
+
+    Attributes:
+        rule: Name of the rule.
+        reason: Why it is excused.
+    """
+
+    rule: str
+    reason: str
+
+
+Findings = Iterator[_soak_records.Violation | Excuse]
+
+
+class Evidence(NamedTuple):
+    """Records with what the rules look up in them.
+
+    Attributes:
+        records: Everything that was seen.
+        runs: Runs by request id, in the order of their beginning.
+        attempts: Attempts by request id.
+        spans: Events by kind.
+        queues: Attempts by connection, in the order of their sending.
+    """
+
+    records: _soak_records.Records
+    runs: dict[str, list[_soak_records.Run]]
+    attempts: dict[str, _soak_records.Attempt]
+    spans: dict[str, list[_soak_records.Span]]
+    queues: dict[int, list[_soak_records.Attempt]]
+
+    def runs_of(
+        self, attempt: _soak_records.Attempt
+    ) -> list[_soak_records.Run]:
+        """Returns the runs of an attempt."""
+        return self.runs.get(attempt.request_id, [])
+
+    def overlapping(
+        self, kind: str, target: str, begins: float, ends: float
+    ) -> list[_soak_records.Span]:
+        """Returns the events of a kind that meet a target in a period."""
+        return [
+            each
+            for each in self.spans.get(kind, ())
+            if each.started_at <= ends
+            and each.ended_at >= begins
+            and meets(each, target)
+        ]
+
+    def disrupted(self, host: str, begins: float, ends: float) -> bool:
+        """Returns True if a host met an unplanned disruption in a period.
+
+        That of the store alone does not count.
+        """
+        return bool(
+            self.overlapping(_soak_records.KILL, host, begins, ends)
+            or self.overlapping(_soak_records.FREEZE, host, begins, ends)
+            or any(
+                not each.detail.startswith(DELAYS)
+                and not each.detail.endswith("-store")
+                for each in self.overlapping(
+                    _soak_records.LINK, host, begins, ends
+                )
+            )
+        )
+
+    def in_touch(self, host: str, begins: float, ends: float) -> bool:
+        """Returns True if a host is in touch from a time to another."""
+        begins -= STABLE_WINDOW_SECONDS
+        return not (
+            self.disrupted(host, begins, ends)
+            or any(
+                self.overlapping(kind, host, begins, ends)
+                for kind in (
+                    _soak_records.STOP,
+                    _soak_records.START,
+                    _soak_records.STORE,
+                    _soak_records.LINK,
+                )
+            )
+        )
+
+    def stop_of(
+        self, attempt: _soak_records.Attempt
+    ) -> _soak_records.Span | None:
+        """Returns the planned stop of the host in which an attempt ended."""
+        return next(
+            (
+                each
+                for each in self.spans.get(_soak_records.STOP, ())
+                if each.target == attempt.host
+                and each.started_at
+                <= attempt.ended_at
+                <= each.started_at + _front.GRACE_SECONDS + AFTER_GRACE_SECONDS
+                and attempt.sent_at <= each.ended_at
+            ),
+            None,
+        )
+
+    def trip_seconds(self, attempt: _soak_records.Attempt) -> float:
+        """Returns the longest time that bytes were under way."""
+        delayed = self.overlapping(
+            _soak_records.LINK,
+            attempt.host,
+            attempt.sent_at - RELAY_SECONDS,
+            attempt.ended_at,
+        )
+        return MACHINE_SECONDS + (RELAY_SECONDS if delayed else 0.0)
+
+    def behind_another(self, attempt: _soak_records.Attempt) -> bool:
+        """Returns True if it was sent before an earlier one was answered."""
+        return any(
+            each.position < attempt.position
+            and each.ended_at >= attempt.sent_at - self.trip_seconds(attempt)
+            for each in self.queues[attempt.connection]
+        )
+
+    def seconds_allowed(self, attempt: _soak_records.Attempt) -> float:
+        """Returns the lesser of the deadline and the route's timeout."""
+        timeouts = [
+            float(route["timeout"].removesuffix("s"))
+            for each in self.records.configurations
+            if (route := route_of(each.document, attempt.path))
+        ]
+        return min([attempt.deadline_seconds, *timeouts])
+
+
+def gather(records: _soak_records.Records) -> Evidence:
+    """Returns the evidence of records."""
+    runs = collections.defaultdict(list)
+    for run in sorted(records.runs, key=lambda each: each.at):
+        runs[run.request_id].append(run)
+    spans = collections.defaultdict(list)
+    for span in records.spans:
+        spans[span.kind].append(span)
+    queues = collections.defaultdict(list)
+    for attempt in records.attempts:
+        queues[attempt.connection].append(attempt)
+    attempts = {each.request_id: each for each in records.attempts}
+    return Evidence(records, dict(runs), attempts, dict(spans), dict(queues))
+
+
+def meets(span: _soak_records.Span, target: str) -> bool:
+    """Returns True if an event meets a host, upstream or key."""
+    if span.kind == _soak_records.LINK:
+        source, _, link = span.target.partition(">")
+        return target in (source, link.rpartition("-")[2])
+    return span.target in (target, "*")
+
+
+def route_of(document: dict[str, Any], path: str) -> dict[str, Any] | None:
+    """Returns the route of a path, or None."""
+    routes = [
+        each
+        for each in document["routes"].values()
+        if path.startswith(each["pathPrefix"])
+    ]
+    return max(routes, key=lambda each: len(each["pathPrefix"]), default=None)
+
+
+def holds_key(document: dict[str, Any], key: str) -> bool:
+    """Returns True if a configuration holds an API key."""
+    return any(key in each["apiKeys"] for each in document["tenants"].values())
+
+
+def succeeded(attempt: _soak_records.Attempt) -> bool:
+    """Returns True if an attempt was answered with success."""
+    return 200 <= attempt.status < 300
+
+
+def cut(attempt: _soak_records.Attempt) -> bool:
+    """Returns True if the connection ended without a complete answer."""
+    return attempt.end in (_soak_records.RESET, _soak_records.END)
+
+
+def violation(
+    rule: str, attempt: _soak_records.Attempt, text: str
+) -> _soak_records.Violation:
+    """Returns the violation of a rule by an attempt."""
+    return _soak_records.Violation(
+        rule, attempt.request_id, attempt.host, attempt.ended_at, text
+    )
+
+
+def describe(
+    evidence: Evidence, attempt: _soak_records.Attempt, text: str
+) -> str:
+    """Describes an attempt and its runs."""
+    runs = [
+        f"{run.upstream} {run.at - attempt.sent_at:+.2f} s to "
+        + (
+            f"{run.ended_at - attempt.sent_at:+.2f} s {run.outcome}"
+            if run.ended_at
+            else "no end"
+        )
+        for run in evidence.runs_of(attempt)
+    ]
+    return (
+        f"{text}: {attempt.path} of {attempt.kind or 'a caller'}, connection"
+        f" {attempt.connection} position {attempt.position}, {attempt.end}"
+        f" {attempt.status} after {attempt.ended_at - attempt.sent_at:.2f} s,"
+        f" deadline {attempt.deadline_seconds:g} s,"
+        f" runs: {'; '.join(runs) or 'none'}"
+    )
+
+
+def upstream_ended(evidence: Evidence, run: _soak_records.Run) -> bool:
+    """Returns True if the upstream broke a run off or ended beside it."""
+    ends = run.at if run.ended_at is None else run.ended_at
+    return run.outcome == _soak_records.BROKEN or any(
+        each.detail in ENDING_FAULTS
+        for each in evidence.overlapping(
+            _soak_records.UPSTREAM,
+            run.upstream,
+            run.at - MACHINE_SECONDS,
+            ends + MACHINE_SECONDS,
+        )
+    )
+
+
+def loss_excuse(
+    evidence: Evidence,
+    attempt: _soak_records.Attempt,
+    stop: _soak_records.Span | None,
+) -> str:
+    """Returns why a request without its answer is excused, or empty."""
+    runs = evidence.runs_of(attempt)
+    if any(upstream_ended(evidence, run) for run in runs):
+        return "upstream broke off"
+    allowed = evidence.seconds_allowed(attempt)
+    if attempt.ended_at - attempt.sent_at >= allowed - LOSS_SLACK_SECONDS:
+        return "deadline or timeout"
+    begins = attempt.sent_at - STABLE_WINDOW_SECONDS
+    if evidence.disrupted(attempt.host, begins, attempt.ended_at):
+        return "unplanned disruption"
+    if any(run.outcome == _soak_records.CANCELLED for run in runs) and any(
+        evidence.disrupted(host, attempt.sent_at, attempt.ended_at)
+        for host in {each.host for each in evidence.records.processes}
+    ):
+        return "disruption of a host that forwards"
+    if stop:
+        last_sixth = stop.started_at + _front.GRACE_SECONDS * 5 / 6
+        if attempt.sent_at <= stop.started_at + SENT_IN_STOP_SECONDS and any(
+            run.ended_at is None or run.ended_at >= last_sixth for run in runs
+        ):
+            return "at work at the end of the grace period"
+        if attempt.kind == "slow-reader" and attempt.ended_at >= last_sixth:
+            return "unread at the end of the grace period"
+    return ""
+
+
+def read_for_sure(evidence: Evidence, attempt: _soak_records.Attempt) -> bool:
+    """Returns True if a host must have read a request that did not run."""
+    open_seconds = attempt.ended_at - attempt.sent_at
+    slack = LOSS_SLACK_SECONDS + evidence.trip_seconds(attempt)
+    return open_seconds > slack and not evidence.behind_another(attempt)
+
+
+def find_lost_at_stop(evidence: Evidence) -> Findings:
+    """LOST: around SIGTERM a request ends without a complete answer."""
+    for attempt in evidence.records.attempts:
+        if not cut(attempt):
+            continue
+        stop = evidence.stop_of(attempt)
+        ran = evidence.runs_of(attempt)
+        if not stop or not (ran or read_for_sure(evidence, attempt)):
+            continue
+        if reason := loss_excuse(evidence, attempt, stop):
+            yield Excuse("LOST", reason)
+            continue
+        since = attempt.ended_at - stop.started_at
+        text = f"no complete answer {since:.2f} s after SIGTERM"
+        yield violation("LOST", attempt, describe(evidence, attempt, text))
+
+
+def find_lost_at_reload(evidence: Evidence) -> Findings:
+    """LOST: around SIGHUP a request ends without a complete answer."""
+    for attempt in evidence.records.attempts:
+        if not cut(attempt) or evidence.stop_of(attempt):
+            continue
+        reloads = [
+            each
+            for each in evidence.spans.get(_soak_records.RELOAD, ())
+            if each.target == attempt.host
+            and each.started_at <= attempt.ended_at
+            and attempt.sent_at <= each.started_at + CONFIG_APPLY_SECONDS
+        ]
+        ran = evidence.runs_of(attempt)
+        if not reloads or not (ran or read_for_sure(evidence, attempt)):
+            continue
+        if reason := loss_excuse(evidence, attempt, None):
+            yield Excuse("LOST", reason)
+            continue
+        text = describe(evidence, attempt, "no complete answer after SIGHUP")
+        yield violation("LOST", attempt, text)
+
+
+def find_lost_at_configuration(evidence: Evidence) -> Findings:
+    """LOST: beside a configuration far more requests are cut than else."""
+    windows = [
+        (
+            each.sent_at,
+            (each.acknowledged_at or math.inf) + CONFIG_APPLY_SECONDS + 1.0,
+        )
+        for each in evidence.records.configurations[1:]
+    ]
+
+    def beside(attempt: _soak_records.Attempt) -> bool:
+        return any(a <= attempt.ended_at <= b for a, b in windows)
+
+    counts: collections.Counter[bool] = collections.Counter()
+    cuts = collections.defaultdict(list)
+    for attempt in evidence.records.attempts:
+        counts[beside(attempt)] += 1
+        if not cut(attempt) or not evidence.runs_of(attempt):
+            continue
+        if evidence.stop_of(attempt) or loss_excuse(evidence, attempt, None):
+            continue
+        used = attempt.ended_at - attempt.sent_at
+        if used < USED_SHARE * evidence.seconds_allowed(attempt):
+            cuts[beside(attempt)].append(attempt)
+    usual = len(cuts[False]) / max(1, counts[False])
+    if len(cuts[True]) > 3 * usual * counts[True]:
+        for attempt in cuts[True]:
+            text = "no complete answer beside a configuration"
+            yield violation("LOST", attempt, describe(evidence, attempt, text))
+
+
+def find_lost_at_any_time(evidence: Evidence) -> Findings:
+    """LOST: kept connections close on requests that were passed on."""
+    lost = [
+        attempt
+        for attempt in evidence.records.attempts
+        if cut(attempt)
+        and evidence.runs_of(attempt)
+        and not loss_excuse(evidence, attempt, None)
+        and not evidence.stop_of(attempt)
+        and evidence.in_touch(attempt.host, attempt.sent_at, attempt.ended_at)
+    ]
+    for attempt in lost:
+        if len(lost) <= TOLERATED:
+            yield Excuse("LOST", "three at most without planned work")
+            continue
+        text = describe(evidence, attempt, "closed without an answer")
+        yield violation("LOST", attempt, text)
+
+
+def find_own_answers(evidence: Evidence) -> Findings:
+    """LOST: after SIGTERM a host answers in place of a run at work."""
+    for attempt in evidence.records.attempts:
+        stop = evidence.stop_of(attempt)
+        if not stop or not attempt.status or succeeded(attempt):
+            continue
+        broken_off = [
+            run
+            for run in evidence.runs_of(attempt)
+            if run.outcome == _soak_records.CANCELLED
+            or run.ended_at is None
+            or run.ended_at > attempt.ended_at
+        ]
+        if attempt.server_stamp or not broken_off:
+            continue
+        if reason := loss_excuse(evidence, attempt, stop):
+            yield Excuse("LOST", reason)
+            continue
+        text = describe(evidence, attempt, "own answer after SIGTERM")
+        yield violation("LOST", attempt, text)
+
+
+def find_repeats(evidence: Evidence) -> Findings:
+    """TWICE: a request that is not idempotent runs more than once."""
+    for attempt in evidence.records.attempts:
+        if not attempt.idempotent and len(evidence.runs_of(attempt)) > 1:
+            text = describe(evidence, attempt, "ran more than once")
+            yield violation("TWICE", attempt, text)
+
+
+def find_false_refusals(evidence: Evidence) -> Findings:
+    """REFUSED: a request that is not idempotent was refused and has run."""
+    for attempt in evidence.records.attempts:
+        if attempt.idempotent or attempt.status not in PROMISES:
+            continue
+        if evidence.runs_of(attempt):
+            text = describe(evidence, attempt, "refused, but it ran")
+            yield violation("REFUSED", attempt, text)
+
+
+def find_mixed(evidence: Evidence) -> Findings:
+    """MIXED: an answer is not that of the upstream that ran the request."""
+    for attempt in evidence.records.attempts:
+        stamps = {run.upstream for run in evidence.runs_of(attempt)}
+        text = ""
+        if succeeded(attempt) and not attempt.body_ok:
+            text = "not the whole answer to this request"
+        elif succeeded(attempt) and attempt.server_stamp not in stamps:
+            text = f"success with the stamp {attempt.server_stamp!r}"
+        elif attempt.status and attempt.server_stamp and not succeeded(attempt):
+            text = "failure with the stamp of an upstream's success"
+        if text:
+            yield violation("MIXED", attempt, describe(evidence, attempt, text))
+
+
+def find_unasked(evidence: Evidence) -> Findings:
+    """UNASKED: an upstream runs what no caller sent, or gets a key."""
+    sent = evidence.attempts.keys() | PROBE_IDS
+    for run in evidence.records.runs:
+        text = ""
+        if run.request_id not in sent:
+            text = "ran, but no caller sent it"
+        elif run.key_seen:
+            text = "an upstream got the API key"
+        if text:
+            yield _soak_records.Violation(
+                "UNASKED", run.request_id, "", run.at, f"{text}: {run}"
+            )
+
+
+def find_wrong_routes(evidence: Evidence) -> Findings:
+    """ROUTE: a service or key that no configuration allows."""
+    documents = [each.document for each in evidence.records.configurations]
+    for attempt in evidence.records.attempts:
+        runs = evidence.runs_of(attempt)
+        routes = [route_of(each, attempt.path) for each in documents]
+        services = {each["service"] for each in routes if each}
+        if any(run.service not in services for run in runs):
+            text = describe(evidence, attempt, "ran at a service of no route")
+            yield violation("ROUTE", attempt, text)
+        known = not attempt.key or any(
+            holds_key(each, attempt.key) for each in documents
+        )
+        if runs and not known:
+            text = describe(evidence, attempt, "ran with an unknown key")
+            yield violation("ROUTE", attempt, text)
+
+
+def find_revoked(evidence: Evidence) -> Findings:
+    """CONFIG: a request runs long after its key was taken away."""
+    versions = evidence.records.configurations
+    for attempt in evidence.records.attempts:
+        runs = evidence.runs_of(attempt)
+        if not attempt.key or not runs:
+            continue
+        bound = attempt.sent_at - _front.KEY_REVOCATION_SECONDS
+        if any(
+            holds_key(each.document, attempt.key)
+            for each in versions_in_force(versions, bound, attempt.ended_at)
+        ):
+            continue
+        text = describe(evidence, attempt, f"ran with {attempt.key}, revoked")
+        yield violation("CONFIG", attempt, text)
+
+
+def versions_in_force(
+    versions: Sequence[_soak_records.Configuration],
+    acknowledged_by: float,
+    sent_by: float,
+) -> Sequence[_soak_records.Configuration]:
+    """Returns the versions that may be in force.
+
+    Args:
+        versions: All versions in their order.
+        acknowledged_by: A version acknowledged by this time replaces all
+            earlier ones.
+        sent_by: Later versions were not sent yet.
+    """
+    oldest = 0
+    for index, each in enumerate(versions):
+        if (each.acknowledged_at or math.inf) <= acknowledged_by:
+            oldest = index
+    return [each for each in versions[oldest:] if each.sent_at <= sent_by]
+
+
+def allows(
+    configuration: _soak_records.Configuration,
+    attempt: _soak_records.Attempt,
+    runs: list[_soak_records.Run],
+) -> bool:
+    """Returns True if a version allows how an attempt was handled."""
+    route = route_of(configuration.document, attempt.path)
+    if not route:
+        return not runs and attempt.status not in (401, 403)
+    known = route["public"] or holds_key(configuration.document, attempt.key)
+    if runs:
+        return known and all(run.service == route["service"] for run in runs)
+    if attempt.status in (401, 403):
+        return not known
+    return attempt.status != 404
+
+
+def find_old_configurations(evidence: Evidence) -> Findings:
+    """CONFIG: a request is handled as only an older version allows."""
+    versions = evidence.records.configurations
+    for attempt in evidence.records.attempts:
+        runs = evidence.runs_of(attempt)
+        in_force = versions_in_force(
+            versions, attempt.sent_at - CONFIG_APPLY_SECONDS, attempt.ended_at
+        )
+        if any(allows(each, attempt, runs) for each in in_force):
+            continue
+        if not evidence.in_touch(
+            attempt.host, attempt.sent_at, attempt.ended_at
+        ):
+            yield Excuse("CONFIG", "host not in touch")
+            continue
+        text = describe(evidence, attempt, "handled as by an older version")
+        yield violation("CONFIG", attempt, text)
+
+
+def find_regressions(evidence: Evidence) -> Findings:
+    """CONFIG: a process goes back to an older version."""
+    versions = evidence.records.configurations
+    for process in evidence.records.processes:
+        ends = process.ended_at or math.inf
+        seen: list[tuple[float, int]] = []
+        newest: list[tuple[float, int, _soak_records.Attempt]] = []
+        for attempt in evidence.records.attempts:
+            inside = process.started_at <= attempt.sent_at <= ends
+            runs = evidence.runs_of(attempt)
+            if attempt.host != process.host or not inside or not runs:
+                continue
+            allowing = [
+                each.version
+                for each in versions
+                if each.sent_at <= attempt.ended_at
+                and allows(each, attempt, runs)
+            ]
+            if allowing:
+                slack = ROLLBACK_SLACK_SECONDS + evidence.trip_seconds(attempt)
+                seen.append((runs[0].at + slack, min(allowing)))
+                newest.append((attempt.sent_at, max(allowing), attempt))
+        seen.sort()
+        highest = [0]
+        for _, version in seen:
+            highest.append(max(highest[-1], version))
+        for sent_at, version, attempt in newest:
+            before = highest[bisect.bisect(seen, (sent_at, 0))]
+            if version < before:
+                text = describe(
+                    evidence, attempt, f"r{version} after r{before}"
+                )
+                yield violation("CONFIG", attempt, text)
+
+
+def find_late_answers(evidence: Evidence) -> Findings:
+    """CONFIG: requests get no answer by the timeout of their route."""
+    late, reached = [], 0
+    for attempt in evidence.records.attempts:
+        if attempt.kind not in ("fresh", "kept") or not evidence.in_touch(
+            attempt.host, attempt.sent_at, attempt.ended_at
+        ):
+            continue
+        overtime = (
+            attempt.ended_at
+            - attempt.sent_at
+            - evidence.seconds_allowed(attempt)
+        )
+        reached += overtime > 0
+        if overtime > LATE_ANSWER_SECONDS + MACHINE_SECONDS:
+            late.append(attempt)
+    if len(late) >= 8 and len(late) > reached / 2:
+        for attempt in late:
+            text = describe(evidence, attempt, "late at the route's timeout")
+            yield violation("CONFIG", attempt, text)
+
+
+def find_drained(evidence: Evidence) -> Findings:
+    """DRAIN: a request reaches an upstream long after it began to leave."""
+    for span in evidence.spans.get(_soak_records.DRAIN, ()):
+        bound = span.started_at + _front.DRAIN_SECONDS
+        for run in evidence.records.runs:
+            attempt = evidence.attempts.get(run.request_id)
+            if (
+                run.upstream != span.target
+                or not attempt
+                or not bound + MACHINE_SECONDS < run.at < span.ended_at
+            ):
+                continue
+            if not evidence.in_touch(attempt.host, span.started_at, run.at):
+                yield Excuse("DRAIN", "host not in touch")
+                continue
+            text = f"ran at {run.upstream} {run.at - span.started_at:.2f} s"
+            text += " after it was acknowledged as draining"
+            yield violation("DRAIN", attempt, describe(evidence, attempt, text))
+
+
+def find_gone(evidence: Evidence) -> Findings:
+    """GONE: upstreams work on for callers that have left."""
+    arrived, at_work, long_runs = [], [], 0
+    for attempt in evidence.records.attempts:
+        if attempt.left_at is None or not evidence.in_touch(
+            attempt.host, attempt.sent_at, attempt.left_at + AT_WORK_SECONDS
+        ):
+            continue
+        bound = attempt.left_at + AT_WORK_SECONDS + MACHINE_SECONDS
+        milliseconds = int(attempt.path.split("-")[-2])
+        for run in evidence.runs_of(attempt):
+            if run.at > bound:
+                arrived.append(attempt)
+            elif attempt.idempotent and run.at + milliseconds / 1000 > bound:
+                long_runs += 1
+                if (run.ended_at or math.inf) > bound:
+                    at_work.append(attempt)
+    for found, tolerated, text in (
+        (arrived, TOLERATED, "passed on after its caller left"),
+        (at_work, max(TOLERATED, long_runs / 4), "at work for nobody"),
+    ):
+        for attempt in found if len(found) > tolerated else ():
+            yield violation("GONE", attempt, describe(evidence, attempt, text))
+
+
+def find_many_attempts(evidence: Evidence) -> Findings:
+    """BUDGET: requests run on more upstreams than their route allows."""
+    over = []
+    for attempt in evidence.records.attempts:
+        upstreams = {
+            run.upstream
+            for run in evidence.runs_of(attempt)
+            if not upstream_ended(evidence, run)
+        }
+        limits = [
+            route["maxAttempts"]
+            for each in evidence.records.configurations
+            if (route := route_of(each.document, attempt.path))
+        ]
+        if upstreams and len(upstreams) > max(limits, default=0):
+            over.append(attempt)
+    for attempt in over if len(over) > TOLERATED else ():
+        text = describe(evidence, attempt, "more upstreams than maxAttempts")
+        yield violation("BUDGET", attempt, text)
+
+
+def find_retry_storms(evidence: Evidence) -> Findings:
+    """BUDGET: upstreams of a service get too many repeated requests."""
+    arrivals = collections.defaultdict(list)
+    repeats = collections.defaultdict(list)
+    for runs in evidence.runs.values():
+        for number, run in enumerate(runs):
+            arrivals[run.service].append(run.at)
+            if number:
+                repeats[run.service].append(run.at)
+    for service, times in repeats.items():
+        first = sorted(arrivals[service])
+        times.sort()
+        for index, at in enumerate(times):
+            window = bisect.bisect(times, at + BUDGET_WINDOW_SECONDS) - index
+            before = bisect.bisect(first, at - BUDGET_WINDOW_SECONDS)
+            until = bisect.bisect(first, at + BUDGET_WINDOW_SECONDS)
+            if window > BUDGET_RATIO * (until - before) + BUDGET_MARGIN:
+                text = f"{window} repeats at service {service}"
+                yield _soak_records.Violation("BUDGET", "", "", at, text)
+                break
+
+
+def find_long_deadlines(evidence: Evidence) -> Findings:
+    """BUDGET: upstreams are handed more time than is left."""
+    count, over = 0, []
+    for run in evidence.records.runs:
+        attempt = evidence.attempts.get(run.request_id)
+        if not attempt:
+            continue
+        count += 1
+        handed = run.deadline_seconds
+        if handed is None or handed > attempt.deadline_seconds + 0.5:
+            over.append(attempt)
+    if len(over) > max(20, count / 5):
+        for attempt in over:
+            yield violation("BUDGET", attempt, "upstream got a longer deadline")
+
+
+def find_own_ends(evidence: Evidence) -> Findings:
+    """A process ends by itself, or not as a planned stop should."""
+    for process in evidence.records.processes:
+        if process.ended_at is None:
+            continue
+        asked = {
+            kind: [
+                span
+                for span in evidence.spans.get(kind, ())
+                if span.target == process.host
+                and span.detail == str(process.pid)
+            ]
+            for kind in (_soak_records.STOP, _soak_records.KILL)
+        }
+        if asked[_soak_records.KILL]:
+            continue
+        text = f"exit code {process.exit_code}"
+        if stops := asked[_soak_records.STOP]:
+            seconds = process.ended_at - stops[0].started_at
+            since = stops[0].started_at - process.started_at
+            if process.exit_code == 0 and seconds <= _front.GRACE_SECONDS:
+                continue
+            if process.exit_code == -15 and since < INTERPRETER_SECONDS:
+                yield Excuse("END", "SIGTERM before the interpreter ran")
+                continue
+            froze = evidence.overlapping(
+                _soak_records.FREEZE,
+                process.host,
+                stops[0].started_at,
+                process.ended_at,
+            )
+            if froze and process.exit_code == -9:
+                yield Excuse("END", "frozen in the grace period")
+                continue
+            text += f" {seconds:.2f} s after SIGTERM"
+        yield _soak_records.Violation(
+            "END", "", process.host, process.ended_at, f"{text}: {process}"
+        )
+
+
+def find_resources(evidence: Evidence) -> Findings:
+    """LIMIT: a process reaches its limits, or only grows."""
+    by_pid = collections.defaultdict(list)
+    for sample in evidence.records.samples:
+        by_pid[sample.pid].append(sample)
+    for samples in by_pid.values():
+        for name, limit, growth in (
+            ("memory_kb", MEMORY_KB, GROWTH_MEMORY_KB),
+            ("descriptors", DESCRIPTORS, GROWTH_DESCRIPTORS),
+        ):
+            values = [getattr(each, name) for each in samples]
+            last = samples[-1]
+            text = ""
+            if max(values) > limit:
+                text = f"{name} {max(values)}, the limit is {limit}"
+            elif last.at - samples[0].at >= GROWTH_SECONDS:
+                size = len(values) // 4
+                parts = [
+                    statistics.median(values[size * n : size * (n + 1)])
+                    for n in range(4)
+                ]
+                if (
+                    parts == sorted(set(parts))
+                    and parts[3] > parts[1] * GROWTH_FACTOR
+                    and parts[3] > parts[1] + growth
+                ):
+                    text = f"{name} only grows: medians of quarters {parts}"
+            if text:
+                yield _soak_records.Violation(
+                    "LIMIT", "", last.host, last.at, f"pid {last.pid}: {text}"
+                )
+
+
+RULES: tuple[Callable[[Evidence], Findings], ...] = (
+    find_lost_at_stop,
+    find_lost_at_reload,
+    find_lost_at_configuration,
+    find_lost_at_any_time,
+    find_own_answers,
+    find_repeats,
+    find_false_refusals,
+    find_mixed,
+    find_unasked,
+    find_wrong_routes,
+    find_revoked,
+    find_old_configurations,
+    find_regressions,
+    find_late_answers,
+    find_drained,
+    find_gone,
+    find_many_attempts,
+    find_retry_storms,
+    find_long_deadlines,
+    find_own_ends,
+    find_resources,
+)
+
+
+def judge(records: _soak_records.Records) -> _soak_records.Verdict:
+    """Judges records by all rules."""
+    evidence = gather(records)
+    violations: list[_soak_records.Violation] = []
+    excused: collections.Counter[str] = collections.Counter()
+    for rule in RULES:
+        for finding in rule(evidence):
+            if isinstance(finding, Excuse):
+                excused[f"{finding.rule}: {finding.reason}"] += 1
+            else:
+                violations.append(finding)
+    return _soak_records.Verdict(
+        sorted(violations, key=lambda each: each.at), excused
+    )
