--- /dev/null
+++ b/test/_soak_runner.py
@@ -0,0 +1,348 @@
+"""Performs a schedule on a running system and records what was done."""
+
+import contextlib
+import itertools
+import logging
+import shutil
+import signal
+import subprocess
+import threading
+import time
+from typing import NamedTuple
+
+from test import _common
+from test import _front
+from test import _soak_callers
+from test import _soak_records
+from test import _soak_rules
+from test import _soak_schedule
+from test import _soak_system
+
+LOGGER = logging.getLogger(__name__)
+
+# Time for the requests that follow the last event.
+TAIL_SECONDS = 3.0
+# Longest pause between a SIGTERM and a further one.
+AGAIN_SECONDS = 0.3
+# Time after the drain of an upstream until it ends.
+DRAINED_SECONDS = _front.DRAIN_SECONDS + 1.0
+# Time for which an upstream that has crashed stays away.
+AWAY_SECONDS = 0.7
+BROKEN_SETTINGS = "nodeName = [1,\n"
+
+
+class SoakRunner:
+    """Performs the events of a schedule.
+
+    Attributes:
+        system: The running system.
+        spans: Performed events.
+        failures: Events that could not be performed, as text.
+    """
+
+    def __init__(self, system):
+        self.system = system
+        self.spans = []
+        self.failures = []
+        self.services = itertools.cycle(
+            {_soak_system.OTHER_ROUTE: "other", **changing}
+            for changing in (
+                {_soak_system.CHANGING_ROUTE: "other"},
+                {},
+                {_soak_system.CHANGING_ROUTE: "work"},
+            )
+        )
+        self.revoke_lock = threading.Lock()
+        self.upstream_locks = {
+            name: threading.Lock() for name in system.upstreams
+        }
+
+    def run(self, events):
+        """Performs all events, each at its time, and waits for their ends."""
+        started_at = time.monotonic()
+        threads = [
+            threading.Thread(target=self.perform, args=(event, started_at))
+            for event in events
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+
+    def perform(self, event, started_at):
+        """Performs one event at its time."""
+        time.sleep(max(0.0, started_at + event.at - time.monotonic()))
+        try:
+            if event.kind in _soak_schedule.LINK_FAULTS:
+                self.harm_links(event)
+            elif event.kind in _soak_schedule.STORE_FAULTS:
+                self.harm_store(event)
+            else:
+                getattr(self, event.kind.replace("-", "_"))(event)
+        except Exception as error:
+            LOGGER.exception("%s failed", event)
+            self.failures.append(f"{event}: {error!r}")
+
+    @contextlib.contextmanager
+    def span(self, kind, target, detail=""):
+        """Records a span of the duration of the context."""
+        began_at = time.monotonic()
+        try:
+            yield
+        finally:
+            self.spans.append(
+                _soak_records.Span(
+                    kind, target, began_at, time.monotonic(), detail
+                )
+            )
+
+    # Events of hosts.
+
+    def stop(self, event):
+        """Sends SIGTERM, and SIGKILL at the end of the grace period."""
+        process = self.system.hosts[event.target].process
+        with self.span(_soak_records.STOP, event.target, str(process.pid)):
+            process.send_signal(signal.SIGTERM)
+            try:
+                process.wait(_front.GRACE_SECONDS)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+
+    def stop_again(self, event):
+        """Stops a host as planned, with a second SIGTERM."""
+        process = self.system.hosts[event.target].process
+        stop = threading.Thread(target=self.stop, args=(event,))
+        stop.start()
+        time.sleep(event.seconds)
+        with self.span(_soak_records.STOP_AGAIN, event.target):
+            process.send_signal(signal.SIGTERM)
+        stop.join()
+
+    def kill(self, event):
+        """Kills a host and waits until it is ready again."""
+        host = self.system.hosts[event.target]
+        process = host.process
+        with self.span(_soak_records.KILL, event.target, str(process.pid)):
+            process.kill()
+            _common.wait_until(lambda: host.process is not process)
+            _common.wait_until(host.ready, description=f"{host.name} ready")
+
+    def freeze(self, event):
+        """Pauses a host."""
+        process = self.system.hosts[event.target].process
+        with self.span(_soak_records.FREEZE, event.target, str(process.pid)):
+            process.send_signal(signal.SIGSTOP)
+            time.sleep(event.seconds)
+            process.send_signal(signal.SIGCONT)
+
+    def reload(self, event, text=None):
+        """Changes the settings file, sends SIGHUP and restores the file."""
+        host = self.system.hosts[event.target]
+        original = host.settings_path.read_text()
+        if text is None:
+            text = original.replace("revoke=5s", "revoke=4s")
+        with self.span(_soak_records.RELOAD, event.target, event.kind):
+            host.settings_path.write_text(text)
+            host.process.send_signal(signal.SIGHUP)
+            time.sleep(min(event.seconds, 1.0))
+            host.settings_path.write_text(original)
+
+    def reload_broken(self, event):
+        """Sends SIGHUP with a file that is no settings file."""
+        self.reload(event, BROKEN_SETTINGS)
+
+    def reload_half(self, event):
+        """Sends SIGHUP with a file that is half written."""
+        text = self.system.hosts[event.target].settings_path.read_text()
+        self.reload(event, text[: len(text) // 2])
+
+    # Events of connections.
+
+    def harm_links(self, event):
+        """Sets a fault of the links of a host for its duration."""
+        pattern, fields = _soak_schedule.LINK_FAULTS[event.kind]
+        pattern = pattern.format(event.target)
+        proxy = self.system.host_proxy
+        if pattern.startswith(">"):
+            proxy = self.system.caller_proxy
+        with self.span(_soak_records.LINK, pattern, event.kind):
+            self.system.set_link_fault(proxy, pattern, fields, True)
+            time.sleep(event.seconds)
+            self.system.set_link_fault(proxy, pattern, fields, False)
+
+    def harm_store(self, event):
+        """Sets a fault of the store for one host or all."""
+        fields = _soak_schedule.STORE_FAULTS[event.kind]
+        port_names = [
+            port_name
+            for name, port_name in zip(
+                self.system.hosts, self.system.store.port_names, strict=True
+            )
+            if event.target in (name, _soak_schedule.ALL_HOSTS)
+        ]
+        with self.span(_soak_records.STORE, event.target, event.kind):
+            for port_name in port_names:
+                self.system.set_store_fault(port_name, fields, True)
+            time.sleep(event.seconds)
+            for port_name in port_names:
+                self.system.set_store_fault(port_name, fields, False)
+
+    # Events of the operator.
+
+    def configure(self, _event):
+        """Moves the changing route to another service or removes it."""
+        services = next(self.services)
+        with self.span(_soak_records.CONFIGURE, str(services)):
+            self.system.configure(services=services)
+
+    def revoke(self, event):
+        """Withdraws a key and returns it later, unless it is withdrawn."""
+        with contextlib.ExitStack() as stack:
+            if not self.revoke_lock.acquire(blocking=False):
+                return
+            stack.callback(self.revoke_lock.release)
+            kept, withdrawn = _soak_system.KEYS
+            with self.span(_soak_records.CONFIGURE, f"without {withdrawn}"):
+                self.system.configure(keys=[kept])
+            with self.span(_soak_records.REVOKE, withdrawn):
+                time.sleep(_front.KEY_REVOCATION_SECONDS + event.seconds)
+            with self.span(_soak_records.CONFIGURE, f"with {withdrawn}"):
+                self.system.configure(keys=_soak_system.KEYS)
+
+    # Events of upstreams.
+
+    @contextlib.contextmanager
+    def sole(self, name):
+        """Gives an upstream to one event at a time; yields its stand-in."""
+        with self.upstream_locks[name]:
+            yield self.system.upstreams[name]
+
+    def drain(self, event):
+        """Drains an upstream as planned and replaces it."""
+        with self.sole(event.target) as upstream:
+            ended_name = upstream.name
+            upstream.state = "draining"
+            self.system.register(event.target)
+            with self.span(_soak_records.DRAIN, ended_name):
+                time.sleep(DRAINED_SECONDS)
+                self.system.unregister(ended_name)
+                time.sleep(AWAY_SECONDS)
+            self.replace_instance(event, upstream)
+
+    def crash(self, event):
+        """Ends an upstream, whose entry stays; a new one is there at once."""
+        with self.sole(event.target) as upstream:
+            ended_name = upstream.name
+            with self.span(_soak_records.UPSTREAM, ended_name, event.kind):
+                self.replace_instance(event, upstream)
+                time.sleep(event.seconds)
+                self.system.unregister(ended_name)
+
+    def replace(self, event):
+        """Lets an instance take an address without notice."""
+        with self.sole(event.target) as upstream:
+            ended_name = upstream.name
+            with self.span(_soak_records.UPSTREAM, ended_name, event.kind):
+                upstream.crash()
+                upstream.end_connections()
+                time.sleep(event.seconds)
+                self.system.unregister(ended_name)
+                self.system.register(event.target)
+
+    def replace_instance(self, event, upstream):
+        """Continues as a new instance at the same address."""
+        upstream.crash()
+        upstream.state = "ready"
+        upstream.end_connections()
+        self.system.register(event.target)
+
+    def lag(self, event):
+        """Lets an upstream answer late."""
+        with self.sole(event.target) as upstream:
+            with self.span(_soak_records.UPSTREAM, upstream.name, event.kind):
+                upstream.lag_seconds = _soak_system.LAG_SECONDS
+                time.sleep(event.seconds)
+                upstream.lag_seconds = 0.0
+
+
+class SoakResult(NamedTuple):
+    """What the schedule of a seed showed.
+
+    Attributes:
+        records: Everything that callers and upstreams saw.
+        verdict: What the rules found.
+        failures: Events that could not be performed, as text.
+        log_lines: Lines of the hosts' logs by request id of a violation, then
+            by host.
+    """
+
+    records: _soak_records.Records
+    verdict: _soak_records.Verdict
+    failures: list[str]
+    log_lines: dict[str, dict[str, list[str]]]
+
+    @property
+    def failed(self):
+        """Whether a rule was broken or an event could not be performed."""
+        return bool(self.verdict.violations or self.failures)
+
+
+def run(
+    seed, *, seconds=12.0, hosts=6, only="", roots=(_common.ROOT,), events=None, keep=None
+):
+    """Runs the schedule of a seed, then judges what was seen.
+
+    Args:
+        seed: Seed of the schedule and of the callers.
+        seconds: Duration of the schedule, seconds.
+        hosts: Number of hosts.
+        only: The only kind of event, or empty for all.
+        roots: Directories with the package that the hosts run, in turn.
+        events: Schedule to perform in place of that of the seed, or None.
+        keep: Directory to which the logs of a seed that fails are copied, or
+            None.
+    """
+    with _soak_system.SoakSystem(hosts, roots) as system:
+        if events is None:
+            events = _soak_schedule.draw_schedule(
+                seed, list(system.hosts), list(system.upstreams), seconds, only
+            )
+        runner = SoakRunner(system)
+        started_at = time.monotonic()
+        relayed = _soak_callers.Callers(system.addresses, f"{seed}r")
+        direct = _soak_callers.Callers(
+            {name: host.address for name, host in system.hosts.items()},
+            f"{seed}d",
+        )
+        with relayed, direct:
+            runner.run(events)
+            time.sleep(TAIL_SECONDS)
+        records = _soak_records.Records(
+            started_at,
+            time.monotonic(),
+            sorted(
+                runner.spans
+                + [span for h in system.hosts.values() for span in h.starts],
+                key=lambda span: span.started_at,
+            ),
+            [*relayed.attempts, *direct.attempts],
+            system.runs(),
+            [p for h in system.hosts.values() for p in list(h.processes)],
+            list(system.samples),
+            list(system.configurations),
+        )
+        verdict = _soak_rules.judge(records)
+        result = SoakResult(
+            records,
+            verdict,
+            runner.failures,
+            {
+                each.request_id: system.log_lines(each.request_id)
+                for each in verdict.violations
+                if each.request_id
+            },
+        )
+        if keep and result.failed:
+            shutil.copytree(system.directory, keep / f"seed-{seed}")
+        return result
--- /dev/null
+++ b/test/_soak_system.py
@@ -0,0 +1,369 @@
+"""Hosts as real processes, with a fault proxy on all their connections."""
+
+import collections
+import contextlib
+import os
+import pathlib
+import resource
+import tempfile
+import threading
+import time
+
+from test import _common
+from test import _front
+from test import _soak_records
+from test.standins import threaded_upstream
+
+# Limit of open descriptors of each host, and interval of the samples.
+DESCRIPTORS = 4100
+SAMPLE_SECONDS = 0.5
+# A host is given this time to become ready before its start counts as over.
+READY_SECONDS = 15.0
+# Services, with the number of their upstreams, and the delay of an upstream
+# that lags.
+SERVICES = {"work": 3, "other": 2}
+LAG_SECONDS = 0.8
+# API keys of the client account; the last one is withdrawn at times.
+KEYS = ("k1", "k2")
+# Routes of both services; the last of them comes and goes.
+OTHER_ROUTE = "other"
+CHANGING_ROUTE = "changing"
+
+
+def configuration(version, keys, services):
+    """Returns a configuration.
+
+    Args:
+        version: Number of the version.
+        keys: API keys of the client account.
+        services: Service of each further route, by the name of the route.
+    """
+    document = _front.configuration(version, tenants={"t1": {"apiKeys": list(keys)}})
+    document["services"]["other"] = document["services"]["work"]
+    for name, service in services.items():
+        document["routes"][name] = {
+            **document["routes"]["read"],
+            "pathPrefix": f"/{name}/",
+            "service": service,
+        }
+    return document
+
+
+class SoakHost(_front.HostProcess):
+    """A host that is started again as soon as it has ended.
+
+    Attributes:
+        on_start: Called with the host after each start.
+        processes: Its processes, as records.
+        starts: Spans from each start until the host was ready.
+        stopped: Set once it is not started again.
+    """
+
+    def __init__(self, *arguments, on_start):
+        super().__init__(*arguments)
+        self.on_start = on_start
+        self.processes = []
+        self.starts = []
+        self.stopped = threading.Event()
+
+    def __enter__(self):
+        self.start()
+        self.keeper = threading.Thread(target=self.keep, daemon=True)
+        self.keeper.start()
+        return self
+
+    def __exit__(self, *_):
+        self.stopped.set()
+        with contextlib.suppress(ProcessLookupError):
+            self.process.kill()
+        self.keeper.join()
+
+    def start(self, output=None):
+        started_at = time.monotonic()
+        super().start(output)
+        resource.prlimit(
+            self.process.pid, resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS)
+        )
+        self.processes.append(
+            _soak_records.Process(
+                self.name,
+                self.process.pid,
+                started_at,
+                None,
+                None,
+                str(self.root),
+            )
+        )
+        self.on_start(self)
+
+    def keep(self):
+        """Starts the host again whenever it has ended."""
+        while True:
+            waiter = threading.Thread(
+                target=self.record_start, args=(self.processes[-1],)
+            )
+            waiter.start()
+            exit_code = self.process.wait()
+            self.processes[-1] = self.processes[-1]._replace(
+                ended_at=time.monotonic(), exit_code=exit_code
+            )
+            waiter.join()
+            if self.stopped.is_set():
+                return
+            self.start()
+
+    def record_start(self, record):
+        """Records the time from a start until the host is ready."""
+        deadline = record.started_at + READY_SECONDS
+        while (
+            self.process.returncode is None
+            and time.monotonic() < deadline
+            and not self.ready()
+        ):
+            time.sleep(_common.POLL_SECONDS)
+        self.starts.append(
+            _soak_records.Span(
+                _soak_records.START,
+                self.name,
+                record.started_at,
+                time.monotonic(),
+            )
+        )
+
+    def sample(self):
+        """Returns what the process uses, or None if it has ended."""
+        pid = self.process.pid
+        try:
+            status = pathlib.Path(f"/proc/{pid}/status").read_text()
+            descriptors = len(os.listdir(f"/proc/{pid}/fd"))
+            memory = status.partition("VmRSS:")[2].split()[0]
+        except (OSError, IndexError):
+            return None
+        return _soak_records.Sample(
+            self.name, pid, time.monotonic(), int(memory), descriptors
+        )
+
+
+class Switches:
+    """Values that overlapping faults set; the latest that lasts is in force.
+
+    Attributes:
+        values: Lasting values of each field, oldest first.
+        lock: Held while the values change.
+    """
+
+    def __init__(self):
+        self.values = collections.defaultdict(list)
+        self.lock = threading.RLock()
+
+    def begin(self, fields):
+        """Adds values of fields."""
+        with self.lock:
+            for name, value in fields.items():
+                self.values[name].append(value)
+
+    def end(self, fields):
+        """Removes values of fields."""
+        with self.lock:
+            for name, value in fields.items():
+                self.values[name].remove(value)
+
+    def in_force(self):
+        """Returns the value in force of each field that has one."""
+        return {name: each[-1] for name, each in self.values.items() if each}
+
+
+class SoakSystem:
+    """A store, upstreams and hosts behind fault proxies; a context manager.
+
+    The connections of callers to a host have the name `>front-HOST`, those of
+    hosts `HOST>UPSTREAM` and `HOST>store-HOST`.
+
+    Attributes:
+        directory: Directory of logs and settings files.
+        store: Stand-in of the store.
+        upstreams: Stand-ins of upstreams by the names of their first instances.
+        hosts: Hosts by name.
+        addresses: Addresses for callers behind a relay, by name of the host.
+        samples: Samples of all hosts.
+        configurations: Configurations that were written.
+        keys: API keys in the latest configuration.
+        services: Services of the further routes in it, by route.
+    """
+
+    def __init__(self, host_count, roots):
+        self.host_count = host_count
+        self.roots = roots
+        self.stack = contextlib.ExitStack()
+        self.samples = []
+        self.configurations = []
+        self.keys = KEYS
+        self.services = {OTHER_ROUTE: "other", CHANGING_ROUTE: "work"}
+        self.version = 0
+        self.configure_lock = threading.Lock()
+        self.faults = collections.defaultdict(Switches)
+        self.over = threading.Event()
+
+    def __enter__(self):
+        with contextlib.ExitStack() as self.stack:
+            self.start()
+            self.stack = self.stack.pop_all()
+        return self
+
+    def __exit__(self, *exception):
+        self.over.set()
+        self.stack.close()
+
+    def start(self):
+        """Starts all processes and waits until the hosts are ready."""
+        enter = self.stack.enter_context
+        self.directory = pathlib.Path(enter(tempfile.TemporaryDirectory()))
+        store = self.spawn(
+            "store",
+            "test.standins.platform",
+            "--port-count",
+            self.host_count,
+        )
+        self.store = _front.StoreStandIn(store, self.host_count)
+        # Connections of callers have no registered source, so that the proxy
+        # needn't look for it.
+        self.caller_proxy = self.spawn("relay", "test.standins.fault_proxy")
+        self.host_proxy = self.spawn("proxy", "test.standins.fault_proxy")
+        self.configure()
+        self.upstreams = {}
+        for service, count in SERVICES.items():
+            for _ in range(count):
+                name = f"i-{len(self.upstreams)}"
+                self.upstreams[name] = enter(
+                    threaded_upstream.ThreadedUpstream(name, service, "north-a")
+                )
+                self.register(name)
+        self.hosts = {}
+        self.addresses = {}
+        for number, port_name in enumerate(self.store.port_names):
+            self.start_host(f"h{number}", number, store.address(port_name))
+        for host in self.hosts.values():
+            _common.wait_until(host.ready, description=f"{host.name} ready")
+        sampler = threading.Thread(target=self.sample, daemon=True)
+        sampler.start()
+        self.stack.callback(sampler.join)
+        self.stack.callback(self.over.set)
+
+    def spawn(self, name, module, *arguments):
+        """Starts a stand-in and waits until it listens."""
+        process = _common.Process(self.directory, name, module, *arguments)
+        return self.stack.enter_context(process).wait_ready()
+
+    def link(self, proxy, name, target):
+        """Returns the address of a link to a target."""
+        ports = _common.fetch_json(proxy.url("/_links"), {name: target})
+        return f"127.0.0.1:{ports[name]}"
+
+    def start_host(self, name, number, store_address):
+        """Starts a host in one of the availability zones."""
+        zones = list(_front.ZONES.items())
+        host = SoakHost(
+            name,
+            f"{_front.LOOPBACK_PREFIX}.{number + 1}.1",
+            *zones[number % len(zones)],
+            self.link(self.host_proxy, f"store-{name}", store_address),
+            self.directory,
+            self.roots[number % len(self.roots)],
+            on_start=self.register_source,
+        )
+        self.hosts[name] = self.stack.enter_context(host)
+        self.addresses[name] = self.link(
+            self.caller_proxy, f"front-{name}", host.address
+        )
+
+    def register_source(self, host):
+        """Names the connections of a host."""
+        _common.fetch_json(
+            self.host_proxy.url("/_sources"), {str(host.process.pid): host.name}
+        )
+
+    def register(self, name, **changes):
+        """Writes the entry of an upstream and returns when it was written."""
+        upstream = self.upstreams[name]
+        entry = upstream.entry()
+        address = self.link(self.host_proxy, name, entry["address"])
+        self.store.put(
+            "servers", upstream.name, {**entry, "address": address, **changes}
+        )
+
+    def unregister(self, instance):
+        """Deletes the entry of an instance."""
+        self.store.delete("servers", instance)
+
+    def configure(self, keys=None, services=None):
+        """Writes the next configuration and records it.
+
+        Args:
+            keys: API keys of the client account; None for those of before.
+            services: Service of each further route; None for those of before.
+        """
+        with self.configure_lock:
+            self.version += 1
+            self.keys = self.keys if keys is None else keys
+            self.services = self.services if services is None else services
+            document = configuration(self.version, self.keys, self.services)
+            sent_at = time.monotonic()
+            self.store.put("config", "main", document)
+            self.configurations.append(
+                _soak_records.Configuration(
+                    self.version, document, sent_at, time.monotonic()
+                )
+            )
+
+    def set_link_fault(self, proxy, pattern, fields, begins):
+        """Begins or ends a fault of the links that match a pattern."""
+        lasting = {k: v for k, v in fields.items() if k != "reset"}
+        switches = self.faults[proxy.name, pattern]
+        with switches.lock:
+            (switches.begin if begins else switches.end)(lasting)
+            rule = {"match": pattern, **switches.in_force()}
+            if begins and "reset" in fields:
+                rule["reset"] = True
+            _common.fetch_json(proxy.url("/_rules"), [rule])
+
+    def set_store_fault(self, port_name, fields, begins):
+        """Begins or ends a fault of a port of the store."""
+        switches = self.faults[port_name]
+        with switches.lock:
+            (switches.begin if begins else switches.end)(fields)
+            values = {name: type(value)() for name, value in fields.items()}
+            self.store.control(port_name, **{**values, **switches.in_force()})
+
+    def sample(self):
+        """Samples all hosts until the end."""
+        while not self.over.wait(SAMPLE_SECONDS):
+            samples = [each.sample() for each in list(self.hosts.values())]
+            self.samples += [each for each in samples if each]
+
+    def runs(self):
+        """Returns the records of all runs at upstreams."""
+        result = []
+        for upstream in self.upstreams.values():
+            ends = {id(each.run): each for each in list(upstream.ends)}
+            for run in list(upstream.runs):
+                end = ends.get(id(run))
+                deadline = run.headers.get("deadline-ms")
+                result.append(
+                    _soak_records.Run(
+                        run.request_id,
+                        run.headers["expect-instance"],
+                        upstream.service,
+                        run.at,
+                        end.at if end else None,
+                        end.outcome if end else "",
+                        "authorization" in run.headers,
+                        int(deadline) / 1000 if deadline else None,
+                    )
+                )
+        return result
+
+    def log_lines(self, word):
+        """Returns the lines with a word in the logs of all hosts, by host."""
+        lines = {name: h.log_lines(word) for name, h in self.hosts.items()}
+        return {name: found for name, found in lines.items() if found}
+
--- a/test/standins/threaded_upstream.py
+++ b/test/standins/threaded_upstream.py
@@ -5,18 +5,26 @@
 closes the connection after the request was read, `shed` answers that the
 request did not run, `wait` answers once `release` is set, and `crash` closes
 the connection and continues as a new instance at the same address.
-`body-MS-BYTES` answers with a body of that size after that time.
+`body-MS-BYTES` answers with a body of that size after that time, unless the
+connection ends before. With `nolength-` the end of the body is that of the
+connection, with `early-` the answer comes before the request's body is read,
+and with `short-` the connection ends in the middle of the body.
 `endless-head`, `endless-line` and `endless-body` send an answer without end.
 """
 
 import contextlib
 import http.server
+import select
+import socket
 import threading
 import time
 from typing import NamedTuple
 
+from test import _soak_records
+
 SLOW_SECONDS = 1.0
 CHUNK_BYTES = 64 * 1024
+POLL_SECONDS = 0.02
 
 
 class Run(NamedTuple):
@@ -35,6 +43,20 @@
     at: float
 
 
+class RunEnd(NamedTuple):
+    """The end of a run.
+
+    Attributes:
+        run: The run.
+        at: Monotonic time of the end, seconds.
+        outcome: One of the outcomes of `_soak_records`.
+    """
+
+    run: Run
+    at: float
+    outcome: str
+
+
 class ThreadedUpstream(http.server.ThreadingHTTPServer):
     """An upstream that serves from its creation until the context ends.
 
@@ -44,6 +66,8 @@
         zone: Availability zone.
         state: Value of `state` in the upstream's entry.
         runs: Requests that started to run.
+        ends: Ends of the runs that have ended.
+        connections: Sockets of the open connections.
         refused: Number of requests answered without running them.
         crashes: Number of crashes so far.
         on_crash: Called with the name of the ended instance after a crash.
@@ -53,6 +77,7 @@
             and value.
         pause_seconds: While above 0, each request is turned away and the answer
             names this time in Retry-After.
+        lag_seconds: Additional time of answers that come after a time.
         turned_away: Id and monotonic time of each request turned away so.
     """
 
@@ -66,6 +91,8 @@
         self.zone = zone
         self.state = "ready"
         self.runs = []
+        self.ends = []
+        self.connections = set()
         self.refused = 0
         self.crashes = 0
         self.on_crash = lambda ended_name: None
@@ -74,6 +101,7 @@
         self.answer_headers = ()
         self.pause_seconds = 0.0
         self.turned_away = []
+        self.lag_seconds = 0.0
         self.endless_bytes = 0
         threading.Thread(target=self.serve_forever, daemon=True).start()
 
@@ -84,6 +112,16 @@
         self.shutdown()
         self.server_close()
 
+    def shutdown_request(self, request):
+        self.connections.discard(request)
+        super().shutdown_request(request)
+
+    def end_connections(self):
+        """Ends all connections, as a process that is killed."""
+        for connection in list(self.connections):
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
+
     def crash(self):
         """Continues as a new instance and calls `on_crash`."""
         ended_name = self.name
@@ -112,13 +150,18 @@
 
     protocol_version = "HTTP/1.1"
 
+    def setup(self):
+        super().setup()
+        self.server.connections.add(self.connection)
+
     def log_message(self, *_):
         pass
 
     def do_GET(self):
         server = self.server
-        length = int(self.headers.get("Content-Length") or 0)
-        self.rfile.read(length)
+        early = self.path.rpartition("/")[2].startswith("early-")
+        if not early:
+            self.read_body()
         if self.headers.get("Expect-Instance") != server.name:
             server.refused += 1
             self.answer(421, b"", {"Instance-Id": server.name})
@@ -136,34 +179,87 @@
             server.refused += 1
             self.answer(503, b"", {"Not-Executed": "1"})
             return
-        server.runs.append(
-            Run(
-                self.headers.get("Request-Id", ""),
-                self.path,
-                {name.lower(): value for name, value in self.headers.items()},
-                time.monotonic(),
-            )
+        run = Run(
+            self.headers.get("Request-Id", ""),
+            self.path,
+            {name.lower(): value for name, value in self.headers.items()},
+            time.monotonic(),
         )
+        server.runs.append(run)
+        outcome = _soak_records.CANCELLED
+        try:
+            outcome = self.perform(action)
+        finally:
+            server.ends.append(RunEnd(run, time.monotonic(), outcome))
+        if early:
+            self.read_body()
+
+    do_POST = do_GET  # noqa: N815
+
+    def perform(self, action):
+        """Performs an action and returns the outcome of the run."""
+        server = self.server
         if action == "crash":
             server.crash()
         if action in ("break", "crash"):
             self.close_connection = True
-            return
+            return _soak_records.BROKEN
         if action.startswith("endless-"):
             self.send_without_end(action)
-            return
-        if action.startswith("body-"):
-            milliseconds, size = map(int, action.split("-")[1:])
-            time.sleep(milliseconds / 1000)
-            self.answer(200, b"b" * size, {"Server-Stamp": server.name})
-            return
+            return _soak_records.BROKEN
+        if action.startswith(("body-", "nolength-", "early-", "short-")):
+            return self.answer_after(*action.split("-"))
         if action == "slow":
             time.sleep(SLOW_SECONDS)
         if action == "wait":
             self.wait_for_release()
         self.answer(200, b"done", {"Server-Stamp": server.name})
+        return _soak_records.ANSWERED
 
-    do_POST = do_GET  # noqa: N815
+    def read_body(self):
+        """Reads the body of the request."""
+        if self.headers.get("Transfer-Encoding", "").lower() == "chunked":
+            while size := int(self.rfile.readline().strip() or b"0", 16):
+                self.rfile.read(size + len(b"\r\n"))
+            self.rfile.readline()
+        else:
+            self.rfile.read(int(self.headers.get("Content-Length") or 0))
+
+    def answer_after(self, kind, milliseconds, size):
+        """Answers after a time; returns the outcome of the run."""
+        name = self.server.name
+        seconds = int(milliseconds) / 1000 + self.server.lag_seconds
+        if self.connection_ended(seconds):
+            self.close_connection = True
+            if name != self.server.name:
+                return _soak_records.BROKEN
+            return _soak_records.CANCELLED
+        body = b"b" * int(size)
+        if kind in ("body", "early"):
+            self.answer(200, body, {"Server-Stamp": name})
+            return _soak_records.ANSWERED
+        self.close_connection = True
+        headers = {"Server-Stamp": name, "Connection": "close"}
+        if kind == "nolength":
+            self.answer(200, body, {**headers, "Content-Length": None})
+            return _soak_records.ANSWERED
+        length = {"Content-Length": str(len(body) + 1)}
+        self.answer(200, body, {**headers, **length})
+        return _soak_records.BROKEN
+
+    def connection_ended(self, seconds):
+        """Waits for a time; returns True if the connection ended in it."""
+        poll = select.poll()
+        poll.register(self.connection, select.POLLIN)
+        deadline = time.monotonic() + seconds
+        while (remaining := deadline - time.monotonic()) > 0:
+            if not poll.poll(remaining * 1000):
+                return False
+            if not self.connection.recv(1, socket.MSG_PEEK):
+                return True
+            # Bytes that are not read yet; their arrival hides an end.
+            time.sleep(min(remaining, POLL_SECONDS))
+        return False
 
     def send_without_end(self, action):
         """Sends bytes until the host closes the connection."""
@@ -196,11 +292,12 @@
                 continue
 
     def answer(self, status, body, headers):
+        headers = {"Content-Length": str(len(body)), **headers}
         self.send_response(status)
         self.send_header("Request-Id", self.headers.get("Request-Id", ""))
-        self.send_header("Content-Length", str(len(body)))
         for name, value in headers.items():
-            self.send_header(name, value)
+            if value is not None:
+                self.send_header(name, value)
         for name, value in self.server.answer_headers:
             self.send_header(name, value)
         self.end_headers()
