--- /dev/null
+++ b/bench/front_faults.py
@@ -0,0 +1,191 @@
+"""Runs random faults against host processes with many seeds.
+
+Usage: python -m bench.front_faults --seeds A-B [--seconds N] [--hosts N]
+[--only KIND] [--commit C | --root DIR] [--mixed] [--shrink] [--keep DIR].
+Prints a line for each seed, and for each violation the events around it and the
+log lines of its request. The exit code is 1 if a seed failed.
+"""
+
+import argparse
+import collections
+from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
+import functools
+import pathlib
+import sys
+import tempfile
+import time
+
+from test import _common
+from test import _soak_records
+from test import _soak_runner
+from test import _soak_schedule
+from test import test_upgrade
+
+# Events that began or ended this long before a violation are printed, and at
+# most so many violations of a seed.
+AROUND_SECONDS = 8.0
+MAX_VIOLATIONS = 12
+
+
+def parse_arguments() -> argparse.Namespace:
+    """Parses the arguments."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", default="1-5", help="A-B or one seed")
+    parser.add_argument("--seconds", type=float, default=12.0)
+    parser.add_argument("--hosts", type=int, default=6)
+    parser.add_argument("--only", choices=_soak_schedule.KINDS, default="")
+    parser.add_argument(
+        "--root", type=pathlib.Path, help="directory with the hosts' package"
+    )
+    parser.add_argument("--commit", help="commit of the hosts' package")
+    parser.add_argument(
+        "--mixed",
+        action="store_true",
+        help="every other host is of the working tree",
+    )
+    parser.add_argument(
+        "--shrink",
+        action="store_true",
+        help="drop events of a seed that fails while it still fails",
+    )
+    parser.add_argument(
+        "--keep", type=pathlib.Path, help="directory for logs of failing seeds"
+    )
+    return parser.parse_args()
+
+
+@contextlib.contextmanager
+def open_roots(arguments: argparse.Namespace) -> Iterator[list[pathlib.Path]]:
+    """Provides the directories with the packages of the hosts."""
+    with tempfile.TemporaryDirectory() as directory:
+        root = arguments.root or _common.ROOT
+        if arguments.commit:
+            root = pathlib.Path(directory)
+            if not test_upgrade.unpack_build(arguments.commit, root):
+                raise SystemExit(f"{arguments.commit} is not in the history")
+        yield [root, _common.ROOT] if arguments.mixed else [root]
+
+
+def describe_span(span: _soak_records.Span, at: float) -> str:
+    """Returns a span as text, with its times since `at`."""
+    return (
+        f"{span.started_at - at:+.2f}..{span.ended_at - at:+.2f}"
+        f" {span.kind} {span.target} {span.detail}"
+    )
+
+
+def print_violation(
+    violation: _soak_records.Violation, result: _soak_runner.SoakResult
+) -> None:
+    """Prints a violation, the events around it and its log lines."""
+    print(
+        f"  {violation.rule} {violation.host} {violation.request_id}"
+        f" at {violation.at - result.records.started_at:.2f}: {violation.text}"
+    )
+    for span in result.records.spans:
+        if (
+            span.started_at <= violation.at
+            and span.ended_at >= violation.at - AROUND_SECONDS
+        ):
+            print(f"    event {describe_span(span, violation.at)}")
+    for run in result.records.runs:
+        if run.request_id and run.request_id == violation.request_id:
+            ended = f"{(run.ended_at or violation.at) - violation.at:+.2f}"
+            print(
+                f"    run at {run.upstream} {run.at - violation.at:+.2f}..{ended}"
+                f" {run.outcome or 'running'}"
+            )
+    lines = result.log_lines.get(violation.request_id, {})
+    for host, found in lines.items():
+        for line in found:
+            print(f"    log {host} {line}")
+
+
+def print_result(
+    seed: int, result: _soak_runner.SoakResult, seconds: float
+) -> None:
+    """Prints what a seed showed."""
+    records = result.records
+    kinds = collections.Counter(
+        f"{each.kind}:{each.detail}"
+        if each.kind in _DETAILED_KINDS
+        else each.kind
+        for each in records.spans
+    )
+    statuses = collections.Counter(each.status for each in records.attempts)
+    memory = max((each.memory_kb for each in records.samples), default=0)
+    print(
+        f"seed={seed} violations={len(result.verdict.violations)}"
+        f" failures={len(result.failures)} requests={len(records.attempts)}"
+        f" runs={len(records.runs)} seconds={seconds:.0f}"
+        f" memory_mb={memory / 1024:.0f}"
+    )
+    print(f"  statuses: {_format_counts(statuses)}")
+    print(f"  events: {_format_counts(kinds)}")
+    print(f"  excused: {_format_counts(result.verdict.excused)}")
+    for failure in result.failures:
+        print(f"  failure: {failure}")
+    by_rule = collections.Counter(e.rule for e in result.verdict.violations)
+    if by_rule:
+        print(f"  broken: {_format_counts(by_rule)}")
+    for violation in result.verdict.violations[:MAX_VIOLATIONS]:
+        print_violation(violation, result)
+    sys.stdout.flush()
+
+
+_DETAILED_KINDS = (
+    _soak_records.LINK,
+    _soak_records.STORE,
+    _soak_records.UPSTREAM,
+    _soak_records.RELOAD,
+)
+
+
+def print_needed(
+    events: list[_soak_schedule.Event],
+    run: Callable[[list[_soak_schedule.Event]], _soak_runner.SoakResult],
+) -> None:
+    """Prints the events without which a seed does not fail."""
+    for event in _soak_schedule.shrink(events, lambda rest: run(rest).failed):
+        print(f"  needed: {event}", flush=True)
+
+
+def _format_counts(counts: collections.Counter) -> str:
+    return " ".join(f"{k}={v}" for k, v in sorted(counts.items())) or "none"
+
+
+def main() -> None:
+    """Runs the seeds; the exit code is 1 if one failed."""
+    arguments = parse_arguments()
+    first, _, last = arguments.seeds.partition("-")
+    failed = 0
+    with open_roots(arguments) as roots:
+
+        def run(
+            seed: int, events: list[_soak_schedule.Event] | None = None
+        ) -> _soak_runner.SoakResult:
+            return _soak_runner.run(
+                seed,
+                seconds=arguments.seconds,
+                hosts=arguments.hosts,
+                only=arguments.only,
+                roots=roots,
+                events=events,
+                keep=arguments.keep,
+            )
+
+        for seed in range(int(first), int(last or first) + 1):
+            began_at = time.monotonic()
+            result = run(seed)
+            print_result(seed, result, time.monotonic() - began_at)
+            failed += result.failed
+            if result.failed and arguments.shrink:
+                print_needed(result.events, functools.partial(run, seed))
+    print(f"failed seeds: {failed}")
+    raise SystemExit(int(failed > 0))
+
+
+if __name__ == "__main__":
+    main()
--- a/test/_soak_runner.py
+++ b/test/_soak_runner.py
@@ -28,6 +28,8 @@
 DRAINED_SECONDS = _front.DRAIN_SECONDS + 1.0
 # Time for which an upstream that has crashed stays away.
 AWAY_SECONDS = 0.7
+# Number of the first connection without a relay.
+FIRST_DIRECT_CONNECTION = 1_000_000
 BROKEN_SETTINGS = "nodeName = [1,\n"
 
 
@@ -259,11 +261,13 @@
 
     def lag(self, event):
         """Lets an upstream answer late."""
-        with self.sole(event.target) as upstream:
-            with self.span(_soak_records.UPSTREAM, upstream.name, event.kind):
-                upstream.lag_seconds = _soak_system.LAG_SECONDS
-                time.sleep(event.seconds)
-                upstream.lag_seconds = 0.0
+        with (
+            self.sole(event.target) as upstream,
+            self.span(_soak_records.UPSTREAM, upstream.name, event.kind),
+        ):
+            upstream.lag_seconds = _soak_system.LAG_SECONDS
+            time.sleep(event.seconds)
+            upstream.lag_seconds = 0.0
 
 
 class SoakResult(NamedTuple):
@@ -273,6 +277,7 @@
         records: Everything that callers and upstreams saw.
         verdict: What the rules found.
         failures: Events that could not be performed, as text.
+        events: The schedule.
         log_lines: Lines of the hosts' logs by request id of a violation, then
             by host.
     """
@@ -281,6 +286,7 @@
     verdict: _soak_records.Verdict
     failures: list[str]
     log_lines: dict[str, dict[str, list[str]]]
+    events: list[_soak_schedule.Event]
 
     @property
     def failed(self):
@@ -289,7 +295,14 @@
 
 
 def run(
-    seed, *, seconds=12.0, hosts=6, only="", roots=(_common.ROOT,), events=None, keep=None
+    seed,
+    *,
+    seconds=12.0,
+    hosts=6,
+    only="",
+    roots=(_common.ROOT,),
+    events=None,
+    keep=None,
 ):
     """Runs the schedule of a seed, then judges what was seen.
 
@@ -310,11 +323,12 @@
             )
         runner = SoakRunner(system)
         started_at = time.monotonic()
-        relayed = _soak_callers.Callers(system.addresses, f"{seed}r")
+        relayed = _soak_callers.Callers(system.addresses, 2 * seed)
         direct = _soak_callers.Callers(
             {name: host.address for name, host in system.hosts.items()},
-            f"{seed}d",
+            2 * seed + 1,
         )
+        direct.connection_numbers = itertools.count(FIRST_DIRECT_CONNECTION)
         with relayed, direct:
             runner.run(events)
             time.sleep(TAIL_SECONDS)
@@ -342,6 +356,7 @@
                 for each in verdict.violations
                 if each.request_id
             },
+            events,
         )
         if keep and result.failed:
             shutil.copytree(system.directory, keep / f"seed-{seed}")
--- a/test/_soak_system.py
+++ b/test/_soak_system.py
@@ -38,7 +38,9 @@
         keys: API keys of the client account.
         services: Service of each further route, by the name of the route.
     """
-    document = _front.configuration(version, tenants={"t1": {"apiKeys": list(keys)}})
+    document = _front.configuration(
+        version, tenants={"t1": {"apiKeys": list(keys)}}
+    )
     document["services"]["other"] = document["services"]["work"]
     for name, service in services.items():
         document["routes"][name] = {
@@ -366,4 +368,3 @@
         """Returns the lines with a word in the logs of all hosts, by host."""
         lines = {name: h.log_lines(word) for name, h in self.hosts.items()}
         return {name: found for name, found in lines.items() if found}
-
