--- a/test/_front.py
+++ b/test/_front.py
@@ -100,6 +100,7 @@
         address: Address for callers, `IP:PORT`.
         ready_address: Address of readiness checks, `IP:PORT`.
         directory_address: Address of look-ups, `IP:PORT`.
+        peer_address: Address of heartbeats of other hosts, `IP:PORT`.
         forward_address: Address of requests that hosts forward, `IP:PORT`.
         log_path: File with its standard output and error.
         settings_path: Its settings file.
@@ -124,6 +125,7 @@
         self.address, self.ready_address, self.directory_address = (
             f"{ip}:{port}" for port in ports[:3]
         )
+        self.peer_address = f"{ip}:{ports[3]}"
         self.forward_address = f"{ip}:{ports[3] + 1}"
         self.log_path = pathlib.Path(directory, f"{name}.log")
         path = self.settings_path = pathlib.Path(directory, f"{name}.toml")
--- a/test/_soak_system.py
+++ b/test/_soak_system.py
@@ -2,6 +2,7 @@
 
 import collections
 import contextlib
+import json
 import os
 import pathlib
 import resource
@@ -23,6 +24,8 @@
 # that lags.
 SERVICES = {"work": 3, "other": 2}
 LAG_SECONDS = 0.8
+SLOTS = 32
+SHIFTED_LISTENING = _common.ROOT / "test" / "standins" / "shifted_listening"
 # API keys of the client account; the last one is withdrawn at times.
 KEYS = ("k1", "k2")
 # Routes of both services; the last of them comes and goes.
@@ -179,7 +182,8 @@
     """A store, upstreams and hosts behind fault proxies; a context manager.
 
     The connections of callers to a host have the name `>front-HOST`, those of
-    hosts `HOST>UPSTREAM` and `HOST>store-HOST`.
+    hosts `HOST>UPSTREAM`, `HOST>store-HOST`, `HOST>peer-HOST` and
+    `HOST>forward-HOST`.
 
     Attributes:
         directory: Directory of logs and settings files.
@@ -273,11 +277,27 @@
             self.roots[number % len(self.roots)],
             on_start=self.register_source,
         )
+        self.add_peer_links(host)
         self.hosts[name] = self.stack.enter_context(host)
         self.addresses[name] = self.link(
             self.caller_proxy, f"front-{name}", host.address
         )
 
+    def add_peer_links(self, host):
+        """Lets other hosts reach a host through the proxy."""
+        told = {
+            f"peer-{host.name}": host.peer_address,
+            f"forward-{host.name}": host.forward_address,
+        }
+        actual = {
+            address: f"{host.ip}:{_front.free_port(host.ip)}"
+            for address in told.values()
+        }
+        for name, address in told.items():
+            self.link(self.host_proxy, name, f"{actual[address]} at {address}")
+        host.environment["PYTHONPATH"] = str(SHIFTED_LISTENING)
+        host.environment["LISTENING_ADDRESSES"] = json.dumps(actual)
+
     def register_source(self, host):
         """Names the connections of a host."""
         _common.fetch_json(
@@ -287,7 +307,7 @@
     def register(self, name, **changes):
         """Writes the entry of an upstream and returns when it was written."""
         upstream = self.upstreams[name]
-        entry = upstream.entry()
+        entry = upstream.entry(slots=SLOTS)
         address = self.link(self.host_proxy, name, entry["address"])
         self.store.put(
             "servers", upstream.name, {**entry, "address": address, **changes}
--- a/test/standins/fault_proxy.py
+++ b/test/standins/fault_proxy.py
@@ -9,7 +9,8 @@
 The control port accepts JSON over HTTP:
 
 * `POST /_links` with a map of link name to target IP:PORT adds links or changes
-  their targets, and returns the listening port of each;
+  their targets, and returns the listening port of each; a target written as
+  `IP:PORT at IP:PORT` also has the address at which a new link listens;
 * `POST /_sources` with a map of pid to name registers names of processes;
 * `POST /_rules` with a list of maps, each with `match` and fields, sets rules;
   a rule replaces the one with the same `match`, and without fields only
@@ -140,10 +141,14 @@
 
     def add_link(self, name: str, target: str) -> None:
         """Opens a link, or changes the target of an open one."""
+        target, _, own_address = target.partition(" at ")
         host, _, port = target.rpartition(":")
         self.targets[name] = (host, int(port))
         if name not in self.ports:
-            listener = serving.listen(0)
+            own_host, _, own_port = own_address.rpartition(":")
+            listener = serving.listen(
+                int(own_port or 0), own_host or serving.LOOPBACK
+            )
             self.ports[name] = listener.getsockname()[1]
             eventlet.spawn(self.accept, name, listener)
 
@@ -186,8 +191,8 @@
         self, link: str, client: Any, client_address: tuple[str, int]
     ) -> None:
         """Connects to the target and forwards one connection until its end."""
-        port = self.ports[link]
-        name = f"{source_name(client_address[1], port, self.sources)}>{link}"
+        source = source_name(client_address, client.getsockname(), self.sources)
+        name = f"{source}>{link}"
         number = next(self.numbers)
         try:
             self.connect(number, name, link, client)
@@ -321,15 +326,17 @@
                     yield target[8:-1]
 
 
-def socket_inode(local_port: int, remote_port: int) -> str:
+def socket_inode(local: tuple[str, int], remote: tuple[str, int]) -> str:
     """Returns the inode of one end of a loopback connection, or empty.
 
     Requests only this socket from the kernel (sock_diag(7)), because reading
     the whole table of sockets takes milliseconds if there are thousands.
     """
-    loopback = socket.inet_aton("127.0.0.1") + bytes(12)
-    ports = struct.pack("!HH", local_port, remote_port)
-    identity = ports + loopback + loopback + bytes(4) + b"\xff" * 8
+    ports = struct.pack("!HH", local[1], remote[1])
+    ips = b"".join(
+        socket.inet_aton(ip) + bytes(12) for ip, _ in (local, remote)
+    )
+    identity = ports + ips + bytes(4) + b"\xff" * 8
     family = struct.pack(
         "=BBBxI", socket.AF_INET, socket.IPPROTO_TCP, 0, ALL_STATES
     )
@@ -346,13 +353,13 @@
 
 
 def source_name(
-    local_port: int, remote_port: int, sources: dict[str, str]
+    local: tuple[str, int], remote: tuple[str, int], sources: dict[str, str]
 ) -> str:
     """Returns the registered name of the process that opened a connection.
 
     Args:
-        local_port: Port of the connecting side.
-        remote_port: Port of the link.
+        local: IP address and port of the connecting side.
+        remote: IP address and port of the link.
         sources: Registered names of processes by pid.
 
     Returns:
@@ -360,7 +367,7 @@
     """
     if not sources:
         return ""
-    inode = socket_inode(local_port, remote_port)
+    inode = socket_inode(local, remote)
     for pid, name in sources.items():
         if inode in socket_inodes(pid):
             return name
--- a/test/standins/serving.py
+++ b/test/standins/serving.py
@@ -15,10 +15,12 @@
 
 Environ = dict[str, Any]
 
+LOOPBACK = "127.0.0.1"
 
-def listen(port: int) -> Any:
+
+def listen(port: int, ip: str = LOOPBACK) -> Any:
     """Returns a listening socket on loopback; port 0 selects a free port."""
-    listener = eventlet.listen(("127.0.0.1", port), backlog=1024)
+    listener = eventlet.listen((ip, port), backlog=1024)
     listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return listener
 
--- /dev/null
+++ b/test/standins/shifted_listening/sitecustomize.py
@@ -0,0 +1,48 @@
+"""Lets a Python process listen at other addresses than it was told.
+
+The directory belongs on PYTHONPATH of hosts that reach each other through a
+proxy, since they announce the addresses that they were told. The variable
+LISTENING_ADDRESSES has a JSON map of the `IP:PORT` told to that in its place.
+"""
+
+import importlib.util
+import json
+import os
+import sys
+
+_MODULE = "eventlet.convenience"
+_ADDRESSES = json.loads(os.environ.get("LISTENING_ADDRESSES", "{}"))
+
+
+class _Finder:
+    """Finds the module with `listen` and wraps the function.
+
+    It waits for the import, so that the process starts as without it.
+    """
+
+    def find_spec(self, name, path=None, target=None):
+        """Returns the spec of the module if it is the one to change."""
+        if name != _MODULE:
+            return None
+        sys.meta_path.remove(self)
+        spec = importlib.util.find_spec(name)
+        execute = spec.loader.exec_module
+
+        def execute_and_wrap(module):
+            execute(module)
+            module.listen = _listening_elsewhere(module.listen)
+
+        spec.loader.exec_module = execute_and_wrap
+        return spec
+
+
+def _listening_elsewhere(listen):
+    def listen_elsewhere(address, *arguments, **options):
+        told = "{}:{}".format(*address)
+        ip, _, port = _ADDRESSES.get(told, told).rpartition(":")
+        return listen((ip, int(port)), *arguments, **options)
+
+    return listen_elsewhere
+
+
+sys.meta_path.insert(0, _Finder())
