--- a/test/_soak_records.py
+++ b/test/_soak_records.py
@@ -14,6 +14,7 @@
 KILL = "kill"  # SIGKILL until the host is ready again.
 FREEZE = "freeze"  # SIGSTOP until SIGCONT.
 START = "start"  # Start until the host is ready.
+STARVED = "starved"  # It waited for a processor of the machine of the test.
 # The target is a pattern of links, `SOURCE>LINK`, as the fault proxy's.
 LINK = "link"  # The detail names the rule; resets and cuts are among them.
 # The target is a host, or `*` for all.
--- a/test/_soak_rules.py
+++ b/test/_soak_rules.py
@@ -134,6 +134,7 @@
                 for kind in (
                     _soak_records.STOP,
                     _soak_records.START,
+                    _soak_records.STARVED,
                     _soak_records.STORE,
                     _soak_records.LINK,
                 )
@@ -761,6 +762,15 @@
             if froze and process.exit_code == -9:
                 yield Excuse("END", "frozen in the grace period")
                 continue
+            starved = evidence.overlapping(
+                _soak_records.STARVED,
+                process.host,
+                process.ended_at - STABLE_WINDOW_SECONDS,
+                process.ended_at,
+            )
+            if starved and process.exit_code == -9:
+                yield Excuse("END", "the machine was busy at the stop")
+                continue
             text += f" {seconds:.2f} s after SIGTERM"
         yield _soak_records.Violation(
             "END", "", process.host, process.ended_at, f"{text}: {process}"
