--- a/test/_soak_system.py
+++ b/test/_soak_system.py
@@ -2,6 +2,7 @@
 
 import collections
 import contextlib
+import json
 import os
 import pathlib
 import resource
@@ -17,12 +18,17 @@
 # Limit of open descriptors of each host, and interval of the samples.
 DESCRIPTORS = 4100
 SAMPLE_SECONDS = 0.5
+# Share of a sample's time that a host that counts as starved waited for a
+# processor although it could run.
+STARVED_SHARE = 0.2
 # A host is given this time to become ready before its start counts as over.
 READY_SECONDS = 15.0
 # Services, with the number of their upstreams, and the delay of an upstream
 # that lags.
 SERVICES = {"work": 3, "other": 2}
 LAG_SECONDS = 0.8
+SLOTS = 32
+SHIFTED_LISTENING = _common.ROOT / "test" / "standins" / "shifted_listening"
 # API keys of the client account; the last one is withdrawn at times.
 KEYS = ("k1", "k2")
 # Routes of both services; the last of them comes and goes.
@@ -57,7 +63,10 @@
     Attributes:
         on_start: Called with the host after each start.
         processes: Its processes, as records.
-        starts: Spans from each start until the host was ready.
+        spans: Spans from each start until the host was ready, and of times in
+            which the machine had no processor for it.
+        waited: Process id, monotonic time and seconds that it had waited for a
+            processor, at the latest sample.
         stopped: Set once it is not started again.
     """
 
@@ -65,7 +74,8 @@
         super().__init__(*arguments)
         self.on_start = on_start
         self.processes = []
-        self.starts = []
+        self.spans = []
+        self.waited = (0, 0.0, 0.0)
         self.stopped = threading.Event()
 
     def __enter__(self):
@@ -123,7 +133,7 @@
             and not self.ready()
         ):
             time.sleep(_common.POLL_SECONDS)
-        self.starts.append(
+        self.spans.append(
             _soak_records.Span(
                 _soak_records.START,
                 self.name,
@@ -134,17 +144,41 @@
 
     def sample(self):
         """Returns what the process uses, or None if it has ended."""
-        pid = self.process.pid
+        pid, now = self.process.pid, time.monotonic()
         try:
+            waited = scheduler_wait(pid)
             status = pathlib.Path(f"/proc/{pid}/status").read_text()
             descriptors = len(os.listdir(f"/proc/{pid}/fd"))
             memory = status.partition("VmRSS:")[2].split()[0]
         except (OSError, IndexError):
             return None
+        self.record_wait(pid, now, waited)
         return _soak_records.Sample(
-            self.name, pid, time.monotonic(), int(memory), descriptors
+            self.name, pid, now, int(memory), descriptors
         )
 
+    def record_wait(self, pid, now, waited):
+        """Records a span if the host was starved since the latest sample."""
+        last_pid, last_at, last_waited = self.waited
+        self.waited = (pid, now, waited)
+        seconds = waited - last_waited
+        if pid == last_pid and seconds > STARVED_SHARE * (now - last_at):
+            self.spans.append(
+                _soak_records.Span(
+                    _soak_records.STARVED,
+                    self.name,
+                    last_at,
+                    now,
+                    f"{seconds:.2f} s",
+                )
+            )
+
+
+def scheduler_wait(pid):
+    """Returns the seconds for which a process waited for a processor."""
+    fields = pathlib.Path(f"/proc/{pid}/schedstat").read_text().split()
+    return int(fields[1]) / 1e9
+
 
 class Switches:
     """Values that overlapping faults set; the latest that lasts is in force.
@@ -179,7 +213,8 @@
     """A store, upstreams and hosts behind fault proxies; a context manager.
 
     The connections of callers to a host have the name `>front-HOST`, those of
-    hosts `HOST>UPSTREAM` and `HOST>store-HOST`.
+    hosts `HOST>UPSTREAM`, `HOST>store-HOST`, `HOST>peer-HOST` and
+    `HOST>forward-HOST`.
 
     Attributes:
         directory: Directory of logs and settings files.
@@ -273,11 +308,27 @@
             self.roots[number % len(self.roots)],
             on_start=self.register_source,
         )
+        self.add_peer_links(host)
         self.hosts[name] = self.stack.enter_context(host)
         self.addresses[name] = self.link(
             self.caller_proxy, f"front-{name}", host.address
         )
 
+    def add_peer_links(self, host):
+        """Lets other hosts reach a host through the proxy."""
+        told = {
+            f"peer-{host.name}": host.peer_address,
+            f"forward-{host.name}": host.forward_address,
+        }
+        actual = {
+            address: f"{host.ip}:{_front.free_port(host.ip)}"
+            for address in told.values()
+        }
+        for name, address in told.items():
+            self.link(self.host_proxy, name, f"{actual[address]} at {address}")
+        host.environment["PYTHONPATH"] = str(SHIFTED_LISTENING)
+        host.environment["LISTENING_ADDRESSES"] = json.dumps(actual)
+
     def register_source(self, host):
         """Names the connections of a host."""
         _common.fetch_json(
@@ -287,7 +338,7 @@
     def register(self, name, **changes):
         """Writes the entry of an upstream and returns when it was written."""
         upstream = self.upstreams[name]
-        entry = upstream.entry()
+        entry = upstream.entry(slots=SLOTS)
         address = self.link(self.host_proxy, name, entry["address"])
         self.store.put(
             "servers", upstream.name, {**entry, "address": address, **changes}
