--- a/test/_soak_rules.py
+++ b/test/_soak_rules.py
@@ -211,7 +211,9 @@
     """Returns True if an event meets a host, upstream or key."""
     if span.kind == _soak_records.LINK:
         source, _, link = span.target.partition(">")
-        return target in (source, link.rpartition("-")[2])
+        if link.startswith(("front-", "store-")):
+            source = link.partition("-")[2]
+        return source in (target, "*")
     return span.target in (target, "*")
 
 
--- a/test/_soak_runner.py
+++ b/test/_soak_runner.py
@@ -3,6 +3,7 @@
 import contextlib
 import itertools
 import logging
+import random
 import shutil
 import signal
 import subprocess
@@ -30,6 +31,9 @@
 AWAY_SECONDS = 0.7
 # Number of the first connection without a relay.
 FIRST_DIRECT_CONNECTION = 1_000_000
+# Delays of the relay in each direction, and the links that they meet.
+TRIPS_MS = (0, 8, 40, 250)
+ALL_CALLERS = ">front-*"
 BROKEN_SETTINGS = "nodeName = [1,\n"
 
 
@@ -173,6 +177,15 @@
             time.sleep(event.seconds)
             self.system.set_link_fault(proxy, pattern, fields, False)
 
+    @contextlib.contextmanager
+    def relay_trip(self, seed):
+        """Delays the bytes of all callers behind the relay, by a drawn time."""
+        milliseconds = random.Random(f"trip-{seed}").choice(TRIPS_MS)
+        proxy, fields = self.system.caller_proxy, {"delay_ms": milliseconds}
+        self.system.set_link_fault(proxy, ALL_CALLERS, fields, True)
+        with self.span(_soak_records.LINK, ALL_CALLERS, "delay-callers"):
+            yield
+
     def harm_store(self, event):
         """Sets a fault of the store for one host or all."""
         fields = _soak_schedule.STORE_FAULTS[event.kind]
@@ -335,7 +348,7 @@
             counts,
         )
         direct.connection_numbers = itertools.count(FIRST_DIRECT_CONNECTION)
-        with relayed, direct:
+        with runner.relay_trip(seed), relayed, direct:
             runner.run(events)
             time.sleep(TAIL_SECONDS)
         records = _soak_records.Records(
