--- /dev/null
+++ b/test/test_soak_rules.py
@@ -0,0 +1,445 @@
+"""Tests of the rules that judge a soak, on hand-written records."""
+
+import collections
+import unittest
+
+from test import _front
+from test import _soak_callers
+from test import _soak_records
+from test import _soak_rules
+
+# Long after the events of a case, so that its host is in touch.
+AT = 100.0
+ROOT = "/"
+FIRST = _soak_records.Configuration(1, _front.configuration(), 0.0, 0.1)
+
+
+def attempt(request_id="r1", **fields):
+    """Returns an attempt that was sent at `AT` and answered 0.2 s later."""
+    return _soak_records.Attempt(
+        **{
+            "request_id": request_id,
+            "host": "h0",
+            "connection": 1,
+            "position": 0,
+            "idempotent": True,
+            "path": "/read/body-100-10",
+            "key": "k1",
+            "sent_at": AT,
+            "ended_at": AT + 0.2,
+            "status": 200,
+            "server_stamp": "i-0",
+            "body_ok": True,
+            "end": _soak_records.ANSWER,
+            "left_at": None,
+            "deadline_seconds": 2.0,
+            **fields,
+        }
+    )
+
+
+def cut(request_id="r1", **fields):
+    """Returns an attempt whose connection was reset after 0.8 s."""
+    return attempt(
+        request_id,
+        **{
+            "ended_at": AT + 0.8,
+            "status": 0,
+            "server_stamp": "",
+            "end": _soak_records.RESET,
+            **fields,
+        },
+    )
+
+
+def run(request_id="r1", **fields):
+    """Returns a run that was answered after 0.1 s."""
+    return _soak_records.Run(
+        **{
+            "request_id": request_id,
+            "upstream": "i-0",
+            "service": "work",
+            "at": AT + 0.05,
+            "ended_at": AT + 0.15,
+            "outcome": _soak_records.ANSWERED,
+            "key_seen": False,
+            "deadline_seconds": 1.9,
+            **fields,
+        }
+    )
+
+
+def span(kind, target="h0", begins=AT - 1.0, ends=AT + 3.0, detail=""):
+    """Returns an event around `AT`."""
+    return _soak_records.Span(kind, target, begins, ends, detail)
+
+
+def stop(begins=AT - 1.0, ends=AT + 3.0):
+    """Returns a planned stop of host h0 around `AT`."""
+    return span(_soak_records.STOP, begins=begins, ends=ends, detail="7")
+
+
+def process(**fields):
+    """Returns the process of host h0."""
+    return _soak_records.Process(
+        **{
+            "host": "h0",
+            "pid": 7,
+            "started_at": 0.0,
+            "ended_at": None,
+            "exit_code": None,
+            "root": ROOT,
+            **fields,
+        }
+    )
+
+
+def judge(attempts=(), runs=(), spans=(), **fields):
+    """Judges records."""
+    return _soak_rules.judge(
+        _soak_records.Records(
+            **{
+                "started_at": 0.0,
+                "ended_at": 2 * AT,
+                "spans": list(spans),
+                "attempts": list(attempts),
+                "runs": list(runs),
+                "processes": [process()],
+                "samples": [],
+                "configurations": [FIRST],
+                **fields,
+            }
+        )
+    )
+
+
+class RulesTest(unittest.TestCase):
+    """Each rule on a case that breaks it and on cases that are allowed."""
+
+    def assert_broken(self, rule, verdict, count=1):
+        """Checks that only one rule was broken, and how often."""
+        self.assertEqual(
+            collections.Counter(each.rule for each in verdict.violations),
+            {rule: count},
+            verdict,
+        )
+
+    def assert_kept(self, verdict, *excuses):
+        """Checks that no rule was broken, and what was excused."""
+        self.assertEqual(verdict.violations, [])
+        self.assertEqual(sorted(verdict.excused), sorted(excuses))
+
+    def test_a_whole_answer_breaks_no_rule(self):
+        self.assert_kept(judge([attempt()], [run()]))
+
+    def test_lost_at_a_stop(self):
+        self.assert_broken("LOST", judge([cut()], [run()], [stop()]))
+        # Read for sure, though it did not run.
+        self.assert_broken("LOST", judge([cut()], [], [stop()]))
+        # It was delayed by a relay, which is no disruption.
+        relay = span(_soak_records.LINK, ">front-*", 0, 200, "delay-callers")
+        self.assert_broken("LOST", judge([cut()], [run()], [stop(), relay]))
+
+    def test_a_request_that_crosses_the_close_is_not_lost(self):
+        self.assert_kept(judge([cut(ended_at=AT + 0.1)], [], [stop()]))
+        first = attempt("r0", ended_at=AT + 0.5)
+        behind = cut("r1", position=1)
+        self.assert_kept(judge([first, behind], [run("r0")], [stop()]))
+
+    def test_excused_losses_at_a_stop(self):
+        broken = run(outcome=_soak_records.BROKEN)
+        self.assert_kept(
+            judge([cut()], [broken], [stop()]), "LOST: upstream broke off"
+        )
+        self.assert_kept(
+            judge([cut(ended_at=AT + 1.9)], [run()], [stop()]),
+            "LOST: deadline or timeout",
+        )
+        harms = (
+            span(_soak_records.KILL),
+            span(_soak_records.FREEZE),
+            span(_soak_records.LINK, ">front-h0", detail="reset-callers"),
+            span(_soak_records.LINK, "h0>i-*", detail="cut-upstreams"),
+        )
+        for harm in harms:
+            self.assert_kept(
+                judge([cut()], [run()], [stop(), harm]),
+                "LOST: unplanned disruption",
+            )
+        at_work = run(ended_at=AT + 4.5, outcome=_soak_records.CANCELLED)
+        late = cut(ended_at=AT + 4.6, deadline_seconds=30.0)
+        long = late._replace(path="/long/body-9000-10")
+        self.assert_kept(
+            judge([long], [at_work], [stop(ends=AT + 4.7)]),
+            "LOST: at work at the end of the grace period",
+        )
+
+    def test_faults_of_the_store_and_of_others_excuse_no_loss(self):
+        for harm in (
+            span(_soak_records.STORE, "*", detail="store-silent"),
+            span(_soak_records.LINK, "*>store-h0", detail="cut-store"),
+            span(_soak_records.KILL, "h1"),
+        ):
+            verdict = judge([cut()], [run()], [stop(), harm])
+            self.assert_broken("LOST", verdict)
+
+    def test_lost_at_a_reload(self):
+        reload = span(_soak_records.RELOAD, ends=AT - 1.0)
+        self.assert_broken("LOST", judge([cut()], [run()], [reload]))
+        long_ago = span(_soak_records.RELOAD, begins=AT - 4.0, ends=AT - 4.0)
+        self.assert_kept(
+            judge([cut()], [run()], [long_ago]),
+            "LOST: three at most without planned work",
+        )
+
+    def test_lost_beside_a_configuration(self):
+        second = FIRST._replace(version=2, sent_at=AT - 1, acknowledged_at=AT)
+        versions = [FIRST, second]
+        self.assert_broken(
+            "LOST", judge([cut()], [run()], configurations=versions)
+        )
+        usual = [
+            cut(f"u{n}", sent_at=50.0, ended_at=50.8, connection=n)
+            for n in range(2)
+        ]
+        ran = [run(), *(run(f"u{n}", at=50.1, ended_at=50.2) for n in range(2))]
+        self.assert_kept(
+            judge([cut(), *usual], ran, configurations=versions),
+            "LOST: three at most without planned work",
+        )
+
+    def test_lost_at_any_time(self):
+        cuts = [cut(f"r{n}", connection=n) for n in range(4)]
+        runs = [run(f"r{n}") for n in range(4)]
+        self.assert_broken("LOST", judge(cuts, runs), 4)
+        self.assert_kept(
+            judge(cuts[:3], runs[:3]),
+            "LOST: three at most without planned work",
+        )
+
+    def test_own_answer_after_sigterm(self):
+        own = attempt(status=502, server_stamp="")
+        at_work = run(ended_at=AT + 0.2, outcome=_soak_records.CANCELLED)
+        self.assert_broken("LOST", judge([own], [at_work], [stop()]))
+        self.assert_kept(judge([own], [at_work]))
+        self.assert_kept(judge([own], [run(outcome="broken")], [stop()]))
+
+    def test_repeated_and_refused_requests(self):
+        once = attempt(idempotent=False, path="/write/body-100-10")
+        twice = [run(), run(upstream="i-1")]
+        self.assert_broken("TWICE", judge([once], twice))
+        self.assert_kept(judge([attempt()], twice))
+        refused = once._replace(status=503, server_stamp="")
+        self.assert_broken("REFUSED", judge([refused], [run()]))
+        self.assert_kept(judge([refused]))
+        failed = refused._replace(status=502)
+        self.assert_kept(judge([failed], [run()]))
+
+    def test_mixed_answers(self):
+        for wrong in (
+            attempt(body_ok=False),
+            attempt(server_stamp=""),
+            attempt(server_stamp="i-1"),
+            attempt(status=500),
+        ):
+            self.assert_broken("MIXED", judge([wrong], [run()]))
+        self.assert_kept(judge([attempt(status=502, server_stamp="")], [run()]))
+
+    def test_unasked_runs(self):
+        self.assert_broken("UNASKED", judge([], [run("other")]))
+        self.assert_broken("UNASKED", judge([attempt()], [run(key_seen=True)]))
+        self.assert_kept(judge([], [run("id-1")]))
+
+    def test_wrong_routes(self):
+        verdict = judge([attempt()], [run(service="other")])
+        rules = {each.rule for each in verdict.violations}
+        self.assertEqual(rules, {"ROUTE", "CONFIG"})
+        verdict = judge([attempt(key="unknown")], [run()])
+        self.assertIn("ROUTE", {each.rule for each in verdict.violations})
+
+    def test_withdrawn_keys(self):
+        without = _front.configuration(2, tenants={"t1": {"apiKeys": ["k2"]}})
+        late, early = (
+            _soak_records.Configuration(2, without, at - 0.1, at)
+            for at in (AT - 5.5, AT - 3.5)
+        )
+        frozen = span(_soak_records.FREEZE, begins=AT - 1.0, ends=AT - 0.5)
+        # Not excused by a disruption of the host.
+        self.assert_broken(
+            "CONFIG",
+            judge([attempt()], [run()], [frozen], configurations=[FIRST, late]),
+        )
+        self.assert_kept(
+            judge(
+                [attempt()], [run()], [frozen], configurations=[FIRST, early]
+            ),
+            "CONFIG: host not in touch",
+        )
+
+    def test_old_configurations(self):
+        added = _front.configuration_with_route("extra", 2, service="other")
+        second = _soak_records.Configuration(2, added, AT - 4.0, AT - 3.5)
+        versions = [FIRST, second]
+        unknown = attempt(path="/extra/body-1-10", status=404, server_stamp="")
+        self.assert_broken("CONFIG", judge([unknown], configurations=versions))
+        self.assert_kept(
+            judge(
+                [unknown],
+                spans=[span(_soak_records.STORE, "*")],
+                configurations=versions,
+            ),
+            "CONFIG: host not in touch",
+        )
+        recent = second._replace(sent_at=AT - 2.0, acknowledged_at=AT - 1.9)
+        self.assert_kept(judge([unknown], configurations=[FIRST, recent]))
+
+    def test_regressions(self):
+        moved = _front.configuration_with_route("read", 2, service="other")
+        second = _soak_records.Configuration(2, moved, AT - 2.0, AT - 1.9)
+        versions = [FIRST, second]
+        attempts = [
+            attempt("r0", sent_at=AT - 1.0, ended_at=AT - 0.8, connection=2),
+            attempt("r1"),
+        ]
+        runs = [run("r0", at=AT - 0.9, service="other"), run("r1")]
+        self.assert_broken(
+            "CONFIG", judge(attempts, runs, configurations=versions)
+        )
+        restarted = [process(ended_at=AT - 0.5), process(started_at=AT - 0.4)]
+        stopped = stop(AT - 0.6, AT - 0.5)._replace(target="h1")
+        verdict = judge(
+            attempts,
+            runs,
+            [stopped],
+            configurations=versions,
+            processes=restarted,
+        )
+        self.assert_broken("END", verdict)
+
+    def test_late_answers(self):
+        slow = [
+            attempt(f"r{n}", ended_at=AT + 3.5, kind="fresh", connection=n)
+            for n in range(8)
+        ]
+        runs = [run(f"r{n}") for n in range(8)]
+        self.assert_broken("CONFIG", judge(slow, runs), 8)
+        self.assert_kept(judge(slow[:7], runs[:7]))
+
+    def test_drained_upstreams(self):
+        drain = span(_soak_records.DRAIN, "i-0", AT - 3.5, AT + 1.0)
+        self.assert_broken("DRAIN", judge([attempt()], [run()], [drain]))
+        self.assert_kept(
+            judge([attempt()], [run()], [stop(), drain]),
+            *(["DRAIN: host not in touch"]),
+        )
+        early = span(_soak_records.DRAIN, "i-0", AT - 2.0, AT + 1.0)
+        self.assert_kept(judge([attempt()], [run()], [early]))
+
+    def test_callers_that_left(self):
+        gone = [
+            attempt(
+                f"r{n}",
+                path="/long/body-3000-10",
+                status=0,
+                end=_soak_records.LEFT,
+                left_at=AT + 0.2,
+                connection=n,
+            )
+            for n in range(4)
+        ]
+        at_work = [run(f"r{n}", ended_at=AT + 3.0) for n in range(4)]
+        self.assert_broken("GONE", judge(gone, at_work), 4)
+        late = [run(f"r{n}", at=AT + 1.5, ended_at=AT + 1.6) for n in range(4)]
+        self.assert_broken("GONE", judge(gone, late), 4)
+        ended = [
+            run(f"r{n}", ended_at=AT + 0.4, outcome=_soak_records.CANCELLED)
+            for n in range(4)
+        ]
+        self.assert_kept(judge(gone, ended))
+
+    def test_budgets(self):
+        attempts = [attempt(f"r{n}", connection=n) for n in range(4)]
+        upstreams = ("i-1", "i-2", "i-0")
+        runs = [
+            run(f"r{n}", upstream=each) for n in range(4) for each in upstreams
+        ]
+        self.assert_broken("BUDGET", judge(attempts, runs), 4)
+        two = [each for each in runs if each.upstream != "i-1"]
+        self.assert_kept(judge(attempts, two))
+        many = [attempt(f"r{n}", connection=n) for n in range(90)]
+        once = [run(f"r{n}") for n in range(90)]
+        # 0.2 of the 300 arrivals and 58 more are allowed.
+        repeats = [run(f"r{n % 90}") for n in range(210)]
+        self.assert_broken("BUDGET", judge(many, once + repeats))
+        self.assert_kept(judge(many, once + repeats[:80]))
+
+    def test_long_deadlines(self):
+        attempts = [attempt(f"r{n}", connection=n) for n in range(30)]
+        runs = [run(f"r{n}", deadline_seconds=None) for n in range(30)]
+        self.assert_broken("BUDGET", judge(attempts, runs), 30)
+        self.assert_kept(judge(attempts[:20], runs[:20]))
+
+    def test_own_ends(self):
+        ended = process(ended_at=AT, exit_code=1)
+        self.assert_broken("END", judge(processes=[ended]))
+        reload = span(_soak_records.RELOAD, begins=AT - 0.1)
+        hung_up = process(ended_at=AT, exit_code=-1)
+        self.assert_broken("END", judge(spans=[reload], processes=[hung_up]))
+        late = process(ended_at=AT + 6.5, exit_code=0)
+        self.assert_broken("END", judge(spans=[stop()], processes=[late]))
+        planned = process(ended_at=AT + 3.0, exit_code=0)
+        self.assert_kept(judge(spans=[stop()], processes=[planned]))
+        killed = process(ended_at=AT, exit_code=-9)
+        kill = span(_soak_records.KILL, detail="7")
+        self.assert_kept(judge(spans=[kill], processes=[killed]))
+        starting = span(_soak_records.START, begins=AT - 2.0, ends=AT - 0.5)
+        early = process(started_at=AT - 2.0, ended_at=AT - 0.9, exit_code=-15)
+        self.assert_kept(
+            judge(spans=[stop(), starting], processes=[early]),
+            "END: SIGTERM before it was ready",
+        )
+
+    def test_resources(self):
+        def samples(memory, descriptors):
+            return [
+                _soak_records.Sample(
+                    "h0", 7, float(n), memory(n), descriptors(n)
+                )
+                for n in range(100)
+            ]
+
+        for broken in (
+            samples(lambda n: 320_000, lambda n: 100),
+            samples(lambda n: 50_000, lambda n: 4_100),
+            samples(lambda n: 50_000 + 1_000 * n, lambda n: 100),
+            samples(lambda n: 50_000, lambda n: 100 + 2 * n),
+        ):
+            self.assert_broken("LIMIT", judge(samples=broken))
+        steady = samples(lambda n: 90_000 + n % 7, lambda n: 200 - n % 90)
+        self.assert_kept(judge(samples=steady))
+
+
+class AnswersTest(unittest.TestCase):
+    """Parsing of answers by the callers."""
+
+    def test_answers_with_a_length(self):
+        data = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabcHTTP"
+        answer = _soak_callers.parse_answer(data, False)
+        self.assertEqual((answer.body, answer.size), (b"abc", len(data) - 4))
+        self.assertIsNone(_soak_callers.parse_answer(data[:-5], True))
+
+    def test_answers_in_chunks(self):
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        data = head + b"2\r\nab\r\n1;x\r\nc\r\n0\r\n\r\n"
+        answer = _soak_callers.parse_answer(data, False)
+        self.assertEqual((answer.body, answer.size), (b"abc", len(data)))
+        self.assertIsNone(_soak_callers.parse_answer(data[:-3], True))
+
+    def test_answers_without_a_length(self):
+        data = b"HTTP/1.1 200 OK\r\n\r\nabc"
+        self.assertIsNone(_soak_callers.parse_answer(data, False))
+        self.assertEqual(_soak_callers.parse_answer(data, True).body, b"abc")
+
+
+if __name__ == "__main__":
+    unittest.main()
