--- a/test/_soak_callers.py
+++ b/test/_soak_callers.py
@@ -35,8 +35,8 @@
 # Mean time between an answer and the next request.
 THINK_SECONDS = 0.03
 # Mean times between the requests of pipelining callers and of slow readers.
-PIPELINE_SECONDS = 0.07
-SLOW_PIPELINE_SECONDS = 0.15
+PIPELINE_SECONDS = 0.2
+SLOW_PIPELINE_SECONDS = 0.3
 # Median and limit of the sizes of most answers, in bytes.
 MEDIAN_BYTES = 3_000
 LIMIT_BYTES = 30_000
@@ -615,10 +615,10 @@
     "leaving": use_leaving,
 }
 DEFAULT_COUNTS = {
-    "pipelining": 6,
-    "slow-reader": 3,
-    "kept": 5,
-    "fresh": 2,
+    "pipelining": 24,
+    "slow-reader": 6,
+    "kept": 6,
+    "fresh": 4,
     "slow-sender": 2,
-    "leaving": 1,
+    "leaving": 2,
 }
