--- a/test/_soak_records.py
+++ b/test/_soak_records.py
@@ -22,6 +22,8 @@
 # The target is an upstream.
 DRAIN = "drain"  # Acknowledged `draining` or removal until it serves again.
 UPSTREAM = "upstream"  # Crash, replacement, lateness; the detail names it.
+# The target is an availability zone.
+EVACUATE = "evacuate"  # Acknowledged evacuation until it is taken back.
 # The target is an API key or a version.
 REVOKE = "revoke"  # Acknowledged withdrawal until the end or its return.
 CONFIGURE = "configure"  # Sending until the acknowledgement.
