--- a/test/_soak_records.py
+++ b/test/_soak_records.py
@@ -113,6 +113,7 @@
             connection first), or empty while it runs.
         key_seen: Whether the host passed an API key on.
         deadline_seconds: Value of Deadline-Ms that it received, or None.
+        zone: Availability zone of the upstream, or empty.
     """
 
     request_id: str
@@ -123,6 +124,7 @@
     outcome: str
     key_seen: bool
     deadline_seconds: float | None = None
+    zone: str = ""
 
 
 class Process(NamedTuple):
--- a/test/_soak_rules.py
+++ b/test/_soak_rules.py
@@ -24,6 +24,7 @@
 LOSS_SLACK_SECONDS = 0.2
 CONFIG_APPLY_SECONDS = 2.5
 ROLLBACK_SLACK_SECONDS = 0.25
+EVACUATION_SECONDS = 5.0
 AFTER_GRACE_SECONDS = 1.0
 AT_WORK_SECONDS = 0.5
 LATE_ANSWER_SECONDS = 0.5
@@ -50,8 +51,18 @@
 # The caller of readiness checks and look-ups in tests.
 PROBE_IDS = frozenset(("", "id-1"))
 PROMISES = frozenset((408, 421, 429, 503))
-# Faults of links that only delay bytes by less than half a second.
-DELAYS = frozenset(("delay-callers", "jitter-callers", "delay-upstreams"))
+# Faults of links that only delay bytes by less than half a second, and callers
+# that press.
+HARMLESS = frozenset(
+    (
+        "delay-callers",
+        "jitter-callers",
+        "delay-upstreams",
+        "delay-peers",
+        "crowd-idle",
+        "crowd-uploads",
+    )
+)
 # Faults of upstreams that end their requests.
 ENDING_FAULTS = frozenset(("crash", "replace"))
 
@@ -113,7 +124,7 @@
         return [
             each
             for each in self.overlapping(_soak_records.LINK, host, begins, ends)
-            if each.detail not in DELAYS
+            if each.detail not in HARMLESS
         ]
 
     def disrupted(self, host: str, begins: float, ends: float) -> bool:
@@ -130,23 +141,31 @@
             )
         )
 
-    def in_touch(self, host: str, begins: float, ends: float) -> bool:
-        """Returns True if a host is in touch from a time to another."""
+    def out_of_touch(self, host: str, begins: float, ends: float) -> str:
+        """Returns why a host was out of touch in a period, or empty."""
         begins -= STABLE_WINDOW_SECONDS
-        return not (
-            self.disrupted(host, begins, ends)
-            or self.harmed_links(host, begins, ends)
-            or any(
-                self.overlapping(kind, host, begins, ends)
+        if self.harmed_links(host, begins, ends):
+            return "its links"
+        return next(
+            (
+                kind
                 for kind in (
+                    _soak_records.KILL,
+                    _soak_records.FREEZE,
                     _soak_records.STOP,
                     _soak_records.START,
-                    _soak_records.STARVED,
                     _soak_records.STORE,
+                    _soak_records.STARVED,
                 )
-            )
+                if self.overlapping(kind, host, begins, ends)
+            ),
+            "",
         )
 
+    def in_touch(self, host: str, begins: float, ends: float) -> bool:
+        """Returns True if a host is in touch from a time to another."""
+        return not self.out_of_touch(host, begins, ends)
+
     def stop_of(
         self, attempt: _soak_records.Attempt
     ) -> _soak_records.Span | None:
@@ -210,10 +229,10 @@
 def meets(span: _soak_records.Span, target: str) -> bool:
     """Returns True if an event meets a host, upstream or key."""
     if span.kind == _soak_records.LINK:
+        # `HOST>LINK`, or `>KIND-HOST` and `*>KIND-HOST`.
         source, _, link = span.target.partition(">")
-        if link.startswith(("front-", "store-")):
-            source = link.partition("-")[2]
-        return source in (target, "*")
+        host = source if source.strip("*") else link.partition("-")[2]
+        return host in (target, "*")
     return span.target in (target, "*")
 
 
@@ -565,10 +584,10 @@
         in_force = versions_in_force(versions, bound, attempt.ended_at)
         if any(allows(each, attempt, runs) for each in in_force):
             continue
-        if not evidence.in_touch(
+        if reason := evidence.out_of_touch(
             attempt.host, attempt.sent_at, attempt.ended_at
         ):
-            yield Excuse("CONFIG", "host not in touch")
+            yield Excuse("CONFIG", f"host out of touch: {reason}")
             continue
         text = describe(evidence, attempt, "handled as by an older version")
         yield violation("CONFIG", attempt, text)
@@ -643,14 +662,35 @@
                 or not bound + MACHINE_SECONDS < run.at < span.ended_at
             ):
                 continue
-            if not evidence.in_touch(attempt.host, span.started_at, run.at):
-                yield Excuse("DRAIN", "host not in touch")
+            if reason := evidence.out_of_touch(
+                attempt.host, span.started_at, run.at
+            ):
+                yield Excuse("DRAIN", f"host out of touch: {reason}")
                 continue
             text = f"ran at {run.upstream} {run.at - span.started_at:.2f} s"
             text += " after it was acknowledged as draining"
             yield violation("DRAIN", attempt, describe(evidence, attempt, text))
 
 
+def find_evacuated(evidence: Evidence) -> Findings:
+    """EVAC: a request reaches an upstream in a zone that is evacuated."""
+    for span in evidence.spans.get(_soak_records.EVACUATE, ()):
+        bound = span.started_at + EVACUATION_SECONDS + MACHINE_SECONDS
+        for run in evidence.records.runs:
+            attempt = evidence.attempts.get(run.request_id)
+            if run.zone != span.target or not attempt:
+                continue
+            if not bound < run.at < span.ended_at:
+                continue
+            if reason := evidence.out_of_touch(
+                attempt.host, span.started_at, run.at
+            ):
+                yield Excuse("EVAC", f"host out of touch: {reason}")
+                continue
+            text = f"ran in {run.zone}, which is evacuated"
+            yield violation("EVAC", attempt, describe(evidence, attempt, text))
+
+
 def find_gone(evidence: Evidence) -> Findings:
     """GONE: upstreams work on for callers that have left."""
     arrived, at_work, long_runs = [], [], 0
@@ -862,6 +902,7 @@
     find_regressions,
     find_late_answers,
     find_drained,
+    find_evacuated,
     find_gone,
     find_many_attempts,
     find_retry_storms,
--- a/test/_soak_system.py
+++ b/test/_soak_system.py
@@ -432,6 +432,7 @@
                         end.outcome if end else "",
                         "authorization" in run.headers,
                         int(deadline) / 1000 if deadline else None,
+                        upstream.zone,
                     )
                 )
         return result
--- a/test/test_soak_rules.py
+++ b/test/test_soak_rules.py
@@ -273,7 +273,7 @@
             judge(
                 [attempt()], [run()], [frozen], configurations=[FIRST, early]
             ),
-            "CONFIG: host not in touch",
+            "CONFIG: host out of touch: freeze",
         )
 
     def test_old_configurations(self):
@@ -288,7 +288,7 @@
                 spans=[span(_soak_records.STORE, "*")],
                 configurations=versions,
             ),
-            "CONFIG: host not in touch",
+            "CONFIG: host out of touch: store",
         )
         recent = second._replace(sent_at=AT - 2.0, acknowledged_at=AT - 1.9)
         self.assert_kept(judge([unknown], configurations=[FIRST, recent]))
@@ -330,11 +330,33 @@
         self.assert_broken("DRAIN", judge([attempt()], [run()], [drain]))
         self.assert_kept(
             judge([attempt()], [run()], [stop(), drain]),
-            *(["DRAIN: host not in touch"]),
+            "DRAIN: host out of touch: stop",
         )
         early = span(_soak_records.DRAIN, "i-0", AT - 2.0, AT + 1.0)
         self.assert_kept(judge([attempt()], [run()], [early]))
 
+    def test_evacuated_zones(self):
+        evacuation = span(_soak_records.EVACUATE, "north-a", AT - 5.5, AT + 1.0)
+        there, elsewhere = run(zone="north-a"), run(zone="north-b")
+        self.assert_broken("EVAC", judge([attempt()], [there], [evacuation]))
+        self.assert_kept(judge([attempt()], [elsewhere], [evacuation]))
+        early = evacuation._replace(started_at=AT - 4.5)
+        self.assert_kept(judge([attempt()], [there], [early]))
+
+    def test_links_of_hosts(self):
+        for pattern, hosts in (
+            (">front-h0", ["h0"]),
+            (">front-*", ["h0", "h1"]),
+            ("h0>i-*", ["h0"]),
+            ("*>store-h0", ["h0"]),
+            ("h0>peer-*", ["h0"]),
+        ):
+            harm = span(_soak_records.LINK, pattern)
+            met = [
+                each for each in ("h0", "h1") if _soak_rules.meets(harm, each)
+            ]
+            self.assertEqual(met, hosts, pattern)
+
     def test_callers_that_left(self):
         gone = [
             attempt(
