--- a/gooseberryweir/connection/delivery.py
+++ b/gooseberryweir/connection/delivery.py
@@ -40,8 +40,10 @@
 # Bytes of a body that are sent together with the head.
 JOINED_BYTES = 64 * 1024
 DISCARD_BYTES = 64 * 1024
-# Limit on the input of a closing connection that is discarded; the rest stays
-# in the kernel. The same for unread input just before a connection is closed.
+# Input of a closing connection that is discarded as fast as it arrives; what
+# follows is read with a pause of `CHECK_SECONDS` behind each piece.
+MAX_UNPACED_BYTES = 1024 * 1024
+# Limit on unread input that is discarded just before a connection is closed.
 MAX_DISCARDED_BYTES = 1024 * 1024
 # Time for which input behind the last answer shows that the caller has not
 # read the end of the connection.
@@ -198,6 +200,9 @@
         if self.queued + self.unsent if size is None else size:
             self.pending_at = now
             return CHECK_SECONDS
+        if self.has_unread_input():
+            # A busy host may have read nothing for some time.
+            self.pending_at = now
         self.pending_at = max(self.pending_at, self.discarded_at)
         return max(0.0, self.pending_at + LINGER_SECONDS - now)
 
@@ -231,6 +236,15 @@
         if size or discarded:
             self.record(Undelivered(self.last_request, size, reason, discarded))
 
+    def has_unread_input(self) -> bool:
+        """Returns True if input has arrived that was not read yet."""
+        try:
+            # `fd` is the non-blocking socket inside the eventlet socket.
+            return bool(self.socket.fd.recv(1, socket.MSG_PEEK))
+        except OSError:
+            # Nothing has arrived, or the connection is broken.
+            return False
+
     def count_discarded(self, size: int) -> None:
         """Counts input that was read behind the last answer."""
         self.discarded += size
--- a/test/test_delivery.py
+++ b/test/test_delivery.py
@@ -11,6 +11,7 @@
 from unittest import mock
 
 import eventlet
+from eventlet import greenio
 
 from gooseberryweir.connection import caller_http
 from gooseberryweir.connection import caller_server
@@ -25,6 +26,7 @@
 )
 REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
 CLOSING_REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+SMALL_REQUEST = b"GET /small HTTP/1.1\r\nHost: h\r\n\r\n"
 # Less than the host's kernel takes at once, more than the caller's does.
 BODY_BYTES = 300_000
 # More than the kernel's buffers of a connection hold.
@@ -32,6 +34,7 @@
 BUFFER_BYTES = 4096
 # What a caller sends at a time; all of it is more than the kernel's buffers.
 FLOOD_BYTES = 1_000_000
+PIECE_BYTES = 64 * 1024
 STEP_SECONDS = 0.01
 STEPS = 500
 
@@ -154,6 +157,24 @@
         self.assertFalse(self.server.has_requests())
         self.wait_until(lambda: not self.server.connections)
 
+    # Guards against the same on a busy host, which had not read what its caller
+    # sent on.
+    def test_input_that_a_busy_host_has_not_read_starts_the_linger_anew(self):
+        limits = LIMITS._replace(idle_timeout_seconds=15.0)
+        self.server.callbacks = self.server.callbacks._replace(
+            limits=lambda: limits
+        )
+        caller = self.connect(CLOSING_REQUEST)
+        self.assertGreater(self.read(caller), BODY_BYTES)
+        self.wait_until(lambda: not self.undelivered())
+        self.keep_busy(
+            delivery.LINGER_SECONDS + delivery.CHECK_SECONDS,
+            lambda: caller.sendall(REQUEST),
+        )
+        self.assertTrue(self.server.has_requests())
+        eventlet.sleep(STEP_SECONDS)
+        self.assertEqual(len(self.server.connections), 1)
+
     # Guards against LOST of issue 35: a closing connection was ended by the
     # idle timeout or a fixed time, before its caller had the answer.
     def test_closing_connection_outlives_the_idle_timeout(self):
@@ -173,6 +194,38 @@
         self.assertGreater(self.read(caller), BODY_BYTES)
         self.assertEqual(self.records, [])
 
+    def keep_busy(self, seconds, begin):
+        """Blocks the server from a task that input wakes.
+
+        What arrives meanwhile is read after the timers that are due.
+
+        Args:
+            seconds: Time for which no other task runs.
+            begin: Called before that.
+        """
+        ends = [self.stack.enter_context(each) for each in socket.socketpair()]
+
+        def block():
+            greenio.GreenSocket(ends[0]).recv(1)
+            begin()
+            time.sleep(seconds)
+
+        task = eventlet.spawn(block)
+        eventlet.sleep(STEP_SECONDS)
+        ends[1].send(b"-")
+        task.wait()
+
+    # Guards against a reset in place of an answer: a busy host closed a
+    # connection as idle although the next request had arrived.
+    def test_request_that_arrived_in_time_is_served_by_a_busy_host(self):
+        caller = self.connect_only(SMALL_REQUEST)
+        eventlet.sleep(10 * STEP_SECONDS)
+        self.assertIn(b"200", caller.recv(1000))
+        eventlet.sleep(IDLE_SECONDS / 2)
+        self.keep_busy(IDLE_SECONDS, lambda: caller.sendall(SMALL_REQUEST))
+        eventlet.sleep(10 * STEP_SECONDS)
+        self.assertIn(b"200", caller.recv(1000))
+
     # Guards against the same while the kernel can't take the whole answer.
     def test_sending_outlives_the_idle_timeout(self):
         caller = self.connect_only(b"GET /large HTTP/1.1\r\nHost: h\r\n\r\n")
@@ -307,17 +360,29 @@
     # Guards against a stop that lasts as long as callers go on: one that sends
     # its next request before the answer always had one open.
     def test_busy_callers_do_not_delay_the_end(self):
-        request = b"GET /small HTTP/1.1\r\nHost: h\r\n\r\n"
-        caller = self.connect_only(request)
+        caller = self.connect_only(SMALL_REQUEST)
         self.wait_until(lambda: self.server.open_requests)
         self.server.stop_reading()
 
         def ended():
-            caller.sendall(request)
+            caller.sendall(SMALL_REQUEST)
             return not self.server.has_answers()
 
         self.wait_until(ended)
 
+    # Guards against LOST of issue 38: of a caller that had sent much behind the
+    # last answer no more was read, and the unread input reset the connection.
+    def test_caller_that_sends_much_behind_the_end_is_not_reset(self):
+        caller = self.connect(CLOSING_REQUEST)
+        self.assertGreater(self.read(caller), BODY_BYTES)
+        for _ in range(2 * delivery.MAX_UNPACED_BYTES // PIECE_BYTES):
+            caller.sendall(bytes(PIECE_BYTES))
+            eventlet.sleep(STEP_SECONDS)
+        for _ in range(5):
+            eventlet.sleep(delivery.LINGER_SECONDS / 2)
+            caller.sendall(REQUEST)
+        self.assertEqual(len(self.server.connections), 1)
+
     # Guards against a core spent on a caller that floods a closing connection.
     def test_input_of_a_closing_connection_is_limited(self):
         caller = self.connect(CLOSING_REQUEST)
@@ -329,7 +394,7 @@
             eventlet.sleep(STEP_SECONDS / 10)
         self.assertLess(sent, STEPS * FLOOD_BYTES / 10)
 
-    def start_serve(self):
+    def start_serve(self, shutting_down=False):
         """Starts a server as in `serve` and returns its task."""
         listener = eventlet.listen(("127.0.0.1", 0))
         self.address = listener.getsockname()
@@ -344,7 +409,7 @@
             application,
             eventlet.GreenPool(4),
             8192,
-            lambda: False,
+            lambda: shutting_down,
         )
         self.stack.callback(task.kill)
         return task
@@ -358,6 +423,16 @@
             caller.sendall(REQUEST)
         self.assertGreater(self.read(caller), BODY_BYTES)
 
+    # Guards against LOST of issue 38 in `serve`: in a stop, a connection ended
+    # once the next kernel had the answer, and a caller that sent on was reset.
+    def test_caller_of_serve_may_send_on_in_a_stop(self):
+        self.start_serve(shutting_down=True)
+        caller = self.connect_only(REQUEST)
+        self.assertGreater(self.read(caller), BODY_BYTES)
+        for _ in range(4):
+            eventlet.sleep(delivery.LINGER_SECONDS / 2)
+            caller.sendall(REQUEST)
+
     # Guards against the same where `serve` stops and takes the connection for
     # idle.
     def test_answer_of_serve_is_delivered_when_it_stops(self):
