--- a/test/_soak_system.py
+++ b/test/_soak_system.py
@@ -30,7 +30,7 @@
 SLOTS = 32
 # Time after which the store's writers notice that it lost changes.
 AFTER_RETURN_SECONDS = 1.0
-SHIFTED_LISTENING = _common.ROOT / "test" / "standins" / "shifted_listening"
+OTHER_ADDRESSES = _common.ROOT / "test" / "standins" / "other_addresses"
 # API keys of the client account; the last one is withdrawn at times.
 KEYS = ("k1", "k2")
 # Routes of both services; the last of them comes and goes.
@@ -63,7 +63,6 @@
     """A host that is started again as soon as it has ended.
 
     Attributes:
-        on_start: Called with the host after each start.
         processes: Its processes, as records.
         spans: Spans from each start until the host was ready, and of times in
             which the machine had no processor for it.
@@ -72,9 +71,8 @@
         stopped: Set once it is not started again.
     """
 
-    def __init__(self, *arguments, on_start):
+    def __init__(self, *arguments):
         super().__init__(*arguments)
-        self.on_start = on_start
         self.processes = []
         self.spans = []
         self.waited = (0, 0.0, 0.0)
@@ -108,7 +106,6 @@
                 str(self.root),
             )
         )
-        self.on_start(self)
 
     def keep(self):
         """Starts the host again whenever it has ended."""
@@ -314,7 +311,6 @@
             self.link(self.host_proxy, f"store-{name}", store_address),
             self.directory,
             self.roots[number % len(self.roots)],
-            on_start=self.register_source,
         )
         self.add_peer_links(host)
         self.hosts[name] = self.stack.enter_context(host)
@@ -334,14 +330,12 @@
         }
         for name, address in told.items():
             self.link(self.host_proxy, name, f"{actual[address]} at {address}")
-        host.environment["PYTHONPATH"] = str(SHIFTED_LISTENING)
-        host.environment["LISTENING_ADDRESSES"] = json.dumps(actual)
-
-    def register_source(self, host):
-        """Names the connections of a host."""
         _common.fetch_json(
-            self.host_proxy.url("/_sources"), {str(host.process.pid): host.name}
+            self.host_proxy.url("/_sources"), {host.ip: host.name}
         )
+        host.environment["CONNECTING_IP"] = host.ip
+        host.environment["PYTHONPATH"] = str(OTHER_ADDRESSES)
+        host.environment["LISTENING_ADDRESSES"] = json.dumps(actual)
 
     def register(self, name, **changes):
         """Writes the entry of an upstream and returns when it was written."""
@@ -437,7 +431,13 @@
                 )
         return result
 
-    def log_lines(self, word):
-        """Returns the lines with a word in the logs of all hosts, by host."""
-        lines = {name: h.log_lines(word) for name, h in self.hosts.items()}
+    def log_lines(self, request_id):
+        """Returns the lines of a request in the logs of all hosts, by host."""
+        word = f"request={request_id}"
+        lines = {
+            name: [
+                line for line in host.log_lines(word) if word in line.split()
+            ]
+            for name, host in self.hosts.items()
+        }
         return {name: found for name, found in lines.items() if found}
--- a/test/standins/fault_proxy.py
+++ b/test/standins/fault_proxy.py
@@ -1,9 +1,9 @@
 """TCP proxy on loopback that injects faults into connections.
 
 A link is a listening port that forwards connections to a target. The name of a
-connection is `SOURCE>LINK`; SOURCE is the name registered for the pid of the
-connecting process, or empty. A rule selects connections by a pattern of their
-name (`fnmatch`) and sets fields of `ConnectionFaults`; if several rules match,
+connection is `SOURCE>LINK`; SOURCE is the name registered for the IP address or
+the pid of the connecting process, or empty. A rule selects connections by a
+pattern of their name (`fnmatch`) and sets fields of `ConnectionFaults`; if several rules match,
 later rules override earlier ones.
 
 The control port accepts JSON over HTTP:
@@ -11,7 +11,8 @@
 * `POST /_links` with a map of link name to target IP:PORT adds links or changes
   their targets, and returns the listening port of each; a target written as
   `IP:PORT at IP:PORT` also has the address at which a new link listens;
-* `POST /_sources` with a map of pid to name registers names of processes;
+* `POST /_sources` with a map of pid or IP address to name registers names of
+  processes;
 * `POST /_rules` with a list of maps, each with `match` and fields, sets rules;
   a rule replaces the one with the same `match`, and without fields only
   removes it;
@@ -360,13 +361,13 @@
     Args:
         local: IP address and port of the connecting side.
         remote: IP address and port of the link.
-        sources: Registered names of processes by pid.
+        sources: Registered names of processes by pid or IP address.
 
     Returns:
         The name, or empty if the process is not registered.
     """
-    if not sources:
-        return ""
+    if local[0] in sources or not sources:
+        return sources.get(local[0], "")
     inode = socket_inode(local, remote)
     for pid, name in sources.items():
         if inode in socket_inodes(pid):
--- a/test/standins/shifted_listening/sitecustomize.py
+++ b/test/standins/other_addresses/sitecustomize.py
@@ -1,10 +1,13 @@
-"""Lets a Python process listen at other addresses than it was told.
+"""Changes the addresses that a Python process listens at and connects from.
 
 The directory belongs on PYTHONPATH of hosts that reach each other through a
 proxy, since they announce the addresses that they were told. The variable
 LISTENING_ADDRESSES has a JSON map of the `IP:PORT` told to that in its place.
+CONNECTING_IP has the IP address of outgoing connections, by which the proxy
+knows their source.
 """
 
+import functools
 import importlib.util
 import json
 import os
@@ -15,7 +18,7 @@
 
 
 class _Finder:
-    """Finds the module with `listen` and wraps the function.
+    """Finds the module with `listen` and `connect` and wraps both.
 
     It waits for the import, so that the process starts as without it.
     """
@@ -31,6 +34,9 @@
         def execute_and_wrap(module):
             execute(module)
             module.listen = _listening_elsewhere(module.listen)
+            module.connect = functools.partial(
+                module.connect, bind=(os.environ["CONNECTING_IP"], 0)
+            )
 
         spec.loader.exec_module = execute_and_wrap
         return spec
