--- a/test/standins/fault_proxy.py
+++ b/test/standins/fault_proxy.py
@@ -3,8 +3,8 @@
 A link is a listening port that forwards connections to a target. The name of a
 connection is `SOURCE>LINK`; SOURCE is the name registered for the IP address or
 the pid of the connecting process, or empty. A rule selects connections by a
-pattern of their name (`fnmatch`) and sets fields of `ConnectionFaults`; if several rules match,
-later rules override earlier ones.
+pattern of their name (`fnmatch`) and sets fields of `ConnectionFaults`; if
+several rules match, later rules override earlier ones.
 
 The control port accepts JSON over HTTP:
 
