--- a/test/_soak_rules.py
+++ b/test/_soak_rules.py
@@ -699,7 +699,9 @@
             attempt.host, attempt.sent_at, attempt.left_at + AT_WORK_SECONDS
         ):
             continue
-        bound = attempt.left_at + AT_WORK_SECONDS + MACHINE_SECONDS
+        # The close reaches the host, and then the upstream.
+        bound = attempt.left_at + AT_WORK_SECONDS
+        bound += evidence.trip_seconds(attempt)
         milliseconds = int(attempt.path.split("-")[-2])
         for run in evidence.runs_of(attempt):
             if run.at > bound:
--- a/test/_soak_runner.py
+++ b/test/_soak_runner.py
@@ -476,6 +476,7 @@
             time.monotonic(),
             sorted(
                 runner.spans
+                + list(system.spans)
                 + [
                     span
                     for h in system.hosts.values()
--- a/test/_soak_system.py
+++ b/test/_soak_system.py
@@ -2,6 +2,7 @@
 
 import collections
 import contextlib
+import http.client
 import json
 import os
 import pathlib
@@ -21,6 +22,10 @@
 # Share of a sample's time that a host that counts as starved waited for a
 # processor although it could run.
 STARVED_SHARE = 0.4
+# Link on which the delay of proxies and upstreams is measured, and the delay
+# from which all hosts count as starved.
+LAG_LINK = "lag"
+LAG_LIMIT_SECONDS = 0.3
 # A host is given this time to become ready before its start counts as over.
 READY_SECONDS = 15.0
 # Services, with the number of their upstreams, and the delay of an upstream
@@ -226,6 +231,7 @@
         hosts: Hosts by name.
         addresses: Addresses for callers behind a relay, by name of the host.
         samples: Samples of all hosts.
+        spans: Times in which the proxies or upstreams were late.
         configurations: Configurations that were written.
         keys: API keys in the latest configuration.
         services: Services of the further routes in it, by route.
@@ -236,6 +242,7 @@
         self.roots = roots
         self.stack = contextlib.ExitStack()
         self.samples = []
+        self.spans = []
         self.configurations = []
         self.keys = KEYS
         self.services = {OTHER_ROUTE: "other", CHANGING_ROUTE: "work"}
@@ -413,6 +420,31 @@
         while not self.over.wait(SAMPLE_SECONDS):
             samples = [each.sample() for each in list(self.hosts.values())]
             self.samples += [each for each in samples if each]
+            for proxy in (self.caller_proxy, self.host_proxy):
+                self.measure_lag(proxy)
+
+    def measure_lag(self, proxy):
+        """Records a span if a proxy or the upstreams are late.
+
+        Sends a request that no upstream runs through a link of its own.
+        """
+        began_at = time.monotonic()
+        upstream = next(iter(self.upstreams.values()))
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            # The upstream may end its connections.
+            address = self.link(proxy, LAG_LINK, upstream.entry()["address"])
+            _front.call(address, "/", key="", Expect_Instance="none")
+        now = time.monotonic()
+        if now - began_at > LAG_LIMIT_SECONDS:
+            self.spans.append(
+                _soak_records.Span(
+                    _soak_records.STARVED,
+                    "*",
+                    began_at - SAMPLE_SECONDS,
+                    now,
+                    f"{now - began_at:.2f} s through {proxy.name}",
+                )
+            )
 
     def runs(self):
         """Returns the records of all runs at upstreams."""
