--- a/bench/front_faults.py
+++ b/bench/front_faults.py
@@ -1,7 +1,8 @@
 """Runs random faults against host processes with many seeds.
 
 Usage: python -m bench.front_faults --seeds A-B [--seconds N] [--hosts N]
-[--only KIND] [--commit C | --root DIR] [--mixed] [--shrink] [--keep DIR].
+[--only KIND] [--commit C | --root DIR] [--mixed] [--shrink] [--keep DIR]
+[--settings FILE] [--memory-mb MB] [--descriptors N].
 Prints a line for each seed, and for each violation the events around it and the
 log lines of its request. The exit code is 1 if a seed failed.
 """
@@ -19,8 +20,10 @@
 
 from test import _common
 from test import _soak_records
+from test import _soak_rules
 from test import _soak_runner
 from test import _soak_schedule
+from test import _soak_system
 from test import test_upgrade
 
 # Events that began or ended this long before a violation are printed, and at
@@ -53,9 +56,27 @@
     parser.add_argument(
         "--keep", type=pathlib.Path, help="directory for logs of failing seeds"
     )
+    usual = _soak_rules.USUAL_BOUNDS
+    parser.add_argument(
+        "--settings",
+        type=pathlib.Path,
+        help="settings file of a host, whose bounds apply",
+    )
+    parser.add_argument("--memory-mb", type=float, default=usual.memory_mb)
+    parser.add_argument("--descriptors", type=int, default=usual.descriptors)
     return parser.parse_args()
 
 
+def bounds_of(arguments: argparse.Namespace) -> _soak_records.Bounds:
+    """Returns the bounds of the arguments."""
+    bounds = _soak_rules.USUAL_BOUNDS
+    if arguments.settings:
+        bounds = _soak_system.read_bounds(arguments.settings)
+    return bounds._replace(
+        memory_mb=arguments.memory_mb, descriptors=arguments.descriptors
+    )
+
+
 @contextlib.contextmanager
 def open_roots(arguments: argparse.Namespace) -> Iterator[list[pathlib.Path]]:
     """Provides the directories with the packages of the hosts."""
@@ -174,6 +195,7 @@
                 roots=roots,
                 events=events,
                 keep=arguments.keep,
+                bounds=bounds_of(arguments),
             )
 
         for seed in range(int(first), int(last or first) + 1):
--- a/test/_soak_records.py
+++ b/test/_soak_records.py
@@ -181,6 +181,42 @@
     acknowledged_at: float | None
 
 
+class Bounds(NamedTuple):
+    """Bounds of the rules, those of the settings files of the hosts.
+
+    Attributes:
+        grace: Seconds from SIGTERM to SIGKILL.
+        key_revocation: Seconds from the withdrawal of a key until no request
+            with it is run.
+        drain: Seconds from the draining of an upstream until it gets no
+            requests.
+        evacuation: The same for an availability zone.
+        stable_window: Seconds after a disruption until bounds hold again.
+        config_apply: Seconds until a configuration is in force.
+        rollback_slack: Seconds after which no older one is in force again.
+        loss_slack: Seconds after which a request counts as read.
+        budget_window: Sliding window in which retries are counted, in seconds.
+        budget_ratio: Retries allowed per request of a service.
+        budget_margin: Further retries allowed per window, over all hosts.
+        memory_mb: Resident memory of a host, in MiB.
+        descriptors: Open descriptors of a host.
+    """
+
+    grace: float
+    key_revocation: float
+    drain: float
+    evacuation: float = 5.0
+    stable_window: float = 4.0
+    config_apply: float = 2.5
+    rollback_slack: float = 0.25
+    loss_slack: float = 0.2
+    budget_window: float = 10.0
+    budget_ratio: float = 0.2
+    budget_margin: float = 58.0
+    memory_mb: float = 300.0
+    descriptors: int = 4100
+
+
 class Records(NamedTuple):
     """Everything that callers, upstreams and the driver saw in a soak.
 
@@ -193,6 +229,7 @@
         processes: Processes of all hosts.
         samples: Samples of all processes.
         configurations: Configurations in the order of their sending.
+        bounds: Bounds of the rules.
     """
 
     started_at: float
@@ -203,6 +240,7 @@
     processes: list[Process]
     samples: list[Sample]
     configurations: list[Configuration]
+    bounds: Bounds
 
 
 class Violation(NamedTuple):
--- a/test/_soak_rules.py
+++ b/test/_soak_rules.py
@@ -19,31 +19,23 @@
 from test import _front
 from test import _soak_records
 
-# Bounds of the rules, seconds.
-STABLE_WINDOW_SECONDS = 4.0
-LOSS_SLACK_SECONDS = 0.2
-CONFIG_APPLY_SECONDS = 2.5
-ROLLBACK_SLACK_SECONDS = 0.25
-EVACUATION_SECONDS = 5.0
+# Fixed times of the rules, seconds.
 AFTER_GRACE_SECONDS = 1.0
 AT_WORK_SECONDS = 0.5
 LATE_ANSWER_SECONDS = 0.5
 # A request that is sent later after SIGTERM is owed its answer in any case.
 SENT_IN_STOP_SECONDS = 3.0
-BUDGET_WINDOW_SECONDS = 10.0
-BUDGET_RATIO = 0.2
-BUDGET_MARGIN = 58
 # Cases of a rule that only counts them when there are more.
 TOLERATED = 3
 # Share of its time after which a request counts as late beside a configuration.
 USED_SHARE = 0.7
-MEMORY_KB = 300 * 1024
-DESCRIPTORS = 4000
 # Shortest record of a process in which growth counts, and the growth.
 GROWTH_SECONDS = 60.0
 GROWTH_FACTOR = 1.3
 GROWTH_MEMORY_KB = 20 * 1024
 GROWTH_DESCRIPTORS = 50
+# A host that has fewer descriptors left counts as one that reached the limit.
+SPARE = 100
 # Delay of callers, upstreams and stand-ins that share a busy machine.
 MACHINE_SECONDS = 0.4
 # Longest trip through a relay that delays bytes, both ways.
@@ -67,6 +59,11 @@
 ENDING_FAULTS = frozenset(("crash", "replace"))
 
 
+USUAL_BOUNDS = _soak_records.Bounds(
+    _front.GRACE_SECONDS, _front.KEY_REVOCATION_SECONDS, _front.DRAIN_SECONDS
+)
+
+
 class Excuse(NamedTuple):
     """A case that the users' rules excuse.
 
@@ -99,6 +96,11 @@
     spans: dict[str, list[_soak_records.Span]]
     queues: dict[int, list[_soak_records.Attempt]]
 
+    @property
+    def bounds(self) -> _soak_records.Bounds:
+        """Bounds of the rules."""
+        return self.records.bounds
+
     def runs_of(
         self, attempt: _soak_records.Attempt
     ) -> list[_soak_records.Run]:
@@ -143,7 +145,7 @@
 
     def out_of_touch(self, host: str, begins: float, ends: float) -> str:
         """Returns why a host was out of touch in a period, or empty."""
-        begins -= STABLE_WINDOW_SECONDS
+        begins -= self.bounds.stable_window
         if self.harmed_links(host, begins, ends):
             return "its links"
         return next(
@@ -177,7 +179,7 @@
                 if each.target == attempt.host
                 and each.started_at
                 <= attempt.ended_at
-                <= each.started_at + _front.GRACE_SECONDS + AFTER_GRACE_SECONDS
+                <= each.started_at + self.bounds.grace + AFTER_GRACE_SECONDS
                 and attempt.sent_at <= each.ended_at
             ),
             None,
@@ -316,9 +318,12 @@
     if any(upstream_ended(evidence, run) for run in runs):
         return "upstream broke off"
     allowed = evidence.seconds_allowed(attempt)
-    if attempt.ended_at - attempt.sent_at >= allowed - LOSS_SLACK_SECONDS:
+    if (
+        attempt.ended_at - attempt.sent_at
+        >= allowed - evidence.bounds.loss_slack
+    ):
         return "deadline or timeout"
-    begins = attempt.sent_at - STABLE_WINDOW_SECONDS
+    begins = attempt.sent_at - evidence.bounds.stable_window
     if evidence.disrupted(attempt.host, begins, attempt.ended_at):
         return "unplanned disruption"
     if any(run.outcome == _soak_records.CANCELLED for run in runs) and any(
@@ -327,7 +332,7 @@
     ):
         return "disruption of a host that forwards"
     if stop:
-        last_sixth = stop.started_at + _front.GRACE_SECONDS * 5 / 6
+        last_sixth = stop.started_at + evidence.bounds.grace * 5 / 6
         if attempt.sent_at <= stop.started_at + SENT_IN_STOP_SECONDS and any(
             run.ended_at is None or run.ended_at >= last_sixth for run in runs
         ):
@@ -340,7 +345,7 @@
 def read_for_sure(evidence: Evidence, attempt: _soak_records.Attempt) -> bool:
     """Returns True if a host must have read a request that did not run."""
     open_seconds = attempt.ended_at - attempt.sent_at
-    slack = LOSS_SLACK_SECONDS + evidence.trip_seconds(attempt)
+    slack = evidence.bounds.loss_slack + evidence.trip_seconds(attempt)
     return open_seconds > slack and not evidence.behind_another(attempt)
 
 
@@ -371,7 +376,8 @@
             for each in evidence.spans.get(_soak_records.RELOAD, ())
             if each.target == attempt.host
             and each.started_at <= attempt.ended_at
-            and attempt.sent_at <= each.started_at + CONFIG_APPLY_SECONDS
+            and attempt.sent_at
+            <= each.started_at + evidence.bounds.config_apply
         ]
         ran = evidence.runs_of(attempt)
         if not reloads or not (ran or read_for_sure(evidence, attempt)):
@@ -388,7 +394,9 @@
     windows = [
         (
             each.sent_at,
-            (each.acknowledged_at or math.inf) + CONFIG_APPLY_SECONDS + 1.0,
+            (each.acknowledged_at or math.inf)
+            + evidence.bounds.config_apply
+            + 1.0,
         )
         for each in evidence.records.configurations[1:]
     ]
@@ -528,7 +536,7 @@
         if not attempt.key or not runs:
             continue
         bound = attempt.sent_at - MACHINE_SECONDS
-        bound -= _front.KEY_REVOCATION_SECONDS
+        bound -= evidence.bounds.key_revocation
         if any(
             holds_key(each.document, attempt.key)
             for each in versions_in_force(versions, bound, attempt.ended_at)
@@ -580,7 +588,7 @@
     versions = evidence.records.configurations
     for attempt in evidence.records.attempts:
         runs = evidence.runs_of(attempt)
-        bound = attempt.sent_at - CONFIG_APPLY_SECONDS - MACHINE_SECONDS
+        bound = attempt.sent_at - evidence.bounds.config_apply - MACHINE_SECONDS
         in_force = versions_in_force(versions, bound, attempt.ended_at)
         if any(allows(each, attempt, runs) for each in in_force):
             continue
@@ -612,7 +620,9 @@
                 and allows(each, attempt, runs)
             ]
             if allowing:
-                slack = ROLLBACK_SLACK_SECONDS + evidence.trip_seconds(attempt)
+                slack = evidence.bounds.rollback_slack + evidence.trip_seconds(
+                    attempt
+                )
                 seen.append((runs[0].at + slack, min(allowing)))
                 newest.append((attempt.sent_at, max(allowing), attempt))
         seen.sort()
@@ -653,7 +663,7 @@
 def find_drained(evidence: Evidence) -> Findings:
     """DRAIN: a request reaches an upstream long after it began to leave."""
     for span in evidence.spans.get(_soak_records.DRAIN, ()):
-        bound = span.started_at + _front.DRAIN_SECONDS
+        bound = span.started_at + evidence.bounds.drain
         for run in evidence.records.runs:
             attempt = evidence.attempts.get(run.request_id)
             if (
@@ -675,7 +685,7 @@
 def find_evacuated(evidence: Evidence) -> Findings:
     """EVAC: a request reaches an upstream in a zone that is evacuated."""
     for span in evidence.spans.get(_soak_records.EVACUATE, ()):
-        bound = span.started_at + EVACUATION_SECONDS + MACHINE_SECONDS
+        bound = span.started_at + evidence.bounds.evacuation + MACHINE_SECONDS
         for run in evidence.records.runs:
             attempt = evidence.attempts.get(run.request_id)
             if run.zone != span.target or not attempt:
@@ -753,17 +763,21 @@
         times.sort()
         requests = sorted(sent[service])
         for at in times:
-            count = count_in(times, at, BUDGET_WINDOW_SECONDS)
+            count = count_in(times, at, evidence.bounds.budget_window)
             # The same window, half a window before and a window before.
             most = max(
                 count_in(
                     requests,
-                    at - share * BUDGET_WINDOW_SECONDS,
-                    BUDGET_WINDOW_SECONDS,
+                    at - share * evidence.bounds.budget_window,
+                    evidence.bounds.budget_window,
                 )
                 for share in (0.0, 0.5, 1.0)
             )
-            if count > BUDGET_RATIO * most + BUDGET_MARGIN:
+            if (
+                count
+                > evidence.bounds.budget_ratio * most
+                + evidence.bounds.budget_margin
+            ):
                 text = f"{count} repeats and {most} requests of {service}"
                 yield _soak_records.Violation("BUDGET", "", "", at, text)
                 break
@@ -843,7 +857,7 @@
             starved = evidence.overlapping(
                 _soak_records.STARVED,
                 process.host,
-                process.ended_at - STABLE_WINDOW_SECONDS,
+                process.ended_at - evidence.bounds.stable_window,
                 process.ended_at,
             )
             if starved and process.exit_code == -9:
@@ -857,13 +871,14 @@
 
 def find_resources(evidence: Evidence) -> Findings:
     """LIMIT: a process reaches its limits, or only grows."""
+    bounds = evidence.bounds
     by_pid = collections.defaultdict(list)
     for sample in evidence.records.samples:
         by_pid[sample.pid].append(sample)
     for samples in by_pid.values():
         for name, limit, growth in (
-            ("memory_kb", MEMORY_KB, GROWTH_MEMORY_KB),
-            ("descriptors", DESCRIPTORS, GROWTH_DESCRIPTORS),
+            ("memory_kb", bounds.memory_mb * 1024, GROWTH_MEMORY_KB),
+            ("descriptors", bounds.descriptors - SPARE, GROWTH_DESCRIPTORS),
         ):
             values = [getattr(each, name) for each in samples]
             last = samples[-1]
--- a/test/_soak_runner.py
+++ b/test/_soak_runner.py
@@ -28,13 +28,14 @@
 TAIL_SECONDS = 3.0
 # Longest pause between a SIGTERM and a further one.
 AGAIN_SECONDS = 0.3
-# Time after the drain of an upstream until it ends.
-DRAINED_SECONDS = _front.DRAIN_SECONDS + 1.0
+# Time after the bound of drains until a drained upstream ends, and after that
+# of evacuations until they are taken back.
+DRAINED_SECONDS = 1.0
 # Time for which an upstream that has crashed stays away.
 AWAY_SECONDS = 0.7
 # Shortest time until an address is used again.
 REUSE_SECONDS = 2.0
-EVACUATION_SECONDS = 6.0
+EVACUATED_SECONDS = 1.0
 STOPS_AT_ONCE = 3
 # Connections of a crowd: of those that send nothing, and of those that send
 # most of a body of this size.
@@ -124,7 +125,7 @@
         with self.span(_soak_records.STOP, event.target, str(process.pid)):
             process.send_signal(signal.SIGTERM)
             try:
-                process.wait(_front.GRACE_SECONDS)
+                process.wait(self.system.bounds.grace)
             except subprocess.TimeoutExpired:
                 process.kill()
                 process.wait()
@@ -303,7 +304,7 @@
             with self.span(_soak_records.CONFIGURE, f"without {withdrawn}"):
                 self.system.configure(keys=[kept])
             with self.span(_soak_records.REVOKE, withdrawn):
-                time.sleep(_front.KEY_REVOCATION_SECONDS + event.seconds)
+                time.sleep(self.system.bounds.key_revocation + event.seconds)
             with self.span(_soak_records.CONFIGURE, f"with {withdrawn}"):
                 self.system.configure(keys=_soak_system.KEYS)
 
@@ -316,7 +317,7 @@
             stack.callback(self.evacuate_lock.release)
             self.system.store.put("evacuations", zone, {})
             with self.span(_soak_records.EVACUATE, zone):
-                time.sleep(EVACUATION_SECONDS)
+                time.sleep(self.system.bounds.evacuation + EVACUATED_SECONDS)
             self.system.store.delete("evacuations", zone)
 
     # Events of upstreams.
@@ -334,7 +335,7 @@
             upstream.state = "draining"
             self.system.register(event.target)
             with self.span(_soak_records.DRAIN, ended_name):
-                time.sleep(DRAINED_SECONDS)
+                time.sleep(self.system.bounds.drain + DRAINED_SECONDS)
                 self.system.unregister(ended_name)
                 time.sleep(AWAY_SECONDS)
             self.replace_instance(event.target)
@@ -376,7 +377,7 @@
                 self.span(_soak_records.DRAIN, ended_names[0]),
                 self.span(_soak_records.DRAIN, ended_names[1]),
             ):
-                time.sleep(DRAINED_SECONDS)
+                time.sleep(self.system.bounds.drain + DRAINED_SECONDS)
                 for name in ended_names:
                     self.system.unregister(name)
                 time.sleep(REUSE_SECONDS)
@@ -436,6 +437,7 @@
     roots=(_common.ROOT,),
     events=None,
     keep=None,
+    bounds=None,
 ):
     """Runs the schedule of a seed, then judges what was seen.
 
@@ -448,8 +450,9 @@
         events: Schedule to perform in place of that of the seed, or None.
         keep: Directory to which the logs of a seed that fails are copied, or
             None.
+        bounds: Bounds of the rules, or None for the usual ones.
     """
-    with _soak_system.SoakSystem(hosts, roots) as system:
+    with _soak_system.SoakSystem(hosts, roots, bounds) as system:
         if events is None:
             events = _soak_schedule.draw_schedule(
                 seed, list(system.hosts), list(system.upstreams), seconds, only
@@ -489,6 +492,7 @@
             [p for h in system.hosts.values() for p in list(h.processes)],
             list(system.samples),
             list(system.configurations),
+            system.bounds,
         )
         verdict = _soak_rules.judge(records)
         result = SoakResult(
--- a/test/_soak_system.py
+++ b/test/_soak_system.py
@@ -6,18 +6,21 @@
 import json
 import os
 import pathlib
+import re
 import resource
 import tempfile
 import threading
 import time
+import tomllib
 
+from gooseberryweir.platform import units
 from test import _common
 from test import _front
 from test import _soak_records
+from test import _soak_rules
 from test.standins import threaded_upstream
 
-# Limit of open descriptors of each host, and interval of the samples.
-DESCRIPTORS = 4100
+# Interval of the samples.
 SAMPLE_SECONDS = 0.5
 # Share of a sample's time that a host that counts as starved waited for a
 # processor although it could run.
@@ -64,11 +67,48 @@
     return document
 
 
+# Bounds by their names in the settings file of a host.
+BOUND_NAMES = {
+    "grace": "grace",
+    "revoke": "key_revocation",
+    "drain": "drain",
+    "evac": "evacuation",
+    "stableWindow": "stable_window",
+    "configApply": "config_apply",
+    "rollbackSlack": "rollback_slack",
+    "lossSlack": "loss_slack",
+    "budgetWindow": "budget_window",
+    "retryBudgetRatio": "budget_ratio",
+    "budgetMargin": "budget_margin",
+}
+NUMBERS = frozenset(("retryBudgetRatio", "budgetMargin"))
+
+
+def read_bounds(path):
+    """Returns the bounds of a host's settings file, else the usual ones."""
+    texts = tomllib.loads(path.read_text(encoding="utf-8")).get("bounds", [])
+    values = {}
+    for name, _, value in (text.partition("=") for text in texts):
+        if name in BOUND_NAMES and value:
+            parse = float if name in NUMBERS else units.parse_duration
+            values[BOUND_NAMES[name]] = parse(value)
+    return _soak_rules.USUAL_BOUNDS._replace(**values)
+
+
+def bound_texts(bounds):
+    """Returns bounds as the entries of a settings file."""
+    return [
+        f"{name}={getattr(bounds, field):g}" + ("" if name in NUMBERS else "s")
+        for name, field in BOUND_NAMES.items()
+    ]
+
+
 class SoakHost(_front.HostProcess):
     """A host that is started again as soon as it has ended.
 
     Attributes:
         on_start: Called with the host after each start.
+        bounds: Bounds in its settings file, and its limits.
         processes: Its processes, as records.
         spans: Spans from each start until the host was ready, and of times in
             which the machine had no processor for it.
@@ -77,9 +117,15 @@
         stopped: Set once it is not started again.
     """
 
-    def __init__(self, *arguments, on_start):
+    def __init__(self, *arguments, bounds, on_start):
         super().__init__(*arguments)
         self.on_start = on_start
+        self.bounds = bounds
+        text = self.settings_path.read_text()
+        line = f"bounds = {json.dumps(bound_texts(bounds))}"
+        self.settings_path.write_text(
+            re.sub("^bounds = .*$", line, text, flags=re.MULTILINE)
+        )
         self.processes = []
         self.spans = []
         self.waited = (0, 0.0, 0.0)
@@ -101,7 +147,9 @@
         started_at = time.monotonic()
         super().start(output)
         resource.prlimit(
-            self.process.pid, resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS)
+            self.process.pid,
+            resource.RLIMIT_NOFILE,
+            (self.bounds.descriptors, self.bounds.descriptors),
         )
         self.processes.append(
             _soak_records.Process(
@@ -224,6 +272,7 @@
     `HOST>forward-HOST`.
 
     Attributes:
+        bounds: Bounds of the rules.
         directory: Directory of logs and settings files.
         store: Stand-in of the store.
         upstreams: Stand-ins of upstreams by the names of their first instances.
@@ -237,8 +286,9 @@
         services: Services of the further routes in it, by route.
     """
 
-    def __init__(self, host_count, roots):
+    def __init__(self, host_count, roots, bounds=None):
         self.host_count = host_count
+        self.bounds = bounds or _soak_rules.USUAL_BOUNDS
         self.roots = roots
         self.stack = contextlib.ExitStack()
         self.samples = []
@@ -321,6 +371,7 @@
             self.link(self.host_proxy, f"store-{name}", store_address),
             self.directory,
             self.roots[number % len(self.roots)],
+            bounds=self.bounds,
             on_start=self.register_source,
         )
         self.add_peer_links(host)
--- a/test/test_soak_rules.py
+++ b/test/test_soak_rules.py
@@ -107,6 +107,7 @@
                 "processes": [process()],
                 "samples": [],
                 "configurations": [FIRST],
+                "bounds": _soak_rules.USUAL_BOUNDS,
                 **fields,
             }
         )
