--- a/test/_soak_system.py
+++ b/test/_soak_system.py
@@ -2,25 +2,33 @@
 
 import collections
 import contextlib
+import http.client
 import json
 import os
 import pathlib
+import re
 import resource
 import tempfile
 import threading
 import time
+import tomllib
 
+from gooseberryweir.platform import units
 from test import _common
 from test import _front
 from test import _soak_records
+from test import _soak_rules
 from test.standins import threaded_upstream
 
-# Limit of open descriptors of each host, and interval of the samples.
-DESCRIPTORS = 4100
+# Interval of the samples.
 SAMPLE_SECONDS = 0.5
 # Share of a sample's time that a host that counts as starved waited for a
 # processor although it could run.
 STARVED_SHARE = 0.4
+# Link on which the delay of proxies and upstreams is measured, and the delay
+# from which all hosts count as starved.
+LAG_LINK = "lag"
+LAG_LIMIT_SECONDS = 0.3
 # A host is given this time to become ready before its start counts as over.
 READY_SECONDS = 15.0
 # Services, with the number of their upstreams, and the delay of an upstream
@@ -59,10 +67,47 @@
     return document
 
 
+# Bounds by their names in the settings file of a host.
+BOUND_NAMES = {
+    "grace": "grace",
+    "revoke": "key_revocation",
+    "drain": "drain",
+    "evac": "evacuation",
+    "stableWindow": "stable_window",
+    "configApply": "config_apply",
+    "rollbackSlack": "rollback_slack",
+    "lossSlack": "loss_slack",
+    "budgetWindow": "budget_window",
+    "retryBudgetRatio": "budget_ratio",
+    "budgetMargin": "budget_margin",
+}
+NUMBERS = frozenset(("retryBudgetRatio", "budgetMargin"))
+
+
+def read_bounds(path):
+    """Returns the bounds of a host's settings file, else the usual ones."""
+    texts = tomllib.loads(path.read_text(encoding="utf-8")).get("bounds", [])
+    values = {}
+    for name, _, value in (text.partition("=") for text in texts):
+        if name in BOUND_NAMES and value:
+            parse = float if name in NUMBERS else units.parse_duration
+            values[BOUND_NAMES[name]] = parse(value)
+    return _soak_rules.USUAL_BOUNDS._replace(**values)
+
+
+def bound_texts(bounds):
+    """Returns bounds as the entries of a settings file."""
+    return [
+        f"{name}={getattr(bounds, field):g}" + ("" if name in NUMBERS else "s")
+        for name, field in BOUND_NAMES.items()
+    ]
+
+
 class SoakHost(_front.HostProcess):
     """A host that is started again as soon as it has ended.
 
     Attributes:
+        bounds: Bounds in its settings file, and its limits.
         processes: Its processes, as records.
         spans: Spans from each start until the host was ready, and of times in
             which the machine had no processor for it.
@@ -71,8 +116,14 @@
         stopped: Set once it is not started again.
     """
 
-    def __init__(self, *arguments):
+    def __init__(self, *arguments, bounds):
         super().__init__(*arguments)
+        self.bounds = bounds
+        text = self.settings_path.read_text()
+        line = f"bounds = {json.dumps(bound_texts(bounds))}"
+        self.settings_path.write_text(
+            re.sub("^bounds = .*$", line, text, flags=re.MULTILINE)
+        )
         self.processes = []
         self.spans = []
         self.waited = (0, 0.0, 0.0)
@@ -94,7 +145,9 @@
         started_at = time.monotonic()
         super().start(output)
         resource.prlimit(
-            self.process.pid, resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS)
+            self.process.pid,
+            resource.RLIMIT_NOFILE,
+            (self.bounds.descriptors, self.bounds.descriptors),
         )
         self.processes.append(
             _soak_records.Process(
@@ -216,6 +269,7 @@
     `HOST>forward-HOST`.
 
     Attributes:
+        bounds: Bounds of the rules.
         directory: Directory of logs and settings files.
         store: Stand-in of the store.
         upstreams: Stand-ins of upstreams by the names of their first instances.
@@ -223,16 +277,19 @@
         hosts: Hosts by name.
         addresses: Addresses for callers behind a relay, by name of the host.
         samples: Samples of all hosts.
+        spans: Times in which the proxies or upstreams were late.
         configurations: Configurations that were written.
         keys: API keys in the latest configuration.
         services: Services of the further routes in it, by route.
     """
 
-    def __init__(self, host_count, roots):
+    def __init__(self, host_count, roots, bounds=None):
         self.host_count = host_count
+        self.bounds = bounds or _soak_rules.USUAL_BOUNDS
         self.roots = roots
         self.stack = contextlib.ExitStack()
         self.samples = []
+        self.spans = []
         self.configurations = []
         self.keys = KEYS
         self.services = {OTHER_ROUTE: "other", CHANGING_ROUTE: "work"}
@@ -311,6 +368,7 @@
             self.link(self.host_proxy, f"store-{name}", store_address),
             self.directory,
             self.roots[number % len(self.roots)],
+            bounds=self.bounds,
         )
         self.add_peer_links(host)
         self.hosts[name] = self.stack.enter_context(host)
@@ -407,6 +465,31 @@
         while not self.over.wait(SAMPLE_SECONDS):
             samples = [each.sample() for each in list(self.hosts.values())]
             self.samples += [each for each in samples if each]
+            for proxy in (self.caller_proxy, self.host_proxy):
+                self.measure_lag(proxy)
+
+    def measure_lag(self, proxy):
+        """Records a span if a proxy or the upstreams are late.
+
+        Sends a request that no upstream runs through a link of its own.
+        """
+        began_at = time.monotonic()
+        upstream = next(iter(self.upstreams.values()))
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            # The upstream may end its connections.
+            address = self.link(proxy, LAG_LINK, upstream.entry()["address"])
+            _front.call(address, "/", key="", Expect_Instance="none")
+        now = time.monotonic()
+        if now - began_at > LAG_LIMIT_SECONDS:
+            self.spans.append(
+                _soak_records.Span(
+                    _soak_records.STARVED,
+                    "*",
+                    began_at - SAMPLE_SECONDS,
+                    now,
+                    f"{now - began_at:.2f} s through {proxy.name}",
+                )
+            )
 
     def runs(self):
         """Returns the records of all runs at upstreams."""
