--- a/test/_soak_callers.py
+++ b/test/_soak_callers.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Mapping
 import contextlib
@@ -29,6 +30,8 @@
 # A caller gives up this long after the deadline of its request.
 PATIENCE_SECONDS = 2.0
 DEADLINES_SECONDS = (2.0, 4.0, 8.0)
+# Deadline of slow readers, whose answers wait for those before them.
+SLOW_DEADLINE_SECONDS = 30.0
 # Interval at which a caller that waits for bytes checks its patience.
 POLL_SECONDS = 0.25
 READ_BYTES = 65_536
@@ -40,6 +43,9 @@
 # Median and limit of the sizes of most answers, in bytes.
 MEDIAN_BYTES = 3_000
 LIMIT_BYTES = 30_000
+# Size and share of the answers that a slow reader receives for seconds.
+LARGE_BYTES = 300_000
+LARGE_SHARE = 0.03
 # Longest time of most requests at an upstream, and of the others, in ms.
 SHORT_MS = 120
 LONG_MS = 1_200
@@ -74,9 +80,11 @@
     public: bool = False
 
 
+# The route whose timeout is longer than any deadline.
+LONG_ROUTE = Route("/long/", True)
 ROUTES = (
     Route("/read/", True),
-    Route("/long/", True),
+    LONG_ROUTE,
     Route("/open/", True, True),
     Route("/write/", False),
     Route("/other/", True),
@@ -300,6 +308,7 @@
         milliseconds: int,
         pieces: int = 1,
         piece_seconds: float = 0.0,
+        deadlines_seconds: tuple[float, ...] = DEADLINES_SECONDS,
     ) -> None:
         """Sends one request.
 
@@ -308,10 +317,11 @@
             milliseconds: Time that the upstream takes.
             pieces: Number of pieces in which a body is sent; 1 for no body.
             piece_seconds: Time between pieces.
+            deadlines_seconds: Deadlines from which one is drawn.
         """
         rng, callers = self.rng, self.callers
         route = rng.choice(routes)
-        size = min(LIMIT_BYTES, int(rng.lognormvariate(0, 1) * MEDIAN_BYTES))
+        size = draw_size(rng)
         action = rng.choices(list(ACTIONS), list(ACTIONS.values()))[0]
         key = "" if route.public else rng.choice(callers.keys)
         sent = Sent(
@@ -321,7 +331,7 @@
             path=f"{route.prefix}{action}-{milliseconds}-{size}",
             key=key,
             begun_at=time.monotonic(),
-            deadline_seconds=rng.choice(DEADLINES_SECONDS),
+            deadline_seconds=rng.choice(deadlines_seconds),
         )
         body, headers = b"", {}
         if pieces > 1:
@@ -523,6 +533,13 @@
     return int(rng.uniform(0, SHORT_MS))
 
 
+def draw_size(rng: random.Random) -> int:
+    """Draws the size of an answer in bytes."""
+    if rng.random() < LARGE_SHARE:
+        return LARGE_BYTES
+    return min(LIMIT_BYTES, int(rng.lognormvariate(0, 1) * MEDIAN_BYTES))
+
+
 async def use_fresh(line: Line, rng: random.Random) -> None:
     """Sends one request."""
     await asyncio.sleep(rng.expovariate(1 / THINK_SECONDS))
@@ -569,7 +586,11 @@
 
 
 async def pipeline(
-    line: Line, rng: random.Random, send_seconds: float, read_seconds: float
+    line: Line,
+    rng: random.Random,
+    send: Callable[[], Awaitable[None]],
+    send_seconds: float,
+    read_seconds: float,
 ) -> None:
     """Sends on at its own pace, whether it has read or not."""
     stubborn = rng.random() < 0.7
@@ -579,9 +600,7 @@
             if line.closing and not stubborn:
                 return
             if len(line.waiting) < PIPELINE_LIMIT:
-                await line.send(
-                    line.callers.idempotent_routes(), draw_milliseconds(rng)
-                )
+                await send()
             await asyncio.sleep(rng.expovariate(1 / send_seconds))
 
     sender = asyncio.create_task(send_on())
@@ -598,12 +617,26 @@
 
 async def use_pipelining(line: Line, rng: random.Random) -> None:
     """Sends requests without waiting and reads at once."""
-    await pipeline(line, rng, PIPELINE_SECONDS, 0.0)
+
+    async def send() -> None:
+        await line.send(
+            line.callers.idempotent_routes(), draw_milliseconds(rng)
+        )
+
+    await pipeline(line, rng, send, PIPELINE_SECONDS, 0.0)
 
 
 async def use_slow_reader(line: Line, rng: random.Random) -> None:
     """Sends requests without waiting and reads a small window at a time."""
-    await pipeline(line, rng, SLOW_PIPELINE_SECONDS, SLOW_READ_SECONDS)
+
+    async def send() -> None:
+        await line.send(
+            (LONG_ROUTE,),
+            draw_milliseconds(rng),
+            deadlines_seconds=(SLOW_DEADLINE_SECONDS,),
+        )
+
+    await pipeline(line, rng, send, SLOW_PIPELINE_SECONDS, SLOW_READ_SECONDS)
 
 
 KINDS: Mapping[str, Callable] = {
@@ -616,7 +649,7 @@
 }
 DEFAULT_COUNTS = {
     "pipelining": 24,
-    "slow-reader": 6,
+    "slow-reader": 12,
     "kept": 6,
     "fresh": 4,
     "slow-sender": 2,
