--- a/test/_soak_rules.py
+++ b/test/_soak_rules.py
@@ -147,22 +147,18 @@
         """Returns why a host was out of touch in a period, or empty."""
         begins -= self.bounds.stable_window
         if self.harmed_links(host, begins, ends):
-            return "its links"
-        return next(
-            (
-                kind
-                for kind in (
-                    _soak_records.KILL,
-                    _soak_records.FREEZE,
-                    _soak_records.STOP,
-                    _soak_records.START,
-                    _soak_records.STORE,
-                    _soak_records.STARVED,
-                )
-                if self.overlapping(kind, host, begins, ends)
-            ),
-            "",
-        )
+            return "host out of touch: links"
+        for kind in (
+            _soak_records.KILL,
+            _soak_records.FREEZE,
+            _soak_records.STOP,
+            _soak_records.START,
+            _soak_records.STORE,
+            _soak_records.STARVED,
+        ):
+            if self.overlapping(kind, host, begins, ends):
+                return f"host out of touch: {kind}"
+        return ""
 
     def in_touch(self, host: str, begins: float, ends: float) -> bool:
         """Returns True if a host is in touch from a time to another."""
@@ -263,15 +259,6 @@
     return attempt.end in (_soak_records.RESET, _soak_records.END)
 
 
-def violation(
-    rule: str, attempt: _soak_records.Attempt, text: str
-) -> _soak_records.Violation:
-    """Returns the violation of a rule by an attempt."""
-    return _soak_records.Violation(
-        rule, attempt.request_id, attempt.host, attempt.ended_at, text
-    )
-
-
 def describe(
     evidence: Evidence, attempt: _soak_records.Attempt, text: str
 ) -> str:
@@ -294,6 +281,25 @@
     )
 
 
+def judged(
+    evidence: Evidence,
+    rule: str,
+    attempt: _soak_records.Attempt,
+    text: str,
+    excuse: str = "",
+) -> _soak_records.Violation | Excuse:
+    """Returns the violation of a rule by an attempt, or its excuse."""
+    if excuse:
+        return Excuse(rule, excuse)
+    return _soak_records.Violation(
+        rule,
+        attempt.request_id,
+        attempt.host,
+        attempt.ended_at,
+        describe(evidence, attempt, text),
+    )
+
+
 def upstream_ended(evidence: Evidence, run: _soak_records.Run) -> bool:
     """Returns True if the upstream broke a run off or ended beside it."""
     ends = run.at if run.ended_at is None else run.ended_at
@@ -358,12 +364,10 @@
         ran = evidence.runs_of(attempt)
         if not stop or not (ran or read_for_sure(evidence, attempt)):
             continue
-        if reason := loss_excuse(evidence, attempt, stop):
-            yield Excuse("LOST", reason)
-            continue
+        reason = loss_excuse(evidence, attempt, stop)
         since = attempt.ended_at - stop.started_at
         text = f"no complete answer {since:.2f} s after SIGTERM"
-        yield violation("LOST", attempt, describe(evidence, attempt, text))
+        yield judged(evidence, "LOST", attempt, text, reason)
 
 
 def find_lost_at_reload(evidence: Evidence) -> Findings:
@@ -382,11 +386,9 @@
         ran = evidence.runs_of(attempt)
         if not reloads or not (ran or read_for_sure(evidence, attempt)):
             continue
-        if reason := loss_excuse(evidence, attempt, None):
-            yield Excuse("LOST", reason)
-            continue
-        text = describe(evidence, attempt, "no complete answer after SIGHUP")
-        yield violation("LOST", attempt, text)
+        reason = loss_excuse(evidence, attempt, None)
+        text = "no complete answer after SIGHUP"
+        yield judged(evidence, "LOST", attempt, text, reason)
 
 
 def find_lost_at_configuration(evidence: Evidence) -> Findings:
@@ -419,7 +421,7 @@
     if len(cuts[True]) > 3 * usual * counts[True]:
         for attempt in cuts[True]:
             text = "no complete answer beside a configuration"
-            yield violation("LOST", attempt, describe(evidence, attempt, text))
+            yield judged(evidence, "LOST", attempt, text)
 
 
 def find_lost_at_any_time(evidence: Evidence) -> Findings:
@@ -437,8 +439,7 @@
         if len(lost) <= TOLERATED:
             yield Excuse("LOST", "three at most without planned work")
             continue
-        text = describe(evidence, attempt, "closed without an answer")
-        yield violation("LOST", attempt, text)
+        yield judged(evidence, "LOST", attempt, "closed without an answer")
 
 
 def find_own_answers(evidence: Evidence) -> Findings:
@@ -456,19 +457,16 @@
         ]
         if attempt.server_stamp or not broken_off:
             continue
-        if reason := loss_excuse(evidence, attempt, stop):
-            yield Excuse("LOST", reason)
-            continue
-        text = describe(evidence, attempt, "own answer after SIGTERM")
-        yield violation("LOST", attempt, text)
+        reason = loss_excuse(evidence, attempt, stop)
+        text = "own answer after SIGTERM"
+        yield judged(evidence, "LOST", attempt, text, reason)
 
 
 def find_repeats(evidence: Evidence) -> Findings:
     """TWICE: a request that is not idempotent runs more than once."""
     for attempt in evidence.records.attempts:
         if not attempt.idempotent and len(evidence.runs_of(attempt)) > 1:
-            text = describe(evidence, attempt, "ran more than once")
-            yield violation("TWICE", attempt, text)
+            yield judged(evidence, "TWICE", attempt, "ran more than once")
 
 
 def find_false_refusals(evidence: Evidence) -> Findings:
@@ -477,8 +475,7 @@
         if attempt.idempotent or attempt.status not in PROMISES:
             continue
         if evidence.runs_of(attempt):
-            text = describe(evidence, attempt, "refused, but it ran")
-            yield violation("REFUSED", attempt, text)
+            yield judged(evidence, "REFUSED", attempt, "refused, but it ran")
 
 
 def find_mixed(evidence: Evidence) -> Findings:
@@ -493,7 +490,7 @@
         elif attempt.status and attempt.server_stamp and not succeeded(attempt):
             text = "failure with the stamp of an upstream's success"
         if text:
-            yield violation("MIXED", attempt, describe(evidence, attempt, text))
+            yield judged(evidence, "MIXED", attempt, text)
 
 
 def find_unasked(evidence: Evidence) -> Findings:
@@ -518,14 +515,14 @@
         runs = evidence.runs_of(attempt)
         services = services_of(evidence, attempt)
         if any(run.service not in services for run in runs):
-            text = describe(evidence, attempt, "ran at a service of no route")
-            yield violation("ROUTE", attempt, text)
+            yield judged(
+                evidence, "ROUTE", attempt, "ran at a service of no route"
+            )
         known = not attempt.key or any(
             holds_key(each, attempt.key) for each in documents
         )
         if runs and not known:
-            text = describe(evidence, attempt, "ran with an unknown key")
-            yield violation("ROUTE", attempt, text)
+            yield judged(evidence, "ROUTE", attempt, "ran with an unknown key")
 
 
 def find_revoked(evidence: Evidence) -> Findings:
@@ -542,8 +539,9 @@
             for each in versions_in_force(versions, bound, attempt.ended_at)
         ):
             continue
-        text = describe(evidence, attempt, f"ran with {attempt.key}, revoked")
-        yield violation("CONFIG", attempt, text)
+        yield judged(
+            evidence, "CONFIG", attempt, f"ran with {attempt.key}, revoked"
+        )
 
 
 def versions_in_force(
@@ -592,13 +590,16 @@
         in_force = versions_in_force(versions, bound, attempt.ended_at)
         if any(allows(each, attempt, runs) for each in in_force):
             continue
-        if reason := evidence.out_of_touch(
+        reason = evidence.out_of_touch(
             attempt.host, attempt.sent_at, attempt.ended_at
-        ):
-            yield Excuse("CONFIG", f"host out of touch: {reason}")
-            continue
-        text = describe(evidence, attempt, "handled as by an older version")
-        yield violation("CONFIG", attempt, text)
+        )
+        yield judged(
+            evidence,
+            "CONFIG",
+            attempt,
+            "handled as by an older version",
+            reason,
+        )
 
 
 def find_regressions(evidence: Evidence) -> Findings:
@@ -632,10 +633,9 @@
         for sent_at, version, attempt in newest:
             before = highest[bisect.bisect(seen, (sent_at, 0))]
             if version < before:
-                text = describe(
-                    evidence, attempt, f"r{version} after r{before}"
+                yield judged(
+                    evidence, "CONFIG", attempt, f"r{version} after r{before}"
                 )
-                yield violation("CONFIG", attempt, text)
 
 
 def find_late_answers(evidence: Evidence) -> Findings:
@@ -656,8 +656,9 @@
             late.append(attempt)
     if len(late) >= 8 and len(late) > reached / 2:
         for attempt in late:
-            text = describe(evidence, attempt, "late at the route's timeout")
-            yield violation("CONFIG", attempt, text)
+            yield judged(
+                evidence, "CONFIG", attempt, "late at the route's timeout"
+            )
 
 
 def find_drained(evidence: Evidence) -> Findings:
@@ -672,14 +673,12 @@
                 or not bound + MACHINE_SECONDS < run.at < span.ended_at
             ):
                 continue
-            if reason := evidence.out_of_touch(
+            reason = evidence.out_of_touch(
                 attempt.host, span.started_at, run.at
-            ):
-                yield Excuse("DRAIN", f"host out of touch: {reason}")
-                continue
+            )
             text = f"ran at {run.upstream} {run.at - span.started_at:.2f} s"
             text += " after it was acknowledged as draining"
-            yield violation("DRAIN", attempt, describe(evidence, attempt, text))
+            yield judged(evidence, "DRAIN", attempt, text, reason)
 
 
 def find_evacuated(evidence: Evidence) -> Findings:
@@ -692,13 +691,11 @@
                 continue
             if not bound < run.at < span.ended_at:
                 continue
-            if reason := evidence.out_of_touch(
+            reason = evidence.out_of_touch(
                 attempt.host, span.started_at, run.at
-            ):
-                yield Excuse("EVAC", f"host out of touch: {reason}")
-                continue
+            )
             text = f"ran in {run.zone}, which is evacuated"
-            yield violation("EVAC", attempt, describe(evidence, attempt, text))
+            yield judged(evidence, "EVAC", attempt, text, reason)
 
 
 def find_gone(evidence: Evidence) -> Findings:
@@ -725,7 +722,7 @@
         (at_work, max(TOLERATED, long_runs / 4), "at work for nobody"),
     ):
         for attempt in found if len(found) > tolerated else ():
-            yield violation("GONE", attempt, describe(evidence, attempt, text))
+            yield judged(evidence, "GONE", attempt, text)
 
 
 def find_many_attempts(evidence: Evidence) -> Findings:
@@ -745,8 +742,9 @@
         if upstreams and len(upstreams) > max(limits, default=0):
             over.append(attempt)
     for attempt in over if len(over) > TOLERATED else ():
-        text = describe(evidence, attempt, "more upstreams than maxAttempts")
-        yield violation("BUDGET", attempt, text)
+        yield judged(
+            evidence, "BUDGET", attempt, "more upstreams than maxAttempts"
+        )
 
 
 def find_retry_storms(evidence: Evidence) -> Findings:
@@ -811,7 +809,7 @@
             over.append(attempt)
     if len(over) > max(20, count / 5):
         for attempt in over:
-            yield violation("BUDGET", attempt, "upstream got a longer deadline")
+            yield judged(evidence, "BUDGET", attempt, "longer deadline")
 
 
 def find_own_ends(evidence: Evidence) -> Findings:
