--- a/gooseberryweir/connection/byte_budget.py
+++ b/gooseberryweir/connection/byte_budget.py
@@ -1,14 +1,16 @@
-"""Limits the memory of answers: those received and those waiting to be sent.
+"""Limits the memory of answers and of the bodies of requests.
 
 A faulty upstream may send bytes without end, and a caller may not read what it
 asked for. Each connection is limited by itself; all of them share a budget. If
 it is exceeded, the connection with most bytes is given up, so that those with
 small answers are not affected.
+
+Bodies of callers' requests are different: their sizes are mostly announced, and
+a request that was not read may be refused, so there is room for a body or its
+request is refused.
 """
 
 from collections.abc import Callable
-from collections.abc import Iterator
-import contextlib
 
 # Limit on the bytes of one answer, and on its headers alone.
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
@@ -19,6 +21,9 @@
 # Limit on the bytes of all answers that the kernel has not taken from a process
 # yet, since their callers do not read or wait for earlier answers.
 MAX_SENDING_BYTES = 48 * 1024 * 1024
+# Limit on the bytes of the bodies of all requests that callers are sending or
+# that are open.
+MAX_REQUEST_BYTES = 48 * 1024 * 1024
 
 
 class TooManyBytesError(Exception):
@@ -26,19 +31,29 @@
 
 
 class Share:
-    """The bytes of one connection.
+    """The bytes of one connection; a context manager, in which they count.
 
     Attributes:
+        budget: Budget of all connections.
         size: Bytes counted.
         abort: Ends the connection.
         aborted: True once the connection was given up.
     """
 
-    def __init__(self, abort: Callable[[], None]) -> None:
+    def __init__(self, budget: "ByteBudget", abort: Callable[[], None]) -> None:
+        self.budget = budget
         self.size = 0
         self.abort = abort
         self.aborted = False
 
+    def __enter__(self) -> "Share":
+        self.budget.shares.add(self)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.budget.shares.discard(self)
+        self.budget.total -= self.size
+
 
 class ByteBudget:
     """The bytes of all connections.
@@ -56,20 +71,13 @@
         self.max_share_bytes = max_share_bytes
         self.max_total_bytes = max_total_bytes
 
-    @contextlib.contextmanager
-    def open(self, abort: Callable[[], None]) -> Iterator[Share]:
-        """Yields a share, whose bytes count until the context ends.
+    def open(self, abort: Callable[[], None]) -> Share:
+        """Returns a share, whose bytes count until its context ends.
 
         Args:
             abort: Ends the connection.
         """
-        share = Share(abort)
-        self.shares.add(share)
-        try:
-            yield share
-        finally:
-            self.shares.discard(share)
-            self.total -= share.size
+        return Share(self, abort)
 
     def add(self, share: Share, size: int) -> None:
         """Counts bytes.
@@ -106,6 +114,30 @@
             self.total -= size
 
 
+class RequestBudget:
+    """The bytes of the bodies of requests.
+
+    Attributes:
+        total: Bytes reserved.
+        max_total_bytes: Limit on them.
+    """
+
+    def __init__(self, max_total_bytes: int = MAX_REQUEST_BYTES) -> None:
+        self.total = 0
+        self.max_total_bytes = max_total_bytes
+
+    def reserve(self, size: int) -> bool:
+        """Reserves bytes; returns False if there is no room."""
+        if self.total + size > self.max_total_bytes:
+            return False
+        self.total += size
+        return True
+
+    def release(self, size: int) -> None:
+        """Frees reserved bytes."""
+        self.total -= size
+
+
 def receiving_budget() -> ByteBudget:
     """Returns a budget of answers that are being received from upstreams."""
     return ByteBudget(MAX_ANSWER_BYTES, MAX_RECEIVING_BYTES)
--- a/gooseberryweir/connection/pipelined_server.py
+++ b/gooseberryweir/connection/pipelined_server.py
@@ -20,6 +20,7 @@
 
 import eventlet
 from eventlet import event
+from eventlet import hubs
 import greenlet
 
 from gooseberryweir import logs
@@ -43,6 +44,8 @@
 # Pause between checks while a connection has MAX_PIPELINED open requests.
 RETRY_PAUSE_SECONDS = 0.05
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+# When a caller may come back whose body had no room, seconds.
+NO_ROOM_RETRY_SECONDS = 1
 
 
 class Answer(NamedTuple):
@@ -50,17 +53,40 @@
 
     Attributes:
         status: HTTP status code.
-        headers: Header names and values, without Connection and
-            Content-Length.
+        headers: Header names and values, without Connection, and without
+            Content-Length if the length is known.
         body: Complete body.
         close: True to close the connection after this answer, unless further
             requests on it are open.
+        length_known: True if Content-Length is the size of the body; False for
+            an answer to HEAD that another server gave.
     """
 
     status: int
     headers: http_messages.Headers
     body: bytes
     close: bool = False
+    length_known: bool = True
+
+
+def relayed_answer(
+    method: str,
+    answer: http_messages.Message,
+    forwarded: http_messages.Headers,
+) -> Answer:
+    """Returns the answer to a caller for the answer of another server.
+
+    Args:
+        method: Method of the request.
+        answer: Answer of the other server.
+        forwarded: Its headers for the caller, without Content-Length.
+    """
+    if method != "HEAD":
+        return Answer(answer.status, forwarded, answer.body)
+    lengths = tuple(
+        each for each in answer.headers if each[0].lower() == "content-length"
+    )
+    return Answer(answer.status, forwarded + lengths, b"", length_known=False)
 
 
 class AnswerTiming(NamedTuple):
@@ -117,12 +143,14 @@
             seconds, at which it was ready.
         task: Task that handles the request.
         received_at: Monotonic time, in seconds, at which it was received.
+        reserved: Bytes reserved for its body.
     """
 
     request: http_messages.Message
     answer: event.Event
     task: Any
     received_at: float
+    reserved: int
 
 
 class Owner(Protocol):
@@ -131,12 +159,14 @@
     Attributes:
         callbacks: Functions that the server calls.
         budget: Limits the bytes of answers that wait to be sent.
+        request_budget: Limits the bytes of the bodies of requests.
         connections: Connections that are being served.
         closing: Those that have their last answer, the earliest first.
     """
 
     callbacks: Callbacks
     budget: byte_budget.ByteBudget
+    request_budget: byte_budget.RequestBudget
     connections: "set[Connection]"
     closing: "dict[Connection, None]"
 
@@ -155,7 +185,11 @@
         delivery: Delivers the answers.
         open_requests: Requests not yet answered, in the order received.
         writer_task: Task that sends the answers, or None if no request is open.
-        share: Bytes of answers that wait to be sent, or None before `serve`.
+        close_timer: Timer of the next check whether to close the connection
+            after its last answer, or None before that answer.
+        share: Bytes of answers that wait to be sent, or None before and after
+            `serve`.
+        reserved: Bytes reserved for the body of the request in progress.
         closed: True once the connection has been shut down or closed.
         closing: True once the last answer was queued or sent; further input
             is discarded.
@@ -181,7 +215,9 @@
             collections.deque()
         )
         self.writer_task: Any = None
+        self.close_timer: Any = None
         self.share: byte_budget.Share | None = None
+        self.reserved = 0
         self.closed = False
         self.closing = False
         self.ignores_input = False
@@ -240,10 +276,19 @@
         self.server.connections.discard(self)
         self.server.closing.pop(self, None)
         self.socket.close()
-        for each in self.open_requests:
-            each.task.kill()
-        # The answers are freed now, not when a cycle of references is found.
+        # The answers and the connection are freed now, not when a cycle of
+        # references is found.
+        dropped = list(self.open_requests)
         self.open_requests.clear()
+        self.share = None
+        self.server.request_budget.release(
+            self.reserved + sum(each.reserved for each in dropped)
+        )
+        self.reserved = 0
+        for each in dropped:
+            each.task.kill()
+        if self.close_timer is not None:
+            self.close_timer.cancel()
         if self.writer_task is not None:
             self.writer_task.kill()
 
@@ -269,8 +314,13 @@
         self.closing = True
         self.delivery.finish()
         self.server.add_closing(self)
-        eventlet.spawn_after(
-            delivery.LINGER_SECONDS, self._close_when_delivered
+        self._schedule_close(delivery.LINGER_SECONDS)
+
+    def _schedule_close(self, seconds: float) -> None:
+        """Closes the connection after this time, unless its caller does."""
+        # A task is started only then; most callers close before.
+        self.close_timer = hubs.get_hub().schedule_call_global(
+            seconds, eventlet.spawn, self._close_when_delivered
         )
 
     def _close_when_delivered(self) -> None:
@@ -279,7 +329,7 @@
             return
         seconds = self.delivery.seconds_until_check()
         if seconds > 0:
-            eventlet.spawn_after(seconds, self._close_when_delivered)
+            self._schedule_close(seconds)
         else:
             self.close("time-over")
 
@@ -291,6 +341,14 @@
         if self.closed:
             return
         self.closing = True
+        if self.open_requests:
+            self._drop_undecided()
+        if not self.closed and self.delivery.undelivered():
+            self.server.add_closing(self)
+            self.delivery.wait()
+
+    def _drop_undecided(self) -> None:
+        """Drops the requests without an answer and sends the other answers."""
         decided = [
             *itertools.takewhile(
                 lambda each: each.answer.ready(), self.open_requests
@@ -302,11 +360,11 @@
         # long, so nothing else comes first.
         for each in dropped:
             each.task.kill()
+        self.server.request_budget.release(
+            sum(each.reserved for each in dropped)
+        )
         if decided and self.writer_task is not None:
             self.writer_task.wait()
-        if not self.closed:
-            self.server.add_closing(self)
-            self.delivery.wait()
 
     def _read_requests(self) -> None:
         """Reads requests until the connection ends or times out."""
@@ -346,12 +404,49 @@
             requests = error.completed
             error_answer = Answer(error.status, (), b"", close=True)
         for request in requests:
-            self._enqueue(request, self.server.callbacks.handle)
+            if self._reserve(len(request.body)):
+                self._enqueue(request, self.server.callbacks.handle)
+            else:
+                self._refuse(request._replace(body=b""))
         if error_answer is not None:
             self._enqueue(_placeholder_request(), lambda _: error_answer)
+        elif not self._reserve(self.reader.body_bytes):
+            self.reader.give_up()
+            self._refuse(_placeholder_request())
         self.closing = self.closing or self.reader.ended
         self._send_continue()
 
+    def _reserve(self, size: int) -> bool:
+        """Reserves the bytes of the body in progress, or of one just read.
+
+        Returns False if there is no room.
+        """
+        if size > self.reserved:
+            budget = self.server.request_budget
+            if not budget.reserve(size - self.reserved):
+                logs.event(
+                    LOGGER,
+                    "body-refused",
+                    logging.WARNING,
+                    bytes=size,
+                    reserved=budget.total,
+                )
+                return False
+            self.reserved = size
+        return True
+
+    def _refuse(self, request: http_messages.Message) -> None:
+        """Refuses a request whose body has no room; it is not run."""
+        self.server.request_budget.release(self.reserved)
+        self.reserved = 0
+        answer = Answer(
+            503,
+            (("Retry-After", str(NO_ROOM_RETRY_SECONDS)),),
+            b"",
+            close=self.reader.ended,
+        )
+        self._enqueue(request, lambda _: answer)
+
     def _send_continue(self) -> None:
         """Sends status 100 if a caller waits for it and no answer is due."""
         if self.open_requests or self.closing or self.closed:
@@ -401,9 +496,14 @@
         task = eventlet.spawn(self._handle, request, handle, answer_event)
         self.open_requests.append(
             _OpenRequest(
-                request, answer_event, task, self.server.callbacks.now()
+                request,
+                answer_event,
+                task,
+                self.server.callbacks.now(),
+                self.reserved,
             )
         )
+        self.reserved = 0
         if self.writer_task is None:
             self.writer_task = eventlet.spawn(self._write_answers)
 
@@ -469,14 +569,19 @@
                     answer.body,
                     close,
                     head_only=True,
+                    length_known=answer.length_known,
                 )
                 size = len(answer.body)
                 self.delivery.queued -= size
-                self.delivery.send(
-                    head,
-                    b"" if oldest.request.method == "HEAD" else answer.body,
+                has_body = http_messages.may_have_body(
+                    oldest.request.method, answer.status
                 )
+                self.delivery.send(head, answer.body if has_body else b"")
+                if oldest not in self.open_requests:
+                    # The connection has ended meanwhile.
+                    return
                 self.open_requests.popleft()
+                self.server.request_budget.release(oldest.reserved)
                 if self.share is not None:
                     self.server.budget.remove(self.share, size)
                 callbacks.sent(
--- a/gooseberryweir/front.py
+++ b/gooseberryweir/front.py
@@ -161,6 +161,7 @@
         stack.enter_context(mesh)
         budget = byte_budget.receiving_budget()
         sending_budget = byte_budget.sending_budget()
+        request_budget = byte_budget.RequestBudget()
         pool = stack.enter_context(upstream_pool.UpstreamPool(clock, budget))
         states = upstream_state.UpstreamStates(clock.monotonic)
         bounds = settings.bounds
@@ -272,6 +273,7 @@
                     request_handler.record_undelivered,
                 ),
                 sending_budget,
+                request_budget,
             )
         )
         forwarded = None
@@ -286,6 +288,7 @@
                         undelivered=request_handler.record_undelivered,
                     ),
                     sending_budget,
+                    request_budget,
                 )
             )
         others = side_servers.open_side_servers(
@@ -417,3 +420,6 @@
     except codes.UserError as error:
         sys.stderr.write(f"gooseberryweir: {int(error.code)}: {error}\n")
         sys.exit(exit_codes.exit_code(error.code))
+    # The interpreter's clean-up takes longer than may be left of the grace
+    # period. Nothing is buffered.
+    os._exit(0)
--- a/test/standins/threaded_upstream.py
+++ b/test/standins/threaded_upstream.py
@@ -10,6 +10,9 @@
 connection, with `early-` the answer comes before the request's body is read,
 and with `short-` the connection ends in the middle of the body.
 `endless-head`, `endless-line` and `endless-body` send an answer without end.
+`early` answers with status 413 and reads the body 1.5 s later, `unread` reads
+no body and answers nothing until `release` is set, `raw` answers with the bytes
+of `raw_answer`.
 """
 
 import contextlib
@@ -23,6 +26,8 @@
 from test import _soak_records
 
 SLOW_SECONDS = 1.0
+EARLY_SECONDS = 1.5
+PIECE_PAUSE_SECONDS = 0.001
 CHUNK_BYTES = 64 * 1024
 POLL_SECONDS = 0.02
 
@@ -77,6 +82,8 @@
             and value.
         pause_seconds: While above 0, each request is turned away and the answer
             names this time in Retry-After.
+        raw_answer: Pieces of the answer to `raw`, each sent by itself.
+        raw_closes: True if the connection is closed after them.
         lag_seconds: Additional time of answers that come after a time.
         turned_away: Id and monotonic time of each request turned away so.
     """
@@ -100,6 +107,8 @@
         self.release = threading.Event()
         self.answer_headers = ()
         self.pause_seconds = 0.0
+        self.raw_answer = ()
+        self.raw_closes = False
         self.turned_away = []
         self.lag_seconds = 0.0
         self.endless_bytes = 0
@@ -160,8 +169,8 @@
     def do_GET(self):
         server = self.server
         early = self.path.rpartition("/")[2].startswith("early-")
-        if not early:
-            self.read_body()
+        if not early and not self.read_body():
+            return
         if self.headers.get("Expect-Instance") != server.name:
             server.refused += 1
             self.answer(421, b"", {"Instance-Id": server.name})
@@ -194,7 +203,7 @@
         if early:
             self.read_body()
 
-    do_POST = do_GET  # noqa: N815
+    do_HEAD = do_POST = do_GET  # noqa: N815
 
     def perform(self, action):
         """Performs an action and returns the outcome of the run."""
@@ -204,26 +213,48 @@
         if action in ("break", "crash"):
             self.close_connection = True
             return _soak_records.BROKEN
+        if action == "raw":
+            self.send_raw()
+            return _soak_records.BROKEN
         if action.startswith("endless-"):
             self.send_without_end(action)
             return _soak_records.BROKEN
         if action.startswith(("body-", "nolength-", "early-", "short-")):
             return self.answer_after(*action.split("-"))
-        if action == "slow":
-            time.sleep(SLOW_SECONDS)
-        if action == "wait":
-            self.wait_for_release()
+        self.delay(action)
         self.answer(200, b"done", {"Server-Stamp": server.name})
         return _soak_records.ANSWERED
 
     def read_body(self):
-        """Reads the body of the request."""
+        """Reads the body; returns False if the request was answered before."""
+        action = self.path.rpartition("/")[2]
+        if action == "early":
+            self.answer(413, b"", {})
+            time.sleep(EARLY_SECONDS)
+        if action == "unread":
+            self.server.release.wait()
         if self.headers.get("Transfer-Encoding", "").lower() == "chunked":
             while size := int(self.rfile.readline().strip() or b"0", 16):
                 self.rfile.read(size + len(b"\r\n"))
             self.rfile.readline()
         else:
             self.rfile.read(int(self.headers.get("Content-Length") or 0))
+        return action != "early"
+
+    def send_raw(self):
+        """Sends the pieces of `raw_answer`."""
+        self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.close_connection = self.server.raw_closes
+        for each in self.server.raw_answer:
+            self.wfile.write(each)
+            time.sleep(PIECE_PAUSE_SECONDS)
+
+    def delay(self, action):
+        """Waits for as long as the action says."""
+        if action == "slow":
+            time.sleep(SLOW_SECONDS)
+        if action == "wait":
+            self.wait_for_release()
 
     def answer_after(self, kind, milliseconds, size):
         """Answers after a time; returns the outcome of the run."""
@@ -260,6 +291,8 @@
             # Bytes that are not read yet; their arrival hides an end.
             time.sleep(min(remaining, POLL_SECONDS))
         return False
+=======
+>>>>>>> 20a3172538ec30a2a9a922748a3d5651cf572658
 
     def send_without_end(self, action):
         """Sends bytes until the host closes the connection."""
@@ -301,4 +334,5 @@
         for name, value in self.server.answer_headers:
             self.send_header(name, value)
         self.end_headers()
-        self.wfile.write(body)
+        if self.command != "HEAD":
+            self.wfile.write(body)
