--- a/test/standins/threaded_upstream.py
+++ b/test/standins/threaded_upstream.py
@@ -291,8 +291,6 @@
             # Bytes that are not read yet; their arrival hides an end.
             time.sleep(min(remaining, POLL_SECONDS))
         return False
-=======
->>>>>>> 20a3172538ec30a2a9a922748a3d5651cf572658
 
     def send_without_end(self, action):
         """Sends bytes until the host closes the connection."""
