Record that a silent caller behind a relay loses the last answer of a stop

Cause: the relay takes the whole answer from the host at once. A connection lingers for a second after the last sign that its caller has not read the end; a caller that reads slowly and sends nothing gives none. The host ends, the caller's next requests meet a closed socket, and the reset overtakes what the relay holds.

Ruled out: undelivered bytes (the host logs none), the end of the grace period (the host ends 4.1 s after SIGTERM).

--- a/test/test_relayed_answers.py
+++ b/test/test_relayed_answers.py
@@ -31,6 +31,12 @@
 REQUEST_SECONDS = 0.5
 # From SIGTERM to the answers; the host ends with the last one.
 ANSWER_SECONDS = shutdown.SERVE_AFTER_SIGTERM_SECONDS + 0.5
+# A caller that reads a large answer for seconds, and sends nothing for longer
+# than a connection lingers, then several requests.
+LARGE_BYTES = 300_000
+SILENT_SECONDS = delivery.LINGER_SECONDS + 0.3
+SILENT_PACE = _slow_caller.Pace(8192, 0.043, 4096, SILENT_SECONDS, 0.2)
+SILENT_REQUESTS = 9
 READ_PACE = _slow_caller.Pace(65536, 0.0, 262144, None)
 
 
@@ -138,6 +144,26 @@
         self.assert_all_answered(callers)
         self.assertEqual(self.host.process.wait(_front.GRACE_SECONDS), 0)
 
+    # Guards against LOST of issue 39: the relay holds an answer that its caller
+    # reads slowly; the caller is silent, the host ends, and the next requests
+    # reset what the relay holds.
+    def test_last_answer_of_a_stop_outlasts_a_silent_caller(self):
+        self.host.process.send_signal(signal.SIGTERM)
+        time.sleep(REQUEST_SECONDS)
+        milliseconds = int((ANSWER_SECONDS - REQUEST_SECONDS) * 1000)
+        further = [
+            _slow_caller.request(0, 0, f"next-{number}")
+            for number in range(SILENT_REQUESTS)
+        ]
+        with _slow_caller.SlowCaller(
+            self.address,
+            [_slow_caller.request(milliseconds, LARGE_BYTES, "last")],
+            SILENT_PACE,
+            iter(further),
+        ) as caller:
+            pass
+        self.assert_all_answered([caller])
+
     # Guards against the same without a stop: a connection that an answer
     # closes was ended after a fixed time.
     def test_answers_before_a_close_pass_a_relay(self):
