--- a/test/test_soak_rules.py
+++ b/test/test_soak_rules.py
@@ -403,7 +403,7 @@
         self.assert_kept(judge(attempts[:20], runs[:20]))
 
     def test_own_ends(self):
-        ended = process(ended_at=AT, exit_code=1)
+        ended = process(ended_at=AT + 4.0, exit_code=1)
         self.assert_broken("END", judge(processes=[ended]))
         reload = span(_soak_records.RELOAD, begins=AT - 0.1)
         hung_up = process(ended_at=AT, exit_code=-1)
@@ -415,6 +415,14 @@
         killed = process(ended_at=AT, exit_code=-9)
         kill = span(_soak_records.KILL, detail="7")
         self.assert_kept(judge(spans=[kill], processes=[killed]))
+        starved = span(_soak_records.STARVED, begins=AT + 3.0, ends=AT + 4.0)
+        self.assert_kept(
+            judge(spans=[stop(), starved], processes=[late]),
+            "END: the machine was busy at the stop",
+        )
+        self.assert_broken(
+            "END", judge(spans=[stop(), starved], processes=[ended])
+        )
         starting = span(_soak_records.START, begins=AT - 2.0, ends=AT - 0.5)
         early = process(started_at=AT - 2.0, ended_at=AT - 0.9, exit_code=-15)
         self.assert_kept(
