Wait in a stop until callers close their connections

The relay had acknowledged all bytes, and a second without input counted as the end.

Ruled out: undelivered bytes in the host's kernel (no answer-undelivered line).

Change: in a stop a connection lingers behind its last answer until its caller closes it, within the bounds that exist. Callers that have read the end close at once; the others have not read it, or hold the stop to the end of the grace period.

--- a/gooseberryweir/connection/delivery.py
+++ b/gooseberryweir/connection/delivery.py
@@ -212,11 +212,16 @@
             self.socket.shutdown(socket.SHUT_WR)
         self.finished_at = self.pending_at = self.now()
 
-    def seconds_until_check(self) -> float:
+    def seconds_until_check(self, until_closed: bool = False) -> float:
         """Returns the seconds to wait once more before the connection ends.
 
         0 if it may end now, since nothing has shown for `LINGER_SECONDS` that
         the caller lacks answers, or it has had `MAX_DELIVERY_SECONDS` for them.
+
+        Args:
+            until_closed: True to wait for the caller's close in any case. A
+                stop does, since a caller that reads the last answer slowly from
+                a relay may send nothing meanwhile.
         """
         now = self.now()
         if now >= (self.finished_at or 0.0) + MAX_DELIVERY_SECONDS:
@@ -229,11 +234,15 @@
             # A busy host may have read nothing for some time.
             self.pending_at = now
         self.pending_at = max(self.pending_at, self.discarded_at)
-        return max(0.0, self.pending_at + LINGER_SECONDS - now)
+        remaining = max(0.0, self.pending_at + LINGER_SECONDS - now)
+        return max(remaining, CHECK_SECONDS) if until_closed else remaining
 
-    def lingers(self) -> bool:
+    def lingers(self, until_closed: bool) -> bool:
         """Returns True if the caller may not have read the last answer."""
-        return self.finished_at is not None and self.seconds_until_check() > 0
+        return (
+            self.finished_at is not None
+            and self.seconds_until_check(until_closed) > 0
+        )
 
     def wait(self) -> None:
         """Waits until the caller has all answers, for a limited time.
--- a/gooseberryweir/connection/pipelined_server.py
+++ b/gooseberryweir/connection/pipelined_server.py
@@ -231,7 +231,10 @@
         on its way, since the connection is new.
         """
         age = self.server.callbacks.now() - self.accepted_at
-        if self.has_answer() or (not self.closed and self.delivery.lingers()):
+        stopping = self.server.callbacks.shutting_down()
+        if self.has_answer() or (
+            not self.closed and self.delivery.lingers(stopping)
+        ):
             return True
         return not self.closing and (
             self.reader.in_progress
@@ -327,7 +330,9 @@
         """Closes the connection now or after a later check."""
         if self.closed:
             return
-        seconds = self.delivery.seconds_until_check()
+        seconds = self.delivery.seconds_until_check(
+            self.server.callbacks.shutting_down()
+        )
         if seconds > 0:
             self._schedule_close(seconds)
         else:
--- a/test/test_delivery.py
+++ b/test/test_delivery.py
@@ -140,9 +140,7 @@
             each.delivery.undelivered() for each in self.server.connections
         )
 
-    def test_caller_that_keeps_its_connection_delays_a_stop_for_the_linger(
-        self,
-    ):
+    def test_connection_of_a_silent_caller_ends_after_the_linger(self):
         caller = self.connect(CLOSING_REQUEST)
         self.assertGreater(self.read(caller), BODY_BYTES)
         self.wait_until(lambda: not self.undelivered())
@@ -152,6 +150,27 @@
         self.wait_until(lambda: not self.server.connections)
         self.assertEqual(self.records, [])
 
+    # Guards against LOST of issue 39: a caller that reads the last answer of a
+    # stop slowly from a relay, and sends nothing meanwhile, was reset.
+    def test_stop_waits_for_the_close_of_a_silent_caller(self):
+        self.server.callbacks = self.server.callbacks._replace(
+            shutting_down=lambda: True
+        )
+        caller = self.connect(REQUEST)
+        self.assertGreater(self.read(caller), BODY_BYTES)
+        self.wait_until(lambda: not self.undelivered())
+        eventlet.sleep(delivery.LINGER_SECONDS + 2 * delivery.CHECK_SECONDS)
+        self.assertTrue(self.server.has_requests())
+        caller.close()
+        eventlet.sleep(STEP_SECONDS)
+        self.assertFalse(self.server.has_requests())
+        caller = self.connect(REQUEST)
+        self.assertGreater(self.read(caller), BODY_BYTES)
+        self.wait_until(lambda: not self.undelivered())
+        self.passed_seconds += delivery.MAX_DELIVERY_SECONDS
+        self.assertFalse(self.server.has_requests())
+        self.wait_until(lambda: not self.server.connections)
+
     def test_caller_that_only_sends_on_is_left_at_the_bound(self):
         caller = self.connect(CLOSING_REQUEST)
         self.assertGreater(self.read(caller), BODY_BYTES)
