Deliver the last answers of kept connections when serve stops

What callers saw: in a planned stop of `serve`, a reset in the middle of an answer that had run, on a kept connection whose caller reads slowly and sends on; the same after the whole answer if its caller sends on; and no answer to a request that had arrived on an idle connection at that moment, although it ran.

Cause: eventlet's WSGI server shuts down the connections that wait for a request in both directions when it stops. Its state "idle" knows nothing of what the kernel has not delivered yet, or has received.

Ruled out: shutting down only the receiving side, since reading then ends at once (no linger) and the kernel still resets on what arrives behind the end.

Change: connections are never idle for that server. The wait for a request is ended by an exception when the server stops, unless input has arrived; the connection lingers if its answer is undelivered or less than 1 s old, else it ends at once. A request read after the stop closes its connection.

--- a/gooseberryweir/connection/caller_http.py
+++ b/gooseberryweir/connection/caller_http.py
@@ -14,7 +14,9 @@
 from typing import NamedTuple
 
 import eventlet
+from eventlet import hubs
 from eventlet import wsgi
+import greenlet
 
 from gooseberryweir import codes
 from gooseberryweir.connection import chunked_body
@@ -105,6 +107,64 @@
         return line
 
 
+class IdleWait(NamedTuple):
+    """A wait of a connection for its next request.
+
+    Attributes:
+        timeout: Exception that ends the wait.
+        has_input: Returns True if input has arrived that was not read yet.
+    """
+
+    timeout: Any
+    has_input: Callable[[], bool]
+
+
+class IdleWaits:
+    """Waits of connections for their next request, until the server stops.
+
+    Attributes:
+        stopped: True once the server stops.
+        waits: The waits by the task that waits.
+    """
+
+    def __init__(self) -> None:
+        self.stopped = False
+        self.waits: dict[Any, IdleWait] = {}
+
+    def wait(
+        self, read: Callable[[], bytes], has_input: Callable[[], bool]
+    ) -> bytes | None:
+        """Reads the start of a request; returns None if the server stops.
+
+        Args:
+            read: Waits for input and returns it.
+            has_input: Returns True if input has arrived that was not read yet.
+                A stop does not end the wait then.
+        """
+        if self.stopped:
+            return None
+        task = eventlet.getcurrent()
+        with eventlet.Timeout(None, False) as timeout:
+            self.waits[task] = IdleWait(timeout, has_input)
+            try:
+                return read()
+            finally:
+                del self.waits[task]
+        return None
+
+    def stop(self) -> None:
+        """Ends the waits of connections without a request."""
+        self.stopped = True
+        for task in self.waits:
+            hubs.get_hub().schedule_call_global(0, self._end, task)
+
+    def _end(self, task: Any) -> None:
+        """Ends the wait of a task, unless its request arrives."""
+        wait = self.waits.get(task)
+        if wait is not None and not wait.has_input():
+            task.throw(wait.timeout)
+
+
 class ServerOptions(NamedTuple):
     """Options of a server.
 
@@ -113,11 +173,13 @@
         shutting_down: Returns True once the host is shutting down; each
             connection is then closed after its next answer.
         on_refusal: Called with each refusal that is sent by this module.
+        idle_waits: Waits of the connections for their next request.
     """
 
     max_header_bytes: int
     shutting_down: Callable[[], bool]
     on_refusal: Callable[[codes.Refusal], None]
+    idle_waits: IdleWaits
 
 
 class CallerProtocol(wsgi.HttpProtocol):
@@ -126,12 +188,23 @@
     Attributes:
         options: Options of the server.
         rfile: File object from which the connection is read.
-        input_ended: True if the connection ended where a request could begin.
+        delivery: Delivery of the answers.
+        lingers: False if the connection may end at once, since it ended where a
+            request could begin, or the server stops and its caller has the
+            answers.
     """
 
     options: ServerOptions
     rfile: Any
-    input_ended = False
+    delivery: delivery.Delivery
+    lingers = True
+
+    def setup(self) -> None:
+        """Prepares the connection."""
+        super().setup()
+        self.delivery = delivery.Delivery(
+            self.connection, time.monotonic, delivery.log_undelivered
+        )
 
     def refuse(self, code: codes.Code) -> bool:
         """Sends a refusal and closes the connection; always returns False."""
@@ -157,20 +230,44 @@
         with contextlib.suppress(OSError):
             # The caller may have disconnected already.
             self.wfile.flush()
-        if not self.input_ended:
-            lingering_close(self.connection)
+        if self.lingers:
+            lingering_close(self.delivery)
         super().finish()
 
+    def handle_one_response(self) -> None:
+        """Runs the application and sends its answer."""
+        super().handle_one_response()
+        self.delivery.sent_at = time.monotonic()
+
     def _read_request_line(self) -> bytes:
-        """Returns the request line; empty if it was refused as too long."""
-        line: bytes = super()._read_request_line() or b""
-        self.input_ended = not line
+        """Returns the request line.
+
+        Empty if the connection or the server ends, or if the line was refused
+        as too long.
+        """
+        # The server would shut down an idle connection in both directions when
+        # it stops; what the caller sends then resets the connection.
+        self.conn_state[2] = wsgi.STATE_REQUEST
+        received = self.options.idle_waits.wait(
+            super()._read_request_line, self.delivery.has_unread_input
+        )
+        line = received or b""
+        self.lingers = (
+            self.may_lack_answer() if received is None else bool(line)
+        )
         if len(line) < MAX_REQUEST_LINE_BYTES:
             return line
         self.raw_requestline = line
         self.refuse(codes.Code.HEADERS_TOO_LARGE)
         return b""
 
+    def may_lack_answer(self) -> bool:
+        """Returns True if the caller may not have read the last answer."""
+        seconds = time.monotonic() - self.delivery.sent_at
+        return (
+            seconds < delivery.LINGER_SECONDS or self.delivery.undelivered() > 0
+        )
+
     def get_environ(self) -> dict[str, Any]:
         """Returns the WSGI environment; chunked bodies are read strictly."""
         environ: dict[str, Any] = super().get_environ()
@@ -241,7 +338,7 @@
     return BoundProtocol
 
 
-def lingering_close(connection: Any) -> None:
+def lingering_close(answer: delivery.Delivery) -> None:
     """Shuts down the sending side, then reads and discards input.
 
     Ends once the caller has received the answer and has closed its sending
@@ -249,18 +346,15 @@
     `delivery.MAX_DELIVERY_SECONDS`.
 
     Args:
-        connection: The connection, after its last answer.
+        answer: Delivery of the last answer.
     """
-    answer = delivery.Delivery(
-        connection, time.monotonic, delivery.log_undelivered
-    )
     answer.finish()
     ended = False
     while not ended and (seconds := answer.seconds_until_check()) > 0:
         if answer.discarded > delivery.MAX_UNPACED_BYTES:
             eventlet.sleep(delivery.CHECK_SECONDS)
         with eventlet.Timeout(seconds, False):
-            data = connection.recv(64 * 1024)
+            data = answer.socket.recv(64 * 1024)
             answer.count_discarded(len(data))
             ended = not data
     if ended:
@@ -284,7 +378,7 @@
     """Serves callers until the calling task is killed.
 
     Then closes idle connections, and returns only after every open request has
-    been answered.
+    been answered and every caller has received its answers.
 
     Args:
         listener: Listening socket.
@@ -294,17 +388,30 @@
         shutting_down: Returns True once the host is shutting down.
         on_refusal: Called with each refusal that is sent by this module.
     """
-    wsgi.server(
+    idle_waits = IdleWaits()
+    options = ServerOptions(
+        max_header_bytes,
+        lambda: idle_waits.stopped or shutting_down(),
+        on_refusal,
+        idle_waits,
+    )
+    server = eventlet.spawn(
+        wsgi.server,
         listener,
         application,
         log_output=False,
         debug=False,
         custom_pool=pool,
-        protocol=make_protocol_class(
-            ServerOptions(max_header_bytes, shutting_down, on_refusal)
-        ),
+        protocol=make_protocol_class(options),
         minimum_chunk_size=MIN_CHUNK_BYTES,
         keepalive=IDLE_TIMEOUT_SECONDS,
         socket_timeout=IDLE_TIMEOUT_SECONDS,
         url_length_limit=MAX_REQUEST_LINE_BYTES,
     )
+    try:
+        server.wait()
+    finally:
+        idle_waits.stop()
+        server.kill()
+        with contextlib.suppress(greenlet.GreenletExit):
+            server.wait()
--- a/test/test_delivery.py
+++ b/test/test_delivery.py
@@ -14,6 +14,7 @@
 
 import eventlet
 from eventlet import greenio
+import greenlet
 
 from gooseberryweir.connection import caller_http
 from gooseberryweir.connection import caller_server
@@ -474,10 +475,12 @@
 
     def start_serve(self, shutting_down=False):
         """Starts a server as in `serve` and returns its task."""
+        self.run_count = 0
         listener = eventlet.listen(("127.0.0.1", 0))
         self.address = listener.getsockname()
 
         def application(_environ, start_response):
+            self.run_count += 1
             start_response("200 OK", [("Content-Length", str(BODY_BYTES))])
             return [bytes(BODY_BYTES)]
 
@@ -527,6 +530,49 @@
         caller.sendall(REQUEST)
         self.assertGreater(self.read(caller), BODY_BYTES)
 
+    # Guards against the same where the next kernel has the answer, and may be
+    # that of a relay.
+    def test_caller_of_kept_connection_may_send_on_when_serve_stops(self):
+        task = self.start_serve()
+        caller = self.connect_only(REQUEST)
+        self.assertGreater(self.read(caller), BODY_BYTES)
+        eventlet.spawn(task.kill)
+        for _ in range(4):
+            eventlet.sleep(delivery.LINGER_SECONDS / 2)
+            caller.sendall(REQUEST)
+
+    # Guards against LOST of issue 35: a request that had arrived on an idle
+    # connection when `serve` stopped ran, and its answer could not be sent.
+    def test_request_that_arrived_when_serve_stops_is_answered(self):
+        task = self.start_serve()
+        caller = self.connect_only(REQUEST)
+        self.assertGreater(self.read(caller), BODY_BYTES)
+        eventlet.sleep(STEP_SECONDS)
+        caller.sendall(REQUEST)
+        task.kill()
+        self.assertGreater(self.read(caller), BODY_BYTES)
+        self.assertEqual(self.run_count, 2)
+        caller.close()
+        with eventlet.Timeout(delivery.LINGER_SECONDS):
+            self.wait_for_end(task)
+
+    # Guards against a stop that lasts longer for kept connections in calm.
+    def test_idle_connections_do_not_delay_the_stop_of_serve(self):
+        task = self.start_serve()
+        self.connect_only(b"")
+        caller = self.connect_only(REQUEST)
+        self.assertGreater(self.read(caller), BODY_BYTES)
+        eventlet.sleep(delivery.LINGER_SECONDS + STEP_SECONDS)
+        self.connect_only(b"")
+        eventlet.sleep(STEP_SECONDS)
+        eventlet.spawn(task.kill)
+        with eventlet.Timeout(delivery.LINGER_SECONDS / 2):
+            self.wait_for_end(task)
+
+    def wait_for_end(self, task):
+        with contextlib.suppress(greenlet.GreenletExit):
+            task.wait()
+
 
 if __name__ == "__main__":
     unittest.main()
