Answer forwarded requests before serve ends

What callers saw: 502, outcome unknown, for a request that had run, if the host that received it had forwarded it to the issuer of its ticket and that host was stopped.

Cause: a stop waited for the requests of the host's own callers only. The tasks of requests that other hosts forwarded were killed with the server for peers.

Ruled out: waiting until none is open, since a stop would then last as long as other hosts go on forwarding.

Change: after its callers' requests, a host waits for the forwarded requests received by then, and for the peers' kernels to have the replies, together with the former at most for drain_seconds. The line host-drained counts those cut off.

--- a/gooseberryweir/connection/peer_server.py
+++ b/gooseberryweir/connection/peer_server.py
@@ -17,6 +17,7 @@
 from gooseberryweir import logs
 from gooseberryweir import tasks
 from gooseberryweir.connection import addresses
+from gooseberryweir.connection import delivery
 from gooseberryweir.connection import messages
 from gooseberryweir.connection import peer_link
 
@@ -41,6 +42,7 @@
         slow_types: Types of the messages that are handled in their own task.
         address: Bound address, `IP:PORT`.
         tasks: The accept loop, and the tasks of connections and slow messages.
+        slow_tasks: The connection of each slow message, by its task.
     """
 
     def __init__(
@@ -57,6 +59,7 @@
         host, port = self._listener.getsockname()[:2]
         self.address = f"{host}:{port}"
         self.tasks: set[Any] = set()
+        self.slow_tasks: dict[Any, Any] = {}
 
     def __enter__(self) -> "PeerServer":
         self._spawn(tasks.run, "accept", self._accept)
@@ -67,11 +70,24 @@
         for task in list(self.tasks):
             task.kill()
 
-    def _spawn(self, function: Callable[..., None], *args: Any) -> None:
+    def finish_slow_messages(self) -> None:
+        """Waits until peers have the replies to the slow messages received.
+
+        Does not wait for those that arrive later.
+        """
+        slow_tasks = dict(self.slow_tasks)
+        while not slow_tasks.keys().isdisjoint(self.slow_tasks):
+            eventlet.sleep(delivery.CHECK_SECONDS)
+        for connection in set(slow_tasks.values()):
+            with eventlet.Timeout(SEND_TIMEOUT_SECONDS, False):
+                _wait_delivered(connection)
+
+    def _spawn(self, function: Callable[..., None], *args: Any) -> Any:
         """Starts a task that is killed when the server is closed."""
         task = eventlet.spawn(function, *args)
         self.tasks.add(task)
         task.link(lambda finished: self.tasks.discard(finished))
+        return task
 
     def _accept(self) -> None:
         """Accepts connections and starts a task for each."""
@@ -128,9 +144,11 @@
     ) -> None:
         """Handles a message, in its own task if its handler may be slow."""
         if type(message) in self.slow_types:
-            self._spawn(
+            task = self._spawn(
                 self._handle_message, channel, peer, correlation_id, message
             )
+            self.slow_tasks[task] = channel.connection
+            task.link(lambda finished: self.slow_tasks.pop(finished))
         else:
             self._handle_message(channel, peer, correlation_id, message)
 
@@ -156,6 +174,14 @@
             channel.close()
 
 
+def _wait_delivered(connection: Any) -> None:
+    """Waits until the peer's kernel has what was sent, or the end."""
+    while connection.fileno() >= 0 and delivery.unacknowledged_bytes(
+        connection
+    ):
+        eventlet.sleep(delivery.CHECK_SECONDS)
+
+
 class _Channel:
     """An accepted connection, over which messages are sent and received.
 
--- a/gooseberryweir/process/serve.py
+++ b/gooseberryweir/process/serve.py
@@ -5,7 +5,7 @@
 with a valid answer is refused. First, the peers are notified, and answers to
 new look-ups no longer name this host. Next, requests are served until the last
 answer that names this host has expired. Then the listener closes and open
-requests are completed.
+requests are completed, also those that other hosts have forwarded.
 """
 
 from collections.abc import Callable
@@ -306,8 +306,8 @@
     caller_listener.close()
     with eventlet.Timeout(context.settings.drain_seconds, False):
         pool.waitall()
+        context.peering.server.finish_slow_messages()
+    cut_off = pool.running() + len(context.peering.server.slow_tasks)
     drain_seconds = context.clock.monotonic() - started_at
     context.metrics.timing("drain", drain_seconds * 1000)
-    logs.event(
-        LOGGER, "host-drained", seconds=drain_seconds, cut_off=pool.running()
-    )
+    logs.event(LOGGER, "host-drained", seconds=drain_seconds, cut_off=cut_off)
--- a/test/test_peering.py
+++ b/test/test_peering.py
@@ -300,6 +300,47 @@
         self.assertIs(waiting.wait(), peer_link.PeerError)
         self.assertTrue(link.closed)
 
+    # Guards against a stop that lasts as long as peers go on forwarding.
+    def test_end_waits_only_for_slow_messages_received_before(self):
+        releases = {1: events.Event(), 2: events.Event()}
+
+        def handle(peer, message):
+            releases[message.view].wait()
+            return messages.Grant(message.view, 0.0, 0.0, True, 0.0)
+
+        server = peer_server.PeerServer(
+            "127.0.0.1:0",
+            lambda: HELLO,
+            handle,
+            slow_types=frozenset({messages.Draw}),
+        )
+        draw = messages.Draw("account/a", "c1", 1, 1, 1, 0, 1)
+        with (
+            server,
+            peer_link.PeerLink(
+                server.address, HELLO, CALL_TIMEOUT_SECONDS
+            ) as link,
+            eventlet.Timeout(WAIT_TIMEOUT_SECONDS),
+        ):
+            first = eventlet.spawn(link.call, draw, WAIT_TIMEOUT_SECONDS)
+            self.wait_for_slow_tasks(server, 1)
+            end = eventlet.spawn(server.finish_slow_messages)
+            eventlet.sleep(0)
+            late = draw._replace(view=2)
+            second = eventlet.spawn(link.call, late, WAIT_TIMEOUT_SECONDS)
+            self.wait_for_slow_tasks(server, 2)
+            self.assertFalse(end.dead)
+            releases[1].send()
+            self.assertEqual(first.wait().granted, 1)
+            end.wait()
+            self.assertEqual(len(server.slow_tasks), 1)
+            releases[2].send()
+            self.assertEqual(second.wait().granted, 2)
+
+    def wait_for_slow_tasks(self, server, count):
+        while len(server.slow_tasks) < count:
+            eventlet.sleep(0.01)
+
     def call_error(self, link, message):
         try:
             return link.call(message, WAIT_TIMEOUT_SECONDS)
--- a/test/test_shutdown.py
+++ b/test/test_shutdown.py
@@ -11,9 +11,12 @@
 from test import _common
 from test import _deployments
 from test import _load
+from test import test_at_most_once
 
 LOOK_UP_TTL_SECONDS = 1.0
 LONG_REQUEST_SECONDS = 10.0
+# Longer than a host without open requests takes to stop.
+FORWARDED_REQUEST_SECONDS = 5.0
 
 
 class CachingCaller:
@@ -184,3 +187,31 @@
             process.terminate()
             self.assertEqual(long_request.result().status, 200)
         self.assertEqual(process.wait(60.0), 0)
+
+    # Guards against an unknown outcome of issue 35: a request that another host
+    # had forwarded ran, and the host ended before its answer.
+    def test_forwarded_request_is_answered_by_a_host_that_stops(self):
+        self.start()
+        name, forwarder = self.host_names[:2]
+        batch = _deployments.look_up(self.running, name, "ada")["tickets"]
+        ticket = f"{batch['prefix']}0"
+        milliseconds = int(FORWARDED_REQUEST_SECONDS * 1000)
+        with concurrent.futures.ThreadPoolExecutor(1) as pool:
+            order = pool.submit(
+                test_at_most_once.send_order,
+                self.running,
+                forwarder,
+                ticket,
+                f"?sleep_ms={milliseconds}",
+            )
+            _common.wait_until(
+                lambda: any(
+                    each["accounts"].get("ada")
+                    for each in self.running.reports().values()
+                )
+            )
+            process = self.running.hosts[name]
+            process.terminate()
+            attempt = order.result()
+        self.assertEqual((attempt.status, attempt.ran), (200, "yes"))
+        self.assertEqual(process.wait(60.0), 0)
