--- a/gooseberryweir/connection/delivery.py
+++ b/gooseberryweir/connection/delivery.py
@@ -16,7 +16,7 @@
 import logging
 import math
 import socket
-import struct
+import sys
 import termios
 from typing import Any
 from typing import NamedTuple
@@ -48,6 +48,8 @@
 # Time for which input behind the last answer shows that the caller has not
 # read the end of the connection.
 SENDING_ON_SECONDS = 0.5
+# Buffer for the number that the kernel returns.
+_NO_BYTES = bytes(4)
 
 
 class Undelivered(NamedTuple):
@@ -81,6 +83,23 @@
     )
 
 
+def unacknowledged_bytes(connection: Any) -> int | None:
+    """Returns the sent bytes that the other side's kernel has not acknowledged.
+
+    None if this kernel can't tell.
+
+    Args:
+        connection: Socket of the connection.
+    """
+    try:
+        # SIOCOUTQ of tcp(7).
+        held = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, _NO_BYTES)
+    except OSError as error:
+        logs.event(LOGGER, "delivery-unknown", logging.DEBUG, reason=error)
+        return None
+    return int.from_bytes(held, sys.byteorder)
+
+
 class Delivery:
     """The delivery of answers over one connection.
 
@@ -131,24 +150,33 @@
                 `MAX_DELIVERY_SECONDS`.
         """
         self.unsent = len(head) + len(body)
-        with eventlet.Timeout(MAX_DELIVERY_SECONDS):
-            # A large body is not copied.
-            self._send_piece(memoryview(head + body[:JOINED_BYTES]))
-            self._send_piece(memoryview(body)[JOINED_BYTES:])
+        # A large body is not copied.
+        joined = memoryview(head + body[:JOINED_BYTES])
+        remaining = self._send_some(joined)
+        if self.unsent:
+            with eventlet.Timeout(MAX_DELIVERY_SECONDS):
+                self._send_all(remaining)
+                self._send_all(memoryview(body)[JOINED_BYTES:])
         self.sent_at = self.now()
 
-    def _send_piece(self, remaining: memoryview) -> None:
-        """Hands bytes to the kernel."""
+    def _send_all(self, remaining: memoryview) -> None:
+        """Hands bytes to the kernel; waits while it takes none."""
         while remaining:
-            try:
-                # `fd` is the non-blocking socket inside the eventlet socket,
-                # whose timeout is that of the input.
-                sent = self.socket.fd.send(remaining)
-            except BlockingIOError:
+            size = len(remaining)
+            remaining = self._send_some(remaining)
+            if len(remaining) == size:
                 hubs.trampoline(self.socket.fd, write=True)
-                continue
-            self.unsent -= sent
-            remaining = remaining[sent:]
+
+    def _send_some(self, data: memoryview) -> memoryview:
+        """Hands bytes to the kernel and returns those that it did not take."""
+        try:
+            # `fd` is the non-blocking socket inside the eventlet socket, whose
+            # timeout is that of the input.
+            sent = self.socket.fd.send(data)
+        except BlockingIOError:
+            return data
+        self.unsent -= sent
+        return data[sent:]
 
     def undelivered(self) -> int:
         """Returns the bytes of answers that the caller has not received.
@@ -165,13 +193,10 @@
 
     def _known_size(self) -> int | None:
         """Returns the bytes of `undelivered`; None if the kernel can't tell."""
-        try:
-            # SIOCOUTQ of tcp(7).
-            held = fcntl.ioctl(self.socket.fileno(), termios.TIOCOUTQ, bytes(4))
-        except OSError as error:
-            logs.event(LOGGER, "delivery-unknown", logging.DEBUG, reason=error)
+        held = unacknowledged_bytes(self.socket)
+        if held is None:
             return None
-        size = self.queued + self.unsent + int(struct.unpack("i", held)[0])
+        size = self.queued + self.unsent + held
         if size:
             try:
                 # After a reset the kernel still reports what it has dropped.
--- a/test/test_delivery.py
+++ b/test/test_delivery.py
@@ -5,10 +5,12 @@
 """
 
 import contextlib
+import gc
 import socket
 import time
 import unittest
 from unittest import mock
+import weakref
 
 import eventlet
 from eventlet import greenio
@@ -175,6 +177,32 @@
         eventlet.sleep(STEP_SECONDS)
         self.assertEqual(len(self.server.connections), 1)
 
+    # Guards against an answer whose sending waits without end for a caller that
+    # does not read.
+    def test_answer_that_the_kernel_does_not_take_ends_the_connection(self):
+        seconds = 5 * STEP_SECONDS
+        with mock.patch.object(delivery, "MAX_DELIVERY_SECONDS", seconds):
+            self.connect_only(b"GET /large HTTP/1.1\r\nHost: h\r\n\r\n")
+            self.wait_until(lambda: self.records)
+        self.wait_until(lambda: not self.server.connections)
+        self.assertEqual([each.reason for each in self.records], ["not-taken"])
+        self.assertGreater(self.records[0].size, 0)
+
+    # Guards against closed connections that stay in memory until a garbage
+    # collection or the end of the linger, and cost processor time then.
+    def test_connection_is_freed_once_its_caller_has_closed_it(self):
+        gc.disable()
+        self.addCleanup(gc.enable)
+        for request in (REQUEST, CLOSING_REQUEST):
+            with self.subTest(request):
+                caller = self.connect(request)
+                freed = weakref.ref(next(iter(self.server.connections)))
+                self.assertGreater(self.read(caller), BODY_BYTES)
+                caller.close()
+                self.wait_until(lambda: not self.server.connections)
+                eventlet.sleep(STEP_SECONDS)
+                self.assertIsNone(freed())
+
     # Guards against LOST of issue 35: a closing connection was ended by the
     # idle timeout or a fixed time, before its caller had the answer.
     def test_closing_connection_outlives_the_idle_timeout(self):
@@ -282,6 +310,21 @@
         self.assertEqual(record.reason, "server-end")
         self.assertGreater(record.size, BODY_BYTES // 2)
 
+    # Guards against lost answers that no log shows: the kernel has an
+    # acknowledgement of all bytes, and the caller sends on.
+    def test_end_of_the_server_records_a_caller_that_sends_on(self):
+        caller = self.connect(CLOSING_REQUEST)
+        self.assertGreater(self.read(caller), BODY_BYTES)
+        self.wait_until(lambda: not self.undelivered())
+        caller.sendall(REQUEST)
+        eventlet.sleep(STEP_SECONDS)
+        self.server.__exit__()
+        (record,) = self.records
+        self.assertEqual(
+            (record.size, record.reason, record.discarded),
+            (0, "server-end", len(REQUEST)),
+        )
+
     def test_caller_that_resets_the_connection_is_left_at_once(self):
         caller = self.connect(CLOSING_REQUEST)
         caller.close()
@@ -373,7 +416,11 @@
     # Guards against LOST of issue 38: of a caller that had sent much behind the
     # last answer no more was read, and the unread input reset the connection.
     def test_caller_that_sends_much_behind_the_end_is_not_reset(self):
-        caller = self.connect(CLOSING_REQUEST)
+        self.send_much(self.connect(CLOSING_REQUEST))
+        self.assertEqual(len(self.server.connections), 1)
+
+    def send_much(self, caller):
+        """Reads an answer and sends on for two linger times."""
         self.assertGreater(self.read(caller), BODY_BYTES)
         for _ in range(2 * delivery.MAX_UNPACED_BYTES // PIECE_BYTES):
             caller.sendall(bytes(PIECE_BYTES))
@@ -381,7 +428,6 @@
         for _ in range(5):
             eventlet.sleep(delivery.LINGER_SECONDS / 2)
             caller.sendall(REQUEST)
-        self.assertEqual(len(self.server.connections), 1)
 
     # Guards against a core spent on a caller that floods a closing connection.
     def test_input_of_a_closing_connection_is_limited(self):
@@ -423,6 +469,11 @@
             caller.sendall(REQUEST)
         self.assertGreater(self.read(caller), BODY_BYTES)
 
+    # Guards against the same in `serve`, whose callers lost early refusals.
+    def test_caller_of_serve_that_sends_much_is_not_reset(self):
+        self.start_serve()
+        self.send_much(self.connect_only(CLOSING_REQUEST))
+
     # Guards against LOST of issue 38 in `serve`: in a stop, a connection ended
     # once the next kernel had the answer, and a caller that sent on was reset.
     def test_caller_of_serve_may_send_on_in_a_stop(self):
