--- a/test/test_soak_rules.py
+++ b/test/test_soak_rules.py
@@ -175,6 +175,20 @@
             "LOST: at work at the end of the grace period",
         )
 
+    def test_slow_readers_at_a_stop(self):
+        unread = cut(
+            path="/long/body-100-10",
+            ended_at=AT + 9.0,
+            deadline_seconds=30.0,
+            kind="slow-reader",
+        )
+        self.assert_kept(
+            judge([unread], [run()], [stop(ends=AT + 4.8)]),
+            "LOST: unread at the end of the grace period",
+        )
+        # The process did not use its grace period.
+        self.assert_broken("LOST", judge([unread], [run()], [stop()]))
+
     def test_faults_of_the_store_and_of_others_excuse_no_loss(self):
         for harm in (
             span(_soak_records.STORE, "*", detail="store-silent"),
