--- a/bench/front_faults.py
+++ b/bench/front_faults.py
@@ -194,7 +194,7 @@
                 only=arguments.only,
                 roots=roots,
                 events=events,
-                keep=arguments.keep,
+                keep=None if events else arguments.keep,
                 bounds=bounds_of(arguments),
             )
 
