--- a/test/_soak_runner.py
+++ b/test/_soak_runner.py
@@ -50,6 +50,8 @@
 # Delays of the relay in each direction, and the links that they meet.
 TRIPS_MS = (0, 8, 40, 250, 250)
 ALL_CALLERS = ">front-*"
+# Longest time until the settings file is as before.
+MAX_RELOAD_SECONDS = 1.0
 BROKEN_SETTINGS = "nodeName = [1,\n"
 
 
@@ -182,26 +184,38 @@
             time.sleep(event.seconds)
             process.send_signal(signal.SIGCONT)
 
-    def reload(self, event, text=None):
-        """Changes the settings file, sends SIGHUP and restores the file."""
+    def reload(self, event, change=None):
+        """Changes the settings file, sends SIGHUP and restores the file.
+
+        Args:
+            event: The event.
+            change: Returns the text of the changed file, given the original;
+                None for one with another bound. Only a host that has read its
+                file gets one.
+        """
         host = self.system.hosts[event.target]
-        original = host.settings_path.read_text()
-        if text is None:
+        if change:
+            _common.wait_until(host.ready, description=f"{host.name} ready")
+        with (
+            host.settings_lock,
+            self.span(_soak_records.RELOAD, event.target, event.kind),
+        ):
+            original = host.settings_path.read_text()
             text = original.replace("revoke=5s", "revoke=4s")
-        with self.span(_soak_records.RELOAD, event.target, event.kind):
+            if change:
+                text = change(original)
             host.settings_path.write_text(text)
             host.process.send_signal(signal.SIGHUP)
-            time.sleep(min(event.seconds, 1.0))
+            time.sleep(min(event.seconds, MAX_RELOAD_SECONDS))
             host.settings_path.write_text(original)
 
     def reload_broken(self, event):
         """Sends SIGHUP with a file that is no settings file."""
-        self.reload(event, BROKEN_SETTINGS)
+        self.reload(event, lambda _: BROKEN_SETTINGS)
 
     def reload_half(self, event):
         """Sends SIGHUP with a file that is half written."""
-        text = self.system.hosts[event.target].settings_path.read_text()
-        self.reload(event, text[: len(text) // 2])
+        self.reload(event, lambda text: text[: len(text) // 2])
 
     # Events of connections.
 
--- a/test/_soak_system.py
+++ b/test/_soak_system.py
@@ -114,6 +114,7 @@
         waited: Process id, monotonic time and seconds that it had waited for a
             processor, at the latest sample.
         stopped: Set once it is not started again.
+        settings_lock: Held while its settings file is not that of its start.
     """
 
     def __init__(self, *arguments, bounds):
@@ -128,6 +129,7 @@
         self.spans = []
         self.waited = (0, 0.0, 0.0)
         self.stopped = threading.Event()
+        self.settings_lock = threading.Lock()
 
     def __enter__(self):
         self.start()
@@ -174,7 +176,8 @@
             waiter.join()
             if self.stopped.is_set():
                 return
-            self.start()
+            with self.settings_lock:
+                self.start()
 
     def record_start(self, record):
         """Records the time from a start until the host is ready."""
