Keep the seeds of stops that failed in the fault soak

Seeds 1 and 3 of stops alone lost the last answers of silent callers behind relays before (LOST 2 and 1).

--- a/test/test_front_faults.py
+++ b/test/test_front_faults.py
@@ -18,10 +18,12 @@
     Attributes:
         seed: Seed of the schedule.
         only: The only kind of event, or empty for all.
+        seconds: Duration of the schedule, seconds.
     """
 
     seed: int
     only: str = ""
+    seconds: float = SECONDS
 
 
 CASES = (
@@ -31,6 +33,9 @@
     Case(8),
     # Uploads that end late: 429 MB of bodies in a host that has 300 MB.
     Case(1, "crowd-uploads"),
+    # Answers that a relay holds while its caller is silent, at stops.
+    Case(1, "stop", 12.0),
+    Case(3, "stop", 12.0),
 )
 
 
@@ -43,7 +48,7 @@
         for case in CASES:
             with self.subTest(case):
                 result = _soak_runner.run(
-                    case.seed, seconds=SECONDS, only=case.only
+                    case.seed, seconds=case.seconds, only=case.only
                 )
                 self.assertEqual(result.failures, [])
                 self.assertEqual(
