Answer open requests of operators before serve ends

What operators saw: the end of the connection without an answer, if a request was open when the host ended.

Cause: the task that runs the operators' port was killed right before the end of the process; nothing waited for its open requests.

Ruled out: closing that port together with that of callers, since operators could not ask for the state of a host that waits for long requests.

Result: the new test in test_shutdown failed (the connection ended without an answer) and passes.

--- a/gooseberryweir/process/serve.py
+++ b/gooseberryweir/process/serve.py
@@ -16,6 +16,7 @@
 import signal
 import sys
 from typing import Any
+from typing import NamedTuple
 
 import eventlet
 from eventlet import event
@@ -60,6 +61,9 @@
 # look-up after it has expired.
 LOOK_UP_MARGIN_SECONDS = 1.0
 MAX_OPEN_OPERATOR_REQUESTS = 64
+# Longest wait for open requests of operators at the end of a shutdown; longer
+# than a key withdrawal takes.
+OPERATOR_DRAIN_SECONDS = operator_http.WITHDRAWAL_TIMEOUT_SECONDS + 2.0
 LISTEN_BACKLOG = 512
 
 
@@ -93,6 +97,25 @@
         signal.signal(signal.SIGINT, self.request)
 
 
+class Port(NamedTuple):
+    """A port that serves requests.
+
+    Attributes:
+        listener: Listening socket.
+        task: Task that runs the server.
+        pool: Pool of the tasks that serve connections.
+    """
+
+    listener: Any
+    task: Any
+    pool: eventlet.GreenPool
+
+    def close(self) -> None:
+        """Accepts no more connections; open requests run on in the pool."""
+        self.task.kill()
+        self.listener.close()
+
+
 def make_explain(
     context: contexts.Context,
 ) -> Callable[[str, str, str], dict[str, Any]]:
@@ -225,28 +248,32 @@
     caller_listener = listen(settings.caller)
     operator_listener = listen(settings.operator)
     with open_context(settings, clock) as context:
-        pool = eventlet.GreenPool(settings.max_open_requests)
+        caller_pool = eventlet.GreenPool(settings.max_open_requests)
         caller_task = eventlet.spawn(
             caller_http.serve,
             caller_listener,
             application.make_application(context),
-            pool,
+            caller_pool,
             settings.max_header_bytes,
             lambda: shutdown_signal.requested,
             lambda refusal: application.record_refusal(context, "", refusal),
         )
+        operator_pool = eventlet.GreenPool(MAX_OPEN_OPERATOR_REQUESTS)
         operator_task = eventlet.spawn(
             caller_http.serve,
             operator_listener,
             operator_http.build_application(operator_context(context)),
-            eventlet.GreenPool(MAX_OPEN_OPERATOR_REQUESTS),
+            operator_pool,
             settings.max_header_bytes,
             lambda: False,
         )
         _announce_ready(caller_listener, context, operator_listener)
         shutdown_signal.event.wait()
-        _shut_down(context, caller_listener, caller_task, pool)
-        operator_task.kill()
+        _shut_down(
+            context,
+            Port(caller_listener, caller_task, caller_pool),
+            Port(operator_listener, operator_task, operator_pool),
+        )
     logs.event(LOGGER, "host-stopped")
 
 
@@ -286,10 +313,7 @@
 
 
 def _shut_down(
-    context: contexts.Context,
-    caller_listener: Any,
-    caller_task: Any,
-    pool: eventlet.GreenPool,
+    context: contexts.Context, callers: Port, operators: Port
 ) -> None:
     """Shuts down in the three steps that the module's docstring describes.
 
@@ -297,17 +321,23 @@
     cut off.
     """
     started_at = context.clock.monotonic()
-    logs.event(LOGGER, "host-leaving", open_requests=pool.running())
+    logs.event(LOGGER, "host-leaving", open_requests=callers.pool.running())
     context.membership.leave()
     context.clock.sleep(
         context.settings.look_up_seconds + LOOK_UP_MARGIN_SECONDS
     )
-    caller_task.kill()
-    caller_listener.close()
+    callers.close()
     with eventlet.Timeout(context.settings.drain_seconds, False):
-        pool.waitall()
+        callers.pool.waitall()
         context.peering.server.finish_slow_messages()
-    cut_off = pool.running() + len(context.peering.server.slow_tasks)
+        operators.close()
+        with eventlet.Timeout(OPERATOR_DRAIN_SECONDS, False):
+            operators.pool.waitall()
+    cut_off = (
+        callers.pool.running()
+        + len(context.peering.server.slow_tasks)
+        + operators.pool.running()
+    )
     drain_seconds = context.clock.monotonic() - started_at
     context.metrics.timing("drain", drain_seconds * 1000)
     logs.event(LOGGER, "host-drained", seconds=drain_seconds, cut_off=cut_off)
--- a/test/test_shutdown.py
+++ b/test/test_shutdown.py
@@ -1,13 +1,18 @@
 """A planned stop of a host interrupts no request and refuses no caller."""
 
 import concurrent.futures
+import contextlib
+import http.client
 import itertools
+import json
+import socket
 import threading
 import time
 import unittest
 
 import urllib3
 
+from gooseberryweir import codes
 from test import _common
 from test import _deployments
 from test import _load
@@ -17,6 +22,9 @@
 LONG_REQUEST_SECONDS = 10.0
 # Longer than a host without open requests takes to stop.
 FORWARDED_REQUEST_SECONDS = 5.0
+# A host without open requests ends in less than this after it has closed its
+# port.
+END_SECONDS = 1.0
 
 
 class CachingCaller:
@@ -215,3 +223,38 @@
             attempt = order.result()
         self.assertEqual((attempt.status, attempt.ran), (200, "yes"))
         self.assertEqual(process.wait(60.0), 0)
+
+    # Guards against operators' requests of issue 35 that a stopping host cut
+    # off although they were open.
+    def test_open_request_of_an_operator_is_answered_by_a_host_that_stops(self):
+        self.start(1)
+        (name,) = self.host_names
+        connection = http.client.HTTPConnection(
+            self.running.addresses[f"operator:{name}"], timeout=10.0
+        )
+        self.enterContext(contextlib.closing(connection))
+        body = b"not a digest"
+        connection.putrequest("POST", "/v1/withdraw")
+        connection.putheader(
+            "Authorization", f"Bearer {self.running.operator_token}"
+        )
+        connection.putheader("Content-Length", str(len(body)))
+        connection.endheaders()
+        process = self.running.hosts[name]
+        process.terminate()
+        _common.wait_until(lambda: not self.accepts_callers(name))
+        time.sleep(END_SECONDS)
+        connection.send(body)
+        answer = json.loads(connection.getresponse().read())
+        self.assertEqual(answer["code"], int(codes.Code.MALFORMED_KEY))
+        connection.close()
+        self.assertEqual(process.wait(60.0), 0)
+
+    def accepts_callers(self, name):
+        """Returns True if a host accepts connections of callers."""
+        host, _, port = self.running.addresses[f"caller:{name}"].rpartition(":")
+        try:
+            with socket.create_connection((host, int(port)), timeout=1.0):
+                return True
+        except OSError:
+            return False
