--- a/test/test_peering.py
+++ b/test/test_peering.py
@@ -256,27 +256,33 @@
 class PeerLinkTest(unittest.TestCase):
     """Calls over one link to a peer that replies late, reordered or never."""
 
-    def test_late_and_reordered_replies_reach_their_calls(self):
-        release = events.Event()
-
-        def handle(peer, message):
-            if message.view == 1:
-                release.wait()
-            return messages.Grant(message.view, 0.0, 0.0, True, 0.0)
-
+    @contextlib.contextmanager
+    def open_link(self, handle):
+        """Opens a link to a server whose handler of `Draw` may be slow."""
         server = peer_server.PeerServer(
             "127.0.0.1:0",
             lambda: HELLO,
             handle,
             slow_types=frozenset({messages.Draw}),
         )
-        draw = messages.Draw("account/a", "c1", 1, 1, 1, 0, 1)
         with (
             server,
             peer_link.PeerLink(
                 server.address, HELLO, CALL_TIMEOUT_SECONDS
             ) as link,
         ):
+            yield server, link
+
+    def test_late_and_reordered_replies_reach_their_calls(self):
+        release = events.Event()
+
+        def handle(peer, message):
+            if message.view == 1:
+                release.wait()
+            return messages.Grant(message.view, 0.0, 0.0, True, 0.0)
+
+        draw = messages.Draw("account/a", "c1", 1, 1, 1, 0, 1)
+        with self.open_link(handle) as (_, link):
             with self.assertRaises(peer_link.PeerTimeoutError):
                 link.call(draw, 0.05)
             slow = eventlet.spawn(link.call, draw, CALL_TIMEOUT_SECONDS)
@@ -308,18 +314,9 @@
             releases[message.view].wait()
             return messages.Grant(message.view, 0.0, 0.0, True, 0.0)
 
-        server = peer_server.PeerServer(
-            "127.0.0.1:0",
-            lambda: HELLO,
-            handle,
-            slow_types=frozenset({messages.Draw}),
-        )
         draw = messages.Draw("account/a", "c1", 1, 1, 1, 0, 1)
         with (
-            server,
-            peer_link.PeerLink(
-                server.address, HELLO, CALL_TIMEOUT_SECONDS
-            ) as link,
+            self.open_link(handle) as (server, link),
             eventlet.Timeout(WAIT_TIMEOUT_SECONDS),
         ):
             first = eventlet.spawn(link.call, draw, WAIT_TIMEOUT_SECONDS)
