--- /dev/null
+++ b/test/test_bytes_without_end.py
@@ -0,0 +1,180 @@
+"""Tests of a host beside upstreams and callers that send without end.
+
+The upstreams are processes of their own, which send as fast as the kernel takes
+the bytes; one that shares the process of the callers is too slow to fill a host.
+"""
+
+import contextlib
+import pathlib
+import tempfile
+import threading
+import unittest
+
+from test import _common
+from test import _front
+from test import _raw
+from test.standins import endless_upstream
+from test.test_endless_answers import HOST_MEMORY_BYTES
+from test.test_endless_answers import peak_memory
+
+UPSTREAMS = 4
+UPSTREAM_SLOTS = 100
+# Requests without end at the same time.
+REQUESTS = 48
+MANY_REQUESTS = 300
+MANY_KINDS = ("body", "length", "chunks-1", "head")
+# Callers beside a sound one, and the answers that it wants meanwhile.
+CALLERS = 12
+SOUND_REQUESTS = 40
+# Uploads in tiny chunks at the same time, and the size of their content, which
+# the configuration allows.
+UPLOADS = 48
+UPLOAD_BYTES = 99_000
+
+
+def upload_head(path="/read/upload"):
+    """Returns the head of a request whose body comes in chunks."""
+    return _front.request_bytes(
+        path, method="POST", Transfer_Encoding="chunked"
+    )
+
+
+class BytesWithoutEndTest(unittest.TestCase):
+    """A host whose upstreams answer some requests without end."""
+
+    def setUp(self):
+        self.stack = self.enterContext(contextlib.ExitStack())
+        directory = pathlib.Path(
+            self.stack.enter_context(tempfile.TemporaryDirectory())
+        )
+        self.system = _front.System(self.stack, hosts=1, upstreams=1)
+        self.host = self.system.hosts[0]
+        self.upstreams = [
+            self.stack.enter_context(
+                _common.Process(
+                    directory, f"endless-{i}", "test.standins.endless_upstream"
+                )
+            )
+            for i in range(UPSTREAMS)
+        ]
+        (only,) = self.system.upstreams
+        for each in self.upstreams:
+            entry = only.entry(
+                address=each.wait_ready().address(), slots=UPSTREAM_SLOTS
+            )
+            self.system.store.put("servers", each.name, entry)
+        self.system.store.delete("servers", only.name)
+        _common.wait_until(
+            lambda: not self.call("/read/first").headers.get("server-stamp"),
+            description="the upstreams without end are in use",
+        )
+
+    def call(self, path, **headers):
+        return _front.call(self.host.address, path, **headers)
+
+    def endless_answers(self):
+        """Returns how many answers the upstreams have sent without end."""
+        return sum(
+            _common.fetch_json(each.url("/_control"))["answers"]
+            for each in self.upstreams
+        )
+
+    def call_concurrently(self, kind, count):
+        """Returns the statuses of requests sent at the same time."""
+        statuses = []
+
+        def call(number):
+            answer = self.call(
+                f"/read/{number}/{kind}", request_id=f"{kind}-{number}"
+            )
+            statuses.append(answer.status)
+
+        threads = [
+            threading.Thread(target=call, args=(number,))
+            for number in range(count)
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        return statuses
+
+    # Guards against a host that runs out of memory, since answers that were
+    # given up stay in it, or many small pieces cost more than their content.
+    def test_answers_without_end_keep_memory_bounded(self):
+        rounds = [(kind, REQUESTS) for kind in endless_upstream.KINDS]
+        rounds += [(kind, MANY_REQUESTS) for kind in MANY_KINDS]
+        for kind, count in rounds:
+            statuses = self.call_concurrently(kind, count)
+            self.assertEqual(len(statuses), count)
+            self.assertNotIn(200, statuses)
+            self.assertLess(
+                peak_memory(self.host.process),
+                HOST_MEMORY_BYTES,
+                f"{count} times {kind}",
+            )
+
+    @contextlib.contextmanager
+    def callers_beside(self, call):
+        """Repeats a call in many threads until the context ends."""
+        ended = threading.Event()
+
+        def repeat(number):
+            while not ended.is_set():
+                with contextlib.suppress(OSError):
+                    call(number)
+
+        threads = [
+            threading.Thread(target=repeat, args=(number,))
+            for number in range(CALLERS)
+        ]
+        for thread in threads:
+            thread.start()
+        try:
+            yield
+        finally:
+            ended.set()
+            for thread in threads:
+                thread.join()
+
+    # Guards against a host whose other requests, look-ups and signals wait
+    # while it reads answers, or whose upstreams are all ejected for them.
+    def test_sound_requests_are_answered_beside_answers_without_end(self):
+        for kind in endless_upstream.KINDS:
+            before = self.endless_answers()
+            with self.callers_beside(
+                lambda number, kind=kind: self.call(f"/read/{number}/{kind}")
+            ):
+                _common.wait_until(
+                    lambda: self.endless_answers() > before,
+                    description=f"an answer of {kind} was ended",
+                )
+                statuses = [
+                    self.call(f"/read/sound-{number}").status
+                    for number in range(SOUND_REQUESTS)
+                ]
+            self.assertEqual(statuses, [200] * SOUND_REQUESTS, kind)
+
+    # Guards against callers that keep a host from all others with one body
+    # each, whose chunks cost far more work than their content.
+    def test_callers_with_tiny_chunks_keep_nobody_waiting(self):
+        statuses = []
+
+        def upload(number):
+            size = 1 + number % 2
+            chunk = b"%x\r\n%s\r\n" % (size, b"u" * size)
+            with _raw.Connection(self.host.address) as connection:
+                connection.send(upload_head(), chunk * (UPLOAD_BYTES // size))
+                statuses.append(connection.read_answer().status)
+
+        with self.callers_beside(upload):
+            answers = [
+                self.call(f"/read/sound-{number}").status
+                for number in range(SOUND_REQUESTS)
+            ]
+        self.assertEqual(answers, [200] * SOUND_REQUESTS)
+        self.assertEqual(set(statuses), {413})
+
+
+if __name__ == "__main__":
+    unittest.main()
