Bound memory and work of answers without end

What callers saw: a host beside an upstream that sends without end grew to 972 and 1,103 MB (48 plain bodies; 200 are allowed), so the machine would end it and the requests of all its callers; until then they waited, since the host read on while bytes came.

Cause: limits counted something else than what was used up. - An answer that was given up counted nothing from that moment, but its bytes stayed in its task, and in the cycle of parser and collector until the next garbage collection. - Content was kept as one object for each piece. - A task that reads went on without giving way while there were bytes. - Nothing limited the work for tiny chunks, interim answers and headers.

Change: content is gathered in one buffer for both directions and freed when the answer is given up; the reader is closed with the exchange; other tasks run between two reads; chunks beyond 4,096 need a mean size of 16 bytes, interim answers before an answer share 512 KB, and a header of an answer counts 64 bytes at least (1,024 headers).

Ruled out: that the rest was fragmentation of growing buffers.

--- a/gooseberryweir/connection/http_messages.py
+++ b/gooseberryweir/connection/http_messages.py
@@ -6,6 +6,8 @@
 
 from collections.abc import Iterable
 import http
+import io
+import re
 import sys
 from typing import NamedTuple
 
@@ -18,8 +20,23 @@
 # Bytes of a head that do not count towards its limit, such as method, version
 # and spaces.
 MAX_UNCOUNTED_BYTES = 4096
+# Chunks of a body that may have any size, and the least mean size in bytes of
+# those beyond them: the work for a chunk does not depend on its size.
+MAX_SMALL_CHUNKS = 4096
+MIN_MEAN_CHUNK_BYTES = 16
+# Limit on the bytes of all interim answers (1xx) before an answer, and what
+# each counts in addition to its headers.
+MAX_INTERIM_BYTES = 512 * 1024
+INTERIM_LINE_BYTES = 32
+# What a header of an answer counts at least: the work for it does not depend on
+# its size.
+MIN_ANSWER_HEADER_BYTES = 64
+# Memory of a header in addition to its bytes.
+HEADER_OVERHEAD_BYTES = 200
 UPGRADE_ERROR = "protocol upgrades are not supported"
 END_OF_HEAD = b"\r\n\r\n"
+# Line before the content of a chunk, without an extension.
+_CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,8})\r\n")
 
 
 class Message(NamedTuple):
@@ -32,6 +49,7 @@
         headers: Header names and values as received.
         body: Complete body.
         keep_alive: True if the sender keeps the connection open.
+        head_size: Memory of the target and the headers, bytes.
     """
 
     method: str
@@ -40,6 +58,7 @@
     headers: Headers
     body: bytes
     keep_alive: bool
+    head_size: int = 0
 
 
 class MessageError(Exception):
@@ -64,18 +83,24 @@
         max_header_bytes: Limit on the size of the target and the headers.
         max_body_bytes: Limit on the size of the body.
         max_incomplete_bytes: Limit on `incomplete_size`.
+        min_header_bytes: Size that a header counts at least.
         completed: Complete messages that `feed` has not returned yet.
         in_progress: True while a message has begun and is not complete.
-        header_size: Bytes of target and headers so far.
+        header_size: Bytes of target, headers and extensions of chunks so far.
         incomplete_size: Bytes fed since the message began or since the last
             bytes of its body. The parser itself holds a line until it has all
             of it.
-        body_size: Bytes of the body so far.
+        body: The body so far. One buffer, since many small pieces would take
+            far more memory than their content.
+        body_size: Bytes of it.
+        chunk_count: Chunks of the body so far.
         headers_complete: True once all headers of the message were parsed.
         error: Error raised in a callback, or None; kept here, since httptools
             raises an error of its own in its place.
     """
 
+    min_header_bytes = 0
+
     def __init__(
         self,
         max_header_bytes: int,
@@ -95,8 +120,9 @@
         self.target = b""
         self.headers: list[tuple[str, str]] = []
         self.header_size = 0
-        self.body_chunks: list[bytes] = []
+        self.body = io.BytesIO()
         self.body_size = 0
+        self.chunk_count = 0
         self.headers_complete = False
         self.error: MessageError | None = None
 
@@ -106,13 +132,20 @@
 
     def on_url(self, url: bytes) -> None:
         self.target += url
-        self._count_header_bytes(len(url))
+        self.count_header_bytes(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._count_header_bytes(len(name) + len(value) + 4)
+        self.count_header_bytes(
+            max(self.min_header_bytes, len(name) + len(value) + 4)
+        )
         self.headers.append((name.decode("latin1"), value.decode("latin1")))
 
-    def _count_header_bytes(self, size: int) -> None:
+    @property
+    def head_size(self) -> int:
+        """Memory of the target and the headers so far, bytes."""
+        return self.header_size + len(self.headers) * HEADER_OVERHEAD_BYTES
+
+    def count_header_bytes(self, size: int) -> None:
         """Adds to the header size and raises an error above the limit."""
         self.header_size += size
         if self.header_size > self.max_header_bytes:
@@ -132,6 +165,11 @@
 
     def on_chunk_header(self) -> None:
         self.incomplete_size = 0
+        self.chunk_count += 1
+        allowed = MAX_SMALL_CHUNKS + self.body_size // MIN_MEAN_CHUNK_BYTES
+        if self.chunk_count > allowed:
+            self.error = MessageError(413, "the body has too many small chunks")
+            raise self.error
 
     def on_chunk_complete(self) -> None:
         self.incomplete_size = 0
@@ -142,7 +180,7 @@
         if self.body_size > self.max_body_bytes:
             self.error = MessageError(413, "the body is too large")
             raise self.error
-        self.body_chunks.append(body)
+        self.body.write(body)
 
     def complete(self, method: str, status: int, keep_alive: bool) -> None:
         """Builds the message and adds it to `completed`."""
@@ -152,16 +190,20 @@
                 self.target.decode("latin1"),
                 status,
                 tuple(self.headers),
-                b"".join(self.body_chunks),
+                self.body.getvalue(),
                 keep_alive,
+                self.head_size,
             )
         )
-        # The parser and its collector refer to each other, so the pieces would
-        # stay until the next garbage collection.
-        self.body_chunks = []
+        self.body = io.BytesIO()
         self.in_progress = False
         self.header_size = 0
 
+    def discard(self) -> None:
+        """Frees the memory of the messages that `feed` has not returned."""
+        self.completed = []
+        self.reset()
+
     def take_completed(self) -> list[Message]:
         """Removes and returns the complete messages."""
         completed, self.completed = self.completed, []
@@ -229,6 +271,8 @@
         chunk_line: Bytes of the current line between the chunks of a body.
         chunk_left: Bytes of the current chunk that are not received yet, with
             its line end.
+        at_whole_chunks: True if the parser gets complete chunks next.
+        last_chunk_begun: True after the line of the last chunk of a body.
         continue_settled: True once the body of the request in progress has
             begun, or its caller was told to send it if it asked.
     """
@@ -246,6 +290,8 @@
         self.last_bytes = b""
         self.chunk_line = b""
         self.chunk_left = 0
+        self.at_whole_chunks = False
+        self.last_chunk_begun = False
         self.continue_settled = False
 
     @property
@@ -264,11 +310,19 @@
         length = collector.body_length
         return collector.body_size if length is None else length
 
+    @property
+    def head_size(self) -> int:
+        """Memory of the head of the request in progress so far, bytes."""
+        collector = self.collector
+        if self.ended or not collector.in_progress:
+            return 0
+        return collector.head_size
+
     def give_up(self) -> None:
         """Ignores the request in progress and what follows it."""
         self.ended = True
         self.unread = b""
-        self.collector.body_chunks = []
+        self.collector.discard()
 
     def take_continue(self) -> bool:
         """Returns True if a caller waits for status 100 to send its body.
@@ -313,11 +367,13 @@
             position = end
             try:
                 _feed(self.parser, collector, piece)
-            except MessageError:
+                if in_body and collector.body_length is None:
+                    self._count_chunk(piece)
+            except MessageError as error:
                 self.ended = True
+                error.completed += collector.take_completed()
+                collector.discard()
                 raise
-            if in_body and collector.body_length is None:
-                self._count_chunk(piece)
             if collector.in_progress:
                 self.last_bytes = (self.last_bytes + piece[-3:])[-3:]
             elif collector.completed:
@@ -337,6 +393,7 @@
         if not collector.in_progress:
             self.last_bytes = self.chunk_line = b""
             self.chunk_left = 0
+            self.last_chunk_begun = False
             if data[position] in END_OF_HEAD:
                 # Empty lines before a request don't belong to it.
                 return len(data) - len(data[position:].lstrip(END_OF_HEAD))
@@ -345,6 +402,11 @@
             return position + collector.body_length - collector.body_size
         if in_body and self.chunk_left:
             return position + self.chunk_left
+        if in_body and not self.chunk_line and not self.last_chunk_begun:
+            end = _whole_chunks_end(data, position)
+            self.at_whole_chunks = end > position
+            if self.at_whole_chunks:
+                return end
         # A header has 4 bytes or more and may count as 5. Up to here, none can
         # exceed the limit.
         safe_size = (
@@ -359,21 +421,29 @@
         return min(end, position + safe_size)
 
     def _count_chunk(self, piece: bytes) -> None:
-        """Follows the chunks of a body, whose content is one piece each.
-
-        The parser alone decides what they are.
+        """Follows the chunks of a body; the parser alone decides what they are.
 
         Args:
             piece: Bytes that the parser got last.
+
+        Raises:
+            MessageError: The extensions of the chunks are too large.
         """
+        collector = self.collector
+        if self.at_whole_chunks:
+            self.at_whole_chunks = collector.chunk_begun = False
+            return
         if self.chunk_left:
             self.chunk_left -= len(piece)
             return
         self.chunk_line += piece
         if piece.endswith(b"\n"):
-            if self.collector.chunk_begun:
+            if collector.chunk_begun:
                 self.chunk_left = _chunk_size(self.chunk_line)
-            self.collector.chunk_begun = False
+                self.last_chunk_begun = not self.chunk_left
+                extension = self.chunk_line.partition(b";")[2]
+                collector.count_header_bytes(len(extension))
+            collector.chunk_begun = False
             self.chunk_line = b""
 
     def _head_end(self, data: bytes, position: int) -> int:
@@ -388,6 +458,25 @@
         return index + len(END_OF_HEAD) if index >= 0 else len(data)
 
 
+def _whole_chunks_end(data: bytes, position: int) -> int:
+    """Returns the end of the complete chunks without extensions.
+
+    The parser gets these at a time, since small ones would take long one by
+    one.
+
+    Args:
+        data: Received bytes.
+        position: Where the line of a chunk begins.
+    """
+    while line := _CHUNK_LINE.match(data, position):
+        size = int(line[1], 16)
+        end = line.end() + size + len(b"\r\n")
+        if size == 0 or data[end - 2 : end] != b"\r\n":
+            break
+        position = end
+    return position
+
+
 def _chunk_size(line: bytes) -> int:
     """Returns the bytes of a chunk and its line end; 0 for the last chunk."""
     try:
@@ -399,16 +488,27 @@
 
 
 class _AnswerCollector(_Collector):
-    """Builds answers."""
+    """Builds answers.
+
+    Attributes:
+        interim_bytes: Bytes of interim answers (1xx) since the last answer.
+    """
 
     parser: httptools.HttpResponseParser
+    min_header_bytes = MIN_ANSWER_HEADER_BYTES
+    interim_bytes = 0
 
     def on_message_complete(self) -> None:
         status = self.parser.get_status_code()
         if status < 200:
-            # An interim answer (1xx); the final one follows.
+            # The final answer follows.
             self.in_progress = False
+            self.interim_bytes += self.header_size + INTERIM_LINE_BYTES
+            if self.interim_bytes > MAX_INTERIM_BYTES:
+                self.error = MessageError(502, "too many interim answers")
+                raise self.error
             return
+        self.interim_bytes = 0
         self.complete("", status, self.parser.should_keep_alive())
 
 
@@ -441,6 +541,10 @@
         """True while an answer has begun and is not complete."""
         return self.collector.in_progress
 
+    def close(self) -> None:
+        """Frees the memory of all that was received."""
+        self.collector.discard()
+
     def feed(self, data: bytes) -> list[Message]:
         """Parses received bytes and returns the answers completed by them.
 
--- a/gooseberryweir/connection/upstream_pool.py
+++ b/gooseberryweir/connection/upstream_pool.py
@@ -201,16 +201,29 @@
                 endpoint.address, min(timeout, CONNECT_TIMEOUT_SECONDS)
             )
         exchange = _Exchange(connection, request)
+        reader = http_messages.AnswerReader(
+            byte_budget.MAX_ANSWER_HEADER_BYTES,
+            byte_budget.MAX_ANSWER_BYTES,
+            exchange.method,
+        )
+
+        def give_up() -> None:
+            # The memory is free at once, not when the task of the request runs.
+            reader.close()
+            _shut_down(connection)
+
         reusable = False
         started_at = self.clock.monotonic()
         self.in_use[name] += 1
         try:
             with (
                 eventlet.Timeout(max(0.0, deadline - started_at)),
-                self.budget.open(lambda: _shut_down(connection)) as share,
+                contextlib.closing(reader),
+                self.budget.open(give_up) as share,
             ):
                 message, reusable = _receive_answer(
                     exchange,
+                    reader,
                     is_reply,
                     lambda size: self.budget.add(share, size),
                 )
@@ -307,6 +320,7 @@
         request: Encoded request.
         unsent: Bytes of it that the kernel has not taken yet.
         send_failed: True once the connection was found broken in sending.
+        has_received: True once bytes were received.
     """
 
     def __init__(self, connection: Any, request: bytes) -> None:
@@ -314,6 +328,7 @@
         self.request = request
         self.unsent = memoryview(request)
         self.send_failed = False
+        self.has_received = False
 
     @property
     def method(self) -> str:
@@ -328,19 +343,24 @@
     def receive(self) -> bytes:
         """Returns received bytes; empty if the upstream closed the connection.
 
-        Goes on sending the request meanwhile. Eventlet's own `recv` returns
-        nothing after a reset as well, which would make an answer without a
-        length look complete.
+        Goes on sending the request meanwhile, and lets other tasks run between
+        two calls, as a fast upstream always has bytes. Eventlet's own `recv`
+        returns nothing after a reset as well, which would make an answer
+        without a length look complete.
 
         Raises:
             OSError: The connection was reset.
         """
         # `fd` is the non-blocking socket inside the eventlet socket.
         raw = self.connection.fd
+        if self.has_received:
+            eventlet.sleep(0)
         while True:
             self._send()
             try:
-                return raw.recv(READ_BYTES)
+                data = raw.recv(READ_BYTES)
+                self.has_received = True
+                return data
             except BlockingIOError:
                 if self.unsent and not self.send_failed:
                     _wait_for_any(raw)
@@ -393,6 +413,7 @@
 
 def _receive_answer(
     exchange: _Exchange,
+    reader: http_messages.AnswerReader,
     is_reply: Callable[[http_messages.Headers], bool],
     count_bytes: Callable[[int], None],
 ) -> tuple[http_messages.Message, bool]:
@@ -400,6 +421,7 @@
 
     Args:
         exchange: The request and its connection.
+        reader: Parser of the connection.
         is_reply: Returns True if an answer with these headers is the answer to
             the request.
         count_bytes: Counts received bytes; raises `TooManyBytesError`.
@@ -411,11 +433,6 @@
         BrokenAnswerError: The answer is missing, truncated or malformed.
     """
     answer_begun = False
-    reader = http_messages.AnswerReader(
-        byte_budget.MAX_ANSWER_HEADER_BYTES,
-        byte_budget.MAX_ANSWER_BYTES,
-        exchange.method,
-    )
     unmatched = 0
     while True:
         try:
@@ -426,8 +443,11 @@
         except OSError as error:
             error_type = BrokenAnswerError if answer_begun else NoAnswerError
             raise error_type(str(error) or type(error).__name__) from error
-        answer_begun = answer_begun or bool(data)
+        ended = not data
+        answer_begun = answer_begun or not ended
         answers, malformed = _read_answers(reader, data)
+        # Not kept while other tasks run.
+        data = b""
         for index, answer in enumerate(answers):
             if is_reply(answer.headers):
                 is_last = index == len(answers) - 1 and not reader.in_progress
@@ -443,7 +463,7 @@
             raise BrokenAnswerError(str(malformed)) from malformed
         if not answer_begun:
             raise NoAnswerError("no answer")
-        if not data or unmatched > MAX_UNMATCHED_ANSWERS:
+        if ended or unmatched > MAX_UNMATCHED_ANSWERS:
             raise BrokenAnswerError("incomplete answer")
 
 
