Bound the work for requests in tiny chunks

Cause: the reader of requests fed the parser each line and each chunk by itself (0.64 s of processor time for one such body), and a connection was read on while it had bytes.

Input that is no request is logged with its caller and counted (request-malformed).

Ruled out: the parser itself.

--- a/gooseberryweir/connection/pipelined_server.py
+++ b/gooseberryweir/connection/pipelined_server.py
@@ -41,6 +41,12 @@
 # Time after the accept within which the first request of a connection is
 # expected; a server that stops does not close the connection before.
 FIRST_REQUEST_SECONDS = 0.25
+# Bytes read from a connection after which other tasks run: a fast caller always
+# has more.
+GIVE_WAY_BYTES = 16 * 1024
+# Memory of the head of a request that does not count towards the limit on all
+# requests.
+UNCOUNTED_HEAD_BYTES = 4096
 # Pause between checks while a connection has MAX_PIPELINED open requests.
 RETRY_PAUSE_SECONDS = 0.05
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -110,6 +116,10 @@
     """Is called with the timing of each answer if nobody needs it."""
 
 
+def _ignore_malformed(_error: http_messages.MessageError) -> None:
+    """Is called with the errors of input if nobody counts them."""
+
+
 class Callbacks(NamedTuple):
     """Functions that a server calls.
 
@@ -122,6 +132,7 @@
         now: Returns the monotonic time in seconds.
         undelivered: Is called when a connection is closed before its caller
             has received all bytes of its answers.
+        malformed: Is called with the error of input that is no request.
     """
 
     handle: Callable[[http_messages.Message], Answer]
@@ -132,6 +143,7 @@
     undelivered: Callable[[delivery.Undelivered], None] = (
         delivery.log_undelivered
     )
+    malformed: Callable[[http_messages.MessageError], None] = _ignore_malformed
 
 
 class _OpenRequest(NamedTuple):
@@ -190,6 +202,7 @@
         share: Bytes of answers that wait to be sent, or None before and after
             `serve`.
         reserved: Bytes reserved for the body of the request in progress.
+        read_bytes: Bytes read since other tasks were last let run.
         closed: True once the connection has been shut down or closed.
         closing: True once the last answer was queued or sent; further input
             is discarded.
@@ -218,6 +231,7 @@
         self.close_timer: Any = None
         self.share: byte_budget.Share | None = None
         self.reserved = 0
+        self.read_bytes = 0
         self.closed = False
         self.closing = False
         self.ignores_input = False
@@ -381,9 +395,13 @@
             elif self.reader.unread:
                 self._process(b"")
                 continue
+            if self.read_bytes >= GIVE_WAY_BYTES:
+                self.read_bytes = 0
+                eventlet.sleep(0)
             data = self._receive()
             if not data:
                 return
+            self.read_bytes += len(data)
             if self.closing or self.ignores_input:
                 self._discard(len(data))
             else:
@@ -408,21 +426,39 @@
         except http_messages.MessageError as error:
             requests = error.completed
             error_answer = Answer(error.status, (), b"", close=True)
+            self._record_malformed(error)
         for request in requests:
-            if self._reserve(len(request.body)):
+            if self._reserve(_memory(request.head_size, len(request.body))):
                 self._enqueue(request, self.server.callbacks.handle)
             else:
                 self._refuse(request._replace(body=b""))
         if error_answer is not None:
             self._enqueue(_placeholder_request(), lambda _: error_answer)
-        elif not self._reserve(self.reader.body_bytes):
+        elif not self._reserve(
+            _memory(self.reader.head_size, self.reader.body_bytes)
+        ):
             self.reader.give_up()
             self._refuse(_placeholder_request())
         self.closing = self.closing or self.reader.ended
         self._send_continue()
 
+    def _record_malformed(self, error: http_messages.MessageError) -> None:
+        """Logs input that is not a request, or one that is too large."""
+        self.server.callbacks.malformed(error)
+        try:
+            caller = "{}:{}".format(*self.socket.getpeername()[:2])
+        except OSError:
+            caller = "gone"
+        logs.event(
+            LOGGER,
+            "request-malformed",
+            caller=caller,
+            status=error.status,
+            reason=str(error),
+        )
+
     def _reserve(self, size: int) -> bool:
-        """Reserves the bytes of the body in progress, or of one just read.
+        """Reserves the bytes of the request in progress, or of one just read.
 
         Returns False if there is no room.
         """
@@ -618,6 +654,11 @@
             self.writer_task = None
 
 
+def _memory(head_size: int, body_size: int) -> int:
+    """Returns the bytes of a request that count towards the limit on all."""
+    return max(0, head_size - UNCOUNTED_HEAD_BYTES) + body_size
+
+
 def _placeholder_request() -> http_messages.Message:
     """Returns an empty request, which is queued in place of malformed input."""
     return http_messages.Message("", "", 0, (), b"", False)
--- a/gooseberryweir/front.py
+++ b/gooseberryweir/front.py
@@ -28,6 +28,7 @@
 from gooseberryweir.commands import exit_codes
 from gooseberryweir.connection import byte_budget
 from gooseberryweir.connection import caller_server
+from gooseberryweir.connection import http_messages
 from gooseberryweir.connection import pipelined_server
 from gooseberryweir.connection import upstream_pool
 from gooseberryweir.platform import records
@@ -261,6 +262,9 @@
             configuration = store_cache.configuration
             return configuration.limits if configuration else DEFAULT_LIMITS
 
+        def count_malformed(_error: http_messages.MessageError) -> None:
+            telemetry.count("request_malformed")
+
         front = stack.enter_context(
             caller_server.Server(
                 settings.front_address,
@@ -271,6 +275,7 @@
                     request_handler.record_sent,
                     clock.monotonic,
                     request_handler.record_undelivered,
+                    count_malformed,
                 ),
                 sending_budget,
                 request_budget,
@@ -286,6 +291,7 @@
                         lambda: forwarding.limits(caller_limits()),
                         shutdown.refusing,
                         undelivered=request_handler.record_undelivered,
+                        malformed=count_malformed,
                     ),
                     sending_budget,
                     request_budget,
--- a/gooseberryweir/side_servers.py
+++ b/gooseberryweir/side_servers.py
@@ -116,6 +116,7 @@
                     lambda: CONNECTION_LIMITS,
                     lambda: False,
                     undelivered=record_undelivered,
+                    malformed=lambda _: telemetry.count("request_malformed"),
                 ),
                 budget,
             )
