Use ejected upstreams that send bytes while no other may serve

What callers saw: beside answers without end sound requests to the same upstreams got 503, all but the first 1 to 3 of 40.

Cause: two broken answers eject an upstream, and with all upstreams of a service ejected each request was refused, although these upstreams answer other requests.

Change: an upstream that was ejected for broken answers only, so that it did send bytes, is used while no other upstream may serve. One that failed in silence (no connection, no byte, timeout) stays out, and so does one behind whose address another answers. Broken answers are logged with their upstream and counted (answer-broken).

Ruled out: that hosts are only too busy to read sound answers.

The property test of readers holds memory against content for drawn kinds, cuts and piece sizes.

--- a/gooseberryweir/request/steering/selection.py
+++ b/gooseberryweir/request/steering/selection.py
@@ -336,14 +336,18 @@
     def _usable(
         self, request: pending_request.PendingRequest, tried: set[str]
     ) -> list[_UsableUpstream]:
-        """Returns the upstreams that may run a request now, in rank order."""
+        """Returns the upstreams that may run a request now, in rank order.
+
+        If there are none, those that were ejected but send bytes.
+        """
         dependencies = self.dependencies
         now = dependencies.clock.monotonic()
         service = self._find_service(request.service)
         max_connections = self.max_connections(request.service)
         allowed_regions = request.admitted.regions
         refused_until = dependencies.upstream_tokens.refused_until
-        usable = []
+        usable: list[_UsableUpstream] = []
+        last_resorts: list[_UsableUpstream] = []
         for eligible in self._ranked_upstreams(
             request.service, request.object_name
         ):
@@ -355,7 +359,10 @@
             if not dependencies.notices.accepts(upstream.incarnation):
                 continue
             state = dependencies.states.get(upstream.name, upstream.slots)
-            if not state.is_usable(now) or state.in_flight >= max_connections:
+            is_usable = state.is_usable(now)
+            if state.in_flight >= max_connections or not (
+                is_usable or state.is_last_resort()
+            ):
                 continue
             if service is not None and not self._accepts_cold(
                 upstream, service
@@ -365,8 +372,9 @@
                 upstream.incarnation
             ):
                 continue
-            usable.append(_UsableUpstream(eligible, state))
-        return usable
+            found = usable if is_usable else last_resorts
+            found.append(_UsableUpstream(eligible, state))
+        return usable or last_resorts
 
     def _accepts_cold(
         self, upstream: traffic.Upstream, service: traffic.Service
--- a/gooseberryweir/request/steering/sending.py
+++ b/gooseberryweir/request/steering/sending.py
@@ -147,6 +147,7 @@
                 f"connection failed: {error}",
             )
         except upstream_pool.BrokenAnswerError as error:
+            silent = isinstance(error, upstream_pool.NoAnswerError)
             if isinstance(error, upstream_pool.NoAnswerError):
                 dependencies.reachability.record_no_answer(
                     upstream.name, error.new_connection
@@ -155,8 +156,13 @@
                     dependencies.suspects.record_crash(
                         request.fingerprint, upstream.incarnation
                     )
+            else:
+                self._log_broken(request, upstream, error)
             state.record_failure(
-                dependencies.clock.monotonic(), f"broken answer: {error}", 1
+                dependencies.clock.monotonic(),
+                f"broken answer: {error}",
+                1,
+                silent,
             )
             return pending_request.AttemptFailure(
                 codes.Code.UPSTREAM_DIED,
@@ -186,6 +192,22 @@
             request, choice, state, reply, attempt, sent_at
         )
 
+    def _log_broken(
+        self,
+        request: pending_request.PendingRequest,
+        upstream: traffic.Upstream,
+        error: upstream_pool.BrokenAnswerError,
+    ) -> None:
+        """Logs and counts an answer that is malformed, cut off or too large."""
+        self.dependencies.telemetry.count("answer_broken")
+        logs.event(
+            LOGGER,
+            "answer-broken",
+            request=request.caller_headers.request_id,
+            upstream=upstream.name,
+            reason=str(error),
+        )
+
     def _exchange(
         self,
         request: pending_request.PendingRequest,
--- a/gooseberryweir/request/steering/upstream_state.py
+++ b/gooseberryweir/request/steering/upstream_state.py
@@ -92,6 +92,7 @@
         miss_ratio: Among the objects expected to be warm at the upstream, the
             fraction that is cold.
         failure_score: Sum of the scores of the failures since the last success.
+        silent_score: Sum of those in which the upstream sent nothing.
         ejected_until: Monotonic time, in seconds, at which the last ejection
             ends or ended; 0 if there was none since the last success.
         consecutive_ejections: Ejections since the last success.
@@ -112,6 +113,7 @@
         self.failure_ratio = 0.0
         self.miss_ratio = 0.0
         self.failure_score = 0
+        self.silent_score = 0
         self.ejected_until = 0.0
         self.consecutive_ejections = 0
 
@@ -176,6 +178,13 @@
             return True
         return now >= self.ejected_until and self.in_flight == 0
 
+    def is_last_resort(self) -> bool:
+        """Returns True if an ejected upstream may serve while no other may.
+
+        It sends bytes, although not the answers to some requests.
+        """
+        return self.ejected_until > 0.0 and self.silent_score == 0
+
     def record_sent(self) -> None:
         """Records that a request is in flight."""
         self.in_flight += 1
@@ -213,9 +222,7 @@
         self.last_answer_at = now
         if self.ejected_until:
             logs.event(LOGGER, "upstream-readmitted", upstream=self.name)
-        self.failure_score = 0
-        self.consecutive_ejections = 0
-        self.ejected_until = 0.0
+        self.end_ejection()
         self._decay_estimates(now)
         self.failure_ratio *= 1 - SAMPLE_WEIGHT
         if time_ratio is not None:
@@ -258,7 +265,9 @@
             SHED_FAILURE_WEIGHT - self.failure_ratio
         )
 
-    def record_failure(self, now: float, reason: str, score: int) -> None:
+    def record_failure(
+        self, now: float, reason: str, score: int, silent: bool = True
+    ) -> None:
         """Records a failure and ejects the upstream if it seems to be down.
 
         Once an ejection has ended, and until the next success, any failure with
@@ -270,10 +279,12 @@
             score: Score of the failure: 0 if it does not indicate that the
                 upstream is down, 1 if it may, `EJECTION_SCORE` if it shows that
                 it is.
+            silent: True if the upstream sent nothing.
         """
         self._decay_estimates(now)
         self.failure_ratio += SAMPLE_WEIGHT * (1 - self.failure_ratio)
         self.failure_score += score
+        self.silent_score += score if silent else 0
         if now < self.ejected_until:
             # The failures of requests that were in flight at the same time
             # eject the upstream only once.
@@ -300,7 +311,7 @@
 
     def end_ejection(self) -> None:
         """Lets the upstream get requests again at once."""
-        self.failure_score = 0
+        self.failure_score = self.silent_score = 0
         self.consecutive_ejections = 0
         self.ejected_until = 0.0
 
--- a/test/test_bytes_without_end.py
+++ b/test/test_bytes_without_end.py
@@ -1,15 +1,20 @@
 """Tests of a host beside upstreams and callers that send without end.
 
 The upstreams are processes of their own, which send as fast as the kernel takes
-the bytes; one that shares the process of the callers is too slow to fill a host.
+the bytes; one in the process of the callers is too slow to fill a host.
 """
 
 import contextlib
 import pathlib
 import tempfile
 import threading
+import tracemalloc
 import unittest
 
+import hypothesis
+from hypothesis import strategies
+
+from gooseberryweir.connection import http_messages
 from test import _common
 from test import _front
 from test import _raw
@@ -32,6 +37,17 @@
 UPLOAD_BYTES = 99_000
 
 
+# Limits of the readers, and what one may hold beside the bytes that they allow:
+# a head of many headers, and the unused end of a growing buffer.
+MAX_HEADER_BYTES = 16 * 1024
+MAX_BODY_BYTES = 100_000
+HEAD_MEMORY_BYTES = 400_000
+BUFFER_SHARE = 1.3
+REQUEST = b"POST / HTTP/1.1\r\n"
+ANSWER = b"HTTP/1.1 200 OK\r\n"
+ENDLESS = (*endless_upstream.ANSWERS.values(), (b"", b"HTTP/1.1 103 E\r\n\r\n"))
+
+
 def upload_head(path="/read/upload"):
     """Returns the head of a request whose body comes in chunks."""
     return _front.request_bytes(
@@ -146,7 +162,7 @@
                 lambda number, kind=kind: self.call(f"/read/{number}/{kind}")
             ):
                 _common.wait_until(
-                    lambda: self.endless_answers() > before,
+                    lambda before=before: self.endless_answers() > before,
                     description=f"an answer of {kind} was ended",
                 )
                 statuses = [
@@ -176,5 +192,80 @@
         self.assertEqual(set(statuses), {413})
 
 
+def readers():
+    """Returns new readers of requests and answers, with their first line."""
+    return (
+        (
+            http_messages.RequestReader(MAX_HEADER_BYTES, MAX_BODY_BYTES),
+            REQUEST,
+        ),
+        (
+            http_messages.AnswerReader(MAX_HEADER_BYTES, MAX_BODY_BYTES, "GET"),
+            ANSWER,
+        ),
+    )
+
+
+class ReaderTest(unittest.TestCase):
+    """What a reader holds of bytes without end, and that it ends them."""
+
+    # Guards against pieces that are objects many times their size.
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=60)
+    @hypothesis.given(
+        strategies.sampled_from(ENDLESS),
+        strategies.integers(1, 64 * 1024),
+        strategies.integers(0, 1),
+    )
+    def test_memory_is_bounded_by_content(self, endless, cut, reader_index):
+        begin, piece = endless
+        reader, first_line = readers()[reader_index]
+        data = first_line + begin + piece * (2_000_000 // len(piece))
+        segments = [
+            data[start : start + cut] for start in range(0, len(data), cut)
+        ][:40_000]
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        with contextlib.suppress(http_messages.MessageError):
+            for segment in segments:
+                reader.feed(segment)
+        peak = tracemalloc.get_traced_memory()[1]
+        tracemalloc.stop()
+        allowed = MAX_BODY_BYTES * BUFFER_SHARE + 3 * cut + HEAD_MEMORY_BYTES
+        self.assertLess(peak, allowed)
+
+    def test_every_kind_is_ended(self):
+        for begin, piece in ENDLESS:
+            for reader, first_line in readers():
+                with (
+                    self.subTest(reader=reader, piece=piece[:20]),
+                    self.assertRaises(http_messages.MessageError),
+                ):
+                    reader.feed(first_line + begin)
+                    for _ in range(200):
+                        reader.feed(piece * (65536 // len(piece)))
+
+    # Guards against limits that refuse sound messages in small pieces.
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=60)
+    @hypothesis.given(
+        strategies.integers(1, 4000),
+        strategies.integers(1, 5000),
+        strategies.integers(1, 5000),
+    )
+    def test_small_chunks_pass(self, size, chunk, cut):
+        body = b"b" * size
+        for reader, first_line in readers():
+            data = (
+                first_line
+                + b"Transfer-Encoding: chunked\r\n\r\n"
+                + _raw.chunked(body, chunk)
+            )
+            completed = [
+                message
+                for start in range(0, len(data), cut)
+                for message in reader.feed(data[start : start + cut])
+            ]
+            self.assertEqual([each.body for each in completed], [body])
+
+
 if __name__ == "__main__":
     unittest.main()
