Limit the bytes of an answer of the store

A store, or what answers at its address, that sends without end was read until the memory of the host was full: the client read each answer whole, with a timeout for each wait only. Same class as the answers of upstreams; found by looking for it wherever bytes come in.

An answer of more than 16 MiB is given up now, and counts as a failed call. Looked at and left: frames of other hosts have a limit (16 MiB), reports of upstreams to `serve` too, operators' calls announce their length.

test_answers_without_end_are_given_up: three errors out of memory at 3 GB of address space before, passes now.

--- a/gooseberryweir/platform/store.py
+++ b/gooseberryweir/platform/store.py
@@ -29,6 +29,8 @@
 # Upper limit on the pages of a list; lists in a system of the intended size
 # have fewer.
 MAX_PAGES = 50
+# Limit on the bytes of one answer.
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
 _OBJECTS_PATH = "/-/objects/"
 # Number of returns of the store from an older copy, in all its answers.
 _ERA_HEADER = "Store-Era"
@@ -359,7 +361,9 @@
                     ),
                     read=timeout_seconds or self.call_timeout_seconds,
                 ),
+                preload_content=False,
             )
+            body = _read_body(response)
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise StoreError(
                 0, f"the store does not answer: {type(error).__name__}"
@@ -368,9 +372,27 @@
             raise StoreError(
                 response.status, f"the store answered {response.status}"
             )
-        return _Answer(
-            response.data, _parse_era(response.headers.get(_ERA_HEADER))
-        )
+        return _Answer(body, _parse_era(response.headers.get(_ERA_HEADER)))
+
+
+def _read_body(response: urllib3.BaseHTTPResponse) -> bytes:
+    """Reads the body of an answer.
+
+    Raises:
+        StoreError: It is larger than `MAX_ANSWER_BYTES`.
+    """
+    try:
+        body = response.read(MAX_ANSWER_BYTES + 1)
+        if len(body) > MAX_ANSWER_BYTES:
+            raise StoreError(
+                0,
+                f"the store's answer has more than {MAX_ANSWER_BYTES} bytes",
+            )
+    except BaseException:
+        response.close()
+        raise
+    response.release_conn()
+    return body
 
 
 def _document(name: str, spec: Any, **condition: int) -> dict[str, Any]:
--- a/test/test_bytes_without_end.py
+++ b/test/test_bytes_without_end.py
@@ -14,7 +14,9 @@
 import hypothesis
 from hypothesis import strategies
 
+from gooseberryweir import clock as clocks
 from gooseberryweir.connection import http_messages
+from gooseberryweir.platform import store as platform_store
 from test import _common
 from test import _front
 from test import _raw
@@ -192,6 +194,34 @@
         self.assertEqual(set(statuses), {413})
 
 
+class StoreTest(unittest.TestCase):
+    """The client of a store that answers without end."""
+
+    # Guards against a store, or what answers at its address, that fills the
+    # memory of all hosts.
+    def test_answers_without_end_are_given_up(self):
+        stack = self.enterContext(contextlib.ExitStack())
+        directory = pathlib.Path(
+            stack.enter_context(tempfile.TemporaryDirectory())
+        )
+        server = stack.enter_context(
+            _common.Process(
+                directory, "endless", "test.standins.endless_upstream"
+            )
+        ).wait_ready()
+        store = stack.enter_context(
+            platform_store.Store(
+                server.url(), clocks.ManualClock().interface(), "c1"
+            )
+        )
+        for kind in ("body", "length", "chunks"):
+            with (
+                self.subTest(kind),
+                self.assertRaises(platform_store.StoreError),
+            ):
+                store.list(kind)
+
+
 def readers():
     """Returns new readers of requests and answers, with their first line."""
     return (
