Judge what a soak should have achieved, and make its broken copies again

- SERVED: of the requests that no event explains, a share is served at each host, on each route and by each kind of caller.
A host in touch fails no two readiness checks or look-ups in a row.
- Callers that follow look-ups; upstreams that answer without end and callers that upload in tiny chunks, as kinds of their own that explain nothing.

--- a/bench/front_faults.py
+++ b/bench/front_faults.py
@@ -2,7 +2,9 @@
 
 Usage: python -m bench.front_faults --seeds A-B [--seconds N] [--hosts N]
 [--only KIND] [--commit C | --root DIR] [--mixed] [--shrink] [--keep DIR]
-[--settings FILE] [--memory-mb MB] [--descriptors N].
+[--settings FILE] [--memory-mb MB] [--descriptors N] [--break NAME].
+With --break, the hosts run a copy of the package with one rule broken; all
+breaks are tried with `--break all`, each until the first seed that finds it.
 Prints a line for each seed, and for each violation the events around it and the
 log lines of its request. The exit code is 1 if a seed failed.
 """
@@ -19,6 +21,7 @@
 import time
 
 from test import _common
+from test import _soak_breaks
 from test import _soak_records
 from test import _soak_rules
 from test import _soak_runner
@@ -56,6 +59,12 @@
     parser.add_argument(
         "--keep", type=pathlib.Path, help="directory for logs of failing seeds"
     )
+    parser.add_argument(
+        "--break",
+        dest="broken",
+        choices=["all", *_soak_breaks.BREAKS],
+        help="run hosts that break a rule, until a seed finds it",
+    )
     usual = _soak_rules.USUAL_BOUNDS
     parser.add_argument(
         "--settings",
@@ -146,6 +155,9 @@
     print(f"  statuses: {_format_counts(statuses)}")
     print(f"  events: {_format_counts(kinds)}")
     print(f"  excused: {_format_counts(result.verdict.excused)}")
+    calm = _soak_rules.calm_attempts(_soak_rules.gather(records))
+    served = sum(_soak_rules.succeeded(each) for each in calm)
+    print(f"  calm: requests={len(calm)} served={served}")
     for failure in result.failures:
         print(f"  failure: {failure}")
     by_rule = collections.Counter(e.rule for e in result.verdict.violations)
@@ -173,6 +185,48 @@
         print(f"  needed: {event}", flush=True)
 
 
+def find_breaks(arguments: argparse.Namespace, seeds: range) -> int:
+    """Runs broken copies; returns how many no seed found."""
+    names = [arguments.broken]
+    if arguments.broken == "all":
+        names = list(_soak_breaks.BREAKS)
+    missed = 0
+    for name in names:
+        with _soak_breaks.broken_copy(name) as root:
+            missed += not find_break(name, root, arguments, seeds)
+    return missed
+
+
+def find_break(
+    name: str, root: pathlib.Path, arguments: argparse.Namespace, seeds: range
+) -> bool:
+    """Runs seeds with a broken copy until one breaks its rule."""
+    broken = _soak_breaks.BREAKS[name]
+    requests = 0
+    for seed in seeds:
+        result = _soak_runner.run(
+            seed,
+            seconds=arguments.seconds,
+            hosts=arguments.hosts,
+            only=broken.only,
+            roots=[root],
+            bounds=bounds_of(arguments),
+        )
+        requests += len(result.records.attempts)
+        by_rule = collections.Counter(
+            each.rule for each in result.verdict.violations
+        )
+        if by_rule[broken.rule]:
+            break
+    found = bool(by_rule[broken.rule])
+    print(
+        f"break={name} rule={broken.rule} found={found} seed={seed}"
+        f" requests={requests} broken: {_format_counts(by_rule)}",
+        flush=True,
+    )
+    return found
+
+
 def _format_counts(counts: collections.Counter) -> str:
     return " ".join(f"{k}={v}" for k, v in sorted(counts.items())) or "none"
 
@@ -181,6 +235,9 @@
     """Runs the seeds; the exit code is 1 if one failed."""
     arguments = parse_arguments()
     first, _, last = arguments.seeds.partition("-")
+    seeds = range(int(first), int(last or first) + 1)
+    if arguments.broken:
+        raise SystemExit(int(find_breaks(arguments, seeds) > 0))
     failed = 0
     with open_roots(arguments) as roots:
 
@@ -198,7 +255,7 @@
                 bounds=bounds_of(arguments),
             )
 
-        for seed in range(int(first), int(last or first) + 1):
+        for seed in seeds:
             began_at = time.monotonic()
             result = run(seed)
             print_result(seed, result, time.monotonic() - began_at)
--- a/test/_soak_callers.py
+++ b/test/_soak_callers.py
@@ -1,7 +1,8 @@
 """Callers of a soak: they draw what they send from a seed and record it all.
 
-They choose hosts at random, with no look-ups, and use an open connection until
-it is gone. All run in one thread of their own, on an event loop of asyncio.
+They choose hosts at random, those that follow look-ups among the hosts that a
+host names, and use an open connection until it is gone. All run in one thread
+of their own, on an event loop of asyncio.
 """
 
 import asyncio
@@ -11,6 +12,7 @@
 from collections.abc import Mapping
 import contextlib
 import itertools
+import json
 import random
 import re
 import socket
@@ -219,12 +221,13 @@
         kind: str,
         rng: random.Random,
         buffer_bytes: int | None = None,
+        host: str = "",
     ) -> None:
         self.callers = callers
         self.kind = kind
         self.number = next(callers.connection_numbers)
         self.rng = rng
-        self.host = rng.choice(sorted(callers.addresses))
+        self.host = host or rng.choice(sorted(callers.addresses))
         self.buffer_bytes = buffer_bytes
         self.socket = socket.socket()
         self.socket.setblocking(False)
@@ -443,6 +446,8 @@
         addresses: Address for callers of each host, `IP:PORT`, by its name.
         seed: Seed of all random choices.
         counts: Number of callers by kind.
+        directories: Address of look-ups of each host, by its name; for callers
+            that follow look-ups.
         routes: Routes that they use; may be replaced while they run.
         keys: API keys that they use, also withdrawn ones; may be replaced.
         prefix: Beginning of the ids of their requests.
@@ -461,6 +466,7 @@
         self.addresses = addresses
         self.seed = seed
         self.counts = dict(counts or DEFAULT_COUNTS)
+        self.directories: Mapping[str, str] = {}
         self.routes = ROUTES
         self.keys = keys
         self.prefix = f"s{seed}-"
@@ -510,7 +516,8 @@
         buffer_bytes = SMALL_BUFFER_BYTES if kind == "slow-reader" else None
         await asyncio.sleep(rng.uniform(0, 0.5))
         while not self.over.is_set():
-            line = Line(self, kind, rng, buffer_bytes)
+            host = await self.look_up(rng) if kind == "following" else ""
+            line = Line(self, kind, rng, buffer_bytes, host)
             try:
                 async with line:
                     try:
@@ -521,6 +528,26 @@
             except (OSError, TimeoutError):
                 await asyncio.sleep(RETRY_SECONDS)
 
+    async def look_up(self, rng: random.Random) -> str:
+        """Returns the first host that a host names; empty without an answer."""
+        address = self.directories[rng.choice(sorted(self.directories))]
+        ip, _, port = address.rpartition(":")
+        request = _raw.head("GET", f"/-/resolve?name={_front.HOST_HEADER}")
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+                reader, writer = await asyncio.open_connection(ip, int(port))
+                with contextlib.closing(writer):
+                    writer.write(request)
+                    head = await reader.readuntil(b"\r\n\r\n")
+                    length = _LENGTH.search(head)
+                    body = await reader.readexactly(int(length[1]))
+            listed = json.loads(body)["addresses"]
+        except (OSError, EOFError, TimeoutError, ValueError, TypeError):
+            await asyncio.sleep(RETRY_SECONDS)
+            return ""
+        names = {address: name for name, address in self.addresses.items()}
+        return next((names[each] for each in listed if each in names), "")
+
     def idempotent_routes(self) -> tuple[Route, ...]:
         """Returns the routes whose requests may run more than once."""
         return tuple(each for each in self.routes if each.idempotent)
@@ -644,6 +671,7 @@
     "slow-reader": use_slow_reader,
     "kept": use_kept,
     "fresh": use_fresh,
+    "following": use_kept,
     "slow-sender": use_slow_sender,
     "leaving": use_leaving,
 }
--- a/test/_soak_records.py
+++ b/test/_soak_records.py
@@ -4,6 +4,7 @@
 """
 
 import collections
+from collections.abc import Sequence
 from typing import Any
 from typing import NamedTuple
 
@@ -165,6 +166,22 @@
     descriptors: int
 
 
+class Probe(NamedTuple):
+    """A readiness check and a look-up at a host.
+
+    Attributes:
+        host: Name of the host.
+        at: Time of the probe.
+        ready: Whether the readiness check succeeded.
+        listed: Addresses in the answer to the look-up; empty without one.
+    """
+
+    host: str
+    at: float
+    ready: bool
+    listed: tuple[str, ...]
+
+
 class Configuration(NamedTuple):
     """A configuration that the operator wrote.
 
@@ -230,6 +247,7 @@
         samples: Samples of all processes.
         configurations: Configurations in the order of their sending.
         bounds: Bounds of the rules.
+        probes: Readiness checks and look-ups, in the order of their times.
     """
 
     started_at: float
@@ -241,6 +259,7 @@
     samples: list[Sample]
     configurations: list[Configuration]
     bounds: Bounds
+    probes: Sequence[Probe] = ()
 
 
 class Violation(NamedTuple):
--- a/test/_soak_rules.py
+++ b/test/_soak_rules.py
@@ -53,8 +53,21 @@
         "delay-peers",
         "crowd-idle",
         "crowd-uploads",
+        "endless-answers",
+        "tiny-chunks",
     )
 )
+# Least share of the requests that is served, and the requests from which it
+# counts (Gate and CONFIG of the users' rules).
+SERVED_SHARE = 0.4
+LATER_ROUTE_SHARE = 0.25
+MIN_REQUESTS = 20
+# Failed probes in a row after which a host counts as not ready.
+FAILED_PROBES = 2
+# Callers whose requests count as owed: they neither leave nor read slowly.
+STEADY_CALLERS = frozenset(("kept", "fresh", "pipelining", "following"))
+# Answer that an upstream itself breaks off.
+BROKEN_ACTION = "short-"
 # Faults of upstreams that end their requests.
 ENDING_FAULTS = frozenset(("crash", "replace"))
 
@@ -833,6 +846,110 @@
             yield judged(evidence, "BUDGET", attempt, "longer deadline")
 
 
+def calm_attempts(evidence: Evidence) -> list[_soak_records.Attempt]:
+    """Returns the requests that nothing keeps from being served.
+
+    Their host is in touch, no upstream, route or key has changed since the
+    stable window before, and each version in force has their route.
+    """
+    return [
+        attempt
+        for attempt in evidence.records.attempts
+        if attempt.kind in STEADY_CALLERS
+        and not attempt.path.rpartition("/")[2].startswith(BROKEN_ACTION)
+        and is_calm(evidence, attempt)
+    ]
+
+
+def is_calm(evidence: Evidence, attempt: _soak_records.Attempt) -> bool:
+    """Returns True if no event explains that an attempt is not served."""
+    begins = attempt.sent_at - evidence.bounds.stable_window
+    changed = any(
+        each.started_at <= attempt.ended_at and each.ended_at >= begins
+        for kind in (
+            _soak_records.UPSTREAM,
+            _soak_records.DRAIN,
+            _soak_records.EVACUATE,
+            _soak_records.REVOKE,
+            _soak_records.CONFIGURE,
+        )
+        for each in evidence.spans.get(kind, ())
+    )
+    if changed or not evidence.in_touch(
+        attempt.host, attempt.sent_at, attempt.ended_at
+    ):
+        return False
+    in_force = versions_in_force(
+        evidence.records.configurations, begins, attempt.ended_at
+    )
+    return all(
+        (route := route_of(each.document, attempt.path))
+        and (route["public"] or holds_key(each.document, attempt.key))
+        for each in in_force
+    )
+
+
+def find_unserved(evidence: Evidence) -> Findings:
+    """SERVED: in calm stretches too few requests are served.
+
+    At each host and on each route; later routes compared with the first ones.
+    """
+    groups = collections.defaultdict(list)
+    for attempt in calm_attempts(evidence):
+        groups[f"host {attempt.host}"].append(attempt)
+        groups[f"route {route_prefix(attempt)}"].append(attempt)
+        groups[f"callers {attempt.kind}"].append(attempt)
+    first = [
+        succeeded(attempt)
+        for name, attempts in groups.items()
+        for attempt in attempts
+        if name.startswith("route")
+        and route_of(evidence.records.configurations[0].document, attempt.path)
+    ]
+    least = max(
+        SERVED_SHARE, LATER_ROUTE_SHARE * sum(first) / max(1, len(first))
+    )
+    for name, attempts in sorted(groups.items()):
+        served = sum(succeeded(each) for each in attempts)
+        if len(attempts) >= MIN_REQUESTS and served < least * len(attempts):
+            yield _soak_records.Violation(
+                "SERVED",
+                attempts[0].request_id,
+                attempts[0].host,
+                attempts[0].ended_at,
+                f"{name}: {served} of {len(attempts)} served in calm",
+            )
+
+
+def route_prefix(attempt: _soak_records.Attempt) -> str:
+    """Returns the first segment of an attempt's path."""
+    return attempt.path.split("/")[1]
+
+
+def find_unready(evidence: Evidence) -> Findings:
+    """SERVED: a host in touch is not ready, or answers no look-up."""
+    by_host = collections.defaultdict(list)
+    for probe in evidence.records.probes:
+        by_host[probe.host].append(probe)
+    for host, probes in by_host.items():
+        for name, failed in (
+            ("readiness checks", lambda each: not each.ready),
+            ("look-ups", lambda each: not each.listed),
+        ):
+            in_row = 0
+            for probe in probes:
+                calm = evidence.in_touch(host, probe.at, probe.at)
+                in_row = in_row + 1 if calm and failed(probe) else 0
+                if in_row == FAILED_PROBES:
+                    yield _soak_records.Violation(
+                        "SERVED",
+                        "",
+                        host,
+                        probe.at,
+                        f"{FAILED_PROBES} {name} in a row failed in calm",
+                    )
+
+
 def find_own_ends(evidence: Evidence) -> Findings:
     """A process ends by itself, or not as a planned stop should."""
     for process in evidence.records.processes:
@@ -943,6 +1060,8 @@
     find_many_attempts,
     find_retry_storms,
     find_long_deadlines,
+    find_unserved,
+    find_unready,
     find_own_ends,
     find_resources,
 )
--- a/test/_soak_runner.py
+++ b/test/_soak_runner.py
@@ -1,6 +1,7 @@
 """Performs a schedule on a running system and records what was done."""
 
 import contextlib
+import http.client
 import itertools
 import json
 import logging
@@ -16,16 +17,23 @@
 from test import _common
 from test import _front
 from test import _odd_entries
+from test import _raw
 from test import _soak_callers
 from test import _soak_records
 from test import _soak_rules
 from test import _soak_schedule
 from test import _soak_system
+from test.standins import endless_upstream
 
 LOGGER = logging.getLogger(__name__)
 
-# Time for the requests that follow the last event.
+# Time for the requests that follow the last event, in addition to the stable
+# window; in it all of them are owed an answer.
 TAIL_SECONDS = 3.0
+# Callers of an event that ask for answers without end, or upload in tiny
+# chunks, and the content of an upload.
+BYTES_CALLERS = 6
+TINY_UPLOAD_BYTES = 90_000
 # Longest pause between a SIGTERM and a further one.
 AGAIN_SECONDS = 0.3
 # Time after the bound of drains until a drained upstream ends, and after that
@@ -45,6 +53,9 @@
 CROWD_TIMEOUT_SECONDS = 1.0
 # Number of the first connection without a relay.
 FIRST_DIRECT_CONNECTION = 1_000_000
+# Callers that ask a host which hosts to use; behind no relay, whose addresses
+# look-ups do not name.
+FOLLOWING_CALLERS = 4
 # Share of the callers that are behind no relay.
 DIRECT_SHARE = 0.4
 # Delays of the relay in each direction, and the links that they meet.
@@ -246,6 +257,64 @@
                     connection.sendall(data)
             time.sleep(event.seconds)
 
+    def endless_answers(self, event):
+        """Sends requests to a host whose answers never end."""
+
+        def call(number):
+            kinds = endless_upstream.KINDS
+            kind = kinds[(number + int(event.seconds * 1000)) % len(kinds)]
+            _front.call(
+                self.system.hosts[event.target].address,
+                f"/{_soak_system.ENDLESS}/{kind}",
+                request_id="endless",
+            )
+
+        self.repeat_beside(event, call)
+
+    def tiny_chunks(self, event):
+        """Uploads bodies to a host in chunks of one or two bytes."""
+
+        def upload(number):
+            size = 1 + number % 2
+            chunk = b"%x\r\n%s\r\n" % (size, b"u" * size)
+            address = self.system.hosts[event.target].address
+            with _raw.Connection(address) as connection:
+                connection.send(
+                    _front.request_bytes(
+                        "/read/body-0-1",
+                        method="POST",
+                        request_id="tiny",
+                        Transfer_Encoding="chunked",
+                    ),
+                    chunk * (TINY_UPLOAD_BYTES // size),
+                )
+                connection.read_answer()
+
+        self.repeat_beside(event, upload)
+
+    def repeat_beside(self, event, call):
+        """Repeats a call to a host in some threads for a time."""
+        ends_at = time.monotonic() + event.seconds
+
+        def repeat(number):
+            while time.monotonic() < ends_at:
+                # The host may end, or refuse and close.
+                with contextlib.suppress(OSError, http.client.HTTPException):
+                    call(number)
+                time.sleep(_common.POLL_SECONDS)
+
+        with self.span(
+            _soak_records.LINK, f">front-{event.target}", event.kind
+        ):
+            threads = [
+                threading.Thread(target=repeat, args=(number,))
+                for number in range(BYTES_CALLERS)
+            ]
+            for thread in threads:
+                thread.start()
+            for thread in threads:
+                thread.join()
+
     def harm_links(self, event):
         """Sets a fault of the links of a host for its duration."""
         pattern, fields = _soak_schedule.LINK_FAULTS[event.kind]
@@ -490,10 +559,14 @@
             2 * seed + 1,
             direct_counts,
         )
+        direct.directories = {
+            name: host.directory_address for name, host in system.hosts.items()
+        }
+        direct.counts["following"] = FOLLOWING_CALLERS
         direct.connection_numbers = itertools.count(FIRST_DIRECT_CONNECTION)
         with runner.relay_trip(seed), relayed, direct:
             runner.run(events)
-            time.sleep(TAIL_SECONDS)
+            time.sleep(system.bounds.stable_window + TAIL_SECONDS)
         records = _soak_records.Records(
             started_at,
             time.monotonic(),
@@ -513,6 +586,7 @@
             list(system.samples),
             list(system.configurations),
             system.bounds,
+            sorted(system.probes, key=lambda each: each.at),
         )
         verdict = _soak_rules.judge(records)
         result = SoakResult(
--- a/test/_soak_schedule.py
+++ b/test/_soak_schedule.py
@@ -82,6 +82,10 @@
     "lag": 1.0,
     "reuse": 1.0,
 }
+# Kinds that are drawn apart from the others, so that older seeds keep their
+# schedules: upstreams and callers that send bytes without end.
+BYTES_WEIGHTS = {"endless-answers": 1.0, "tiny-chunks": 1.0}
+BYTES_EVENTS_PER_SECOND = 0.15
 # Share of the schedules that have no unplanned faults of hosts and links, which
 # would excuse lost answers. Delays of less than half a second excuse nothing.
 PLANNED_SHARE = 0.5
@@ -93,7 +97,13 @@
     *LINK_FAULTS,
 } - {"delay-callers", "jitter-callers", "delay-upstreams", "delay-peers"}
 KINDS = sorted(
-    [*HOST_WEIGHTS, *STORE_WEIGHTS, *OPERATOR_WEIGHTS, *UPSTREAM_WEIGHTS]
+    [
+        *HOST_WEIGHTS,
+        *STORE_WEIGHTS,
+        *OPERATOR_WEIGHTS,
+        *UPSTREAM_WEIGHTS,
+        *BYTES_WEIGHTS,
+    ]
 )
 ALL_HOSTS = "*"
 # Share of the store's faults that meet all hosts.
@@ -154,7 +164,7 @@
     def draw_event(at: float, host: str) -> Event:
         kind = rng.choices(list(weights), list(weights.values()))[0]
         target = ""
-        if kind in HOST_WEIGHTS:
+        if kind in HOST_WEIGHTS or kind in BYTES_WEIGHTS:
             target = host
         elif kind in STORE_WEIGHTS:
             target = ALL_HOSTS if rng.random() < ALL_HOSTS_SHARE else host
@@ -173,9 +183,27 @@
             draw_event(at + rng.uniform(0, GROUP_SECONDS) * (count > 1), host)
             for _ in range(count)
         ]
+    if not only:
+        events += draw_bytes_events(seed, hosts, seconds)
     return sorted(events)
 
 
+def draw_bytes_events(
+    seed: int, hosts: list[str], seconds: float
+) -> list[Event]:
+    """Draws events of upstreams and callers that send bytes without end."""
+    rng = random.Random(f"bytes-{seed}")
+    return [
+        Event(
+            rng.uniform(QUIET_SECONDS, seconds),
+            rng.choices(list(BYTES_WEIGHTS), list(BYTES_WEIGHTS.values()))[0],
+            rng.choice(hosts),
+            rng.uniform(0.2, MAX_FAULT_SECONDS),
+        )
+        for _ in range(round(BYTES_EVENTS_PER_SECOND * seconds))
+    ]
+
+
 def shrink(
     events: list[Event], fails: Callable[[list[Event]], bool]
 ) -> list[Event]:
--- a/test/_soak_system.py
+++ b/test/_soak_system.py
@@ -36,6 +36,11 @@
 SERVICES = {"work": 3, "other": 2}
 LAG_SECONDS = 0.8
 SLOTS = 32
+# Service and route of the upstream that sends without end.
+ENDLESS = "endless"
+# Interval of readiness checks and look-ups, and their timeout.
+PROBE_SECONDS = 0.5
+PROBE_TIMEOUT_SECONDS = 1.0
 # Time after which the store's writers notice that it lost changes.
 AFTER_RETURN_SECONDS = 1.0
 OTHER_ADDRESSES = _common.ROOT / "test" / "standins" / "other_addresses"
@@ -57,8 +62,9 @@
     document = _front.configuration(
         version, tenants={"t1": {"apiKeys": list(keys)}}
     )
-    document["services"]["other"] = document["services"]["work"]
-    for name, service in services.items():
+    for service in ("other", ENDLESS):
+        document["services"][service] = document["services"]["work"]
+    for name, service in {ENDLESS: ENDLESS, **services}.items():
         document["routes"][name] = {
             **document["routes"]["read"],
             "pathPrefix": f"/{name}/",
@@ -235,6 +241,21 @@
     return int(fields[1]) / 1e9
 
 
+def fetch(address, path):
+    """Returns the status and body of an answer; 0 and empty without one."""
+    host, _, port = address.rpartition(":")
+    connection = http.client.HTTPConnection(
+        host, int(port), timeout=PROBE_TIMEOUT_SECONDS
+    )
+    with contextlib.closing(connection):
+        try:
+            connection.request("GET", path)
+            answer = connection.getresponse()
+            return answer.status, answer.read()
+        except (OSError, http.client.HTTPException):
+            return 0, b""
+
+
 class Switches:
     """Values that overlapping faults set; the latest that lasts is in force.
 
@@ -280,6 +301,7 @@
         hosts: Hosts by name.
         addresses: Addresses for callers behind a relay, by name of the host.
         samples: Samples of all hosts.
+        probes: Readiness checks and look-ups at all hosts.
         spans: Times in which the proxies or upstreams were late.
         configurations: Configurations that were written.
         keys: API keys in the latest configuration.
@@ -292,6 +314,7 @@
         self.roots = roots
         self.stack = contextlib.ExitStack()
         self.samples = []
+        self.probes = []
         self.spans = []
         self.configurations = []
         self.keys = KEYS
@@ -340,15 +363,25 @@
                     )
                 )
                 self.register(name)
+        endless = self.spawn("endless", "test.standins.endless_upstream")
+        entry = next(iter(self.upstreams.values())).entry(
+            service=ENDLESS, address=endless.address(), slots=SLOTS
+        )
+        self.store.put("servers", endless.name, entry)
         self.hosts = {}
         self.addresses = {}
         for number, port_name in enumerate(self.store.port_names):
             self.start_host(f"h{number}", number, store.address(port_name))
         for host in self.hosts.values():
             _common.wait_until(host.ready, description=f"{host.name} ready")
-        sampler = threading.Thread(target=self.sample, daemon=True)
-        sampler.start()
-        self.stack.callback(sampler.join)
+        watchers = [threading.Thread(target=self.sample, daemon=True)]
+        watchers += [
+            threading.Thread(target=self.probe, args=(host,), daemon=True)
+            for host in self.hosts.values()
+        ]
+        for watcher in watchers:
+            watcher.start()
+            self.stack.callback(watcher.join)
         self.stack.callback(self.over.set)
 
     def spawn(self, name, module, *arguments):
@@ -471,6 +504,20 @@
             for proxy in (self.caller_proxy, self.host_proxy):
                 self.measure_lag(proxy)
 
+    def probe(self, host):
+        """Checks a host's readiness and looks hosts up until the end."""
+        while not self.over.wait(PROBE_SECONDS):
+            at = time.monotonic()
+            query = f"name={_front.HOST_HEADER}&region={host.region}"
+            status, _ = fetch(host.ready_address, "/-/readiness")
+            found, body = fetch(
+                host.directory_address, f"/-/resolve?{query}&zone={host.zone}"
+            )
+            listed = json.loads(body)["addresses"] if found == 200 else ()
+            self.probes.append(
+                _soak_records.Probe(host.name, at, status == 200, tuple(listed))
+            )
+
     def measure_lag(self, proxy):
         """Records a span if a proxy or the upstreams are late.
 
--- a/test/test_soak_rules.py
+++ b/test/test_soak_rules.py
@@ -4,13 +4,33 @@
 import unittest
 
 from test import _front
+from test import _soak_breaks
 from test import _soak_callers
 from test import _soak_records
 from test import _soak_rules
+from test import _soak_schedule
 
 # Long after the events of a case, so that its host is in touch.
 AT = 100.0
 ROOT = "/"
+RULES = frozenset(
+    [
+        "LOST",
+        "TWICE",
+        "REFUSED",
+        "MIXED",
+        "UNASKED",
+        "ROUTE",
+        "CONFIG",
+        "DRAIN",
+        "EVAC",
+        "GONE",
+        "BUDGET",
+        "SERVED",
+        "END",
+        "LIMIT",
+    ]
+)
 FIRST = _soak_records.Configuration(1, _front.configuration(), 0.0, 0.1)
 
 
@@ -486,5 +506,121 @@
         self.assertEqual(_soak_callers.parse_answer(data, True).body, b"abc")
 
 
+class ServedTest(unittest.TestCase):
+    """What a soak should have achieved."""
+
+    def judge(self, statuses, spans=(), **fields):
+        """Judges attempts with these statuses, one a 10 ms."""
+        return judge(
+            [
+                attempt(
+                    f"r{number}",
+                    kind="kept",
+                    status=status,
+                    server_stamp="i-0" if status == 200 else "",
+                    sent_at=AT + number / 100,
+                    ended_at=AT + 0.2 + number / 100,
+                    **fields,
+                )
+                for number, status in enumerate(statuses)
+            ],
+            [
+                run(f"r{number}")
+                for number, status in enumerate(statuses)
+                if status == 200
+            ],
+            spans,
+        )
+
+    # Guards against a soak that passes a system that serves nothing.
+    def test_nothing_served_in_calm(self):
+        violations = self.judge([503] * 30).violations
+        self.assertEqual({each.rule for each in violations}, {"SERVED"})
+        texts = [each.text for each in violations]
+        for name in ("host h0", "route read", "callers kept"):
+            self.assertIn(f"{name}: 0 of 30 served in calm", texts)
+
+    def test_events_explain_that_nothing_is_served(self):
+        for each in (
+            span(_soak_records.KILL),
+            span(_soak_records.STORE, "*"),
+            span(_soak_records.UPSTREAM, "i-0"),
+            span(_soak_records.DRAIN, "i-0", ends=AT - 1.0),
+        ):
+            with self.subTest(each):
+                self.assertEqual(self.judge([503] * 30, [each]).violations, [])
+
+    # Guards against faults that excuse requests that they must not harm.
+    def test_bytes_without_end_explain_nothing(self):
+        for detail in ("endless-answers", "tiny-chunks"):
+            each = span(_soak_records.LINK, ">front-h0", detail=detail)
+            self.assertTrue(self.judge([503] * 30, [each]).violations)
+
+    def test_the_gate_of_the_pages_is_the_bound(self):
+        self.assertEqual(self.judge([200] * 12 + [503] * 18).violations, [])
+        self.assertTrue(self.judge([200] * 11 + [503] * 19).violations)
+
+    def test_few_requests_and_those_of_callers_that_leave_do_not_count(self):
+        self.assertEqual(self.judge([503] * 19).violations, [])
+        leaving = self.judge([503] * 30, path="/read/short-10-10")
+        self.assertEqual(leaving.violations, [])
+
+    def test_two_failed_probes_in_a_row(self):
+        def probes(*answers):
+            return [
+                _soak_records.Probe("h0", AT + number, ready, listed)
+                for number, (ready, listed) in enumerate(answers)
+            ]
+
+        good, unready, unlisted = (
+            (True, ("a",)),
+            (False, ("a",)),
+            (True, ()),
+        )
+        for bad in (unready, unlisted):
+            self.assertEqual(
+                judge(probes=probes(good, bad, good, bad)).violations, []
+            )
+            (found,) = judge(probes=probes(good, bad, bad, bad)).violations
+            self.assertEqual(found.rule, "SERVED")
+        stopped = judge(
+            spans=[stop()], probes=probes(unready, unready, unready)
+        )
+        self.assertEqual(stopped.violations, [])
+
+
+class BreaksTest(unittest.TestCase):
+    """The copies of the package that a soak has to find."""
+
+    def test_every_rule_has_one_that_can_be_made(self):
+        for name in _soak_breaks.BREAKS:
+            with self.subTest(name), _soak_breaks.broken_copy(name) as root:
+                for edit in _soak_breaks.BREAKS[name].edits:
+                    path = root / _soak_breaks.PACKAGE / edit.path
+                    compile(path.read_text(), edit.path, "exec")
+        self.assertEqual(
+            {each.rule for each in _soak_breaks.BREAKS.values()}, RULES
+        )
+
+
+class ScheduleTest(unittest.TestCase):
+    """The schedule of a seed."""
+
+    # Guards against new kinds that change the schedules of seeds that failed.
+    def test_bytes_without_end_leave_the_other_events_as_they_were(self):
+        hosts, upstreams = ["h0", "h1"], ["i-0", "i-1"]
+        for seed in range(20):
+            events = _soak_schedule.draw_schedule(seed, hosts, upstreams, 12.0)
+            others = [
+                each
+                for each in events
+                if each.kind not in _soak_schedule.BYTES_WEIGHTS
+            ]
+            self.assertLess(len(others), len(events))
+            self.assertGreaterEqual(
+                len(others), _soak_schedule.EVENTS_PER_SECOND * 12.0
+            )
+
+
 if __name__ == "__main__":
     unittest.main()
