--- a/bench/front_faults.py
+++ b/bench/front_faults.py
@@ -2,7 +2,8 @@
 
 Usage: python -m bench.front_faults --seeds A-B [--seconds N] [--hosts N]
 [--only KIND] [--commit C | --root DIR] [--mixed] [--shrink] [--keep DIR]
-[--settings FILE] [--memory-mb MB] [--descriptors N] [--break NAME].
+[--settings FILE] [--memory-mb MB] [--descriptors N] [--break NAME]
+[--callers FACTOR] [--processor-share SHARE].
 With --break, the hosts run a copy of the package with one rule broken; all
 breaks are tried with `--break all`, each until the first seed that finds it.
 Prints a line for each seed, and for each violation the events around it and the
@@ -59,6 +60,17 @@
     parser.add_argument(
         "--keep", type=pathlib.Path, help="directory for logs of failing seeds"
     )
+    parser.add_argument(
+        "--callers",
+        type=int,
+        default=1,
+        help="factor on the usual number of callers",
+    )
+    parser.add_argument(
+        "--processor-share",
+        type=float,
+        help="share of a processor that each host gets; not with freezes",
+    )
     parser.add_argument(
         "--break",
         dest="broken",
@@ -253,6 +265,8 @@
                 events=events,
                 keep=None if events else arguments.keep,
                 bounds=bounds_of(arguments),
+                caller_factor=arguments.callers,
+                processor_share=arguments.processor_share,
             )
 
         for seed in seeds:
--- a/test/_soak_breaks.py
+++ b/test/_soak_breaks.py
@@ -173,6 +173,17 @@
         ),
         "crowd-uploads",
     ),
+    "limits-ignored": Break(
+        "LIMIT",
+        (
+            Edit(
+                "platform/headers.py",
+                "request_limit=_parse_request_limits(headers)",
+                "request_limit=math.inf",
+            ),
+        ),
+        "limit",
+    ),
     "nothing-served": Break(
         "SERVED",
         (
--- a/test/_soak_rules.py
+++ b/test/_soak_rules.py
@@ -64,6 +64,16 @@
 MIN_REQUESTS = 20
 # Failed probes in a row after which a host counts as not ready.
 FAILED_PROBES = 2
+# Limit on requests that an upstream names, its name in events, and the window
+# in which it gets at most a multiple of it and some more requests. Those of a
+# host count once it knows the limit.
+REQUESTS_PER_SECOND = 4.0
+LIMIT_DETAIL = "limit"
+LIMIT_WINDOW_SECONDS = 4.0
+LIMIT_SETTLE_SECONDS = 3.0
+LIMIT_TOLD_SECONDS = 0.5
+LIMIT_FACTOR = 1.5
+LIMIT_MARGIN_REQUESTS = 5
 # Callers whose requests count as owed: they neither leave nor read slowly.
 STEADY_CALLERS = frozenset(("kept", "fresh", "pipelining", "following"))
 # Answer that an upstream itself breaks off.
@@ -950,6 +960,45 @@
                     )
 
 
+def find_over_limits(evidence: Evidence) -> Findings:
+    """LIMIT: an upstream gets more requests than the limit that it names."""
+    allowed = (
+        LIMIT_FACTOR * REQUESTS_PER_SECOND * LIMIT_WINDOW_SECONDS
+        + LIMIT_MARGIN_REQUESTS
+    )
+    for span in evidence.spans.get(_soak_records.UPSTREAM, ()):
+        if span.detail != LIMIT_DETAIL:
+            continue
+        times = limited_runs(evidence, span)
+        for at in times:
+            begins = at - LIMIT_WINDOW_SECONDS
+            count = count_in(times, begins, LIMIT_WINDOW_SECONDS)
+            if at >= span.started_at + LIMIT_SETTLE_SECONDS and count > allowed:
+                text = f"{span.target} got {count} requests in a window"
+                yield _soak_records.Violation("LIMIT", "", "", at, text)
+                break
+
+
+def limited_runs(evidence: Evidence, span: _soak_records.Span) -> list[float]:
+    """Returns the times of the runs of hosts that know an upstream's limit."""
+    told_at: dict[str, float] = {}
+    times = []
+    for run in sorted(evidence.records.runs, key=lambda each: each.at):
+        attempt = evidence.attempts.get(run.request_id)
+        if (
+            attempt is None
+            or run.upstream != span.target
+            or not span.started_at <= run.at <= span.ended_at
+            or not evidence.in_touch(attempt.host, run.at, run.at)
+        ):
+            continue
+        if run.at >= told_at.get(attempt.host, math.inf) + LIMIT_TOLD_SECONDS:
+            times.append(run.at)
+        if run.outcome == _soak_records.ANSWERED and run.ended_at:
+            told_at.setdefault(attempt.host, run.ended_at)
+    return times
+
+
 def find_own_ends(evidence: Evidence) -> Findings:
     """A process ends by itself, or not as a planned stop should."""
     for process in evidence.records.processes:
@@ -1062,6 +1111,7 @@
     find_long_deadlines,
     find_unserved,
     find_unready,
+    find_over_limits,
     find_own_ends,
     find_resources,
 )
--- a/test/_soak_runner.py
+++ b/test/_soak_runner.py
@@ -39,6 +39,8 @@
 # Time after the bound of drains until a drained upstream ends, and after that
 # of evacuations until they are taken back.
 DRAINED_SECONDS = 1.0
+# Shortest time for which an upstream names a limit.
+LIMITED_SECONDS = 6.0
 # Time for which an upstream that has crashed stays away.
 AWAY_SECONDS = 0.7
 # Shortest time until an address is used again.
@@ -478,6 +480,20 @@
         upstream.end_connections()
         self.system.register(name)
 
+    def limit(self, event):
+        """Lets an upstream name a limit on requests."""
+        with (
+            self.sole(event.target) as upstream,
+            self.span(
+                _soak_records.UPSTREAM, upstream.name, _soak_rules.LIMIT_DETAIL
+            ),
+        ):
+            upstream.answer_headers = [
+                ("Server-Limit", str(_soak_rules.REQUESTS_PER_SECOND))
+            ]
+            time.sleep(LIMITED_SECONDS + event.seconds)
+            upstream.answer_headers = ()
+
     def lag(self, event):
         """Lets an upstream answer late."""
         with (
@@ -523,6 +539,8 @@
     events=None,
     keep=None,
     bounds=None,
+    caller_factor=1,
+    processor_share=None,
 ):
     """Runs the schedule of a seed, then judges what was seen.
 
@@ -536,15 +554,23 @@
         keep: Directory to which the logs of a seed that fails are copied, or
             None.
         bounds: Bounds of the rules, or None for the usual ones.
+        caller_factor: Factor on the usual number of callers of each kind.
+        processor_share: Share of a processor that each host gets, or None for
+            all that it wants.
     """
-    with _soak_system.SoakSystem(hosts, roots, bounds) as system:
+    with _soak_system.SoakSystem(
+        hosts, roots, bounds, processor_share
+    ) as system:
         if events is None:
             events = _soak_schedule.draw_schedule(
                 seed, list(system.hosts), list(system.upstreams), seconds, only
             )
         runner = SoakRunner(system)
         started_at = time.monotonic()
-        counts = _soak_callers.DEFAULT_COUNTS
+        counts = {
+            kind: count * caller_factor
+            for kind, count in _soak_callers.DEFAULT_COUNTS.items()
+        }
         direct_counts = {
             kind: int(count * DIRECT_SHARE) for kind, count in counts.items()
         }
@@ -562,7 +588,7 @@
         direct.directories = {
             name: host.directory_address for name, host in system.hosts.items()
         }
-        direct.counts["following"] = FOLLOWING_CALLERS
+        direct.counts["following"] = FOLLOWING_CALLERS * caller_factor
         direct.connection_numbers = itertools.count(FIRST_DIRECT_CONNECTION)
         with runner.relay_trip(seed), relayed, direct:
             runner.run(events)
--- a/test/_soak_schedule.py
+++ b/test/_soak_schedule.py
@@ -83,9 +83,11 @@
     "reuse": 1.0,
 }
 # Kinds that are drawn apart from the others, so that older seeds keep their
-# schedules: upstreams and callers that send bytes without end.
-BYTES_WEIGHTS = {"endless-answers": 1.0, "tiny-chunks": 1.0}
-BYTES_EVENTS_PER_SECOND = 0.15
+# schedules: upstreams and callers that send bytes without end, and upstreams
+# that name a limit on requests.
+LATER_HOST_WEIGHTS = {"endless-answers": 1.0, "tiny-chunks": 1.0}
+LATER_UPSTREAM_WEIGHTS = {"limit": 1.0}
+LATER_EVENTS_PER_SECOND = 0.2
 # Share of the schedules that have no unplanned faults of hosts and links, which
 # would excuse lost answers. Delays of less than half a second excuse nothing.
 PLANNED_SHARE = 0.5
@@ -102,7 +104,8 @@
         *STORE_WEIGHTS,
         *OPERATOR_WEIGHTS,
         *UPSTREAM_WEIGHTS,
-        *BYTES_WEIGHTS,
+        *LATER_HOST_WEIGHTS,
+        *LATER_UPSTREAM_WEIGHTS,
     ]
 )
 ALL_HOSTS = "*"
@@ -164,11 +167,11 @@
     def draw_event(at: float, host: str) -> Event:
         kind = rng.choices(list(weights), list(weights.values()))[0]
         target = ""
-        if kind in HOST_WEIGHTS or kind in BYTES_WEIGHTS:
+        if kind in HOST_WEIGHTS or kind in LATER_HOST_WEIGHTS:
             target = host
         elif kind in STORE_WEIGHTS:
             target = ALL_HOSTS if rng.random() < ALL_HOSTS_SHARE else host
-        elif kind in UPSTREAM_WEIGHTS:
+        elif kind in UPSTREAM_WEIGHTS or kind in LATER_UPSTREAM_WEIGHTS:
             target = rng.choice(upstreams)
         return Event(at, kind, target, rng.uniform(0.2, MAX_FAULT_SECONDS))
 
@@ -184,24 +187,29 @@
             for _ in range(count)
         ]
     if not only:
-        events += draw_bytes_events(seed, hosts, seconds)
+        events += draw_later_events(seed, hosts, upstreams, seconds)
     return sorted(events)
 
 
-def draw_bytes_events(
-    seed: int, hosts: list[str], seconds: float
+def draw_later_events(
+    seed: int, hosts: list[str], upstreams: list[str], seconds: float
 ) -> list[Event]:
-    """Draws events of upstreams and callers that send bytes without end."""
-    rng = random.Random(f"bytes-{seed}")
-    return [
-        Event(
-            rng.uniform(QUIET_SECONDS, seconds),
-            rng.choices(list(BYTES_WEIGHTS), list(BYTES_WEIGHTS.values()))[0],
-            rng.choice(hosts),
-            rng.uniform(0.2, MAX_FAULT_SECONDS),
+    """Draws events of the kinds that were added later."""
+    rng = random.Random(f"later-{seed}")
+    weights = {**LATER_HOST_WEIGHTS, **LATER_UPSTREAM_WEIGHTS}
+    events = []
+    for _ in range(round(LATER_EVENTS_PER_SECOND * seconds)):
+        kind = rng.choices(list(weights), list(weights.values()))[0]
+        targets = hosts if kind in LATER_HOST_WEIGHTS else upstreams
+        events.append(
+            Event(
+                rng.uniform(QUIET_SECONDS, seconds),
+                kind,
+                rng.choice(targets),
+                rng.uniform(0.2, MAX_FAULT_SECONDS),
+            )
         )
-        for _ in range(round(BYTES_EVENTS_PER_SECOND * seconds))
-    ]
+    return events
 
 
 def shrink(
--- a/test/_soak_system.py
+++ b/test/_soak_system.py
@@ -8,6 +8,7 @@
 import pathlib
 import re
 import resource
+import signal
 import tempfile
 import threading
 import time
@@ -38,6 +39,10 @@
 SLOTS = 32
 # Service and route of the upstream that sends without end.
 ENDLESS = "endless"
+# Interval at which hosts are paused that have used more than their share of a
+# processor, and the use in advance that is allowed.
+PACE_SECONDS = 0.02
+PACE_CREDIT_SECONDS = 0.05
 # Interval of readiness checks and look-ups, and their timeout.
 PROBE_SECONDS = 0.5
 PROBE_TIMEOUT_SECONDS = 1.0
@@ -235,6 +240,12 @@
             )
 
 
+def processor_seconds(pid):
+    """Returns the seconds for which a process had a processor."""
+    fields = pathlib.Path(f"/proc/{pid}/schedstat").read_text().split()
+    return int(fields[0]) / 1e9
+
+
 def scheduler_wait(pid):
     """Returns the seconds for which a process waited for a processor."""
     fields = pathlib.Path(f"/proc/{pid}/schedstat").read_text().split()
@@ -294,6 +305,7 @@
 
     Attributes:
         bounds: Bounds of the rules.
+        processor_share: Share of a processor that each host gets, or None.
         directory: Directory of logs and settings files.
         store: Stand-in of the store.
         upstreams: Stand-ins of upstreams by the names of their first instances.
@@ -308,8 +320,9 @@
         services: Services of the further routes in it, by route.
     """
 
-    def __init__(self, host_count, roots, bounds=None):
+    def __init__(self, host_count, roots, bounds=None, processor_share=None):
         self.host_count = host_count
+        self.processor_share = processor_share
         self.bounds = bounds or _soak_rules.USUAL_BOUNDS
         self.roots = roots
         self.stack = contextlib.ExitStack()
@@ -379,6 +392,8 @@
             threading.Thread(target=self.probe, args=(host,), daemon=True)
             for host in self.hosts.values()
         ]
+        if self.processor_share:
+            watchers.append(threading.Thread(target=self.pace, daemon=True))
         for watcher in watchers:
             watcher.start()
             self.stack.callback(watcher.join)
@@ -504,6 +519,26 @@
             for proxy in (self.caller_proxy, self.host_proxy):
                 self.measure_lag(proxy)
 
+    def pace(self):
+        """Pauses hosts that have used more than their share of a processor."""
+        known = {}
+        while not self.over.wait(PACE_SECONDS):
+            for host in self.hosts.values():
+                pid, now = host.process.pid, time.monotonic()
+                with contextlib.suppress(OSError):
+                    used = processor_seconds(pid)
+                    last_at, last_used, credit = known.get(
+                        pid, (now, used, PACE_CREDIT_SECONDS)
+                    )
+                    credit += (now - last_at) * self.processor_share
+                    credit = min(
+                        credit - (used - last_used), PACE_CREDIT_SECONDS
+                    )
+                    known[pid] = now, used, credit
+                    host.process.send_signal(
+                        signal.SIGSTOP if credit < 0 else signal.SIGCONT
+                    )
+
     def probe(self, host):
         """Checks a host's readiness and looks hosts up until the end."""
         while not self.over.wait(PROBE_SECONDS):
--- a/test/test_soak_rules.py
+++ b/test/test_soak_rules.py
@@ -31,6 +31,10 @@
         "LIMIT",
     ]
 )
+LATER_KINDS = (
+    *_soak_schedule.LATER_HOST_WEIGHTS,
+    *_soak_schedule.LATER_UPSTREAM_WEIGHTS,
+)
 FIRST = _soak_records.Configuration(1, _front.configuration(), 0.0, 0.1)
 
 
@@ -589,6 +593,37 @@
         self.assertEqual(stopped.violations, [])
 
 
+class UpstreamLimitTest(unittest.TestCase):
+    """The limit on requests that an upstream names."""
+
+    def judge(self, count, seconds):
+        """Judges runs spread over some seconds beside a limit of 4."""
+        times = [AT + number * seconds / count for number in range(count)]
+        return judge(
+            [
+                attempt(f"r{number}", sent_at=at, ended_at=at + 0.1)
+                for number, at in enumerate(times)
+            ],
+            [
+                run(f"r{number}", at=at, ended_at=at + 0.05)
+                for number, at in enumerate(times)
+            ],
+            [
+                span(
+                    _soak_records.UPSTREAM,
+                    "i-0",
+                    ends=AT + 20,
+                    detail=_soak_rules.LIMIT_DETAIL,
+                )
+            ],
+        ).violations
+
+    def test_more_requests_than_the_limit_allows(self):
+        self.assertEqual(self.judge(40, 10.0), [])
+        (found,) = self.judge(400, 10.0)
+        self.assertEqual(found.rule, "LIMIT")
+
+
 class BreaksTest(unittest.TestCase):
     """The copies of the package that a soak has to find."""
 
@@ -607,15 +642,11 @@
     """The schedule of a seed."""
 
     # Guards against new kinds that change the schedules of seeds that failed.
-    def test_bytes_without_end_leave_the_other_events_as_they_were(self):
+    def test_later_kinds_leave_the_other_events_as_they_were(self):
         hosts, upstreams = ["h0", "h1"], ["i-0", "i-1"]
         for seed in range(20):
             events = _soak_schedule.draw_schedule(seed, hosts, upstreams, 12.0)
-            others = [
-                each
-                for each in events
-                if each.kind not in _soak_schedule.BYTES_WEIGHTS
-            ]
+            others = [each for each in events if each.kind not in LATER_KINDS]
             self.assertLess(len(others), len(events))
             self.assertGreaterEqual(
                 len(others), _soak_schedule.EVENTS_PER_SECOND * 12.0
