--- a/test/_soak_runner.py
+++ b/test/_soak_runner.py
@@ -53,6 +53,8 @@
 UPLOADS = 800
 UPLOAD_BYTES = 90_000
 CROWD_TIMEOUT_SECONDS = 1.0
+# Violations whose log lines are gathered; a broken rule may have thousands.
+MAX_LOGGED_VIOLATIONS = 20
 # Number of the first connection without a relay.
 FIRST_DIRECT_CONNECTION = 1_000_000
 # Callers that ask a host which hosts to use; behind no relay, whose addresses
@@ -621,7 +623,7 @@
             runner.failures,
             {
                 each.request_id: system.log_lines(each.request_id)
-                for each in verdict.violations
+                for each in verdict.violations[:MAX_LOGGED_VIOLATIONS]
                 if each.request_id
             },
             events,
