Show that a relay loses answers of connections that end without a stop

A relay acknowledges an answer and holds it. The host closes the connection as idle, or 1 s after the answer that closes it, while the caller sends nothing; the caller's next requests then meet a closed socket, and the reset drops what the relay holds.

--- a/test/test_relayed_answers.py
+++ b/test/test_relayed_answers.py
@@ -40,6 +40,13 @@
 # From SIGTERM to its answer, which it can read before the grace period ends.
 LARGE_ANSWER_SECONDS = shutdown.SERVE_AFTER_SIGTERM_SECONDS + 0.1
 READ_PACE = _slow_caller.Pace(65536, 0.0, 262144, None)
+# Time that an upstream works on a request while the relay begins to hold what
+# the host sends, and from its answer until the relay passes it on.
+WORK_SECONDS = 0.5
+HELD_SECONDS = 4.0
+IDLE_TIMEOUT_SECONDS = 1.0
+# Longest time until a configuration is in force.
+TIMEOUT_SECONDS = 10.0
 
 
 class PipeliningCaller(_slow_caller.SlowCaller):
@@ -100,11 +107,43 @@
 
     def set_trip(self, seconds):
         """Sets the delay of the relay in each direction."""
+        self.set_relay(delay_ms=seconds * 1000)
+
+    def set_relay(self, **faults):
+        """Sets the faults of the relay."""
         _common.fetch_json(
-            self.relay.url("/_rules"),
-            [{"match": "*", "delay_ms": seconds * 1000}],
+            self.relay.url("/_rules"), [{"match": "*", **faults}]
         )
 
+    def hold_answer(self, **headers):
+        """Sends a request, and more while the relay holds its answer.
+
+        Args:
+            **headers: Headers of the first request.
+        """
+        milliseconds = int(WORK_SECONDS * 1000)
+        first = _slow_caller.request(
+            milliseconds, BODY_BYTES, "first", **headers
+        )
+        received = b""
+        with _slow_caller.connect(self.address, READ_PACE) as connection:
+            connection.sendall(first)
+            time.sleep(WORK_SECONDS / 2)
+            self.set_relay(blackhole="in")
+            time.sleep(HELD_SECONDS)
+            for number in range(SILENT_REQUESTS):
+                with contextlib.suppress(OSError):
+                    connection.sendall(
+                        _slow_caller.request(0, 0, f"next-{number}")
+                    )
+                time.sleep(SEND_SECONDS)
+            self.set_relay()
+            with contextlib.suppress(OSError):
+                while data := connection.recv(65536):
+                    received += data
+        self.assertIn("first", {run.request_id for run in self.system.runs()})
+        self.assertGreater(len(received), BODY_BYTES)
+
     def assert_all_answered(self, callers):
         """Checks that each request that ran has a whole answer."""
         ran = {run.request_id for run in self.system.runs()}
@@ -178,6 +217,20 @@
             pass
         self.assert_all_answered([caller])
 
+    # Guards against LOST of issue 43: an idle connection was closed while the
+    # relay held its last answer, and the next request reset it.
+    def test_answer_outlasts_the_idle_timeout_in_a_relay(self):
+        configuration = _front.configuration_with_route("added", 2)
+        configuration["limits"]["idleTimeout"] = f"{IDLE_TIMEOUT_SECONDS:g}s"
+        self.system.store.put("config", "main", configuration)
+        _front.wait_until_served([self.host], "/added/x", TIMEOUT_SECONDS)
+        self.hold_answer()
+
+    # Guards against the same behind an answer that closes the connection, whose
+    # caller is silent for longer than a second.
+    def test_answer_before_a_close_outlasts_a_silent_caller(self):
+        self.hold_answer(Connection="close")
+
 
 if __name__ == "__main__":
     unittest.main()
