Keep ended connections until their callers close them

Cause: an acknowledgement of the next kernel counted as receipt once the caller had been silent for 1 s behind the last answer, and at once for an idle connection. The host closed the socket, and what the caller sent next reset it.

Ruled out: undelivered bytes in the host's kernel (the relay has taken all), and the idle timeout itself, which only has to wait with the close.

Change: a connection that had an answer shuts its sending side down and is closed once its caller closes it, with the bounds that exist (30 s, 1,000 such connections of a server). This replaces the checks for signs of reading each 0.25 s by one timer.

--- a/gooseberryweir/connection/caller_http.py
+++ b/gooseberryweir/connection/caller_http.py
@@ -265,7 +265,8 @@
         """Returns True if the caller may not have read the last answer."""
         seconds = time.monotonic() - self.delivery.sent_at
         return (
-            seconds < delivery.LINGER_SECONDS or self.delivery.undelivered() > 0
+            seconds < delivery.ASSUMED_DELIVERY_SECONDS
+            or self.delivery.undelivered() > 0
         )
 
     def get_environ(self) -> dict[str, Any]:
@@ -342,15 +343,14 @@
     """Shuts down the sending side, then reads and discards input.
 
     Ends once the caller has received the answer and has closed its sending
-    side, or has sent nothing for `delivery.LINGER_SECONDS`, in any case after
-    `delivery.MAX_DELIVERY_SECONDS`.
+    side, or after `delivery.MAX_DELIVERY_SECONDS`.
 
     Args:
         answer: Delivery of the last answer.
     """
     answer.finish()
     ended = False
-    while not ended and (seconds := answer.seconds_until_check()) > 0:
+    while not ended and (seconds := answer.linger_seconds()) > 0:
         if answer.discarded > delivery.MAX_UNPACED_BYTES:
             eventlet.sleep(delivery.CHECK_SECONDS)
         with eventlet.Timeout(seconds, False):
--- a/gooseberryweir/connection/delivery.py
+++ b/gooseberryweir/connection/delivery.py
@@ -6,8 +6,8 @@
 
 An acknowledgement may come from a relay that still holds the bytes, and a reset
 overtakes them. Only a caller that closes the connection is known to have read
-the end, so a connection lingers after its last answer: until its caller closes
-it, or has sent nothing for some time.
+the end, so a connection lingers after its last answer until its caller closes
+it, or for `MAX_DELIVERY_SECONDS`.
 """
 
 from collections.abc import Callable
@@ -32,10 +32,10 @@
 # Longest time for which one answer is handed to the kernel, and for which a
 # connection stays open after its last answer until the caller has received it.
 MAX_DELIVERY_SECONDS = 30.0
-# A connection lingers for this time after its last answer was acknowledged or
-# its caller has sent more, unless the caller closes it before.
-LINGER_SECONDS = 1.0
-# Interval at which a connection is checked whose last answer is not delivered.
+# Time for which an answer counts as not received if the kernel can't tell.
+ASSUMED_DELIVERY_SECONDS = 1.0
+# Interval of checks whether a caller has received an answer, and of reads from
+# one that sends much behind the last answer.
 CHECK_SECONDS = 0.25
 # Bytes of a body that are sent together with the head.
 JOINED_BYTES = 64 * 1024
@@ -115,9 +115,6 @@
             last answer.
         finished_at: Monotonic time, in seconds, at which the sending side was
             shut down, or None.
-        pending_at: Monotonic time, in seconds, of the last sign after that
-            that the caller has not read the end: undelivered bytes in the
-            kernel, or input.
         discarded: Bytes of input discarded behind the last answer.
         discarded_at: Monotonic time, in seconds, at which the last of them
             were read.
@@ -137,7 +134,6 @@
         self.unsent = 0
         self.sent_at = -math.inf
         self.finished_at: float | None = None
-        self.pending_at = 0.0
         self.discarded = 0
         self.discarded_at = -math.inf
 
@@ -183,11 +179,12 @@
 
         These are bytes that the caller's kernel has not acknowledged; the end
         of the connection may count as one byte. If the kernel can't tell, an
-        answer counts as one byte for `LINGER_SECONDS` after it was sent.
+        answer counts as one byte for `ASSUMED_DELIVERY_SECONDS` after it was
+        sent.
         """
         size = self._known_size()
         if size is None:
-            lingers = self.now() < self.sent_at + LINGER_SECONDS
+            lingers = self.now() < self.sent_at + ASSUMED_DELIVERY_SECONDS
             return max(self.queued + self.unsent, 1 if lingers else 0)
         return size
 
@@ -210,39 +207,16 @@
         with contextlib.suppress(OSError):
             # The caller may have disconnected already.
             self.socket.shutdown(socket.SHUT_WR)
-        self.finished_at = self.pending_at = self.now()
+        self.finished_at = self.now()
 
-    def seconds_until_check(self, until_closed: bool = False) -> float:
-        """Returns the seconds to wait once more before the connection ends.
+    def linger_seconds(self) -> float:
+        """Returns how much longer the caller may take to read the last answer.
 
-        0 if it may end now, since nothing has shown for `LINGER_SECONDS` that
-        the caller lacks answers, or it has had `MAX_DELIVERY_SECONDS` for them.
-
-        Args:
-            until_closed: True to wait for the caller's close in any case. A
-                stop does, since a caller that reads the last answer slowly from
-                a relay may send nothing meanwhile.
+        0 if none is known to be the last.
         """
-        now = self.now()
-        if now >= (self.finished_at or 0.0) + MAX_DELIVERY_SECONDS:
+        if self.finished_at is None:
             return 0.0
-        size = self._known_size()
-        if self.queued + self.unsent if size is None else size:
-            self.pending_at = now
-            return CHECK_SECONDS
-        if self.has_unread_input():
-            # A busy host may have read nothing for some time.
-            self.pending_at = now
-        self.pending_at = max(self.pending_at, self.discarded_at)
-        remaining = max(0.0, self.pending_at + LINGER_SECONDS - now)
-        return max(remaining, CHECK_SECONDS) if until_closed else remaining
-
-    def lingers(self, until_closed: bool) -> bool:
-        """Returns True if the caller may not have read the last answer."""
-        return (
-            self.finished_at is not None
-            and self.seconds_until_check(until_closed) > 0
-        )
+        return max(0.0, self.finished_at + MAX_DELIVERY_SECONDS - self.now())
 
     def wait(self) -> None:
         """Waits until the caller has all answers, for a limited time.
--- a/gooseberryweir/connection/pipelined_server.py
+++ b/gooseberryweir/connection/pipelined_server.py
@@ -197,7 +197,7 @@
         delivery: Delivers the answers.
         open_requests: Requests not yet answered, in the order received.
         writer_task: Task that sends the answers, or None if no request is open.
-        close_timer: Timer of the next check whether to close the connection
+        close_timer: Timer that closes the connection if its caller does not
             after its last answer, or None before that answer.
         share: Bytes of answers that wait to be sent, or None before and after
             `serve`.
@@ -245,9 +245,8 @@
         on its way, since the connection is new.
         """
         age = self.server.callbacks.now() - self.accepted_at
-        stopping = self.server.callbacks.shutting_down()
         if self.has_answer() or (
-            not self.closed and self.delivery.lingers(stopping)
+            not self.closed and self.delivery.linger_seconds() > 0
         ):
             return True
         return not self.closing and (
@@ -331,26 +330,13 @@
         self.closing = True
         self.delivery.finish()
         self.server.add_closing(self)
-        self._schedule_close(delivery.LINGER_SECONDS)
-
-    def _schedule_close(self, seconds: float) -> None:
-        """Closes the connection after this time, unless its caller does."""
         # A task is started only then; most callers close before.
         self.close_timer = hubs.get_hub().schedule_call_global(
-            seconds, eventlet.spawn, self._close_when_delivered
-        )
-
-    def _close_when_delivered(self) -> None:
-        """Closes the connection now or after a later check."""
-        if self.closed:
-            return
-        seconds = self.delivery.seconds_until_check(
-            self.server.callbacks.shutting_down()
+            self.delivery.linger_seconds(),
+            eventlet.spawn,
+            self.close,
+            "time-over",
         )
-        if seconds > 0:
-            self._schedule_close(seconds)
-        else:
-            self.close("time-over")
 
     def _deliver_decided(self) -> None:
         """Delivers decided answers to a caller that sends no more.
@@ -522,7 +508,8 @@
                     continue
                 if waited < timeout:
                     self.socket.settimeout(timeout - waited)
-                elif self.delivery.undelivered():
+                elif self.delivery.last_request is not None:
+                    # A relay may still hold answers.
                     self._close_after_answer()
                 else:
                     return b""
