Pass resets on in the fault proxy

Cause: the proxy reads with eventlet's recv, which returns nothing after a reset, so each reset by one side reached the other as a proper end. Hosts and callers behind it never saw one unless the proxy made it.

Change: the proxy reads the non-blocking socket itself, as the pool of upstreams does. The new test of the proxy fails without it (ConnectionResetError not raised).

--- a/test/_raw.py
+++ b/test/_raw.py
@@ -4,10 +4,13 @@
 import io
 import json
 import socket
+import struct
 from typing import Any
 from typing import NamedTuple
 
 TIMEOUT_SECONDS = 20.0
+# Value of SO_LINGER with which closing a socket sends a reset.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class Answer(NamedTuple):
--- a/test/standins/fault_proxy.py
+++ b/test/standins/fault_proxy.py
@@ -36,8 +36,10 @@
 from typing import NamedTuple
 
 import eventlet
+from eventlet import hubs
 from eventlet import queue
 
+from test import _raw
 from test.standins import serving
 
 CHUNK_BYTES = 65_536
@@ -49,8 +51,6 @@
 SOCK_DIAG_BY_FAMILY = 20
 ALL_STATES = 0xFFFFFFFF
 INODE_OFFSET = 84
-# Value of SO_LINGER with which closing a socket sends a reset.
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class ConnectionFaults(NamedTuple):
@@ -259,7 +259,7 @@
         chunk: bytes | None = b"-"
         while chunk:
             try:
-                chunk = source.recv(CHUNK_BYTES)
+                chunk = receive(source)
             except OSError:
                 chunk = None
             write_at = max(
@@ -310,11 +310,30 @@
             ends.put(False)
 
 
+def receive(source: Any) -> bytes:
+    """Returns received bytes; empty at the end of the stream.
+
+    Eventlet's own `recv` returns nothing after a reset as well.
+
+    Raises:
+        OSError: The connection was reset.
+    """
+    while True:
+        try:
+            # `fd` is the non-blocking socket inside the eventlet socket.
+            data: bytes = source.fd.recv(CHUNK_BYTES)
+            return data
+        except BlockingIOError:
+            hubs.trampoline(source, read=True)
+
+
 def reset_on_close(sockets: tuple[Any, ...]) -> None:
     """Sets open sockets to send a reset when they are closed."""
     for sock in sockets:
         with contextlib.suppress(OSError):
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _raw.RESET_ON_CLOSE
+            )
 
 
 def socket_inodes(pid: str) -> Iterator[str]:
--- a/test/test_standins.py
+++ b/test/test_standins.py
@@ -5,6 +5,7 @@
 import hashlib
 import os
 import pathlib
+import socket
 import tempfile
 import unittest
 
@@ -14,9 +15,11 @@
 from gooseberryweir.version import declarations
 from test import _common
 from test import _fleet
+from test import _raw
 
 API_PREFIX = "/-/objects/"
 CONNECTION_ERROR = urllib3.exceptions.HTTPError
+RESET_TIMEOUT_SECONDS = 5.0
 
 
 class StandinCase(unittest.TestCase):
@@ -256,6 +259,25 @@
         self.post("/_rules", [{"match": "*"}])
         self.assertEqual(self.get().status, 200)
 
+    # Guards against a soak that can't see answers that are reset: eventlet
+    # reads a reset as the end of the stream.
+    def test_reset_by_the_target_passes_as_a_reset(self):
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            address = "{}:{}".format(*server.getsockname())
+            ports = self.post("/_links", {"resetting": address})
+            with socket.create_connection(
+                ("127.0.0.1", ports["resetting"]), RESET_TIMEOUT_SECONDS
+            ) as caller:
+                accepted, _ = server.accept()
+                accepted.sendall(b"x")
+                self.assertEqual(caller.recv(1), b"x")
+                accepted.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, _raw.RESET_ON_CLOSE
+                )
+                accepted.close()
+                with self.assertRaises(ConnectionResetError):
+                    caller.recv(1)
+
     def test_crash_of_the_target_closes_the_connection(self):
         with self.assertRaises(CONNECTION_ERROR):
             self.get("/x?crash=1")
