Judge a soak beside events of upstreams, and count what events met

An event of another service no longer explains that requests are not served. - Every other answer that an upstream breaks off has no length and is reset.

--- a/bench/front_faults.py
+++ b/bench/front_faults.py
@@ -7,7 +7,8 @@
 With --break, the hosts run a copy of the package with one rule broken; all
 breaks are tried with `--break all`, each until the first seed that finds it.
 Prints a line for each seed, and for each violation the events around it and the
-log lines of its request. The exit code is 1 if a seed failed.
+log lines of its request; at the end how many requests met each kind of event.
+The exit code is 1 if a seed failed.
 """
 
 import argparse
@@ -150,12 +151,8 @@
 ) -> None:
     """Prints what a seed showed."""
     records = result.records
-    kinds = collections.Counter(
-        f"{each.kind}:{each.detail}"
-        if each.kind in _DETAILED_KINDS
-        else each.kind
-        for each in records.spans
-    )
+    evidence = _soak_rules.gather(records)
+    kinds = collections.Counter(map(_soak_rules.kind_name, records.spans))
     statuses = collections.Counter(each.status for each in records.attempts)
     memory = max((each.memory_kb for each in records.samples), default=0)
     print(
@@ -167,9 +164,15 @@
     print(f"  statuses: {_format_counts(statuses)}")
     print(f"  events: {_format_counts(kinds)}")
     print(f"  excused: {_format_counts(result.verdict.excused)}")
-    calm = _soak_rules.calm_attempts(_soak_rules.gather(records))
-    served = sum(_soak_rules.succeeded(each) for each in calm)
-    print(f"  calm: requests={len(calm)} served={served}")
+    owed = _soak_rules.owed_attempts(evidence)
+    calm = [each for each, share in owed if share == 1.0]
+    beside = [(each, share) for each, share in owed if share < 1.0]
+    print(f"  calm: requests={len(calm)} served={count_served(calm)}")
+    print(
+        f"  beside events of upstreams: requests={len(beside)}"
+        f" owed={sum(share for _, share in beside):.0f}"
+        f" served={count_served([each for each, _ in beside])}"
+    )
     for failure in result.failures:
         print(f"  failure: {failure}")
     by_rule = collections.Counter(e.rule for e in result.verdict.violations)
@@ -180,12 +183,16 @@
     sys.stdout.flush()
 
 
-_DETAILED_KINDS = (
-    _soak_records.LINK,
-    _soak_records.STORE,
-    _soak_records.UPSTREAM,
-    _soak_records.RELOAD,
-)
+def count_served(attempts: list[_soak_records.Attempt]) -> int:
+    """Returns how many attempts were answered with success."""
+    return sum(map(_soak_rules.succeeded, attempts))
+
+
+def print_met(met: collections.Counter[str]) -> None:
+    """Prints how many requests met each kind of event in all seeds."""
+    print(f"requests that met events: {_format_counts(met)}")
+    unmet = sorted(kind for kind, count in met.items() if not count)
+    print(f"kinds that met no request: {' '.join(unmet) or 'none'}")
 
 
 def print_needed(
@@ -269,13 +276,18 @@
                 processor_share=arguments.processor_share,
             )
 
+        met: collections.Counter[str] = collections.Counter()
         for seed in seeds:
             began_at = time.monotonic()
             result = run(seed)
+            met.update(
+                _soak_rules.count_met(_soak_rules.gather(result.records))
+            )
             print_result(seed, result, time.monotonic() - began_at)
             failed += result.failed
             if result.failed and arguments.shrink:
                 print_needed(result.events, functools.partial(run, seed))
+    print_met(met)
     print(f"failed seeds: {failed}")
     raise SystemExit(int(failed > 0))
 
--- a/test/_soak_callers.py
+++ b/test/_soak_callers.py
@@ -95,6 +95,10 @@
 # Actions of upstreams (`test.standins.threaded_upstream`) and their weights. An
 # answer of the last one is never whole.
 ACTIONS = {"body": 90, "early": 4, "nolength": 4, "short": 2}
+# Every other answer that is never whole is of this kind, so that what older
+# seeds draw stays.
+TORN_ACTION = "torn"
+BROKEN_ACTIONS = ("short", TORN_ACTION)
 
 
 class Answer(NamedTuple):
@@ -171,7 +175,7 @@
     None if it breaks its answer off.
     """
     action, _, size = path.rpartition("/")[2].split("-")
-    return None if action == "short" else b"b" * int(size)
+    return None if action in BROKEN_ACTIONS else b"b" * int(size)
 
 
 class Sent(NamedTuple):
@@ -327,8 +331,11 @@
         size = draw_size(rng)
         action = rng.choices(list(ACTIONS), list(ACTIONS.values()))[0]
         key = "" if route.public else rng.choice(callers.keys)
+        number = next(callers.request_numbers)
+        if action == "short" and number % 2:
+            action = TORN_ACTION
         sent = Sent(
-            request_id=f"{callers.prefix}{next(callers.request_numbers)}",
+            request_id=f"{callers.prefix}{number}",
             position=self.sent,
             route=route,
             path=f"{route.prefix}{action}-{milliseconds}-{size}",
--- a/test/_soak_rules.py
+++ b/test/_soak_rules.py
@@ -9,6 +9,7 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Iterator
+from collections.abc import Mapping
 from collections.abc import Sequence
 import math
 import signal
@@ -76,8 +77,9 @@
 LIMIT_MARGIN_REQUESTS = 5
 # Callers whose requests count as owed: they neither leave nor read slowly.
 STEADY_CALLERS = frozenset(("kept", "fresh", "pipelining", "following"))
-# Answer that an upstream itself breaks off.
-BROKEN_ACTION = "short-"
+# Answers that an upstream itself breaks off.
+TORN_ACTION = "torn-"
+BROKEN_ACTIONS = ("short-", TORN_ACTION)
 # Faults of upstreams that end their requests.
 ENDING_FAULTS = frozenset(("crash", "replace"))
 
@@ -863,26 +865,35 @@
     stable window before, and each version in force has their route.
     """
     return [
-        attempt
+        attempt for attempt, share in owed_attempts(evidence) if share == 1.0
+    ]
+
+
+def owed_attempts(
+    evidence: Evidence,
+) -> list[tuple[_soak_records.Attempt, float]]:
+    """Returns the requests whose hosts can serve them, with a share.
+
+    Their host is in touch, no route or key has changed since the stable window
+    before, and each version in force has their route. The share is that of the
+    upstreams of their service that no event has met since then.
+    """
+    upstreams = upstreams_by_service(evidence)
+    return [
+        (attempt, remaining_share(evidence, attempt, upstreams))
         for attempt in evidence.records.attempts
         if attempt.kind in STEADY_CALLERS
-        and not attempt.path.rpartition("/")[2].startswith(BROKEN_ACTION)
-        and is_calm(evidence, attempt)
+        and not attempt.path.rpartition("/")[2].startswith(BROKEN_ACTIONS)
+        and is_owed(evidence, attempt)
     ]
 
 
-def is_calm(evidence: Evidence, attempt: _soak_records.Attempt) -> bool:
-    """Returns True if no event explains that an attempt is not served."""
+def is_owed(evidence: Evidence, attempt: _soak_records.Attempt) -> bool:
+    """Returns True if no event at its host or of the operator meets it."""
     begins = attempt.sent_at - evidence.bounds.stable_window
     changed = any(
         each.started_at <= attempt.ended_at and each.ended_at >= begins
-        for kind in (
-            _soak_records.UPSTREAM,
-            _soak_records.DRAIN,
-            _soak_records.EVACUATE,
-            _soak_records.REVOKE,
-            _soak_records.CONFIGURE,
-        )
+        for kind in (_soak_records.REVOKE, _soak_records.CONFIGURE)
         for each in evidence.spans.get(kind, ())
     )
     if changed or not evidence.in_touch(
@@ -899,38 +910,158 @@
     )
 
 
+def place_of(upstream: str) -> str:
+    """Returns the name that all instances at one place share."""
+    return upstream.partition(".")[0]
+
+
+def upstreams_by_service(evidence: Evidence) -> dict[str, dict[str, str]]:
+    """Returns the zone of each place of upstreams, by service."""
+    places: dict[str, dict[str, str]] = collections.defaultdict(dict)
+    for run in evidence.records.runs:
+        places[run.service][place_of(run.upstream)] = run.zone
+    return places
+
+
+def remaining_share(
+    evidence: Evidence,
+    attempt: _soak_records.Attempt,
+    upstreams: Mapping[str, Mapping[str, str]],
+) -> float:
+    """Returns the share of the upstreams that no event has met of late.
+
+    1 if no event has met any; the least of the services that it may go to.
+    """
+    begins = attempt.sent_at - evidence.bounds.stable_window
+
+    def met(place: str, zone: str | None) -> bool:
+        return any(
+            each.started_at <= attempt.ended_at
+            and each.ended_at >= begins
+            and target in (each.target, place_of(each.target))
+            for kind, target in (
+                (_soak_records.UPSTREAM, place),
+                (_soak_records.DRAIN, place),
+                (_soak_records.EVACUATE, zone),
+            )
+            for each in evidence.spans.get(kind, ())
+        )
+
+    shares = []
+    for service in services_of(evidence, attempt):
+        # Of a service that ran nothing no upstream is known.
+        places = upstreams.get(service) or dict.fromkeys(
+            place_of(each.target)
+            for kind in (_soak_records.UPSTREAM, _soak_records.DRAIN)
+            for each in evidence.spans.get(kind, ())
+        )
+        remaining = sum(not met(*each) for each in places.items())
+        shares.append(remaining / len(places) if places else 1.0)
+    return min(shares, default=1.0)
+
+
 def find_unserved(evidence: Evidence) -> Findings:
-    """SERVED: in calm stretches too few requests are served.
+    """SERVED: too few requests are served of those that could be.
 
     At each host and on each route; later routes compared with the first ones.
+    Beside events of upstreams the bound is for the upstreams that remain.
     """
     groups = collections.defaultdict(list)
-    for attempt in calm_attempts(evidence):
-        groups[f"host {attempt.host}"].append(attempt)
-        groups[f"route {route_prefix(attempt)}"].append(attempt)
-        groups[f"callers {attempt.kind}"].append(attempt)
+    for attempt, share in owed_attempts(evidence):
+        stretch = "calm" if share == 1.0 else "events of upstreams"
+        for name in (
+            f"host {attempt.host}",
+            f"route {route_prefix(attempt)}",
+            f"callers {attempt.kind}",
+        ):
+            groups[stretch, name].append((attempt, share))
     first = [
         succeeded(attempt)
-        for name, attempts in groups.items()
-        for attempt in attempts
-        if name.startswith("route")
+        for (stretch, name), attempts in groups.items()
+        for attempt, _ in attempts
+        if stretch == "calm"
+        and name.startswith("route")
         and route_of(evidence.records.configurations[0].document, attempt.path)
     ]
     least = max(
         SERVED_SHARE, LATER_ROUTE_SHARE * sum(first) / max(1, len(first))
     )
-    for name, attempts in sorted(groups.items()):
-        served = sum(succeeded(each) for each in attempts)
-        if len(attempts) >= MIN_REQUESTS and served < least * len(attempts):
+    for (stretch, name), attempts in sorted(groups.items()):
+        served = sum(succeeded(each) for each, _ in attempts)
+        owed = sum(share for _, share in attempts)
+        if owed >= MIN_REQUESTS and served < least * owed:
             yield _soak_records.Violation(
                 "SERVED",
-                attempts[0].request_id,
-                attempts[0].host,
-                attempts[0].ended_at,
-                f"{name}: {served} of {len(attempts)} served in calm",
+                attempts[0][0].request_id,
+                attempts[0][0].host,
+                attempts[0][0].ended_at,
+                f"{name}: {served} of {owed:.0f} served in {stretch}",
             )
 
 
+def count_met(evidence: Evidence) -> collections.Counter[str]:
+    """Returns how many requests met each kind of event.
+
+    Also how many callers left while their request ran, and how many answers
+    without a length were reset.
+    """
+    counts: collections.Counter[str] = collections.Counter()
+    for span in evidence.records.spans:
+        counts[kind_name(span)] += sum(
+            meets_attempt(evidence, span, attempt)
+            for attempt in evidence.records.attempts
+        )
+    for attempt in evidence.records.attempts:
+        if not evidence.runs_of(attempt):
+            continue
+        action = attempt.path.rpartition("/")[2]
+        counts["answer reset without a length"] += action.startswith(
+            TORN_ACTION
+        )
+        counts["caller left"] += attempt.left_at is not None
+    return counts
+
+
+DETAILED_KINDS = (
+    _soak_records.LINK,
+    _soak_records.STORE,
+    _soak_records.UPSTREAM,
+    _soak_records.RELOAD,
+)
+
+
+def kind_name(span: _soak_records.Span) -> str:
+    """Returns the name of the kind of an event, with its detail if it has."""
+    if span.kind in DETAILED_KINDS:
+        return f"{span.kind}:{span.detail}"
+    return span.kind
+
+
+def meets_attempt(
+    evidence: Evidence,
+    span: _soak_records.Span,
+    attempt: _soak_records.Attempt,
+) -> bool:
+    """Returns True if an event met a request, at its host or upstream."""
+    if (
+        attempt.sent_at > span.ended_at + evidence.bounds.stable_window
+        or attempt.ended_at < span.started_at
+    ):
+        return False
+    if span.kind in (_soak_records.UPSTREAM, _soak_records.DRAIN):
+        return any(
+            place_of(run.upstream) == place_of(span.target)
+            for run in evidence.runs_of(attempt)
+        )
+    if span.kind == _soak_records.EVACUATE:
+        return True
+    if span.kind in (_soak_records.REVOKE, _soak_records.CONFIGURE):
+        return span.kind == _soak_records.CONFIGURE or (
+            attempt.key == span.target
+        )
+    return meets(span, attempt.host)
+
+
 def route_prefix(attempt: _soak_records.Attempt) -> str:
     """Returns the first segment of an attempt's path."""
     return attempt.path.split("/")[1]
--- a/test/standins/threaded_upstream.py
+++ b/test/standins/threaded_upstream.py
@@ -8,7 +8,8 @@
 `body-MS-BYTES` answers with a body of that size after that time, unless the
 connection ends before. With `nolength-` the end of the body is that of the
 connection, with `early-` the answer comes before the request's body is read,
-and with `short-` the connection ends in the middle of the body.
+with `short-` the connection ends in the middle of the body, and with `torn-` it
+is reset in the middle of a body without a length.
 `endless-head`, `endless-line` and `endless-body` send an answer without end.
 `early` answers with status 413 and reads the body 1.5 s later, `unread` reads
 no body and answers nothing until `release` is set, `raw` answers with the bytes
@@ -17,12 +18,14 @@
 
 import contextlib
 import http.server
+import os
 import select
 import socket
 import threading
 import time
 from typing import NamedTuple
 
+from test import _raw
 from test import _soak_records
 
 SLOW_SECONDS = 1.0
@@ -219,7 +222,9 @@
         if action.startswith("endless-"):
             self.send_without_end(action)
             return _soak_records.BROKEN
-        if action.startswith(("body-", "nolength-", "early-", "short-")):
+        if action.startswith(
+            ("body-", "nolength-", "early-", "short-", "torn-")
+        ):
             return self.answer_after(*action.split("-"))
         self.delay(action)
         self.answer(200, b"done", {"Server-Stamp": server.name})
@@ -274,10 +279,23 @@
         if kind == "nolength":
             self.answer(200, body, {**headers, "Content-Length": None})
             return _soak_records.ANSWERED
+        if kind == "torn":
+            self.answer(200, body, {**headers, "Content-Length": None})
+            self.reset()
+            return _soak_records.BROKEN
         length = {"Content-Length": str(len(body) + 1)}
         self.answer(200, body, {**headers, **length})
         return _soak_records.BROKEN
 
+    def reset(self):
+        """Resets the connection once the host has what was sent."""
+        time.sleep(POLL_SECONDS)
+        self.connection.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, _raw.RESET_ON_CLOSE
+        )
+        # The server would end the connection properly before it closes it.
+        os.close(self.connection.detach())
+
     def connection_ended(self, seconds):
         """Waits for a time; returns True if the connection ended in it."""
         poll = select.poll()
--- a/test/test_soak_rules.py
+++ b/test/test_soak_rules.py
@@ -118,24 +118,27 @@
     )
 
 
+def records_of(attempts=(), runs=(), spans=(), **fields):
+    """Returns records."""
+    return _soak_records.Records(
+        **{
+            "started_at": 0.0,
+            "ended_at": 2 * AT,
+            "spans": list(spans),
+            "attempts": list(attempts),
+            "runs": list(runs),
+            "processes": [process()],
+            "samples": [],
+            "configurations": [FIRST],
+            "bounds": _soak_rules.USUAL_BOUNDS,
+            **fields,
+        }
+    )
+
+
 def judge(attempts=(), runs=(), spans=(), **fields):
     """Judges records."""
-    return _soak_rules.judge(
-        _soak_records.Records(
-            **{
-                "started_at": 0.0,
-                "ended_at": 2 * AT,
-                "spans": list(spans),
-                "attempts": list(attempts),
-                "runs": list(runs),
-                "processes": [process()],
-                "samples": [],
-                "configurations": [FIRST],
-                "bounds": _soak_rules.USUAL_BOUNDS,
-                **fields,
-            }
-        )
-    )
+    return _soak_rules.judge(records_of(attempts, runs, spans, **fields))
 
 
 class RulesTest(unittest.TestCase):
@@ -513,7 +516,7 @@
 class ServedTest(unittest.TestCase):
     """What a soak should have achieved."""
 
-    def judge(self, statuses, spans=(), **fields):
+    def judge(self, statuses, spans=(), more_runs=(), **fields):
         """Judges attempts with these statuses, one a 10 ms."""
         return judge(
             [
@@ -532,7 +535,8 @@
                 run(f"r{number}")
                 for number, status in enumerate(statuses)
                 if status == 200
-            ],
+            ]
+            + list(more_runs),
             spans,
         )
 
@@ -554,6 +558,52 @@
             with self.subTest(each):
                 self.assertEqual(self.judge([503] * 30, [each]).violations, [])
 
+    # Guards against a soak that passes a system that serves nothing while one
+    # of several upstreams is away.
+    def test_remaining_upstreams_serve_beside_events(self):
+        others = [
+            run(f"other-{number}", upstream=f"i-{number}", at=AT - 10.0)
+            for number in range(4)
+        ]
+        crash = span(_soak_records.UPSTREAM, "i-1.1")
+        for statuses, broken in (
+            # Three of four remain, of which the Gate wants 40 in 100.
+            ([200] * 12 + [503] * 28, False),
+            ([200] * 11 + [503] * 29, True),
+        ):
+            with self.subTest(statuses):
+                found = self.judge(statuses, [crash], more_runs=others)
+                served = [
+                    each.text
+                    for each in found.violations
+                    if each.rule == "SERVED"
+                ]
+                self.assertEqual(bool(served), broken, served)
+
+    def test_events_count_the_requests_that_met_them(self):
+        records = [
+            attempt("r1", path="/read/torn-10-10"),
+            attempt("r2", left_at=AT + 0.1, host="h1"),
+        ]
+        events = [
+            span(_soak_records.LINK, ">front-h0", detail="delay-callers"),
+            span(_soak_records.DRAIN, "i-9"),
+        ]
+        met = _soak_rules.count_met(
+            _soak_rules.gather(
+                records_of(records, [run("r1"), run("r2")], events)
+            )
+        )
+        self.assertEqual(
+            met,
+            {
+                "link:delay-callers": 1,
+                "drain": 0,
+                "answer reset without a length": 1,
+                "caller left": 1,
+            },
+        )
+
     # Guards against faults that excuse requests that they must not harm.
     def test_bytes_without_end_explain_nothing(self):
         for detail in ("endless-answers", "tiny-chunks"):
