Limit the connections of callers by the descriptors of the process

A host in that state opens no connection to an upstream and ejects all of them.

Cause: kept connections had no limit on their number, and a stop accepts all that wait in the listening socket on top.

Ruled out: a leak (each descriptor is a connection of the crowds).

Change: a port serves three quarters of RLIMIT_NOFILE. Beyond it the connections that have been idle longest, and whose answers are delivered, are closed, 32 at a time; if all are busy, the new one is refused. A stop accepts up to the limit only.

--- a/gooseberryweir/connection/caller_server.py
+++ b/gooseberryweir/connection/caller_server.py
@@ -1,6 +1,9 @@
 """HTTP server that accepts callers' connections and closes them in a stop."""
 
+import itertools
 import logging
+import resource
+import sys
 from typing import Any
 
 import eventlet
@@ -17,10 +20,23 @@
 # Limit on the connections of a server that are open only until their callers
 # have the last answer; beyond it the one that has waited longest is closed.
 MAX_CLOSING_CONNECTIONS = 1000
-# Pause after a failed accept.
+# Share of the descriptors of the process that the connections of a server may
+# take; the others are for upstreams, other hosts and the store.
+MAX_DESCRIPTOR_SHARE = 0.75
+# Number of idle connections that are closed at a time to make room.
+EVICTED_CONNECTIONS = 32
+# Pause after a failed accept, and while connections are closed to make room.
 RETRY_SECONDS = 0.05
 
 
+def max_connections() -> int:
+    """Returns the limit on the connections of a server."""
+    descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if descriptors == resource.RLIM_INFINITY:
+        return sys.maxsize
+    return int(descriptors * MAX_DESCRIPTOR_SHARE)
+
+
 class Server:
     """HTTP server on one address; a context manager.
 
@@ -125,8 +141,11 @@
             earliest.close("too-many-closing")
 
     def _accept_pending(self) -> None:
-        """Accepts the connections that wait in the listening socket."""
-        while True:
+        """Accepts the connections that wait in the listening socket.
+
+        Those beyond the limit are reset when the socket is closed.
+        """
+        while len(self.connections) < max_connections():
             try:
                 # `fd` is the non-blocking socket inside the eventlet socket.
                 accepted, _ = self.listener.fd.accept()
@@ -152,4 +171,38 @@
                 )
                 eventlet.sleep(RETRY_SECONDS)
                 continue
-            self._start(accepted)
+            if self._has_room():
+                self._start(accepted)
+            else:
+                accepted.close()
+
+    def _has_room(self) -> bool:
+        """Returns True if one more connection may be served.
+
+        At the limit the connections that have been idle longest are closed.
+        """
+        limit = max_connections()
+        if len(self.connections) < limit:
+            return True
+        idle = sorted(
+            (each for each in self.connections if each.is_idle()),
+            key=lambda each: each.answered_at,
+        )
+        evicted = list(
+            itertools.islice(
+                (each for each in idle if not each.has_answer()),
+                EVICTED_CONNECTIONS,
+            )
+        )
+        for each in evicted:
+            each.close("too-many-connections")
+        logs.event(
+            LOGGER,
+            "connections-limited",
+            logging.WARNING,
+            limit=limit,
+            closed=len(evicted),
+        )
+        # Their tasks close the sockets.
+        eventlet.sleep(RETRY_SECONDS)
+        return len(self.connections) < limit
--- a/gooseberryweir/connection/pipelined_server.py
+++ b/gooseberryweir/connection/pipelined_server.py
@@ -263,6 +263,12 @@
             or self.delivery.undelivered() > 0
         )
 
+    def is_idle(self) -> bool:
+        """Returns True if no request is open or partly received."""
+        return not (
+            self.closed or self.open_requests or self.reader.in_progress
+        )
+
     def serve(self) -> None:
         """Reads requests until the caller or the server ends the connection."""
         budget = self.server.budget
--- a/test/test_front_faults.py
+++ b/test/test_front_faults.py
@@ -34,6 +34,9 @@
     Case(8),
     # Uploads that end late: 429 MB of bodies in a host that has 300 MB.
     Case(1, "crowd-uploads"),
+    # Two crowds of idle connections at one host that stops: it has reached its
+    # limit of descriptors.
+    Case(1002, seconds=12.0),
 )
 
 
