--- a/gooseberryweir/connection/caller_server.py
+++ b/gooseberryweir/connection/caller_server.py
@@ -171,15 +171,16 @@
                 )
                 eventlet.sleep(RETRY_SECONDS)
                 continue
-            if self._has_room():
+            if self._make_room():
                 self._start(accepted)
             else:
                 accepted.close()
 
-    def _has_room(self) -> bool:
-        """Returns True if one more connection may be served.
+    def _make_room(self) -> bool:
+        """Closes the connections that have been idle longest, at the limit.
 
-        At the limit the connections that have been idle longest are closed.
+        Returns:
+            True if one more connection may be served.
         """
         limit = max_connections()
         if len(self.connections) < limit:
