--- a/test/test_bytes_without_end.py
+++ b/test/test_bytes_without_end.py
@@ -6,8 +6,10 @@
 
 import contextlib
 import pathlib
+import signal
 import tempfile
 import threading
+import time
 import tracemalloc
 import unittest
 from unittest import mock
@@ -38,7 +40,11 @@
 # the configuration allows.
 UPLOADS = 48
 UPLOAD_BYTES = 99_000
-
+# Answers that take a host the most time, and look-ups at another host beside
+# them: for longer than it lists a host whose heartbeats have stopped.
+SLOWEST_KINDS = ("interim", "chunks-2")
+LOOK_UPS = 8
+LOOK_UP_SECONDS = 0.5
 
 # Limits of the readers, and what one may hold beside the bytes that they allow:
 # a head of many headers, and the unused end of a growing buffer.
@@ -58,15 +64,17 @@
     )
 
 
-class BytesWithoutEndTest(unittest.TestCase):
-    """A host whose upstreams answer some requests without end."""
+class EndlessCase(unittest.TestCase):
+    """Base of tests of a host whose upstreams answer some without end."""
+
+    HOSTS = 1
 
     def setUp(self):
         self.stack = self.enterContext(contextlib.ExitStack())
         directory = pathlib.Path(
             self.stack.enter_context(tempfile.TemporaryDirectory())
         )
-        self.system = _front.System(self.stack, hosts=1, upstreams=1)
+        self.system = _front.System(self.stack, hosts=self.HOSTS, upstreams=1)
         self.host = self.system.hosts[0]
         self.upstreams = [
             self.stack.enter_context(
@@ -98,6 +106,33 @@
             for each in self.upstreams
         )
 
+    @contextlib.contextmanager
+    def callers_beside(self, call):
+        """Repeats a call in many threads until the context ends."""
+        ended = threading.Event()
+
+        def repeat(number):
+            while not ended.is_set():
+                with contextlib.suppress(OSError):
+                    call(number)
+
+        threads = [
+            threading.Thread(target=repeat, args=(number,))
+            for number in range(CALLERS)
+        ]
+        for thread in threads:
+            thread.start()
+        try:
+            yield
+        finally:
+            ended.set()
+            for thread in threads:
+                thread.join()
+
+
+class BytesWithoutEndTest(EndlessCase):
+    """What such answers cost the host and its other callers."""
+
     def call_concurrently(self, kind, count):
         """Returns the statuses of requests sent at the same time."""
         statuses = []
@@ -133,29 +168,6 @@
                 f"{count} times {kind}",
             )
 
-    @contextlib.contextmanager
-    def callers_beside(self, call):
-        """Repeats a call in many threads until the context ends."""
-        ended = threading.Event()
-
-        def repeat(number):
-            while not ended.is_set():
-                with contextlib.suppress(OSError):
-                    call(number)
-
-        threads = [
-            threading.Thread(target=repeat, args=(number,))
-            for number in range(CALLERS)
-        ]
-        for thread in threads:
-            thread.start()
-        try:
-            yield
-        finally:
-            ended.set()
-            for thread in threads:
-                thread.join()
-
     # Guards against a host whose other requests, look-ups and signals wait
     # while it reads answers, or whose upstreams are all ejected for them.
     def test_sound_requests_are_answered_beside_answers_without_end(self):
@@ -195,6 +207,35 @@
         self.assertEqual(set(statuses), {413})
 
 
+class PeersTest(EndlessCase):
+    """What the other hosts and the platform see of such a host."""
+
+    HOSTS = 2
+
+    # Guards against heartbeats and a SIGTERM that wait while the host reads
+    # answers: others take it for gone, and it is killed in its planned stop.
+    def test_host_stays_listed_and_stops_in_time(self):
+        peer = self.system.hosts[1]
+        for kind in SLOWEST_KINDS:
+            with self.callers_beside(
+                lambda number, kind=kind: self.call(f"/read/{number}/{kind}")
+            ):
+                listed = []
+                for _ in range(LOOK_UPS):
+                    time.sleep(LOOK_UP_SECONDS)
+                    answer = _front.look_up(
+                        peer, self.host.region, self.host.zone
+                    )
+                    listed.append(self.host.address in answer.body.decode())
+                self.assertEqual(listed, [True] * LOOK_UPS, kind)
+        with self.callers_beside(
+            lambda number: self.call(f"/read/{number}/{SLOWEST_KINDS[0]}")
+        ):
+            time.sleep(LOOK_UP_SECONDS)
+            self.host.process.send_signal(signal.SIGTERM)
+            self.assertEqual(self.host.process.wait(_front.GRACE_SECONDS), 0)
+
+
 class StoreTest(unittest.TestCase):
     """The client of a store that answers without end."""
 
