--- a/test/test_bytes_without_end.py
+++ b/test/test_bytes_without_end.py
@@ -36,6 +36,7 @@
 # Callers beside a sound one, and the answers that it wants meanwhile.
 CALLERS = 12
 SOUND_REQUESTS = 40
+MAX_ATTEMPTS = _front.configuration()["routes"]["read"]["maxAttempts"]
 # Uploads in tiny chunks at the same time, and the size of their content, which
 # the configuration allows.
 UPLOADS = 48
@@ -186,6 +187,23 @@
                 ]
             self.assertEqual(statuses, [200] * SOUND_REQUESTS, kind)
 
+    # Guards against a request that runs twice since its answer never ended.
+    def test_requests_that_may_not_repeat_are_sent_once(self):
+        for kind in endless_upstream.KINDS:
+            before = self.endless_answers()
+            answer = self.call(f"/write/x/{kind}", method="POST")
+            self.assertIn(answer.status, (502, 504), kind)
+            _common.wait_until(
+                lambda before=before: self.endless_answers() > before,
+                description=f"an answer of {kind} was ended",
+            )
+            self.assertEqual(self.endless_answers() - before, 1, kind)
+            before = self.endless_answers()
+            self.call(f"/read/x/{kind}")
+            self.assertLessEqual(
+                self.endless_answers() - before, MAX_ATTEMPTS, kind
+            )
+
     # Guards against callers that keep a host from all others with one body
     # each, whose chunks cost far more work than their content.
     def test_callers_with_tiny_chunks_keep_nobody_waiting(self):
