--- a/test/standins/threaded_upstream.py
+++ b/test/standins/threaded_upstream.py
@@ -280,6 +280,8 @@
             self.answer(200, body, {**headers, "Content-Length": None})
             return _soak_records.ANSWERED
         if kind == "torn":
+            # A crash beside it would end the connection properly.
+            self.server.connections.discard(self.connection)
             self.answer(200, body, {**headers, "Content-Length": None})
             self.reset()
             return _soak_records.BROKEN
