Let connections that ended as idle hold no stop

What was seen: a stop in calm took 5.75 s instead of 2.88 s if five callers that pool connections had one that ended as idle; they notice the end only at their next use.

Cause: a stop waits for all lingering connections.

Change: a stop waits for those that linger behind an answer that closed them, not for those that ended as idle. Connections that are idle at the stop itself end at once, as before.

--- a/gooseberryweir/connection/pipelined_server.py
+++ b/gooseberryweir/connection/pipelined_server.py
@@ -206,6 +206,7 @@
         closed: True once the connection has been shut down or closed.
         closing: True once the last answer was queued or sent; further input
             is discarded.
+        ended_idle: True once the connection was ended for being idle.
         ignores_input: True once only the requests received by then are
             answered.
         accepted_at: Monotonic time, in seconds, at which it was accepted.
@@ -234,6 +235,7 @@
         self.read_bytes = 0
         self.closed = False
         self.closing = False
+        self.ended_idle = False
         self.ignores_input = False
         self.accepted_at = server.callbacks.now()
         self.answered_at = self.accepted_at
@@ -242,12 +244,13 @@
         """Returns True if a request is open or partly received.
 
         Also if the caller may not have received an answer, or a request may be
-        on its way, since the connection is new.
+        on its way, since the connection is new. A caller that pools connections
+        notices only at its next use that an idle one has ended, so such a
+        connection does not count.
         """
         age = self.server.callbacks.now() - self.accepted_at
-        if self.has_answer() or (
-            not self.closed and self.delivery.linger_seconds() > 0
-        ):
+        lingers = not self.closed and self.delivery.linger_seconds() > 0
+        if self.has_answer() or (lingers and not self.ended_idle):
             return True
         return not self.closing and (
             self.reader.in_progress
@@ -516,6 +519,7 @@
                     self.socket.settimeout(timeout - waited)
                 elif self.delivery.last_request is not None:
                     # A relay may still hold answers.
+                    self.ended_idle = True
                     self._close_after_answer()
                 else:
                     return b""
--- a/test/test_delivery.py
+++ b/test/test_delivery.py
@@ -161,6 +161,9 @@
         self.assertGreater(self.read(caller), BODY_BYTES)
         eventlet.sleep(IDLE_SECONDS + STEP_SECONDS)
         self.assertEqual(caller.recv(1), b"")
+        # Callers that pool connections notice the end at their next use, and
+        # hold no stop until then.
+        self.assertFalse(self.server.has_requests())
         caller.sendall(REQUEST)
         eventlet.sleep(STEP_SECONDS)
         caller.sendall(REQUEST)
