Stop polling at a host that is no relay once another host polls

Cause: a polling host stops if it hears another one that polls and ranks before it. A host that is no relay hears only the relays of its region, so it never learned that a host of another region polls.

Change: such a host stops as soon as its configuration was confirmed by a call sent later than its own last one, which only another host can have made: what comes back of its own polls is never later than they were.

--- a/gooseberryweir/process/fleet/reader.py
+++ b/gooseberryweir/process/fleet/reader.py
@@ -90,6 +90,8 @@
             before the first configuration.
         store_seconds: Latency of the last poll in seconds;
             `UNKNOWN_LATENCY_SECONDS` after a failed call.
+        polled_at: Monotonic time, in seconds, at which the last successful
+            poll was sent.
         latest_version: Latest version of the store seen in a poll; a poll
             reads the configuration alone.
         synced_version: Version up to which the other kinds have been read.
@@ -116,6 +118,7 @@
         self.mesh: mesh_module.Mesh | None = None
         self.polling = False
         self.store_seconds = UNKNOWN_LATENCY_SECONDS
+        self.polled_at = float("-inf")
         self.latest_version = store_version.NONE
         self.synced_version = store_version.NONE
         self.registered_era = store_version.NO_ERA
@@ -230,6 +233,7 @@
                 self._request_sync()
             raise
         self.store_seconds = self.clock.monotonic() - started_at
+        self.polled_at = result.requested_at
         self._set_store_reachable(True)
         # The cached configuration is the newest one if its version is that of
         # the answer: the store has it, or only an earlier one.
@@ -361,6 +365,12 @@
                 + peers_ahead * TAKEOVER_STEP_SECONDS
                 + self._no_relay_seconds()
             )
+        if (
+            not self.mesh.is_relay
+            and self.store_cache.confirmed_at > self.polled_at
+        ):
+            # Another host, which this one may not hear, has polled since.
+            return False
         return not any(
             each.polling
             and each.store_seconds < UNKNOWN_LATENCY_SECONDS
