Replace relays that do not answer as soon as they are silent

Cause: hosts mark a relay that was not heard for 1.25 s as silent at the end of an update of their links, so it was replaced only by the next update, half a second later, and updates come at heartbeat intervals.

Change: silence is recorded before the contacts are selected, and the next update comes when the next contact would become silent.

--- a/gooseberryweir/process/fleet/fleet_view.py
+++ b/gooseberryweir/process/fleet/fleet_view.py
@@ -190,6 +190,27 @@
             ):
                 peer.silent_until = now + SILENT_SECONDS
 
+    def is_silent(self, peer: Peer) -> bool:
+        """Returns True if a peer did not answer this host recently."""
+        return self.clock.monotonic() < peer.silent_until
+
+    def seconds_until_silence(self) -> float:
+        """Returns the seconds until the next contact counts as silent.
+
+        Infinity if all contacts are silent already, or there is none.
+        """
+        now = self.clock.monotonic()
+        return min(
+            (
+                max(peer.contacted_since, peer.received_at)
+                + RELAY_TIMEOUT_SECONDS
+                - now
+                for peer in self.peers.values()
+                if peer.contacted_since is not None and not self.is_silent(peer)
+            ),
+            default=float("inf"),
+        )
+
     # Hosts.
 
     def live_peers(self) -> list[Peer]:
@@ -285,7 +306,6 @@
 
     def ranked_hosts(self, region: str) -> list[relays.Candidate]:
         """Returns the hosts of a region as candidates for its relays."""
-        now = self.clock.monotonic()
         live = self.live_hosts()
         candidates = []
         for name, peer in self.peers.items():
@@ -293,7 +313,7 @@
                 continue
             status = live.get(name)
             state = relays.UNKNOWN
-            if now < peer.silent_until:
+            if self.is_silent(peer):
                 state = relays.SILENT
             elif status is not None:
                 state = relays.READY if status.ready else relays.STARTING
--- a/gooseberryweir/process/fleet/mesh.py
+++ b/gooseberryweir/process/fleet/mesh.py
@@ -50,6 +50,8 @@
 # Shortest interval at which the demand of client accounts is updated; a host
 # that polls or relays sends heartbeats between the intervals too.
 MIN_REFRESH_SECONDS = 0.25
+# Shortest interval between two checks for contacts that became silent.
+MIN_LINK_UPDATE_SECONDS = 0.05
 # A relay that learns of a confirmation newer by this time forwards it at once.
 FORWARD_SECONDS = 0.25
 # Timeout of connecting to a peer, and of sending one heartbeat.
@@ -215,6 +217,8 @@
 
     def _update_links(self) -> None:
         """Opens and closes links according to the current contacts."""
+        # Contacts that have become silent are replaced now.
+        self.view.record_contacts(self.contacts)
         contacts = self.view.contacts()
         is_relay = self.view.is_relay()
         if set(contacts) != set(self.contacts) or is_relay != self.is_relay:
@@ -260,7 +264,10 @@
                 self.send_now()
                 due_in = interval
             self._log_traffic()
-            self.clock.sleep(due_in)
+            silence_in = max(
+                self.view.seconds_until_silence(), MIN_LINK_UPDATE_SECONDS
+            )
+            self.clock.sleep(min(due_in, silence_in))
 
     def _log_traffic(self) -> None:
         """Logs what this host sent to its peers, at the logging interval."""
--- a/test/test_relays.py
+++ b/test/test_relays.py
@@ -6,6 +6,7 @@
 import unittest
 
 from gooseberryweir.process.fleet import fleet_demand
+from gooseberryweir.process.fleet import fleet_view
 from gooseberryweir.process.fleet import relays
 from gooseberryweir.process.fleet import store_cache
 from test import simulated_fleet
@@ -212,6 +213,41 @@
         self.assertLess(self.fleet.store.calls - calls, 12)
 
 
+class LostRelaysTest(unittest.TestCase):
+    """Hosts that outlive the relays of their region, or those of all regions.
+
+    Fleets of nine hosts, as on the platform's small deployments.
+    """
+
+    def start(self, seed):
+        clock = self.enterContext(virtual_time.virtual_time(seed))
+        fleet = simulated_fleet.Fleet(9, clock, seed)
+        clock.sleep(SETTLE_SECONDS)
+        return clock, fleet
+
+    def kill_relays(self, fleet, region):
+        """Kills the relays of a region; returns its other host."""
+        hosts = [
+            each for each in fleet.running() if each.entry.region == region
+        ]
+        for each in hosts:
+            if each.mesh.is_relay:
+                each.kill()
+        (left,) = (each for each in hosts if each.running)
+        return left
+
+    # Guards against a region that has no relay for seconds, since hosts replace
+    # silent relays an interval or two later than they notice them.
+    def test_a_host_replaces_silent_relays_at_once(self):
+        for seed in range(5):
+            with self.subTest(seed=seed):
+                clock, fleet = self.start(seed)
+                clock.sleep(seed * STEP_SECONDS)
+                left = self.kill_relays(fleet, "golfo")
+                clock.sleep(fleet_view.RELAY_TIMEOUT_SECONDS + STEP_SECONDS)
+                self.assertTrue(left.mesh.is_relay)
+
+
 class PollingTest(unittest.TestCase):
     """Which hosts poll the store once a start is over."""
 
