Leave relays that do not answer out of digests

Cause: a host counts others that it heard in the last 2 s as live, and its digests say so, also of relays that it has found silent after 1.25 s and has replaced.

Change: digests leave out hosts that do not answer. They are heard again with their next heartbeat.

Result: test_digests_do_not_list_silent_relays failed before (golfo-00 and golfo-01 were listed) and passes.

--- a/gooseberryweir/process/fleet/digests.py
+++ b/gooseberryweir/process/fleet/digests.py
@@ -37,11 +37,14 @@
     ):
         for account, rate in source.items():
             demand[account] = demand.get(account, 0.0) + rate
+    # A relay that does not answer may be down; a receiver that took it for live
+    # would prefer it to one that it hears.
     live = [
         fleet_view.status_of(peer.last_heartbeat)
         for peer in view.live_peers()
         if peer.last_heartbeat is not None
         and peer.entry.region == view.settings.region
+        and not view.is_silent(peer)
     ]
     own_status = heartbeat_module.HostStatus(
         view.settings.host,
--- a/test/test_relays.py
+++ b/test/test_relays.py
@@ -5,6 +5,7 @@
 
 import unittest
 
+from gooseberryweir.process.fleet import digests
 from gooseberryweir.process.fleet import fleet_demand
 from gooseberryweir.process.fleet import fleet_view
 from gooseberryweir.process.fleet import relays
@@ -247,6 +248,18 @@
                 clock.sleep(fleet_view.RELAY_TIMEOUT_SECONDS + STEP_SECONDS)
                 self.assertTrue(left.mesh.is_relay)
 
+    # Guards against hosts that go back to relays that are down, since a host
+    # that found them silent reports them as live.
+    def test_digests_do_not_list_silent_relays(self):
+        _, fleet = self.start(seed=1)
+        left = self.kill_relays(fleet, "golfo")
+        fleet.clock.sleep(fleet_view.RELAY_TIMEOUT_SECONDS + STEP_SECONDS)
+        receiver = left.mesh.view.peers["norte-00"]
+        digest = digests.build(left.mesh.view, receiver)
+        self.assertEqual(
+            [each.name for each in digest.hosts], [left.entry.name]
+        )
+
 
 class PollingTest(unittest.TestCase):
     """Which hosts poll the store once a start is over."""
