Do not wait for relays that are down before polling the store

After the polling host and relays had lost power, hosts that were not touched sent requests to an upstream that had left, up to 4.8 s after the store's acknowledgement where 2.5 s are allowed.

Cause: a host takes over the polling 1.7 s after the last confirmation and 0.25 s later for each relay that ranks before it. A relay that died with the polling host counted until it was silent for 2 s, and a host that is no relay waited 1.5 s more even if it heard no relay at all. Once 2.5 s have passed, the host that takes over also concludes that the store was out, and keeps the removed upstream for 2.2 s more.

Change: only relays that were heard in the last 1.25 s are waited for. A host that hears no relay of its region takes over within 0.3 s, the first in rank first, so that the others are confirmed before their turn.

--- a/gooseberryweir/process/fleet/reader.py
+++ b/gooseberryweir/process/fleet/reader.py
@@ -18,6 +18,7 @@
 from gooseberryweir import logs
 from gooseberryweir import tasks
 from gooseberryweir.process.fleet import fleet_view
+from gooseberryweir.process.fleet import heartbeat as heartbeat_module
 from gooseberryweir.process.fleet import mesh as mesh_module
 from gooseberryweir.process.fleet import relays
 from gooseberryweir.process.fleet import store_cache as store_cache_module
@@ -35,9 +36,13 @@
 TAKEOVER_SECONDS = 1.7
 # Added to that time for each relay with a lower latency to the store.
 TAKEOVER_STEP_SECONDS = 0.25
-# Added to that time at hosts that are not relays: they poll only if the store
-# refuses all relays, or no relay is left.
+# Added to that time at hosts that are not relays, while they hear a relay of
+# their region: they poll only if the store refuses all relays.
 NO_RELAY_TAKEOVER_SECONDS = 1.5
+# The same at hosts that hear no relay of their region: for each host of it that
+# ranks before them, and at most.
+LOST_RELAY_STEP_SECONDS = 0.05
+MAX_LOST_RELAY_SECONDS = 0.3
 # Shortest and longest wait after a failed call to the store; the wait doubles
 # with each failure.
 MIN_BACKOFF_SECONDS = 0.25
@@ -343,28 +348,12 @@
         """Returns True if this host should start or continue to poll."""
         if self.mesh is None:
             return True
-        candidates = [
-            heartbeat
-            for heartbeat in self.mesh.view.recent_heartbeats(
-                fleet_view.PEER_TIMEOUT_SECONDS
-            )
-            if not heartbeat.shutting_down
-            # Earlier builds have no relays; each of their hosts may poll.
-            and (heartbeat.relaying is None or heartbeat.relaying.is_relay)
-        ]
-        own_rank = self._rank(self.store_seconds, self.mesh.settings.host)
         if not self.polling:
-            peers_ahead = sum(
-                1
-                for each in candidates
-                if self._rank(each.store_seconds, each.entry.name) < own_rank
-            )
             return (
                 self.store_cache.confirmed_age()
-                > TAKEOVER_SECONDS
-                + peers_ahead * TAKEOVER_STEP_SECONDS
-                + self._no_relay_seconds()
+                > TAKEOVER_SECONDS + self._takeover_delay(self.mesh)
             )
+        own_rank = self._rank(self.store_seconds, self.mesh.settings.host)
         if (
             not self.mesh.is_relay
             and self.store_cache.confirmed_at > self.polled_at
@@ -379,24 +368,57 @@
                 not self.mesh.is_relay
                 or self._rank(each.store_seconds, each.entry.name) < own_rank
             )
-            for each in candidates
+            for each in _relay_heartbeats(
+                self.mesh, fleet_view.PEER_TIMEOUT_SECONDS
+            )
         )
 
-    def _no_relay_seconds(self) -> float:
-        """Returns the further time before a host that is no relay polls.
+    def _takeover_delay(self, mesh: mesh_module.Mesh) -> float:
+        """Returns the seconds for which other hosts may take over first.
 
-        The hosts of a region take over one after the other.
+        A host that was not heard for `RELAY_TIMEOUT_SECONDS` does not count: it
+        may be down together with the polling host.
         """
-        if self.mesh is None or self.mesh.is_relay:
-            return 0.0
-        view = self.mesh.view
-        region = self.mesh.settings.region
-        ranked = relays.rank(region, view.ranked_hosts(region))
-        return (
-            NO_RELAY_TAKEOVER_SECONDS
-            + ranked.index(self.mesh.settings.host) * TAKEOVER_STEP_SECONDS
+        own_rank = self._rank(self.store_seconds, mesh.settings.host)
+        heard = _relay_heartbeats(mesh, fleet_view.RELAY_TIMEOUT_SECONDS)
+        delay = TAKEOVER_STEP_SECONDS * sum(
+            1
+            for each in heard
+            if self._rank(each.store_seconds, each.entry.name) < own_rank
+        )
+        if mesh.is_relay:
+            return delay
+        region = mesh.settings.region
+        ranked = relays.rank(region, mesh.view.ranked_hosts(region))
+        hosts_ahead = ranked.index(mesh.settings.host)
+        if any(each.entry.region == region for each in heard):
+            return (
+                delay
+                + NO_RELAY_TAKEOVER_SECONDS
+                + TAKEOVER_STEP_SECONDS * hosts_ahead
+            )
+        return delay + min(
+            LOST_RELAY_STEP_SECONDS * hosts_ahead, MAX_LOST_RELAY_SECONDS
         )
 
     def _rank(self, store_seconds: float, name: str) -> tuple[int, str]:
         """Returns a sort key; the host with the lowest one should poll."""
         return (int(store_seconds / LATENCY_STEP_SECONDS), name)
+
+
+def _relay_heartbeats(
+    mesh: mesh_module.Mesh, seconds: float
+) -> list[heartbeat_module.Heartbeat]:
+    """Returns the latest heartbeats of the relays that were heard recently.
+
+    Args:
+        mesh: Knows the heartbeats.
+        seconds: Greatest age of the heartbeats.
+    """
+    return [
+        each
+        for each in mesh.view.recent_heartbeats(seconds)
+        if not each.shutting_down
+        # Earlier builds have no relays; each of their hosts may poll.
+        and (each.relaying is None or each.relaying.is_relay)
+    ]
--- a/test/simulated_fleet.py
+++ b/test/simulated_fleet.py
@@ -347,9 +347,18 @@
 
     def change_upstreams(self, size):
         """Writes a new list of upstreams of about `size` bytes to the store."""
+        return self.set_upstreams(
+            *(
+                f"i-{self.rng.getrandbits(40):010x}"
+                for _ in range(size // UPSTREAM_BYTES)
+            )
+        )
+
+    def set_upstreams(self, *names):
+        """Writes a list of upstreams to the store; returns the revision."""
         upstreams = tuple(
             traffic.Upstream(
-                f"i-{self.rng.getrandbits(40):010x}",
+                name,
                 "studio",
                 "10.4.64.6:8349",
                 "centro-a",
@@ -359,7 +368,7 @@
                 1780000000000,
                 self.store.revision + 1,
             )
-            for _ in range(size // UPSTREAM_BYTES)
+            for name in names
         )
         content = store_cache.encode_content(upstreams)
         return self.store.write(store_cache.UPSTREAMS, content)
--- a/test/test_relays.py
+++ b/test/test_relays.py
@@ -8,6 +8,7 @@
 from gooseberryweir.process.fleet import digests
 from gooseberryweir.process.fleet import fleet_demand
 from gooseberryweir.process.fleet import fleet_view
+from gooseberryweir.process.fleet import reader
 from gooseberryweir.process.fleet import relays
 from gooseberryweir.process.fleet import store_cache
 from test import simulated_fleet
@@ -260,6 +261,41 @@
             [each.name for each in digest.hosts], [left.entry.name]
         )
 
+    # Guards against DRAIN of review 10: hosts go on sending to an upstream
+    # whose entry was removed, after the polling host and relays lost power.
+    def test_a_removal_is_in_force_in_time_though_relays_are_killed(self):
+        for seed in range(20):
+            for share in ("relays", "all but two"):
+                with self.subTest(seed=seed, share=share):
+                    self.check_removal(seed, share)
+
+    def check_removal(self, seed, share):
+        """Kills hosts right after an upstream was removed.
+
+        Args:
+            seed: Seed of the fleet, and of the times and hosts.
+            share: `relays`, or `all but two` for the polling host and others.
+        """
+        clock, fleet = self.start(seed)
+        fleet.set_upstreams("staying", "leaving")
+        clock.sleep(SETTLE_SECONDS + fleet.rng.random())
+        fleet.set_upstreams("staying")
+        removed_at = clock.monotonic()
+        # Before or after the next poll.
+        clock.sleep(fleet.rng.random() * reader.POLL_SECONDS)
+        hosts = sorted(
+            fleet.running(),
+            key=lambda each: (not each.reader.polling, fleet.rng.random()),
+        )
+        for host in hosts if share == "relays" else hosts[:-2]:
+            if share != "relays" or host.mesh.is_relay:
+                host.kill()
+        clock.sleep(removed_at + CHANGE_SECONDS - clock.monotonic())
+        for host in fleet.running():
+            self.assertEqual(
+                set(host.cache.upstreams), {"staying"}, host.entry.name
+            )
+
 
 class PollingTest(unittest.TestCase):
     """Which hosts poll the store once a start is over."""
