Answer 502 if an upstream fails a request with an unproven refusal

A request that may not be repeated, and that an upstream ran and failed with 503, was answered 503. Callers take that for the promise that it has not run, send it again, and it runs twice.

Cause: an upstream's status is passed on as it is. 408, 421, 429 and 503 promise that the request has not run, but an upstream states that only with Not-Executed (or 421).

Looked at for the same cause: 408 and 429 (also passed on); requests that one host passes on for another: the second host does the same now, and the first one does not trust such a status without the result code of a refusal, as hosts of earlier builds relay it. The refusal of a body without room had no code; it has one now, so that it is still known as a refusal. An answer with 421 is a refusal by the platform's pages. The serve command states it in a header of its own, which an upstream can't set.

Change: for a request that is not idempotent such an answer is a failure of unknown outcome: 502, without the upstream's headers and body. It counts as a failure of the upstream, as 500 does (408 and 429 counted as a success). Idempotent requests still get the upstream's answer unchanged.

--- a/gooseberryweir/codes.py
+++ b/gooseberryweir/codes.py
@@ -7,6 +7,9 @@
 import enum
 from typing import NamedTuple
 
+# Header of a refusal (an error answer by a host) with its result code.
+CODE_HEADER = "Gooseberryweir-Code"
+
 
 class ExecutionState(enum.Enum):
     """States if a request ran (an upstream began to process it), if known."""
--- a/gooseberryweir/connection/pipelined_server.py
+++ b/gooseberryweir/connection/pipelined_server.py
@@ -23,6 +23,7 @@
 from eventlet import hubs
 import greenlet
 
+from gooseberryweir import codes
 from gooseberryweir import logs
 from gooseberryweir import tasks
 from gooseberryweir.connection import byte_budget
@@ -477,7 +478,10 @@
         self.reserved = 0
         answer = Answer(
             503,
-            (("Retry-After", str(NO_ROOM_RETRY_SECONDS)),),
+            (
+                (codes.CODE_HEADER, str(int(codes.Code.HOST_OVERLOADED))),
+                ("Retry-After", str(NO_ROOM_RETRY_SECONDS)),
+            ),
             b"",
             close=self.reader.ended,
         )
--- a/gooseberryweir/platform/headers.py
+++ b/gooseberryweir/platform/headers.py
@@ -18,6 +18,9 @@
 # HTTP status with which an upstream refuses a request whose Expect-Instance
 # header names another upstream.
 MISDIRECTED_STATUS = 421
+# HTTP statuses from which callers conclude that a request has not run and never
+# will.
+NOT_RUN_STATUSES = frozenset({408, MISDIRECTED_STATUS, 429, OVERLOADED_STATUS})
 
 # Headers that are not forwarded: hop-by-hop headers, and headers about the
 # transfer of the body, which each hop sets itself.
--- a/gooseberryweir/request/steering/forwarding.py
+++ b/gooseberryweir/request/steering/forwarding.py
@@ -33,8 +33,6 @@
 
 # Header of a forwarded request with the service that the first host chose.
 SERVICE_HEADER = "Gooseberryweir-Service"
-# Header with the result code of a refusal.
-CODE_HEADER = "Gooseberryweir-Code"
 # Header of a forwarded request's answer with the incarnation of the upstream,
 # if it leaves.
 LEAVING_HEADER = "Gooseberryweir-Leaving"
@@ -125,23 +123,29 @@
 
 
 def _decode_answer(
-    method: str, message: http_messages.Message
-) -> pipelined_server.Answer | None:
+    request: pending_request.PendingRequest, message: http_messages.Message
+) -> pipelined_server.Answer | pending_request.AttemptFailure | None:
     """Returns the answer of another host, or None if it declined.
 
     Args:
-        method: Method of the request.
+        request: The request.
         message: The answer.
     """
     headers = wire.decode_response(message.status, message.headers).forwarded
     # Only a refusal has a code: hosts remove this header from the answers of
     # upstreams.
-    code = dict(message.headers).get(CODE_HEADER)
+    code = dict(message.headers).get(codes.CODE_HEADER)
     if code in _DECLINE_CODES:
         return None
+    if code is None and pending_request.claims_not_run(request, message.status):
+        # A host of an earlier build relays the status of an upstream that ran
+        # the request.
+        return pending_request.unproven_refusal(message.status)
     if code is not None:
-        headers += ((CODE_HEADER, code),)
-    return pipelined_server.relayed_answer(method, message, headers)
+        headers += ((codes.CODE_HEADER, code),)
+    return pipelined_server.relayed_answer(
+        request.message.method, message, headers
+    )
 
 
 class ForwardingDependencies(NamedTuple):
@@ -307,12 +311,12 @@
             host declined it.
         """
         outcome: pipelined_server.Answer | pending_request.AttemptFailure | None
-        outcome, result = None, "declined"
+        outcome, result, accepted = None, "declined", False
         try:
             reply = self._exchange(request, host, remaining)
-            outcome = _decode_answer(request.message.method, reply.message)
+            outcome = _decode_answer(request, reply.message)
             if outcome is not None:
-                result = str(outcome.status)
+                result, accepted = str(reply.message.status), True
             leaving = dict(reply.message.headers).get(LEAVING_HEADER)
             if leaving is not None:
                 self.dependencies.notices.record_leaving(leaving, host.name)
@@ -332,9 +336,7 @@
                 codes.ExecutionState.UNKNOWN,
                 f"host {host.name}: {result}",
             )
-        self._record_offer(
-            host.name, isinstance(outcome, pipelined_server.Answer)
-        )
+        self._record_offer(host.name, accepted)
         logs.event(
             LOGGER,
             "request-forwarded",
--- a/gooseberryweir/request/steering/pending_request.py
+++ b/gooseberryweir/request/steering/pending_request.py
@@ -51,3 +51,28 @@
     ran: codes.ExecutionState
     reason: str
     answer: pipelined_server.Answer | None = None
+
+
+def claims_not_run(request: PendingRequest, status: int) -> bool:
+    """Returns True if a status would tell the caller to send the request again.
+
+    Callers send a non-idempotent request again only after such a status, so it
+    needs a statement that the request has not run.
+
+    Args:
+        request: The request.
+        status: HTTP status of an answer without such a statement.
+    """
+    return (
+        not request.admitted.route.idempotent
+        and status in wire.NOT_RUN_STATUSES
+    )
+
+
+def unproven_refusal(status: int) -> AttemptFailure:
+    """Returns the failure for an answer for which `claims_not_run` is true."""
+    return AttemptFailure(
+        codes.Code.OUTCOME_UNKNOWN,
+        codes.ExecutionState.UNKNOWN,
+        f"status {status} without a statement that the request has not run",
+    )
--- a/gooseberryweir/request/steering/sending.py
+++ b/gooseberryweir/request/steering/sending.py
@@ -300,6 +300,9 @@
         answer = pipelined_server.relayed_answer(
             request.message.method, reply.message, headers
         )
+        if pending_request.claims_not_run(request, status):
+            state.record_failure(now, f"status {status}", 0)
+            return pending_request.unproven_refusal(status)
         if status >= 500:
             state.record_failure(now, f"status {status}", 0)
             return pending_request.AttemptFailure(
--- a/gooseberryweir/request/steering/serving.py
+++ b/gooseberryweir/request/steering/serving.py
@@ -487,7 +487,7 @@
             confirmed_age=store_cache.confirmed_age(),
         )
         self.dependencies.telemetry.record_refusal(route, int(refusal.code))
-        headers = [(forwarding.CODE_HEADER, str(int(refusal.code)))]
+        headers = [(codes.CODE_HEADER, str(int(refusal.code)))]
         if (
             refusal.retry_after is not None
             and refusal.ran is codes.ExecutionState.NO
--- a/test/test_forwarding.py
+++ b/test/test_forwarding.py
@@ -59,7 +59,7 @@
 
 
 def refusal(code):
-    headers = ((forwarding.CODE_HEADER, str(int(code))), ("Retry-After", "1"))
+    headers = ((codes.CODE_HEADER, str(int(code))), ("Retry-After", "1"))
     return http_messages.Message("", "", 503, headers, b"", True)
 
 
@@ -374,9 +374,23 @@
         answer = forwarder.forward(pending(self.clock))
         headers = dict(answer.headers)
         self.assertEqual(answer.status, 503)
-        self.assertEqual(headers[forwarding.CODE_HEADER], "302")
+        self.assertEqual(headers[codes.CODE_HEADER], "302")
         self.assertEqual(headers["Retry-After"], "1")
 
+    # Guards against REFUSED of review 6 beside hosts of earlier builds, which
+    # relay the status of an upstream that ran the request.
+    def test_status_of_a_refusal_without_a_code_is_not_relayed(self):
+        for status in (408, 421, 429, 503):
+            relayed = http_messages.Message("", "", status, (), b"", True)
+            forwarder = self.forwarder(relayed, relayed)
+            failure = forwarder.forward(pending(self.clock, idempotent=False))
+            self.assertIs(failure.ran, codes.ExecutionState.UNKNOWN)
+            self.assertIsNone(failure.answer)
+            self.assertEqual(len(self.asked()), 1)
+            self.assertEqual(forwarder.avoided_until, {})
+            answer = forwarder.forward(pending(self.clock))
+            self.assertEqual(answer.status, status)
+
     def test_upstream_found_to_leave_by_the_other_host_is_known_here(self):
         forwarder = self.forwarder(
             self.answer((forwarding.LEAVING_HEADER, "i-1/5"))
@@ -388,7 +402,7 @@
 
     def test_code_in_an_answer_of_an_upstream_is_not_taken_for_a_refusal(self):
         decoded = wire.decode_response(
-            200, ((forwarding.CODE_HEADER, "312"), ("A", "b"))
+            200, ((codes.CODE_HEADER, "312"), ("A", "b"))
         )
         self.assertEqual(decoded.forwarded, (("A", "b"),))
 
--- a/test/test_upstream_answers.py
+++ b/test/test_upstream_answers.py
@@ -104,5 +104,54 @@
             self.assertEqual(set(statuses), {200}, statuses)
 
 
+class FailedRunTest(unittest.TestCase):
+    """Upstreams that run a request and fail it with a status of a refusal."""
+
+    def call(self, system, host, path, status, *headers):
+        """Returns the answer to a request that upstreams answer so."""
+        for upstream in system.upstreams:
+            upstream.raw_answer = [
+                f"HTTP/1.1 {status} Failed\r\nRequest-Id: a\r\n".encode(),
+                *(f"{each}\r\n".encode() for each in headers),
+                b"Content-Length: 6\r\n\r\nfailed",
+            ]
+        return _front.call(
+            host.address, path, method="POST", body=b"x", request_id="a"
+        )
+
+    def check(self, system, host):
+        """Checks the answers of a host, whatever way the requests take."""
+        stamp = "Server-Stamp: s"
+        for status in (408, 429, 503):
+            with self.subTest(host=host.name, status=status):
+                answer = self.call(system, host, "/write/raw", status, stamp)
+                self.assertEqual(answer.status, 502)
+                self.assertNotIn("server-stamp", answer.headers)
+                self.assertNotIn("retry-after", answer.headers)
+                # Callers repeat this one after any failure.
+                answer = self.call(system, host, "/read/raw", status, stamp)
+                self.assertEqual(answer.status, status)
+                self.assertEqual(answer.headers["server-stamp"], "s")
+                self.assertEqual(answer.body, b"failed")
+        for status in (500, 404):
+            answer = self.call(system, host, "/write/raw", status, stamp)
+            self.assertEqual(answer.status, status)
+        for status in (421, 429, 503):
+            answer = self.call(
+                system, host, "/write/raw", status, "Not-Executed: 1"
+            )
+            self.assertEqual(answer.status, 503)
+            self.assertIn("retry-after", answer.headers)
+
+    # Guards against REFUSED of review 6: a request that ran and failed was
+    # answered with a status that promises that it did not run.
+    def test_request_that_ran_is_not_answered_as_refused(self):
+        stack = self.enterContext(contextlib.ExitStack())
+        system = _front.System(stack, hosts=3, proxied=True)
+        self.check(system, system.hosts[1])
+        system.cut_off(system.hosts[0])
+        self.check(system, system.hosts[0])
+
+
 if __name__ == "__main__":
     unittest.main()
