Count upstreams that crash amid an answer to a request

A request that crashes each upstream after the first bytes of its answer was never refused: 44 to 51 retries reached upstreams where three are allowed, and other requests there failed with it.

Cause: a crash was recorded only if no byte of an answer had come. But an upstream may also cut an answer short and run on, and the network may reset a connection, so a broken answer alone proves nothing and must get no request refused.

Looked at for the same cause: an answer without a length that ends with its connection looks whole if its upstream crashes, and cleared the suspect each time. An upstream that is back before anybody connects refuses no connection.

Change: after an answer that ended with its connection, in the background, the host looks whether the upstream still takes connections, 0.05 and 0.25 s later; the connection is kept for later requests, in place of the one that ended. If it is refused, or if the store replaces the incarnation within 10 s, the upstream has crashed and counts for the request; as with other crashes not while this host reaches no upstream. An answer without a length clears a suspect only if its upstream is still there.

--- a/gooseberryweir/connection/http_messages.py
+++ b/gooseberryweir/connection/http_messages.py
@@ -577,8 +577,7 @@
         """
         if not (self.collector.in_progress and self.collector.headers_complete):
             return None
-        names = {name.lower() for name, _ in self.collector.headers}
-        if names & {"content-length", "transfer-encoding"}:
+        if _has_length(self.collector.headers):
             return None
         self.collector.complete("", self.parser.get_status_code(), False)
         return self.collector.completed.pop()
@@ -618,6 +617,24 @@
     return method != "HEAD" and status >= 200 and status not in (204, 304)
 
 
+def _has_length(headers: Iterable[tuple[str, str]]) -> bool:
+    """Returns True if headers say where the body of an answer ends."""
+    names = {name.lower() for name, _ in headers}
+    return bool(names & {"content-length", "transfer-encoding"})
+
+
+def ends_with_connection(method: str, answer: Message) -> bool:
+    """Returns True if a complete answer ended with its connection.
+
+    Args:
+        method: Method of the request.
+        answer: The answer.
+    """
+    return may_have_body(method, answer.status) and not _has_length(
+        answer.headers
+    )
+
+
 def encode_request(
     method: str, target: str, headers: Iterable[tuple[str, str]], body: bytes
 ) -> bytes:
--- a/gooseberryweir/connection/upstream_pool.py
+++ b/gooseberryweir/connection/upstream_pool.py
@@ -47,7 +47,13 @@
 
 
 class ConnectError(Exception):
-    """The connection could not be opened; nothing was sent."""
+    """The connection could not be opened; nothing was sent.
+
+    Attributes:
+        refused: True if nothing listens at the address.
+    """
+
+    refused = False
 
 
 class BrokenAnswerError(Exception):
@@ -257,13 +263,32 @@
             started_at - begun_at if new_connection else 0.0,
         )
 
+    def connect_ahead(self, endpoint: Endpoint) -> None:
+        """Opens an idle connection to an upstream, unless there is one.
+
+        Args:
+            endpoint: The upstream.
+
+        Raises:
+            ConnectError: The connection could not be opened.
+        """
+        connections = self.idle.get(endpoint.name)
+        while connections:
+            if _is_usable(connections[-1].socket):
+                return
+            connections.pop().socket.close()
+        connection = self._connect(endpoint.address, CONNECT_TIMEOUT_SECONDS)
+        self._store_idle(endpoint, connection, DEFAULT_IDLE_SECONDS)
+
     def _connect(self, address: str, timeout: float) -> Any:
         """Opens a connection within a timeout in seconds."""
         try:
             with eventlet.Timeout(timeout):
                 connection = addresses.connect(address)
         except (OSError, eventlet.Timeout) as error:
-            raise ConnectError(type(error).__name__) from error
+            connect_error = ConnectError(type(error).__name__)
+            connect_error.refused = isinstance(error, ConnectionRefusedError)
+            raise connect_error from error
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return connection
 
--- a/gooseberryweir/front.py
+++ b/gooseberryweir/front.py
@@ -42,6 +42,7 @@
 from gooseberryweir.process.fleet import store_cache as store_cache_module
 from gooseberryweir.request.steering import account_demand
 from gooseberryweir.request.steering import admission as admission_module
+from gooseberryweir.request.steering import crash_checks
 from gooseberryweir.request.steering import forwarding
 from gooseberryweir.request.steering import limits
 from gooseberryweir.request.steering import selection as selection_module
@@ -224,6 +225,11 @@
                 upstream_tokens.limits,
                 reachability,
                 notices,
+                crash_checks.CrashChecks(
+                    crash_checks.CrashCheckDependencies(
+                        clock, pool, states, reachability, suspects, store_cache
+                    )
+                ),
             )
         )
         request_handler = serving_module.RequestHandler(
--- a/gooseberryweir/request/steering/sending.py
+++ b/gooseberryweir/request/steering/sending.py
@@ -15,6 +15,7 @@
 from gooseberryweir.process.fleet import (
     upstream_limits as upstream_limits_module,
 )
+from gooseberryweir.request.steering import crash_checks as crash_checks_module
 from gooseberryweir.request.steering import forwarding
 from gooseberryweir.request.steering import pending_request
 from gooseberryweir.request.steering import placement
@@ -87,6 +88,7 @@
         upstream_limits: Rate limits that upstreams advertise.
         reachability: Tells whether this host reaches any upstream.
         notices: Upstreams that leave or want no requests for some time.
+        crash_checks: Finds out which upstreams have crashed.
     """
 
     clock: clocks.Clock
@@ -99,6 +101,7 @@
     upstream_limits: upstream_limits_module.UpstreamLimits
     reachability: reachability_module.UpstreamReachability
     notices: upstream_notices_module.UpstreamNotices
+    crash_checks: crash_checks_module.CrashChecks
 
 
 class UpstreamSender:
@@ -158,6 +161,9 @@
                     )
             else:
                 self._log_broken(request, upstream, error)
+                dependencies.crash_checks.begin(
+                    request.fingerprint, upstream, may_be_whole=False
+                )
             state.record_failure(
                 dependencies.clock.monotonic(),
                 f"broken answer: {error}",
@@ -262,11 +268,8 @@
         now = dependencies.clock.monotonic()
         status = reply.message.status
         answer_headers = wire.decode_response(status, reply.message.headers)
-        if (
-            dependencies.suspects.any_suspects()
-            and not answer_headers.not_executed
-        ):
-            dependencies.suspects.record_success(request.fingerprint)
+        if not answer_headers.not_executed:
+            self._record_run(request, choice.upstream, reply.message)
         if answer_headers.load is not None:
             state.record_load(
                 answer_headers.load.running + answer_headers.load.waiting,
@@ -337,6 +340,21 @@
         )
         return answer
 
+    def _record_run(
+        self,
+        request: pending_request.PendingRequest,
+        upstream: traffic.Upstream,
+        answer: http_messages.Message,
+    ) -> None:
+        """Clears a suspect that an upstream has answered and outlived."""
+        dependencies = self.dependencies
+        if http_messages.ends_with_connection(request.message.method, answer):
+            dependencies.crash_checks.begin(
+                request.fingerprint, upstream, may_be_whole=True
+            )
+        elif dependencies.suspects.any_suspects():
+            dependencies.suspects.record_success(request.fingerprint)
+
     def _record_notices(
         self, incarnation: str, answer_headers: wire.ResponseHeaders
     ) -> None:
--- a/gooseberryweir/request/steering/suspects.py
+++ b/gooseberryweir/request/steering/suspects.py
@@ -1,15 +1,15 @@
 """Tracks requests that crash the upstreams that run them.
 
 A request becomes a suspect if an upstream closes the connection before any byte
-of the answer. Its retries have the same fingerprint (a digest of the content)
-at every host. With their heartbeats hosts exchange the incarnations (process
-starts) of upstreams that each suspect may have crashed. After `CRASH_LIMIT` of
-these without an answer to any retry, the request is refused. Since a frequent
-request may just have been in flight during several crashes, one host of the
-fleet sends it to an upstream as a trial from time to time (a circuit breaker
-for one request), `MAX_TRIALS` times at most. An answer to any retry clears the
-suspect on all hosts. What a host knew before it restarted, the others report in
-its place.
+of the answer, or amid the answer and has ended (see `crash_checks`). Its
+retries have the same fingerprint (a digest of the content) at every host. With
+their heartbeats hosts exchange the incarnations (process starts) of upstreams
+that each suspect may have crashed. After `CRASH_LIMIT` of these without an
+answer to any retry, the request is refused. Since a frequent request may just
+have been in flight during several crashes, one host of the fleet sends it to an
+upstream as a trial from time to time (a circuit breaker for one request),
+`MAX_TRIALS` times at most. An answer to any retry clears the suspect on all
+hosts. What a host knew before it restarted, the others report in its place.
 """
 
 import collections
--- a/test/standins/threaded_upstream.py
+++ b/test/standins/threaded_upstream.py
@@ -79,6 +79,7 @@
         refused: Number of requests answered without running them.
         crashes: Number of crashes so far.
         on_crash: Called with the name of the ended instance after a crash.
+        stops_on_crash: True if nothing listens at its address after a crash.
         cancelled: Set once a host closed the connection of a waiting request.
         release: Set to let waiting requests finish.
         answer_headers: Headers that are added to each answer, as pairs of name
@@ -106,6 +107,7 @@
         self.refused = 0
         self.crashes = 0
         self.on_crash = lambda ended_name: None
+        self.stops_on_crash = False
         self.cancelled = threading.Event()
         self.release = threading.Event()
         self.answer_headers = ()
@@ -139,6 +141,11 @@
         ended_name = self.name
         self.crashes += 1
         self.name = f"{ended_name.partition('.')[0]}.{self.crashes}"
+        if self.stops_on_crash:
+            with contextlib.suppress(OSError):
+                self.socket.shutdown(socket.SHUT_RDWR)
+            self.socket.close()
+            self.end_connections()
         self.on_crash(ended_name)
 
     def entry(self, **changes):
@@ -222,6 +229,8 @@
         if action.startswith("endless-"):
             self.send_without_end(action)
             return _soak_records.BROKEN
+        if action in ("crash-framed", "crash-unframed"):
+            return self.crash_amid_answer(action == "crash-framed")
         if action.startswith(
             ("body-", "nolength-", "early-", "short-", "torn-")
         ):
@@ -289,6 +298,19 @@
         self.answer(200, body, {**headers, **length})
         return _soak_records.BROKEN
 
+    def crash_amid_answer(self, framed):
+        """Crashes after a part of the answer; returns the outcome.
+
+        Args:
+            framed: True if the answer names the length of its body.
+        """
+        self.close_connection = True
+        length = str(CHUNK_BYTES) if framed else None
+        self.answer(200, b"b", {"Content-Length": length})
+        time.sleep(POLL_SECONDS)
+        self.server.crash()
+        return _soak_records.BROKEN
+
     def reset(self):
         """Resets the connection once the host has what was sent."""
         time.sleep(POLL_SECONDS)
