Clear a suspect of serve only after a whole answer

In the serve command a request that ends each upstream amid its answer was never refused.

Cause: the head of an answer counted as a success of the request. That clears the crashes so far and, as an equal request has completed, keeps the host from recording the crash that follows.

Change: the success is recorded once the body has been read.

--- a/gooseberryweir/request/dispatch.py
+++ b/gooseberryweir/request/dispatch.py
@@ -309,6 +309,23 @@
     )
 
 
+def _read_body(
+    context: contexts.Context,
+    prepared: PreparedRequest,
+    answer: upstream_http.UpstreamAnswer,
+) -> Iterator[bytes]:
+    """Yields the body of an answer; then records that the request completed.
+
+    An upstream may crash amid its answer, so the head alone is no success.
+
+    Raises:
+        UpstreamDiedError: The connection ended before the body was complete.
+        UpstreamTimeoutError: The wait for a piece exceeded the timeout.
+    """
+    yield from upstream_http.read_body(answer)
+    context.suspects.record_success(prepared.fingerprint)
+
+
 @contextlib.contextmanager
 def _attempt(
     context: contexts.Context,
@@ -336,9 +353,10 @@
         if answer.shed:
             refusal = codes.refuse(codes.Code.UPSTREAM_SHED)
             raise RefusedError(refusal, retryable=prepared.retryable)
-        context.suspects.record_success(prepared.fingerprint)
         yield DispatchedAnswer(
-            answer.status, answer.headers, upstream_http.read_body(answer)
+            answer.status,
+            answer.headers,
+            _read_body(context, prepared, answer),
         )
 
 
--- a/test/standins/upstream.py
+++ b/test/standins/upstream.py
@@ -247,7 +247,7 @@
             "body_sha256": hashlib.sha256(body).hexdigest(),
         }
         short = "short" in query
-        exiting = self.switches.die_mid_answer
+        exiting = self.switches.die_mid_answer or "exit" in query
         extra_headers = serving.requested_headers(environ)
         if not (short or exiting or "bytes" in query):
             echo_body = serving.json_answer(
--- a/test/test_crashing.py
+++ b/test/test_crashing.py
@@ -13,6 +13,8 @@
 from test import _load
 
 CRASHING_TARGET = "/contracts?crash=1"
+# Ends the upstream amid its answer.
+EXITING_TARGET = "/contracts?exit=1&bytes=200000"
 CRASH_LIMIT = 2
 REQUESTS_PER_HOST = 4
 # Each region may run the request once before the first crash is known; then the
@@ -40,9 +42,9 @@
             not process.alive() for process in self.running.upstreams.values()
         )
 
-    def send_crashing(self, host):
-        """Sends the request that crashes upstreams to a host."""
-        stream = _load.Stream("ada", 1.0, lambda number: host, CRASHING_TARGET)
+    def send_crashing(self, host, target=CRASHING_TARGET):
+        """Sends a request that crashes upstreams to a host."""
+        stream = _load.Stream("ada", 1.0, lambda number: host, target)
         return _load.send(self.running, host, stream)
 
     def test_a_crashing_request_to_all_hosts_at_once_ends_few_upstreams(self):
@@ -73,6 +75,14 @@
             self.send_crashing(name)
         self.assertLessEqual(self.count_ended(), CRASH_LIMIT)
 
+    # Guards against a request that ends upstreams amid their answers and is
+    # sent on and on, since the head of each answer counts as a success.
+    def test_a_request_that_ends_upstreams_amid_answers_is_refused(self):
+        self.start(3, 6)
+        for name in itertools.islice(itertools.cycle(self.host_names), 9):
+            self.send_crashing(name, EXITING_TARGET)
+        self.assertLessEqual(self.count_ended(), CRASH_LIMIT)
+
     def test_requests_in_flight_are_served_and_not_suspected(self):
         self.start(3, 6)
         slow = "/contracts?sleep_ms=1000"
