Refuse answers whose status line or transfer coding is none of HTTP/1.1

Here a status of 600 to 999, the versions 0.9 and 2.0, RTSP and ICE in place of HTTP, control bytes behind the status and a body in a coding that nobody had undone (gzip, chunked) reached the caller as answers. Status 000 to 099 did not, but was taken for an interim answer, so the caller waited until its deadline. Names of headers with blanks or control bytes were refused already. What came as trailers counted as headers, so a trailer Not-Executed made a whole answer a refusal, and the request was sent again.

Cause: the parser accepts more than HTTP/1.1, and nothing behind it looked.

Change: the reader of answers checks the protocol, version, status and reason phrase, takes chunked as the only transfer coding, and ignores trailers.

--- a/gooseberryweir/connection/http_messages.py
+++ b/gooseberryweir/connection/http_messages.py
@@ -33,8 +33,15 @@
 MIN_ANSWER_HEADER_BYTES = 64
 # Memory of a header in addition to its bytes.
 HEADER_OVERHEAD_BYTES = 200
+# Versions of HTTP and the greatest status that answers may have (RFC 9110, 15).
+HTTP_VERSIONS = ("1.0", "1.1")
+MAX_STATUS = 599
+# What an answer begins with; the parser knows other protocols too.
+PROTOCOL = b"HTTP/"
 UPGRADE_ERROR = "protocol upgrades are not supported"
 END_OF_HEAD = b"\r\n\r\n"
+# Bytes that no line of a head may have (RFC 9110, 5.5).
+_CONTROL = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 # Line before the content of a chunk, without an extension.
 _CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,8})\r\n")
 
@@ -498,6 +505,41 @@
     min_header_bytes = MIN_ANSWER_HEADER_BYTES
     interim_bytes = 0
 
+    def reject(self, reason: str) -> None:
+        """Raises an error; the answer is not one of HTTP/1.1."""
+        self.error = MessageError(502, reason)
+        raise self.error
+
+    def on_status(self, phrase: bytes) -> None:
+        """Checks the reason phrase, or a piece of it."""
+        if _CONTROL.search(phrase):
+            self.reject("control byte in the status line")
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if not self.headers_complete:
+            super().on_header(name, value)
+            return
+        # Trailers are no headers: none of them may say how the answer is meant.
+        self.count_header_bytes(
+            max(self.min_header_bytes, len(name) + len(value) + 4)
+        )
+
+    def on_headers_complete(self) -> None:
+        super().on_headers_complete()
+        version = self.parser.get_http_version()
+        if version not in HTTP_VERSIONS:
+            self.reject(f"version {version} of HTTP")
+        status = self.parser.get_status_code()
+        if not 100 <= status <= MAX_STATUS:
+            self.reject(f"status {status}")
+        codings = [
+            value.strip().lower()
+            for name, value in self.headers
+            if name.lower() == "transfer-encoding"
+        ]
+        if codings and (version != "1.1" or codings != ["chunked"]):
+            self.reject(f"transfer coding {','.join(codings)!r}")
+
     def on_message_complete(self) -> None:
         status = self.parser.get_status_code()
         if status < 200:
@@ -505,8 +547,7 @@
             self.in_progress = False
             self.interim_bytes += self.header_size + INTERIM_LINE_BYTES
             if self.interim_bytes > MAX_INTERIM_BYTES:
-                self.error = MessageError(502, "too many interim answers")
-                raise self.error
+                self.reject("too many interim answers")
             return
         self.interim_bytes = 0
         self.complete("", status, self.parser.should_keep_alive())
@@ -519,6 +560,7 @@
         collector: Builds the answers.
         parser: Parser of the bytes.
         method: Method of the request.
+        start: First bytes of the first answer, as many as `PROTOCOL` has.
     """
 
     def __init__(
@@ -529,6 +571,7 @@
             max_header_bytes, max_body_bytes, max_header_bytes + MAX_FED_BYTES
         )
         self.method = method
+        self.start = b""
         self._reset_parser()
 
     def _reset_parser(self) -> None:
@@ -553,6 +596,7 @@
                 the answers completed before it.
         """
         collector = self.collector
+        self._check_protocol(data)
         if self.method != "HEAD":
             _feed(self.parser, collector, data)
             return collector.take_completed()
@@ -568,6 +612,15 @@
                 self._reset_parser()
         return collector.take_completed()
 
+    def _check_protocol(self, data: bytes) -> None:
+        """Raises an error if the first answer is none of HTTP."""
+        if len(self.start) == len(PROTOCOL):
+            return
+        start = (self.start + data).lstrip(END_OF_HEAD)[: len(PROTOCOL)]
+        if not PROTOCOL.startswith(start):
+            raise MessageError(502, "the answer is none of HTTP")
+        self.start = start
+
     def feed_eof(self) -> Message | None:
         """Handles the end of the connection, which may complete an answer.
 
