Refuse malformed heads of answers in serve too

What callers saw: the report of users about names with a blank or a control byte, in the serve command: the caller got an answer with the line passed on, or with a body that was not the upstream's.

Cause: the library that reads these answers takes a malformed header for the end of the head. What follows, such as the length or the transfer coding, is dropped. It also splits a header at a bare CR, takes other statuses, versions and codings, and takes an interim answer other than 100 for the final one.

Change: the head that the library has read is read again by the reader of the front command, which refuses all of these; interim answers are skipped. A negative size of a chunk raised an error that nobody handled.

Lines that end without CR are still read here, as before. Chunk sizes with a sign or a blank are still taken; the body is that of the upstream then.

--- a/gooseberryweir/connection/upstream_http.py
+++ b/gooseberryweir/connection/upstream_http.py
@@ -15,7 +15,9 @@
 import urllib3
 from urllib3 import connection as urllib3_connection
 
+from gooseberryweir.connection import byte_budget
 from gooseberryweir.connection import hop_headers
+from gooseberryweir.connection import http_messages
 from gooseberryweir.request import incoming
 
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -179,25 +181,36 @@
 
 
 class _LineRecorder:
-    """Input of an answer that keeps the last line that was read."""
+    """Input of an answer that keeps the lines that were read.
+
+    Attributes:
+        file: The input.
+        lines: The lines; each one that has an end has that of HTTP.
+    """
 
     def __init__(self, file: Any) -> None:
         self.file = file
-        self.last_line = b""
+        self.lines: list[bytes] = []
 
     def readline(self, *args: int) -> bytes:
-        self.last_line = self.file.readline(*args)
-        return self.last_line
+        line: bytes = self.file.readline(*args)
+        self.lines.append(
+            line.removesuffix(b"\n").removesuffix(b"\r") + b"\r\n"
+            if line.endswith(b"\n")
+            else line
+        )
+        return line
 
     def __getattr__(self, name: str) -> Any:
         return getattr(self.file, name)
 
 
 class _Response(http.client.HTTPResponse):
-    """Answer whose head must end with an empty line.
+    """Answer whose head is complete and one of HTTP/1.1.
 
-    The base class takes the end of the connection for the end of the head, so
-    an answer whose head was cut off would look complete and without a body.
+    The base class takes the end of the connection, or a malformed header, for
+    the end of the head, so such an answer would look complete and have no body
+    or another one.
     """
 
     fp: Any
@@ -207,9 +220,30 @@
         super().begin()
         if self.fp is recorder:
             self.fp = recorder.file
-        if recorder.last_line not in (b"\r\n", b"\n"):
+        # For this method an answer is complete with its head.
+        reader = http_messages.AnswerReader(
+            byte_budget.MAX_ANSWER_HEADER_BYTES, 0, "HEAD"
+        )
+        head = b"".join(recorder.lines)
+        try:
+            complete = len(reader.feed(head)) == 1
+        except http_messages.MessageError as error:
             self.close()
-            raise http.client.IncompleteRead(recorder.last_line)
+            raise http.client.HTTPException(str(error)) from error
+        if not complete:
+            self.close()
+            raise http.client.IncompleteRead(head)
+
+    def _read_status(self) -> tuple[str, int, str]:
+        """Reads a status line; skips interim answers.
+
+        The base class skips those with status 100 only.
+        """
+        while True:
+            line = super()._read_status()  # type: ignore[misc]
+            if not http.HTTPStatus.SWITCHING_PROTOCOLS < line[1] < 200:
+                return line
+            http.client.parse_headers(self.fp)
 
 
 class _Connection(urllib3_connection.HTTPConnection):
@@ -300,5 +334,6 @@
             yield data
     except urllib3.exceptions.TimeoutError as error:
         raise UpstreamTimeoutError(str(error)) from error
-    except (urllib3.exceptions.HTTPError, OSError) as error:
+    except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
+        # urllib3 raises ValueError for a negative chunk size.
         raise UpstreamDiedError(str(error)) from error
--- a/test/test_cut_answers.py
+++ b/test/test_cut_answers.py
@@ -6,6 +6,7 @@
 import unittest
 
 from gooseberryweir.connection import upstream_http
+from test import test_answer_heads
 
 ANSWER = (
     b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
@@ -52,6 +53,24 @@
             ):
                 self.answer_with(ANSWER[:size])
 
+    # Guards against a malformed header that is taken for the end of the head:
+    # the caller got an answer with another body, or with the line passed on.
+    def test_malformed_head_is_an_error(self):
+        for data in test_answer_heads.MALFORMED:
+            with (
+                self.subTest(data),
+                self.assertRaises(upstream_http.UpstreamDiedError),
+            ):
+                self.answer_with(data)
+        for data in test_answer_heads.SOUND:
+            with self.subTest(data):
+                self.assertEqual(self.answer_with(data), (200, b"ok"))
+
+    def test_negative_size_of_a_chunk_is_an_error(self):
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        with self.assertRaises(upstream_http.UpstreamDiedError):
+            self.answer_with(head + b"-2\r\nok\r\n0\r\n\r\n")
+
     def test_whole_answers_are_read(self):
         self.assertEqual(self.answer_with(ANSWER), (200, b"ok"))
         for head in (b"HTTP/1.1 200 OK\r\n\r\n", b"HTTP/1.1 200 OK\n\n"):
