Report resets of upstreams in serve

In the serve command a part of an answer without a length counted as the whole one if the upstream reset the connection.

Cause: the green sockets of that command return nothing after a reset, as at an orderly end. The front command reads past them for that reason.

Change: connections to upstreams report a reset as an error.

Result: test_answer_without_length_is_incomplete_after_a_reset fails before with green sockets (it passed with plain ones) and passes; a silent upstream still is a timeout. Answers of the store and reports of load are JSON, and messages between hosts have a length, so a part of one can't be read as a whole.

--- a/gooseberryweir/connection/upstream_http.py
+++ b/gooseberryweir/connection/upstream_http.py
@@ -12,6 +12,8 @@
 from typing import Any
 from typing import NamedTuple
 
+from eventlet import greenio
+from eventlet import hubs
 import urllib3
 from urllib3 import connection as urllib3_connection
 
@@ -246,9 +248,44 @@
             http.client.parse_headers(self.fp)
 
 
+class _ResetReportingSocket(greenio.GreenSocket):
+    """Green socket that reports a reset.
+
+    The base class returns nothing, as at an orderly end, which would make an
+    answer without a length look complete.
+    """
+
+    def recv_into(self, buffer: Any, nbytes: int = 0, flags: int = 0) -> int:
+        """Receives bytes into a buffer and returns their number.
+
+        Raises:
+            OSError: The connection was reset, or the socket timed out.
+        """
+        while True:
+            try:
+                received: int = self.fd.recv_into(buffer, nbytes, flags)
+            except BlockingIOError:
+                hubs.trampoline(
+                    self.fd,
+                    read=True,
+                    timeout=self.gettimeout(),
+                    timeout_exc=TimeoutError("timed out"),
+                )
+                continue
+            return received
+
+
 class _Connection(urllib3_connection.HTTPConnection):
     response_class = _Response
 
+    def connect(self) -> None:
+        """Connects to the upstream."""
+        super().connect()
+        if isinstance(self.sock, greenio.GreenSocket):
+            timeout = self.sock.gettimeout()
+            self.sock = _ResetReportingSocket(self.sock.fd)
+            self.sock.settimeout(timeout)
+
 
 class _Pool(urllib3.HTTPConnectionPool):
     ConnectionCls = _Connection
--- a/test/test_cut_answers.py
+++ b/test/test_cut_answers.py
@@ -3,9 +3,15 @@
 import contextlib
 import socket
 import threading
+import time
 import unittest
+from unittest import mock
+
+from eventlet.green import socket as green_socket
+import urllib3
 
 from gooseberryweir.connection import upstream_http
+from test import _raw
 from test import test_answer_heads
 
 ANSWER = (
@@ -16,13 +22,21 @@
     "GET", "/a", (("Host", "h"),), None, idempotent=True
 )
 TIMEOUT_SECONDS = 2.0
+SHORT_TIMEOUT_SECONDS = 0.2
+# Time within which the reader gets what was sent before a reset.
+RESET_DELAY_SECONDS = 0.05
 
 
 class CutAnswerTest(unittest.TestCase):
     """An upstream that closes the connection in the middle of an answer."""
 
-    def answer_with(self, data):
-        """Returns the body of an answer of which an upstream sends `data`."""
+    def answer_with(self, data, reset=False):
+        """Returns the body of an answer of which an upstream sends `data`.
+
+        Args:
+            data: The bytes.
+            reset: True if it then resets the connection.
+        """
         listener = self.enterContext(
             contextlib.closing(socket.create_server(("127.0.0.1", 0)))
         )
@@ -32,6 +46,11 @@
             with connection:
                 connection.recv(65536)
                 connection.sendall(data)
+                if reset:
+                    time.sleep(RESET_DELAY_SECONDS)
+                    connection.setsockopt(
+                        socket.SOL_SOCKET, socket.SO_LINGER, _raw.RESET_ON_CLOSE
+                    )
 
         thread = threading.Thread(target=serve)
         thread.start()
@@ -71,6 +90,33 @@
         with self.assertRaises(upstream_http.UpstreamDiedError):
             self.answer_with(head + b"-2\r\nok\r\n0\r\n\r\n")
 
+    # Guards against a part of an answer without a length that is taken for the
+    # whole one after a reset, which green sockets report as an orderly end.
+    def test_answer_without_length_is_incomplete_after_a_reset(self):
+        data = b"HTTP/1.1 200 OK\r\n\r\nsome"
+        green = mock.patch.object(
+            urllib3.util.connection, "socket", green_socket
+        )
+        for patch in (contextlib.nullcontext(), green):
+            with self.subTest(patch), patch:
+                self.assertEqual(self.answer_with(data), (200, b"some"))
+                with self.assertRaises(upstream_http.UpstreamDiedError):
+                    self.answer_with(data, reset=True)
+
+    # The same sockets still time out.
+    def test_silent_upstream_is_a_timeout(self):
+        listener = self.enterContext(
+            contextlib.closing(socket.create_server(("127.0.0.1", 0)))
+        )
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        with (
+            mock.patch.object(urllib3.util.connection, "socket", green_socket),
+            upstream_http.UpstreamConnections() as connections,
+            self.assertRaises(upstream_http.UpstreamTimeoutError),
+            connections.send(address, 1, REQUEST, SHORT_TIMEOUT_SECONDS),
+        ):
+            pass
+
     def test_whole_answers_are_read(self):
         self.assertEqual(self.answer_with(ANSWER), (200, b"ok"))
         for head in (b"HTTP/1.1 200 OK\r\n\r\n", b"HTTP/1.1 200 OK\n\n"):
