--- a/test/test_front_faults.py
+++ b/test/test_front_faults.py
@@ -47,6 +47,8 @@
         test: The test case that checks.
         cases: Schedules.
     """
+    # A failure prints all violations.
+    test.maxDiff = None
     for case in cases:
         with test.subTest(case):
             result = _soak_runner.run(
--- a/test/test_soak_rules.py
+++ b/test/test_soak_rules.py
@@ -318,6 +318,27 @@
             "CONFIG: host out of touch: freeze",
         )
 
+    # Guards against a finding where a request that was held up on its way is
+    # run by a later configuration, after its caller has left.
+    def test_configuration_of_the_run_counts_after_the_caller_has_left(self):
+        without = _front.configuration(2, tenants={"t1": {"apiKeys": ["k2"]}})
+        taken = _soak_records.Configuration(2, without, AT - 7.6, AT - 7.5)
+        back = _soak_records.Configuration(
+            3, _front.configuration(3), AT + 0.11, AT + 0.13
+        )
+        versions = [FIRST, taken, back]
+        left = cut(ended_at=AT + 0.05, left_at=AT + 0.05)
+        self.assert_broken(
+            "CONFIG",
+            judge([left], [run(at=AT + 0.04)], configurations=versions),
+            2,
+        )
+        late = run(at=AT + 0.28, ended_at=AT + 0.3)
+        self.assert_kept(
+            judge([left], [late], configurations=versions),
+            "LOST: three at most without planned work",
+        )
+
     def test_old_configurations(self):
         added = _front.configuration_with_route("extra", 2, service="other")
         second = _soak_records.Configuration(2, added, AT - 4.0, AT - 3.5)
