Count no crash for an upstream that leaves after a whole answer

What callers saw: nothing reported; found in reading again. A request whose answers have no length could be refused as one that crashes upstreams (503, 307) if three upstreams that had answered it whole left within 10 s.

Cause: the end of an answer without a length may be that of its upstream, so the answer is remembered until the store shows whether the upstream was started again. It was still remembered once the upstream had taken connections after it, so an orderly leave counted as a crash.

Change: such an answer is forgotten when the check finds the upstream running.

Evidence: test_crash_checks (new, without network): the case fails before (the request is refused after four upstreams left), passes now. The same module shows that torn answers alone count nothing, and that upstreams which are replaced after torn answers, or refuse connections, are counted.

--- a/gooseberryweir/request/steering/crash_checks.py
+++ b/gooseberryweir/request/steering/crash_checks.py
@@ -108,6 +108,8 @@
         if not refused:
             for fingerprint, may_be_whole in checked.items():
                 if may_be_whole:
+                    # A later end of the upstream has nothing to do with it.
+                    self.broken.pop((upstream.incarnation, fingerprint), None)
                     dependencies.suspects.record_success(fingerprint)
             return
         dependencies.reachability.record_no_answer(upstream.name, True)
