Keep connections to upstreams open in serve after the first request

A green socket that is deleted closes its file, which both shared; the file was open until the first answer had been read. Then the look whether the kept connection is still alive raised ValueError.

Change: the file is detached from the first socket.

Result: test_connection_is_kept_for_the_next_request fails before with that error and passes. The test of resets, which sent one request over each connection, did not notice. The front command does not use this code.

--- a/gooseberryweir/connection/upstream_http.py
+++ b/gooseberryweir/connection/upstream_http.py
@@ -283,7 +283,8 @@
         super().connect()
         if isinstance(self.sock, greenio.GreenSocket):
             timeout = self.sock.gettimeout()
-            self.sock = _ResetReportingSocket(self.sock.fd)
+            # Detached, since a green socket that is deleted closes its file.
+            self.sock = _ResetReportingSocket(fileno=self.sock.detach())
             self.sock.settimeout(timeout)
 
 
--- a/test/test_cut_answers.py
+++ b/test/test_cut_answers.py
@@ -1,6 +1,7 @@
 """Tests of answers that an upstream cuts off, for the `serve` command."""
 
 import contextlib
+import gc
 import socket
 import threading
 import time
@@ -117,6 +118,35 @@
         ):
             pass
 
+    # Guards against kept connections that are closed with the socket that they
+    # were opened with, so that the next request is answered with 500.
+    def test_connection_is_kept_for_the_next_request(self):
+        listener = self.enterContext(
+            contextlib.closing(socket.create_server(("127.0.0.1", 0)))
+        )
+
+        def serve():
+            connection, _ = listener.accept()
+            with connection:
+                while connection.recv(65536):
+                    connection.sendall(ANSWER)
+
+        thread = threading.Thread(target=serve)
+        thread.start()
+        self.addCleanup(thread.join)
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        with (
+            mock.patch.object(urllib3.util.connection, "socket", green_socket),
+            upstream_http.UpstreamConnections() as connections,
+        ):
+            for _ in range(3):
+                gc.collect()
+                with connections.send(
+                    address, 1, REQUEST, TIMEOUT_SECONDS
+                ) as answer:
+                    body = b"".join(upstream_http.read_body(answer))
+                    self.assertEqual((answer.status, body), (200, b"ok"))
+
     def test_whole_answers_are_read(self):
         self.assertEqual(self.answer_with(ANSWER), (200, b"ok"))
         for head in (b"HTTP/1.1 200 OK\r\n\r\n", b"HTTP/1.1 200 OK\n\n"):
