Start the test of replaced upstreams once hosts drop what the store lacks

Two traces: the third crash 0.9 s after the first, the upstreams found as replaced 1.8 s after the third, three crashes later; at most 6 crashes.

Change: the test begins when that time is over, as its bound supposes.

--- a/test/test_suspects_front.py
+++ b/test/test_suspects_front.py
@@ -6,6 +6,7 @@
 import unittest
 
 from gooseberryweir import codes
+from gooseberryweir.process.fleet import store_cache
 from test import _front
 
 UPSTREAMS = 8
@@ -69,6 +70,8 @@
     def test_request_is_refused_if_upstreams_are_started_again_at_once(self):
         for upstream in self.system.upstreams:
             upstream.on_crash = functools.partial(self.restart, upstream)
+        # Hosts that have just started keep upstreams that the store lacks.
+        time.sleep(store_cache.REREGISTRATION_SECONDS)
         self.check_refused("/write/crash-framed")
 
     # Guards against requests that are refused since faulty upstreams, which run
