Keep the end of a stand-in's connections off those that will be reset

Its upstream crashed 25 ms before.

Cause, inferred from the times of that trace: a crash lists the connections of the stand-in and ends one after the other in order. An answer that is to be reset takes its connection off that list first; if that came between the listing and the end, the connection was ended in order behind the part of the answer, which is then whole by HTTP.

Change: whether a connection is still listed is looked up when it is ended, under a lock.

Result: test_crash_leaves_a_connection_that_will_be_reset fails before (both connections ended) and passes.

--- a/test/standins/threaded_upstream.py
+++ b/test/standins/threaded_upstream.py
@@ -76,6 +76,7 @@
         runs: Requests that started to run.
         ends: Ends of the runs that have ended.
         connections: Sockets of the open connections.
+        ending: Held while a connection is ended, or kept from that.
         refused: Number of requests answered without running them.
         crashes: Number of crashes so far.
         on_crash: Called with the name of the ended instance after a crash.
@@ -104,6 +105,7 @@
         self.runs = []
         self.ends = []
         self.connections = set()
+        self.ending = threading.Lock()
         self.refused = 0
         self.crashes = 0
         self.on_crash = lambda ended_name: None
@@ -133,8 +135,10 @@
     def end_connections(self):
         """Ends all connections, as a process that is killed."""
         for connection in list(self.connections):
-            with contextlib.suppress(OSError):
-                connection.shutdown(socket.SHUT_RDWR)
+            with self.ending, contextlib.suppress(OSError):
+                # It may be about to be reset by now.
+                if connection in self.connections:
+                    connection.shutdown(socket.SHUT_RDWR)
 
     def crash(self):
         """Continues as a new instance and calls `on_crash`."""
@@ -290,7 +294,8 @@
             return _soak_records.ANSWERED
         if kind == "torn":
             # A crash beside it would end the connection properly.
-            self.server.connections.discard(self.connection)
+            with self.server.ending:
+                self.server.connections.discard(self.connection)
             self.answer(200, body, {**headers, "Content-Length": None})
             self.reset()
             return _soak_records.BROKEN
--- a/test/test_standins.py
+++ b/test/test_standins.py
@@ -16,6 +16,7 @@
 from test import _common
 from test import _fleet
 from test import _raw
+from test.standins import threaded_upstream
 
 API_PREFIX = "/-/objects/"
 CONNECTION_ERROR = urllib3.exceptions.HTTPError
@@ -210,6 +211,28 @@
             self.get("/x", timeout=0.2)
 
 
+class ThreadedUpstreamTest(unittest.TestCase):
+    """The upstream of soaks, in threads of the test."""
+
+    # Guards against answers that were to be reset and that a crash beside them
+    # ended in order, so that a soak took a part of an answer for MIXED.
+    def test_crash_leaves_a_connection_that_will_be_reset(self):
+        upstream = self.enterContext(
+            threaded_upstream.ThreadedUpstream("i-1", "work", "north-a")
+        )
+        ended = []
+
+        class Connection:
+            def shutdown(self, _):
+                ended.append(self)
+                upstream.connections -= {first, second} - {self}
+
+        first, second = Connection(), Connection()
+        upstream.connections |= {first, second}
+        upstream.end_connections()
+        self.assertEqual(len(ended), 1)
+
+
 class FaultProxyTest(StandinCase):
     """The fault proxy forwards connections and applies its rules to them."""
 
