--- a/test/_soak_rules.py
+++ b/test/_soak_rules.py
@@ -1294,7 +1294,8 @@
 )
 
 
-# With the rule on each single request in calm, which is not kept yet (issue 44).
+# With the rule on each single request in calm, which is not kept yet, see
+# KNOWN-RED.txt.
 STRICT_RULES = (*RULES, find_failed_in_calm)
 
 
