Do not take one timed-out request for a full upstream

What callers saw: requests refused with 503 (302, "expected wait for a slot is 0.465 s") in calm, while the upstreams had free slots.

Cause: of a request without an answer before its deadline a host infers the load of its upstream: as many requests must have been ahead as the upstream could process in that time. One that takes long to process looks the same. With 32 slots, a mean of 0.08 s and one request cut off after 0.97 s that is a load of 388, and the host refused for half a second, though the upstream answered requests that were sent later in 0.1 s.

Change: if a request that was sent later has been answered, no request waits for longer than that one took, which bounds the inferred load.

Load that shows in all requests counts as before (test_placement).

--- a/gooseberryweir/request/steering/sending.py
+++ b/gooseberryweir/request/steering/sending.py
@@ -295,6 +295,7 @@
                 codes.ExecutionState.NO,
                 f"upstream did not run the request: status {status}",
             )
+        state.record_run(now, sent_at)
         headers = answer_headers.forwarded
         if request.is_forwarded and answer_headers.leaving:
             headers += (
--- a/gooseberryweir/request/steering/upstream_state.py
+++ b/gooseberryweir/request/steering/upstream_state.py
@@ -85,6 +85,9 @@
         sampled_at: Monotonic time, in seconds, of the last sample of slowness
             or failure_ratio.
         last_answer_at: Monotonic time of the last answer, in seconds.
+        last_run_sent_at: Monotonic time, in seconds, at which the request was
+            sent that was sent last of those that the upstream ran.
+        last_run_seconds: Seconds from its sending to its answer.
         handled_at: Monotonic time at which each recent object was handled,
             oldest first.
         slowness: Ratio of its processing times to those of all upstreams.
@@ -108,6 +111,8 @@
         self.average_peer_load = 0.0
         self.sampled_at = now
         self.last_answer_at = now
+        self.last_run_sent_at = float("-inf")
+        self.last_run_seconds = 0.0
         self.handled_at: dict[str, float] = {}
         self.slowness = 1.0
         self.failure_ratio = 0.0
@@ -210,6 +215,17 @@
             peer_load - self.average_peer_load
         )
 
+    def record_run(self, now: float, sent_at: float) -> None:
+        """Records an answer to a request that the upstream ran.
+
+        Args:
+            now: Monotonic time in seconds.
+            sent_at: Monotonic time, in seconds, at which the request was sent.
+        """
+        if sent_at >= self.last_run_sent_at:
+            self.last_run_sent_at = sent_at
+            self.last_run_seconds = now - sent_at
+
     def record_success(self, now: float, time_ratio: float | None) -> None:
         """Records a successful answer.
 
@@ -241,7 +257,9 @@
         As no answer reports the load, it is estimated from the elapsed time:
         the upstream could process slots * elapsed_seconds / mean_seconds
         requests in it, so at least as many were ahead (Little's law). A
-        request that the upstream did not read in full waited for no slot.
+        request that the upstream did not read in full waited for no slot. If
+        one that was sent later has been answered, none waits for longer than
+        that one took.
 
         Args:
             now: Monotonic time in seconds.
@@ -253,7 +271,10 @@
             self.record_failure(now, "timeout", 1)
         if held_up:
             return
-        implied_load = self.slots * elapsed_seconds / mean_seconds
+        max_wait = elapsed_seconds
+        if self.last_run_sent_at > now - elapsed_seconds:
+            max_wait = min(max_wait, self.last_run_seconds)
+        implied_load = self.slots * max_wait / mean_seconds
         if implied_load > self.estimate(now).outstanding:
             self.record_load(int(implied_load), self.slots, now)
 
--- a/test/test_placement.py
+++ b/test/test_placement.py
@@ -358,6 +358,18 @@
         choice = placement.choose_by_affinity("o1", [full, *others], TIMES)
         self.assertNotEqual(choice.upstream.name, preferred)
 
+    # Guards against requests that are refused since one took too long.
+    def test_a_timeout_is_no_queue_if_a_later_request_was_answered(self):
+        state = self.state()
+        state.record_run(1.2, 0.9)
+        state.record_run(1.4, 1.3)
+        state.record_run(1.45, 1.0)
+        state.record_timeout(1.5, 0.8, 0.1)
+        self.assertLessEqual(state.estimate(1.5).outstanding, SLOTS)
+        # One that was sent earlier says nothing of the queue behind it.
+        state.record_timeout(2.2, 0.8, 0.1)
+        self.assertGreater(state.estimate(2.2).outstanding, 5 * SLOTS)
+
     def test_simultaneous_failures_eject_once(self):
         state = self.state()
         for _ in range(10):
