Name the tests that failed at the end of a whole run

Change: each test that failed and is not listed is named before the summary, of a module and of the whole run; a process that ends with an error and no failed test is named with its exit code. What counts as failed is as before.

--- a/test/report.py
+++ b/test/report.py
@@ -16,6 +16,8 @@
 
 _KNOWN_RED = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
 
+# Begins the line of a test that failed and is not listed.
+FAILED = "failed: "
 SUMMARY_LINE = re.compile(r"([0-9]+) passed, ([0-9]+) failed")
 # Tests with real processes mostly wait, so a few modules run in parallel.
 PARALLEL_MODULES = 3
@@ -83,16 +85,18 @@
     for name in sorted(known & OutcomeCollector.passed):
         print(f"listed in KNOWN-RED.txt but passed: {name}")
     unexpected = OutcomeCollector.failed - known
+    for name in sorted(unexpected):
+        print(f"{FAILED}{name}")
     passed = OutcomeCollector.passed - OutcomeCollector.failed
     print(f"{len(passed)} passed, {len(unexpected)} failed")
     return 1 if unexpected or not OutcomeCollector.passed else 0
 
 
-def run_in_subprocess(name: str) -> tuple[int, int]:
+def run_in_subprocess(name: str) -> tuple[int, list[str]]:
     """Runs one module in a process of its own.
 
     Returns:
-        Numbers of passed and of failed tests.
+        Number of passed tests, and the names of the failed ones.
     """
     completed = subprocess.run(
         [sys.executable, "-m", "test.report", name],
@@ -101,14 +105,30 @@
         text=True,
         check=False,
     )
-    *lines, last = completed.stdout.rstrip().splitlines()
-    print("\n".join(lines), flush=True)
-    summary = SUMMARY_LINE.fullmatch(last)
-    if summary is None:
-        print(last)
-        return 0, 1
-    passed, failed = int(summary[1]), int(summary[2])
-    return passed, max(failed, int(completed.returncode != 0))
+    print(completed.stdout, flush=True)
+    return outcome(name, completed.stdout, completed.returncode)
+
+
+def outcome(name: str, output: str, exit_code: int) -> tuple[int, list[str]]:
+    """Returns what the output of a module's process says.
+
+    Args:
+        name: Name of the module.
+        output: What the process printed; its last line is the summary.
+        exit_code: Exit code of the process, negative for a signal.
+
+    Returns:
+        Number of passed tests, and the names of the failed ones; the module
+        itself if its process failed without a failed test.
+    """
+    lines = output.rstrip().splitlines()
+    summary = SUMMARY_LINE.fullmatch(lines[-1]) if lines else None
+    failed = [
+        line.removeprefix(FAILED) for line in lines if line.startswith(FAILED)
+    ]
+    if not failed and (summary is None or exit_code != 0):
+        failed = [f"{name}, exit code {exit_code}"]
+    return int(summary[1]) if summary else 0, failed
 
 
 def run_all() -> int:
@@ -125,9 +145,11 @@
     )
     with concurrent.futures.ThreadPoolExecutor(PARALLEL_MODULES) as pool:
         counts = list(pool.map(run_in_subprocess, [f"test.{n}" for n in names]))
-    passed = sum(count[0] for count in counts)
-    failed = sum(count[1] for count in counts)
-    print(f"{passed} passed, {failed} failed")
+    passed = sum(count for count, _ in counts)
+    failed = [name for _, names in counts for name in names]
+    for name in failed:
+        print(f"{FAILED}{name}")
+    print(f"{passed} passed, {len(failed)} failed")
     return 1 if failed or not passed else 0
 
 
--- a/test/test_report.py
+++ b/test/test_report.py
@@ -1,4 +1,4 @@
-"""Tests that a failing subtest counts as a failing test."""
+"""Tests of the numbers and names of tests that the whole run prints."""
 
 import types
 import unittest
@@ -43,3 +43,28 @@
         self.record("test.y (seed=1)", result.SUBTEST, None)
         self.assertIn("test.x", report.OutcomeCollector.failed)
         self.assertNotIn("test.y", report.OutcomeCollector.failed)
+
+
+class ModuleOutcomeTest(unittest.TestCase):
+    """What the run of all modules concludes from the output of one."""
+
+    def test_failed_tests_are_named(self):
+        output = "noise\nfailed: test.m.T.test_x\n3 passed, 1 failed\n"
+        self.assertEqual(
+            report.outcome("test.m", output, 1), (3, ["test.m.T.test_x"])
+        )
+
+    def test_known_failures_alone_are_none(self):
+        output = "known red: test.m.T.test_x\n3 passed, 0 failed\n"
+        self.assertEqual(report.outcome("test.m", output, 0), (3, []))
+
+    # Guards against a failed run whose output does not say what failed.
+    def test_a_process_that_fails_without_a_failed_test_is_named(self):
+        for output in ("", "Killed\n", "3 passed, 0 failed\n"):
+            with self.subTest(output):
+                _, failed = report.outcome("test.m", output, -9)
+                self.assertEqual(failed, ["test.m, exit code -9"])
+
+
+if __name__ == "__main__":
+    unittest.main()
