--- a/test/report.py
+++ b/test/report.py
@@ -105,7 +105,11 @@
         text=True,
         check=False,
     )
-    print(completed.stdout, flush=True)
+    lines = completed.stdout.rstrip().splitlines()
+    if lines and SUMMARY_LINE.fullmatch(lines[-1]):
+        # Only the whole run ends with a summary.
+        lines.pop()
+    print("\n".join(lines), flush=True)
     return outcome(name, completed.stdout, completed.returncode)
 
 
