--- a/bench/front_faults.py
+++ b/bench/front_faults.py
@@ -230,7 +230,6 @@
             only=broken.only,
             roots=[root],
             bounds=bounds_of(arguments),
-            rules=_soak_rules.STRICT_RULES,
         )
         requests += len(result.records.attempts)
         by_rule = collections.Counter(
@@ -275,7 +274,6 @@
                 bounds=bounds_of(arguments),
                 caller_factor=arguments.callers,
                 processor_share=arguments.processor_share,
-                rules=_soak_rules.STRICT_RULES,
             )
 
         met: collections.Counter[str] = collections.Counter()
--- a/test/_soak_rules.py
+++ b/test/_soak_rules.py
@@ -1014,14 +1014,22 @@
 def refusal_reason(evidence: Evidence, attempt: _soak_records.Attempt) -> str:
     """Returns what the records say of a failure in calm, or empty.
 
-    What the host itself says is no reason.
+    What the host itself says is no reason, nor a deadline that passed while no
+    upstream was at work.
     """
-    if any(upstream_ended(evidence, run) for run in evidence.runs_of(attempt)):
+    runs = evidence.runs_of(attempt)
+    if any(upstream_ended(evidence, run) for run in runs):
         return "upstream broke off"
-    open_seconds = attempt.ended_at - attempt.sent_at
-    allowed = evidence.seconds_allowed(attempt)
-    if open_seconds >= allowed - evidence.bounds.loss_slack:
-        return "deadline or timeout"
+    due_at = (
+        attempt.sent_at
+        + evidence.seconds_allowed(attempt)
+        - evidence.bounds.loss_slack
+    )
+    at_work = any(
+        run.ended_at is None or run.ended_at >= due_at for run in runs
+    )
+    if at_work and attempt.ended_at >= due_at:
+        return "upstream at work at the deadline or timeout"
     return ""
 
 
@@ -1291,6 +1299,7 @@
     find_over_limits,
     find_own_ends,
     find_resources,
+    find_failed_in_calm,
 )
 
 
--- a/test/_soak_runner.py
+++ b/test/_soak_runner.py
@@ -543,7 +543,6 @@
     bounds=None,
     caller_factor=1,
     processor_share=None,
-    rules=_soak_rules.RULES,
 ):
     """Runs the schedule of a seed, then judges what was seen.
 
@@ -560,7 +559,6 @@
         caller_factor: Factor on the usual number of callers of each kind.
         processor_share: Share of a processor that each host gets, or None for
             all that it wants.
-        rules: Rules by which it is judged.
     """
     with _soak_system.SoakSystem(
         hosts, roots, bounds, processor_share
@@ -618,7 +616,7 @@
             system.bounds,
             sorted(system.probes, key=lambda each: each.at),
         )
-        verdict = _soak_rules.judge(records, rules)
+        verdict = _soak_rules.judge(records)
         result = SoakResult(
             records,
             verdict,
--- a/test/test_soak_rules.py
+++ b/test/test_soak_rules.py
@@ -539,7 +539,17 @@
 
     def judge(self, statuses, spans=(), more_runs=(), **fields):
         """Judges attempts with these statuses, one a 10 ms."""
-        return judge(
+        records = self.records_of_statuses(statuses, spans, more_runs, **fields)
+        return _soak_rules.judge(records)
+
+    def judge_shares(self, statuses, **fields):
+        """Judges such attempts by the share that is served only."""
+        records = self.records_of_statuses(statuses, **fields)
+        return _soak_rules.judge(records, (_soak_rules.find_unserved,))
+
+    def records_of_statuses(self, statuses, spans=(), more_runs=(), **fields):
+        """Returns records of attempts with these statuses, one a 10 ms."""
+        return records_of(
             [
                 attempt(
                     f"r{number}",
@@ -632,19 +642,19 @@
             self.assertTrue(self.judge([503] * 30, [each]).violations)
 
     def test_the_gate_of_the_pages_is_the_bound(self):
-        self.assertEqual(self.judge([200] * 12 + [503] * 18).violations, [])
-        self.assertTrue(self.judge([200] * 11 + [503] * 19).violations)
+        self.assertEqual(
+            self.judge_shares([200] * 12 + [503] * 18).violations, []
+        )
+        self.assertTrue(self.judge_shares([200] * 11 + [503] * 19).violations)
 
     def test_few_requests_and_those_of_callers_that_leave_do_not_count(self):
-        self.assertEqual(self.judge([503] * 19).violations, [])
-        leaving = self.judge([503] * 30, path="/read/short-10-10")
+        self.assertEqual(self.judge_shares([503] * 19).violations, [])
+        leaving = self.judge_shares([503] * 30, path="/read/short-10-10")
         self.assertEqual(leaving.violations, [])
 
     def judge_single(self, answered, runs=(), spans=()):
-        """Judges a request with the rule on each single one."""
-        return _soak_rules.judge(
-            records_of([answered], runs, spans), _soak_rules.STRICT_RULES
-        )
+        """Judges a single request."""
+        return judge([answered], runs, spans)
 
     # Guards against a soak that passes a system that leaves one request in 333
     # unanswered, or refuses a third of them.
@@ -683,10 +693,16 @@
         broken = run(outcome=_soak_records.BROKEN)
         failed = refused._replace(status=502)
         late = refused._replace(status=504, ended_at=AT + 2.0)
-        for answered, runs in ((failed, [broken]), (late, [])):
+        at_work = run(outcome=_soak_records.CANCELLED, ended_at=AT + 2.0)
+        for answered, runs in ((failed, [broken]), (late, [at_work])):
             verdict = self.judge_single(answered, runs)
             self.assertEqual(verdict.violations, [])
             self.assertEqual(verdict.excused.total(), 1)
+        early = late._replace(ended_at=AT + 1.0)
+        for answered, runs in ((late, []), (late, [run()]), (early, [at_work])):
+            self.assertEqual(
+                len(self.judge_single(answered, runs).violations), 1
+            )
 
     def test_two_failed_probes_in_a_row(self):
         def probes(*answers):
