--- a/bench/front_faults.py
+++ b/bench/front_faults.py
@@ -3,7 +3,7 @@
 Usage: python -m bench.front_faults --seeds A-B [--seconds N] [--hosts N]
 [--only KIND] [--commit C | --root DIR] [--mixed] [--shrink] [--keep DIR]
 [--settings FILE] [--memory-mb MB] [--descriptors N] [--break NAME]
-[--callers FACTOR] [--processor-share SHARE].
+[--callers FACTOR] [--processor-share SHARE] [--shift-clocks].
 With --break, the hosts run a copy of the package with one rule broken; all
 breaks are tried with `--break all`, each until the first seed that finds it.
 Prints a line for each seed, and for each violation the events around it and the
@@ -72,6 +72,11 @@
         type=float,
         help="share of a processor that each host gets; not with freezes",
     )
+    parser.add_argument(
+        "--shift-clocks",
+        action="store_true",
+        help="the time of day of each host is wrong and steps",
+    )
     parser.add_argument(
         "--break",
         dest="broken",
@@ -230,6 +235,7 @@
             only=broken.only,
             roots=[root],
             bounds=bounds_of(arguments),
+            shift_clocks=broken.shift_clocks,
         )
         requests += len(result.records.attempts)
         by_rule = collections.Counter(
@@ -274,6 +280,7 @@
                 bounds=bounds_of(arguments),
                 caller_factor=arguments.callers,
                 processor_share=arguments.processor_share,
+                shift_clocks=arguments.shift_clocks,
             )
 
         met: collections.Counter[str] = collections.Counter()
--- a/test/_soak_breaks.py
+++ b/test/_soak_breaks.py
@@ -33,11 +33,13 @@
         rule: Name of the rule.
         edits: Replacements that break it.
         only: The only kind of event with which it shows, or empty for all.
+        shift_clocks: Whether it shows only while the time of day steps.
     """
 
     rule: str
     edits: tuple[Edit, ...]
     only: str = ""
+    shift_clocks: bool = False
 
 
 _STEERING = "request/steering/"
@@ -227,6 +229,17 @@
             ),
         ),
     ),
+    "time-of-day": Break(
+        "SERVED",
+        (
+            Edit(
+                "clock.py",
+                "lambda: time.clock_gettime(time.CLOCK_BOOTTIME)",
+                "time.time",
+            ),
+        ),
+        shift_clocks=True,
+    ),
     "never-gives-way": Break(
         "SERVED",
         (
--- a/test/_soak_runner.py
+++ b/test/_soak_runner.py
@@ -543,6 +543,7 @@
     bounds=None,
     caller_factor=1,
     processor_share=None,
+    shift_clocks=False,
 ):
     """Runs the schedule of a seed, then judges what was seen.
 
@@ -559,9 +560,10 @@
         caller_factor: Factor on the usual number of callers of each kind.
         processor_share: Share of a processor that each host gets, or None for
             all that it wants.
+        shift_clocks: Whether the time of day of each host is wrong and steps.
     """
     with _soak_system.SoakSystem(
-        hosts, roots, bounds, processor_share
+        hosts, roots, bounds, processor_share, shift_clocks
     ) as system:
         if events is None:
             events = _soak_schedule.draw_schedule(
--- a/test/_soak_system.py
+++ b/test/_soak_system.py
@@ -48,7 +48,7 @@
 PROBE_TIMEOUT_SECONDS = 1.0
 # Time after which the store's writers notice that it lost changes.
 AFTER_RETURN_SECONDS = 1.0
-OTHER_ADDRESSES = _common.ROOT / "test" / "standins" / "other_addresses"
+ALTERED_PROCESS = _common.ROOT / "test" / "standins" / "altered_process"
 # API keys of the client account; the last one is withdrawn at times.
 KEYS = ("k1", "k2")
 # Routes of both services; the last of them comes and goes.
@@ -306,6 +306,7 @@
     Attributes:
         bounds: Bounds of the rules.
         processor_share: Share of a processor that each host gets, or None.
+        shift_clocks: Whether the time of day of each host is wrong and steps.
         directory: Directory of logs and settings files.
         store: Stand-in of the store.
         upstreams: Stand-ins of upstreams by the names of their first instances.
@@ -320,8 +321,16 @@
         services: Services of the further routes in it, by route.
     """
 
-    def __init__(self, host_count, roots, bounds=None, processor_share=None):
+    def __init__(
+        self,
+        host_count,
+        roots,
+        bounds=None,
+        processor_share=None,
+        shift_clocks=False,
+    ):
         self.host_count = host_count
+        self.shift_clocks = shift_clocks
         self.processor_share = processor_share
         self.bounds = bounds or _soak_rules.USUAL_BOUNDS
         self.roots = roots
@@ -443,8 +452,10 @@
             self.host_proxy.url("/_sources"), {host.ip: host.name}
         )
         host.environment["CONNECTING_IP"] = host.ip
-        host.environment["PYTHONPATH"] = str(OTHER_ADDRESSES)
+        host.environment["PYTHONPATH"] = str(ALTERED_PROCESS)
         host.environment["LISTENING_ADDRESSES"] = json.dumps(actual)
+        if self.shift_clocks:
+            host.environment["TIME_OF_DAY_SEED"] = host.name
 
     def register(self, name, **changes):
         """Writes the entry of an upstream and returns when it was written."""
--- a/test/standins/other_addresses/sitecustomize.py
+++ b/test/standins/altered_process/sitecustomize.py
@@ -1,19 +1,25 @@
-"""Changes the addresses that a Python process listens at and connects from.
+"""Changes the addresses and the time of day of a Python process.
 
 The directory belongs on PYTHONPATH of hosts that reach each other through a
 proxy, since they announce the addresses that they were told. The variable
 LISTENING_ADDRESSES has a JSON map of the `IP:PORT` told to that in its place.
 CONNECTING_IP has the IP address of outgoing connections, by which the proxy
-knows their source.
+knows their source. With TIME_OF_DAY_SEED the time of day is wrong, by another
+number of seconds in each period.
 """
 
 import functools
 import importlib.util
 import json
 import os
+import random
 import sys
+import time
 
 _MODULE = "eventlet.convenience"
+# Greatest error of the time of day, and the period in which it is the same.
+_MAX_SHIFT_SECONDS = 3.0
+_SHIFT_PERIOD_SECONDS = 5.0
 _ADDRESSES = json.loads(os.environ.get("LISTENING_ADDRESSES", "{}"))
 
 
@@ -51,4 +57,19 @@
     return listen_elsewhere
 
 
+def _shift_time_of_day(seed):
+    time_of_day = time.time
+
+    def shifted():
+        period = int(time.monotonic() / _SHIFT_PERIOD_SECONDS)
+        rng = random.Random(f"{seed}-{period}")
+        return time_of_day() + rng.uniform(
+            -_MAX_SHIFT_SECONDS, _MAX_SHIFT_SECONDS
+        )
+
+    time.time = shifted
+
+
 sys.meta_path.insert(0, _Finder())
+if "TIME_OF_DAY_SEED" in os.environ:
+    _shift_time_of_day(os.environ["TIME_OF_DAY_SEED"])
