Count requests by their id where they may be sent once only

Cause: the test counted answers at their end, so one of the request before, which may be sent to three upstreams, could be counted beside it.

Change: the stand-in counts requests by their id, and the test asks for one of each that may not be repeated.

--- a/test/standins/endless_upstream.py
+++ b/test/standins/endless_upstream.py
@@ -6,9 +6,11 @@
 
 The last segment of the path selects the answer, one of `ANSWERS` that goes on
 until the host closes the connection; any other path gets a complete answer.
-`GET /_control` returns the bytes and answers sent without end.
+`GET /_control` returns the bytes and answers sent without end, and the number
+of requests by their id.
 """
 
+import collections
 import contextlib
 import json
 import socket
@@ -69,11 +71,13 @@
 
     def answer(self, path, headers):
         """Sends a complete answer, or one without end."""
-        request_id = headers.get("request-id", "").encode()
-        start = STATUS + b"Request-Id: " + request_id + b"\r\n"
+        request_id = headers.get("request-id", "")
+        start = STATUS + b"Request-Id: " + request_id.encode() + b"\r\n"
         kind = path.rpartition("/")[2]
+        with self.server.lock:
+            self.server.requests[request_id] += 1
         if path == "/_control":
-            body = json.dumps(self.server.counts).encode()
+            body = self.state()
         elif kind in ANSWERS:
             begin, piece = ANSWERS[kind]
             self.send_without_end(start + begin, piece)
@@ -85,6 +89,13 @@
             start + b"Content-Length: %d\r\n\r\n%s" % (len(body), body)
         )
 
+    def state(self):
+        """Returns what `/_control` answers."""
+        with self.server.lock:
+            return json.dumps(
+                {**self.server.counts, "requests": self.server.requests}
+            ).encode()
+
     def send_without_end(self, begin, piece):
         """Sends a piece again and again until the connection ends.
 
@@ -108,6 +119,7 @@
 
     Attributes:
         counts: Bytes and answers sent without end.
+        requests: Number of requests by their id.
         lock: Held while these change.
     """
 
@@ -118,6 +130,7 @@
     def __init__(self):
         super().__init__((serving.LOOPBACK, 0), Handler)
         self.counts = {"bytes": 0, "answers": 0}
+        self.requests = collections.Counter()
         self.lock = threading.Lock()
 
     def handle_error(self, request, client_address):
--- a/test/test_bytes_without_end.py
+++ b/test/test_bytes_without_end.py
@@ -4,6 +4,7 @@
 the bytes; one in the process of the callers is too slow to fill a host.
 """
 
+import collections
 import contextlib
 import pathlib
 import signal
@@ -107,6 +108,13 @@
             for each in self.upstreams
         )
 
+    def sent_requests(self):
+        """Returns how many requests upstreams got, by the id of the request."""
+        sent = collections.Counter()
+        for each in self.upstreams:
+            sent.update(_common.fetch_json(each.url("/_control"))["requests"])
+        return sent
+
     @contextlib.contextmanager
     def callers_beside(self, call):
         """Repeats a call in many threads until the context ends."""
@@ -208,18 +216,19 @@
     def test_requests_that_may_not_repeat_are_sent_once(self):
         for kind in endless_upstream.KINDS:
             before = self.endless_answers()
-            answer = self.call(f"/write/x/{kind}", method="POST")
+            answer = self.call(
+                f"/write/x/{kind}", method="POST", request_id=f"write-{kind}"
+            )
             self.assertIn(answer.status, (502, 504), kind)
             _common.wait_until(
                 lambda before=before: self.endless_answers() > before,
                 description=f"an answer of {kind} was ended",
             )
-            self.assertEqual(self.endless_answers() - before, 1, kind)
-            before = self.endless_answers()
-            self.call(f"/read/x/{kind}")
-            self.assertLessEqual(
-                self.endless_answers() - before, MAX_ATTEMPTS, kind
-            )
+            self.call(f"/read/x/{kind}", request_id=f"read-{kind}")
+        sent = self.sent_requests()
+        for kind in endless_upstream.KINDS:
+            self.assertEqual(sent[f"write-{kind}"], 1, kind)
+            self.assertLessEqual(sent[f"read-{kind}"], MAX_ATTEMPTS, kind)
 
     # Guards against callers that keep a host from all others with one body
     # each, whose chunks cost far more work than their content.
